Placement, relay kernel and platform adapter: first thin path

The users' machines speak a protocol of their own. libs/placement chooses layer ranges and paths, libs/relay decides everything about requests that are passed on unchanged, platform/ translates.

--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -11,7 +11,7 @@
 # Declares the test program of a package from tests/*.cpp, if there are any.
 function(trefoil_tests name)
     file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
-    if(tests)
+    if(tests AND TREFOILPORT_TESTS)
         add_executable(${name}Tests ${tests})
         target_include_directories(${name}Tests PRIVATE src)
         target_link_libraries(${name}Tests PRIVATE ${name} testing)
--- a/libs/base/include/base/Time.h
+++ b/libs/base/include/base/Time.h
@@ -20,6 +20,9 @@
 /// Reads both clocks.
 Now readClocks();
 
+/// Time on a clock that goes on while the machine is suspended, since an arbitrary origin.
+Instant readSuspendClock();
+
 /// Whole milliseconds of a duration.
 inline std::int64_t toMs(Instant duration)
 {
--- a/libs/base/src/Time.cpp
+++ b/libs/base/src/Time.cpp
@@ -1,5 +1,7 @@
 #include "base/Time.h"
 
+#include <ctime>
+
 namespace base {
 
 Now readClocks()
@@ -9,4 +11,11 @@
     return {std::chrono::duration_cast<Instant>(mono), std::chrono::duration_cast<std::chrono::milliseconds>(wall).count()};
 }
 
+Instant readSuspendClock()
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 } // namespace base
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -70,6 +70,12 @@
     /// Breaks the connection without ending the response, so that the client can't take it for a whole one.
     void abort(ExchangeId id);
 
+    /// Limits for what is read from now on.
+    void setLimits(const ServerLimits &limits);
+
+    /// Responses from now on end their connections, and idle connections are closed. New ones are still accepted.
+    void closeConnections();
+
     /// Closes the listening socket; open exchanges go on.
     void stopAccepting();
 
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -83,9 +83,11 @@
     message.version(11);
     message.method_string(call.request.method);
     message.target(call.request.target);
-    message.set(http::field::host, toString(call.address));
+    if (headerIn(call.request.headers, "Host").empty()) {
+        message.set(http::field::host, toString(call.address));
+    }
     for (const auto &[name, value] : call.request.headers) {
-        message.set(name, value);
+        message.insert(name, value);
     }
     message.body() = std::move(call.request.body);
     message.prepare_payload();
@@ -126,6 +128,7 @@
         co_return false;
     }
     socket->set_option(tcp::no_delay(true), error);
+    limitSilence(*socket);
     co_return true;
 }
 
@@ -208,7 +211,8 @@
     }
     state->timer->cancel();
     running.erase(id);
-    if (parser.get().keep_alive() && !call.freshConnection) {
+    // Bytes after the response belong to no request: the connection can't be trusted any more.
+    if (parser.get().keep_alive() && !parser.need_eof() && !call.freshConnection && buffer.size() == 0) {
         keep(key, state->socket);
     }
     handlers.onEnd();
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -2,7 +2,8 @@
 
 #include "details/EventLoopImpl.h"
 
-#include <deque>
+#include <unordered_set>
+#include <vector>
 
 namespace net {
 
@@ -11,10 +12,10 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
-namespace {
-
 class Connection;
 
+namespace {
+
 std::string chunkOf(const std::string &data)
 {
     char size[20];
@@ -64,12 +65,12 @@
     Handlers handlers;
     std::unordered_map<ExchangeId, std::shared_ptr<Connection>> exchanges;
     ExchangeId nextId = 1;
+    /// Every connection, exchanges under way or not.
+    std::unordered_set<Connection *> open;
     std::size_t connections = 0;
     bool closing = false;
 };
 
-namespace {
-
 /// One client connection: reads a request, hands it over, writes what is queued, and meanwhile watches for the client's close.
 class Connection : public std::enable_shared_from_this<Connection>
 {
@@ -81,11 +82,13 @@
         , readLimit_(stream_.get_executor())
     {
         ++server_->connections;
+        server_->open.insert(this);
     }
 
     ~Connection()
     {
         --server_->connections;
+        server_->open.erase(this);
     }
 
     asio::awaitable<void> run()
@@ -100,12 +103,14 @@
 
     void respond(const HttpResponse &response)
     {
+        keepAlive_ = keepAlive_ && !server_->closing;
         queue(headText(response.status, response.headers, false, response.body.size(), keepAlive_) + response.body);
         finish();
     }
 
     void begin(int status, const Headers &headers)
     {
+        keepAlive_ = keepAlive_ && !server_->closing;
         queue(headText(status, headers, true, 0, keepAlive_));
     }
 
@@ -135,6 +140,15 @@
         return id_;
     }
 
+    /// Ends the connection if no request is under way.
+    void closeIfIdle()
+    {
+        if (isIdle_ && buffer_.size() == 0) {
+            beast::error_code ignored;
+            stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        }
+    }
+
 private:
     asio::awaitable<bool> serveOne()
     {
@@ -157,6 +171,7 @@
         watchForClose();
         co_await writeQueued();
         server_->exchanges.erase(id_);
+        isIdle_ = true;
         co_return keepAlive_ && !broken_ && !server_->closing;
     }
 
@@ -180,6 +195,7 @@
         id_ = server_->nextId++;
         ended_ = false;
         keepAlive_ = message.keep_alive();
+        isIdle_ = false;
         server_->exchanges[id_] = shared_from_this();
         HttpRequest request{std::string(message.method_string()), std::string(message.target()), {}, std::move(message.body())};
         for (const auto &field : message) {
@@ -313,10 +329,10 @@
     bool ended_ = false;
     bool broken_ = false;
     bool readTimedOut_ = false;
+    /// Between two requests, with nothing read of the next one.
+    bool isIdle_ = true;
 };
 
-} // namespace
-
 asio::awaitable<void> HttpServer::Impl::acceptLoop()
 {
     auto self = shared_from_this();
@@ -335,6 +351,7 @@
             continue; // The socket's destructor closes it: the client sees a refused request, and nothing ran.
         }
         socket.set_option(tcp::no_delay(true), error);
+        limitSilence(socket);
         auto connection = std::make_shared<Connection>(self, std::move(socket));
         asio::co_spawn(
             io, [connection]() { return connection->run(); }, asio::detached);
@@ -402,6 +419,19 @@
     }
 }
 
+void HttpServer::setLimits(const ServerLimits &limits)
+{
+    impl_->limits = limits;
+}
+
+void HttpServer::closeConnections()
+{
+    impl_->closing = true;
+    for (Connection *connection : std::vector<Connection *>(impl_->open.begin(), impl_->open.end())) {
+        connection->closeIfIdle();
+    }
+}
+
 void HttpServer::stopAccepting()
 {
     impl_->closing = true;
--- /dev/null
+++ b/libs/placement/include/placement/PathChooser.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "placement/EngineProfile.h"
+
+namespace placement {
+
+/// An endpoint that holds layers, with the work that is on it.
+struct Holder {
+    std::uint32_t kind = 0;
+    std::uint32_t zone = 0;
+    LayerRange held;
+    /// Requests whose tokens pass through it, and their tokens of context in all.
+    double sequences = 0;
+    double contextTokens = 0;
+    /// How much slower than its profile it works; 1 is as expected.
+    double slowness = 1;
+    bool usable = true;
+    /// False if it may only serve as a later stage.
+    bool canBeFirst = true;
+};
+
+/// What the path is for.
+struct PathRequest {
+    double promptTokens = 0;
+    double answerTokens = 0;
+    /// Zone of the instance that asks.
+    std::uint32_t zone = 0;
+};
+
+/// One stage: the holder's index in the call, and the layers that it runs.
+struct PathStage {
+    std::uint32_t holder = 0;
+    LayerRange layers;
+};
+
+/// A chain of stages over all layers with its predicted times; no stages if there is none.
+struct Path {
+    std::vector<PathStage> stages;
+    double firstTokenMs = 0;
+    double tokenMs = 0;
+};
+
+/// The path with the lowest predicted time for the whole answer, over holders that are usable and have room for the request.
+///
+/// A shortest path over (layer, zone of the previous stage): the cost is proportional to holders x layer boundaries x zones.
+Path choosePath(const EngineProfile &profile, const std::vector<Holder> &holders, const PathRequest &request);
+
+} // namespace placement
--- /dev/null
+++ b/libs/placement/src/EngineProfile.cpp
@@ -0,0 +1,50 @@
+#include "placement/EngineProfile.h"
+
+#include <algorithm>
+
+namespace placement {
+
+namespace {
+
+constexpr double BytesPerMb = 1e6;
+constexpr double BitsPerByte = 8;
+constexpr double TokensPerThousand = 1e3;
+constexpr double PairsPerMillion = 1e6;
+
+double shareOf(const EngineProfile &profile, std::uint32_t layers)
+{
+    return profile.layers == 0 ? 0 : static_cast<double>(layers) / profile.layers;
+}
+
+} // namespace
+
+double kvTokens(const EngineProfile &profile, const AcceleratorKind &kind, std::uint32_t layers)
+{
+    const double freeMb = kind.memoryMb - layers * profile.layerMb;
+    const double bytesPerToken = profile.kvTokenBytes * shareOf(profile, layers);
+    return freeMb <= 0 || bytesPerToken <= 0 ? 0 : freeMb * BytesPerMb / bytesPerToken;
+}
+
+double stepMs(const EngineProfile &profile, const AcceleratorKind &kind, std::uint32_t layers, double sequences, double contextTokens)
+{
+    const double whole
+        = profile.stepMs + profile.stepMsPerSequence * sequences + profile.stepMsPerThousandTokens * contextTokens / TokensPerThousand;
+    return kind.stepFactor * whole * shareOf(profile, layers);
+}
+
+double readMs(const EngineProfile &profile, const AcceleratorKind &kind, std::uint32_t layers, double promptTokens)
+{
+    const double pairs = promptTokens * promptTokens / 2;
+    const double whole = promptTokens / std::max(profile.readTokensPerMs, 1e-9) + profile.readMsPerMillionPairs * pairs / PairsPerMillion;
+    return kind.readFactor * whole * shareOf(profile, layers);
+}
+
+double transferMs(const EngineProfile &profile, double tokens, bool otherZone)
+{
+    const double megabits = tokens * profile.activationBytes * BitsPerByte / BytesPerMb;
+    const double link = profile.linkMbps > 0 ? megabits / profile.linkMbps * 1e3 : 0;
+    const double pipe = otherZone && profile.zonePipeMbps > 0 ? megabits / profile.zonePipeMbps * 1e3 : 0;
+    return link + pipe;
+}
+
+} // namespace placement
--- /dev/null
+++ b/libs/placement/src/PathChooser.cpp
@@ -0,0 +1,167 @@
+#include "placement/PathChooser.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace placement {
+
+namespace {
+
+/// A token waits at each stage for the pass that is in progress there: half of one on average, on top of its own.
+constexpr double WaitFactor = 1.5;
+/// Stages that the endpoints accept in one path.
+constexpr std::size_t MostStages = 32;
+/// Share of a holder's memory above which its cost rises, since estimates of answer length are often too low.
+constexpr double ComfortableFill = 0.7;
+constexpr double FillPenalty = 4.0;
+/// Fixed cost of one more stage for each token, in ms.
+constexpr double HopMs = 0.2;
+constexpr double Unreachable = std::numeric_limits<double>::infinity();
+
+/// Predicted times of one stage.
+struct StageCost {
+    double firstMs = 0;
+    double tokenMs = 0;
+};
+
+/// Best way found to one layer boundary with the previous stage in one zone.
+struct Node {
+    double cost = Unreachable;
+    double firstMs = 0;
+    double tokenMs = 0;
+    std::uint32_t holder = 0;
+    LayerRange layers;
+    std::size_t previous = 0;
+    std::uint32_t stages = 0;
+};
+
+class Search
+{
+public:
+    Search(const EngineProfile &profile, const std::vector<Holder> &holders, const PathRequest &request)
+        : profile_(profile)
+        , holders_(holders)
+        , request_(request)
+    {
+        collectBoundaries();
+        for (const Holder &holder : holders) {
+            zones_ = std::max(zones_, holder.zone + 1);
+        }
+        zones_ = std::max(zones_, request.zone + 1);
+        nodes_.resize(boundaries_.size() * zones_);
+    }
+
+    Path run()
+    {
+        if (boundaries_.size() < 2) {
+            return {};
+        }
+        nodes_[request_.zone].cost = 0;
+        for (std::size_t boundary = 0; boundary + 1 < boundaries_.size(); ++boundary) {
+            for (std::uint32_t zone = 0; zone < zones_; ++zone) {
+                extend(boundary, zone);
+            }
+        }
+        return best();
+    }
+
+private:
+    void collectBoundaries()
+    {
+        boundaries_ = {0, profile_.layers};
+        for (const Holder &holder : holders_) {
+            if (holder.usable && !holder.held.empty()) {
+                boundaries_.push_back(holder.held.first);
+                boundaries_.push_back(std::min(holder.held.end, profile_.layers));
+            }
+        }
+        std::sort(boundaries_.begin(), boundaries_.end());
+        boundaries_.erase(std::unique(boundaries_.begin(), boundaries_.end()), boundaries_.end());
+    }
+
+    std::size_t boundaryOf(std::uint32_t layer) const
+    {
+        return static_cast<std::size_t>(std::lower_bound(boundaries_.begin(), boundaries_.end(), layer) - boundaries_.begin());
+    }
+
+    /// Infinite times if the holder has no room for the request.
+    StageCost costOf(const Holder &holder, std::uint32_t layers) const
+    {
+        const AcceleratorKind &kind = profile_.kinds[holder.kind];
+        const double room = kvTokens(profile_, kind, holder.held.size());
+        const double needed = request_.promptTokens + request_.answerTokens;
+        const double fill = room > 0 ? (holder.contextTokens + needed) / room : Unreachable;
+        if (fill > 1) {
+            return {Unreachable, Unreachable};
+        }
+        const double pressure = fill > ComfortableFill ? 1 + FillPenalty * (fill - ComfortableFill) : 1;
+        const double step = stepMs(profile_, kind, layers, holder.sequences + 1, holder.contextTokens + needed);
+        const double factor = WaitFactor * holder.slowness * pressure;
+        return {factor * (readMs(profile_, kind, layers, request_.promptTokens) + step), factor * step + HopMs};
+    }
+
+    void extend(std::size_t boundary, std::uint32_t zone)
+    {
+        const std::size_t from = boundary * zones_ + zone;
+        if (nodes_[from].cost == Unreachable || nodes_[from].stages >= MostStages) {
+            return;
+        }
+        const std::uint32_t layer = boundaries_[boundary];
+        for (std::uint32_t i = 0; i < holders_.size(); ++i) {
+            const Holder &holder = holders_[i];
+            const bool covers = holder.usable && holder.held.first <= layer && layer < holder.held.end && holder.kind < profile_.kinds.size();
+            if (covers && (boundary > 0 || holder.canBeFirst)) {
+                tryStage(from, i, {layer, std::min(holder.held.end, profile_.layers)}, boundary > 0 && holder.zone != zone);
+            }
+        }
+    }
+
+    void tryStage(std::size_t from, std::uint32_t index, LayerRange layers, bool crossesZone)
+    {
+        StageCost stage = costOf(holders_[index], layers.size());
+        const double perToken = transferMs(profile_, 1, crossesZone) + (crossesZone ? profile_.zoneDelayMs : 0);
+        stage.firstMs += transferMs(profile_, request_.promptTokens, crossesZone) + (crossesZone ? profile_.zoneDelayMs : 0);
+        stage.tokenMs += perToken;
+        const double cost = nodes_[from].cost + stage.firstMs + stage.tokenMs * request_.answerTokens;
+        Node &to = nodes_[boundaryOf(layers.end) * zones_ + holders_[index].zone];
+        if (cost < to.cost) {
+            to = {cost, nodes_[from].firstMs + stage.firstMs, nodes_[from].tokenMs + stage.tokenMs, index, layers, from, nodes_[from].stages + 1};
+        }
+    }
+
+    Path best() const
+    {
+        std::size_t last = (boundaries_.size() - 1) * zones_;
+        for (std::size_t node = last; node < nodes_.size(); ++node) {
+            last = nodes_[node].cost < nodes_[last].cost ? node : last;
+        }
+        Path path;
+        if (nodes_[last].cost == Unreachable) {
+            return path;
+        }
+        path.firstTokenMs = nodes_[last].firstMs;
+        path.tokenMs = nodes_[last].tokenMs;
+        for (std::size_t node = last; nodes_[node].stages > 0; node = nodes_[node].previous) {
+            path.stages.push_back({nodes_[node].holder, nodes_[node].layers});
+        }
+        std::reverse(path.stages.begin(), path.stages.end());
+        return path;
+    }
+
+    const EngineProfile &profile_;
+    const std::vector<Holder> &holders_;
+    const PathRequest &request_;
+    std::vector<std::uint32_t> boundaries_;
+    std::uint32_t zones_ = 1;
+    std::vector<Node> nodes_;
+};
+
+} // namespace
+
+Path choosePath(const EngineProfile &profile, const std::vector<Holder> &holders, const PathRequest &request)
+{
+    return Search(profile, holders, request).run();
+}
+
+} // namespace placement
--- /dev/null
+++ b/libs/relay/src/PlainCalls.cpp
@@ -0,0 +1,138 @@
+#include "details/KernelImpl.h"
+
+#include <algorithm>
+
+namespace relay {
+
+namespace {
+
+/// Assumed time to an answer of an endpoint that has not answered yet, as a share of the route's target.
+constexpr double AssumedLatencyShare = 0.3;
+/// What a failed request costs in the choice, in multiples of the route's target.
+constexpr double FailureCost = 6.0;
+/// Cost of leaving the zone, in ms.
+constexpr double ZoneCostMs = 1.5;
+/// A repeatable request without an answer after this share of the route's target goes to a second endpoint.
+constexpr double HedgeShare = 0.6;
+constexpr double HedgeLatencies = 2.5;
+constexpr int FirstFailureStatus = 500;
+
+double msBetween(Instant from, Instant to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+} // namespace
+
+std::optional<EndpointIndex> RelayKernel::Impl::choosePlain(Instant now, const Call &call) const
+{
+    const double target = std::max(1.0, static_cast<double>(call.route->targetLatency.count()));
+    std::optional<EndpointIndex> best;
+    double bestCost = 0;
+    for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
+        const EndpointState &state = endpoints.at(i);
+        const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
+        if (state.entry.service != call.service->name || isExcluded || !endpoints.isUsable(i, now)) {
+            continue;
+        }
+        const double latency = state.latencyMs > 0 ? state.latencyMs : AssumedLatencyShare * target;
+        const double queue = 1.0 + static_cast<double>(state.openRequests) / std::max(1U, state.entry.slots) * settings.instances;
+        const double zone = state.entry.zone == settings.zone ? 0 : ZoneCostMs;
+        const double cost = latency * queue + zone + FailureCost * target * failureShareAt(state, now);
+        if (!best || cost < bestCost) {
+            best = i;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+void RelayKernel::Impl::startPlain(Instant now, Call &call)
+{
+    const auto endpoint = choosePlain(now, call);
+    if (!endpoint) {
+        return fail(now, call, base::ErrorKind::NoEndpoint, "no usable endpoint of service '" + call.service->name + "'");
+    }
+    const AttemptId id = startAttempt(now, call, {0, {*endpoint}, now, now, 0, 0, false});
+    const EndpointState &state = endpoints.at(*endpoint);
+    Dispatch dispatch;
+    dispatch.attempt = id;
+    dispatch.call = call.id;
+    dispatch.endpoint = state.entry.id;
+    dispatch.address = state.entry.address;
+    dispatch.team = call.team;
+    dispatch.timeLeft = std::chrono::duration_cast<Ms>(call.deadline - now);
+    dispatch.freshConnection = call.route->kind == RequestKind::OnceOnly;
+    dispatch.priority = call.priority;
+    driver.record({"sent", call.requestId, state.entry.id, "attempt " + std::to_string(call.sendings) + ", configuration " + std::to_string(call.config->version)});
+    driver.send(std::move(dispatch));
+}
+
+void RelayKernel::Impl::onPlainAnswer(Instant now, Call &call, AttemptId attempt, const AnswerHead &head)
+{
+    const EndpointIndex endpoint = attempts.at(attempt).stages.front();
+    const double latency = msBetween(attempts.at(attempt).sentAt, now);
+    if (head.notRun) {
+        driver.record({"attempt_refused", call.requestId, endpoints.at(endpoint).entry.id, "status " + std::to_string(head.status)});
+        endpoints.avoid(endpoint, now);
+        exclude(call, endpoint);
+        --call.runs;
+        dropAttempt(attempt);
+        return afterPlainFailure(now, call, base::ErrorKind::Overloaded, "the endpoint refused the request without running it");
+    }
+    call.mayHaveRun = true;
+    const bool isSuccess = head.status < FirstFailureStatus && head.genuine;
+    if (isSuccess) {
+        endpoints.onPlainAnswer(endpoint, latency, now);
+    } else {
+        endpoints.onPlainFailure(endpoint, now);
+    }
+    const bool canRepeat = call.route->kind == RequestKind::Idempotent && !isSuccess;
+    if (canRepeat && !call.attempts.empty() && call.attempts.size() > 1) {
+        dropAttempt(attempt);
+        return; // The other sending may still succeed.
+    }
+    if (canRepeat && choosePlain(now, call) && call.runs < call.route->maxAttempts) {
+        exclude(call, endpoint);
+        if (choosePlain(now, call) && mayRepeat(now, call)) {
+            dropAttempt(attempt);
+            return startPlain(now, call);
+        }
+    }
+    if (!head.genuine) {
+        dropAttempt(attempt);
+        return fail(now, call, base::ErrorKind::UpstreamBroken, "the endpoint's answer is damaged");
+    }
+    forward(now, call, attempt, head.status);
+}
+
+void RelayKernel::Impl::afterPlainFailure(Instant now, Call &call, base::ErrorKind kind, const std::string &detail)
+{
+    if (!call.attempts.empty()) {
+        return; // Another sending is still open.
+    }
+    if (choosePlain(now, call) && mayRepeat(now, call)) {
+        return startPlain(now, call);
+    }
+    fail(now, call, kind, detail);
+}
+
+void RelayKernel::Impl::hedge(Instant now, Call &call)
+{
+    if (call.route->kind != RequestKind::Idempotent || call.attempts.size() != 1 || call.runs >= call.route->maxAttempts) {
+        return;
+    }
+    const Attempt &attempt = attempts.at(call.attempts.front());
+    const EndpointIndex endpoint = attempt.stages.front();
+    const double target = static_cast<double>(call.route->targetLatency.count());
+    const double wait = std::min(target * HedgeShare, std::max(1.0, endpoints.at(endpoint).latencyMs) * HedgeLatencies);
+    if (msBetween(attempt.sentAt, now) < wait) {
+        return;
+    }
+    exclude(call, endpoint);
+    if (choosePlain(now, call) && mayRepeat(now, call)) {
+        startPlain(now, call);
+    }
+}
+
+} // namespace relay
--- /dev/null
+++ b/libs/relay/src/StreamCalls.cpp
@@ -0,0 +1,237 @@
+#include "details/KernelImpl.h"
+
+#include <algorithm>
+
+namespace relay {
+
+namespace {
+
+/// A stream without progress for this time is looked after.
+constexpr Ms LookAfterGap{250};
+constexpr Ms LookAfterSending{350};
+constexpr Ms LookPeriod{100};
+/// A stream without progress for this time is moved, whatever its endpoints say.
+constexpr Ms MoveAfter{1200};
+/// Callers leave after a pause of about two seconds: a stream that can't go on before is broken off.
+constexpr Ms ResumeWithin{1900};
+constexpr Ms ResumePeriod{50};
+constexpr double FirstTokenFactor = 3.0;
+constexpr int MisdirectedStatus = 421;
+/// Expected answer where the caller gives none, and room for answers that grow beyond what was expected.
+constexpr std::uint32_t DefaultAnswerTokens = 200;
+
+} // namespace
+
+placement::Path RelayKernel::Impl::findPath(Instant now, const Call &call, std::vector<EndpointIndex> &indices)
+{
+    const placement::EngineProfile &profile = *call.service->engine;
+    std::vector<placement::Holder> holders;
+    const double others = std::max(1.0, settings.instances / 3.0);
+    for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
+        const EndpointState &state = endpoints.at(i);
+        const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
+        if (state.entry.service != call.service->name || state.entry.layers.empty() || isExcluded || !endpoints.isUsable(i, now)) {
+            continue;
+        }
+        std::uint32_t kind = 0;
+        while (kind < profile.kinds.size() && profile.kinds[kind].name != state.entry.accelerator) {
+            ++kind;
+        }
+        holders.push_back(
+            {kind, state.zone, state.entry.layers, state.openRequests * others, state.contextTokens * others, state.slowness, true, true});
+        indices.push_back(i);
+    }
+    const std::uint32_t answer = call.answerTokens > 0 ? call.answerTokens : DefaultAnswerTokens;
+    return placement::choosePath(
+        profile, holders, {static_cast<double>(call.promptTokens), static_cast<double>(answer), endpoints.zoneNumber(settings.zone)});
+}
+
+void RelayKernel::Impl::startStream(Instant now, Call &call)
+{
+    if (!call.service->engine) {
+        return startPlain(now, call);
+    }
+    std::vector<EndpointIndex> indices;
+    const placement::Path path = findPath(now, call, indices);
+    if (path.stages.empty()) {
+        if (call.sendings > 0 && now - call.lastDelivery < ResumeWithin && call.mayHaveRun) {
+            call.nextLook = now + ResumePeriod; // A path may be back before the caller leaves.
+            return;
+        }
+        return fail(now, call, base::ErrorKind::NoEndpoint, "no path over all layers has room");
+    }
+    Attempt attempt;
+    Dispatch dispatch;
+    std::string text;
+    for (const placement::PathStage &stage : path.stages) {
+        const EndpointIndex index = indices[stage.holder];
+        attempt.stages.push_back(index);
+        dispatch.hops.push_back({endpoints.at(index).entry.address, stage.layers});
+        text += (text.empty() ? "" : " ") + endpoints.at(index).entry.id + "=" + std::to_string(stage.layers.first) + "-" + std::to_string(stage.layers.end);
+    }
+    attempt.contextTokens = call.promptTokens + (call.answerTokens > 0 ? call.answerTokens : DefaultAnswerTokens);
+    attempt.predictedFirstMs = path.firstTokenMs;
+    const AttemptId id = startAttempt(now, call, std::move(attempt));
+    const EndpointState &first = endpoints.at(indices[path.stages.front().holder]);
+    dispatch.attempt = id;
+    dispatch.call = call.id;
+    dispatch.endpoint = first.entry.id;
+    dispatch.address = first.entry.address;
+    dispatch.team = call.team;
+    dispatch.timeLeft = std::chrono::duration_cast<Ms>(call.deadline - now);
+    dispatch.lastEventId = call.lastEventId;
+    dispatch.priority = call.priority;
+    driver.record({"sent",
+                   call.requestId,
+                   first.entry.id,
+                   "attempt " + std::to_string(call.sendings) + ", configuration " + std::to_string(call.config->version) + ", path " + text + ", predicted "
+                       + std::to_string(static_cast<int>(path.firstTokenMs)) + " ms to the first token"});
+    driver.send(std::move(dispatch));
+}
+
+void RelayKernel::Impl::onStreamRefused(Instant now, Call &call, AttemptId attempt, const AnswerHead &head)
+{
+    const EndpointIndex first = attempts.at(attempt).stages.front();
+    if (!head.notRun) {
+        call.mayHaveRun = true;
+        if (head.genuine && !call.streamBegun) {
+            return forward(now, call, attempt, head.status);
+        }
+        dropAttempt(attempt);
+        exclude(call, first);
+        return afterStreamFailure(now, call, "the endpoint answered with status " + std::to_string(head.status));
+    }
+    const EndpointIndex atFault = head.faultAddress.empty() ? first : endpoints.findAddress(head.faultAddress).value_or(first);
+    driver.record({"attempt_refused", call.requestId, endpoints.at(atFault).entry.id, "status " + std::to_string(head.status)});
+    --call.runs;
+    dropAttempt(attempt);
+    exclude(call, atFault);
+    if (head.status == MisdirectedStatus) {
+        endpoints.forgetLayers(atFault);
+    } else {
+        endpoints.avoid(atFault, now);
+    }
+    askReport(now, atFault);
+    if (mayRepeat(now, call)) {
+        return startStream(now, call);
+    }
+    fail(now, call, base::ErrorKind::Overloaded, "the path's endpoints refused the request without running it");
+}
+
+void RelayKernel::Impl::afterStreamFailure(Instant now, Call &call, const std::string &detail)
+{
+    const bool canGoOn = !call.mayHaveRun || call.route->isResumable;
+    if (!canGoOn || !mayRepeat(now, call)) {
+        return fail(now, call, call.mayHaveRun ? base::ErrorKind::UpstreamBroken : base::ErrorKind::NoEndpoint, detail);
+    }
+    counters.streamsResumed += call.streamBegun ? 1 : 0;
+    startStream(now, call);
+}
+
+void RelayKernel::Impl::watchStream(Instant now, Call &call)
+{
+    if (now < call.nextLook) {
+        return;
+    }
+    if (call.attempts.empty()) {
+        return startStream(now, call);
+    }
+    const AttemptId id = call.attempts.front();
+    const Attempt &attempt = attempts.at(id);
+    const Instant silence = now - attempt.progressAt;
+    const Instant firstLimit = std::max(Instant(LookAfterSending), Instant(Ms(static_cast<std::int64_t>(FirstTokenFactor * attempt.predictedFirstMs))));
+    if (silence < (attempt.hasEvents ? Instant(LookAfterGap) : firstLimit)) {
+        return;
+    }
+    call.nextLook = now + LookPeriod;
+    if (silence < MoveAfter || !call.route->isResumable) {
+        return askReport(now, attempt.stages.front());
+    }
+    const EndpointIndex first = attempt.stages.front();
+    call.mayHaveRun = true;
+    if (call.runs >= call.route->maxAttempts) {
+        return; // There is no sending left to move to.
+    }
+    driver.record({"stream_moved", call.requestId, endpoints.at(first).entry.id, "no progress for " + std::to_string(silence / Ms(1)) + " ms"});
+    driver.cancel(id);
+    dropAttempt(id);
+    afterStreamFailure(now, call, "the stream made no progress");
+}
+
+void RelayKernel::Impl::moveStreams(Instant now, EndpointIndex index)
+{
+    std::vector<AttemptId> affected;
+    for (const auto &[id, attempt] : attempts) {
+        const bool passes = std::find(attempt.stages.begin(), attempt.stages.end(), index) != attempt.stages.end();
+        if (passes && now - attempt.progressAt >= LookAfterGap / 2) {
+            affected.push_back(id);
+        }
+    }
+    std::sort(affected.begin(), affected.end());
+    for (const AttemptId id : affected) {
+        Call *call = callOf(id);
+        if (call == nullptr || call->route->kind != RequestKind::Stream || !call->route->isResumable) {
+            continue;
+        }
+        call->mayHaveRun = true;
+        // A run that ends with its endpoint doesn't count against the route's limit.
+        --call->runs;
+        exclude(*call, index);
+        driver.record({"stream_moved", call->requestId, endpoints.at(index).entry.id, "a stage of its path is silent"});
+        driver.cancel(id);
+        dropAttempt(id);
+        afterStreamFailure(now, *call, "a stage of the path is silent");
+    }
+}
+
+bool RelayKernel::onEvent(Instant now, AttemptId attempt, std::uint64_t eventId)
+{
+    Call *call = impl_->callOf(attempt);
+    if (call == nullptr) {
+        return false;
+    }
+    Attempt &state = impl_->attempts.at(attempt);
+    state.progressAt = now;
+    state.hasEvents = true;
+    call->mayHaveRun = true;
+    const bool isNext = eventId == call->lastEvent + 1 || (!call->streamBegun && call->lastEvent == 0);
+    if (eventId <= call->lastEvent && call->lastEvent != 0) {
+        return false; // The caller has it already.
+    }
+    if (!isNext) {
+        impl_->driver.record({"event_gap", call->requestId, "", "event " + std::to_string(eventId) + " after " + std::to_string(call->lastEvent)});
+        impl_->fail(now, *call, base::ErrorKind::AnswerIncomplete, "an event of the stream is missing");
+        return false;
+    }
+    call->lastEvent = eventId;
+    call->lastEventId = std::to_string(eventId);
+    call->lastDelivery = now;
+    if (!call->streamBegun) {
+        call->streamBegun = true;
+        impl_->driver.beginStream(call->id, attempt);
+    }
+    return true;
+}
+
+void RelayKernel::onStreamEnd(Instant now, AttemptId attempt)
+{
+    Call *call = impl_->callOf(attempt);
+    if (call == nullptr) {
+        return;
+    }
+    const EndpointIndex first = impl_->attempts.at(attempt).stages.front();
+    if (!call->streamBegun) {
+        impl_->dropAttempt(attempt);
+        impl_->exclude(*call, first);
+        call->mayHaveRun = true;
+        return impl_->afterStreamFailure(now, *call, "the stream ended without an event");
+    }
+    ++impl_->counters.streamsEnded;
+    impl_->driver.record({"stream_ended", call->requestId, impl_->endpoints.at(first).entry.id, "last event " + call->lastEventId});
+    impl_->dropAttempt(attempt);
+    const CallId id = call->id;
+    impl_->driver.endStream(id);
+    impl_->close(id);
+}
+
+} // namespace relay
--- /dev/null
+++ b/libs/relay/src/details/KernelImpl.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "details/EndpointRegistry.h"
+#include "details/PlannerDuty.h"
+#include "details/RetryWindow.h"
+#include "details/RouteTable.h"
+#include "placement/PathChooser.h"
+#include "relay/RelayKernel.h"
+
+namespace relay {
+
+/// One sending of a request.
+struct Attempt {
+    CallId call = 0;
+    /// The endpoints that it passes through; one for plain services.
+    std::vector<EndpointIndex> stages;
+    Instant sentAt{0};
+    /// Of the last event, or of the sending.
+    Instant progressAt{0};
+    /// Tokens of context that it is expected to take on each stage.
+    double contextTokens = 0;
+    double predictedFirstMs = 0;
+    bool hasEvents = false;
+};
+
+/// A request of a caller that has not had its whole answer.
+struct Call {
+    CallId id = 0;
+    std::string requestId;
+    /// Keeps the route alive.
+    FleetConfigPtr config;
+    const Route *route = nullptr;
+    const Service *service = nullptr;
+    std::string team;
+    int priority = 0;
+    Instant arrivedAt{0};
+    /// The earlier of the route's and the caller's time limit.
+    Instant deadline{0};
+    bool routeEndsFirst = false;
+    Instant callerDeadline{0};
+    std::uint32_t promptTokens = 0;
+    std::uint32_t answerTokens = 0;
+    /// Of the last event that the caller has.
+    std::string lastEventId;
+    std::uint64_t lastEvent = 0;
+    bool streamBegun = false;
+    Instant lastDelivery{0};
+    std::vector<AttemptId> attempts;
+    /// Sendings after which the request may have run, but for those that ended with their endpoint.
+    std::uint32_t runs = 0;
+    std::uint32_t sendings = 0;
+    /// True once a sending may have run.
+    bool mayHaveRun = false;
+    /// Endpoints that have failed this call.
+    std::vector<EndpointIndex> excluded;
+    /// The next look at a stream without progress, or the next try to resume it.
+    Instant nextLook{0};
+};
+
+struct RelayKernel::Impl {
+    Impl(RelaySettings relaySettings, RelayDriver &relayDriver);
+
+    // Admission.
+    void arrive(Instant now, const CallArrival &arrival);
+    void reject(Instant now, CallId call, const std::string &requestId, base::ErrorKind kind, const std::string &detail);
+    bool configIsCurrent(Instant now, Ms limit) const;
+
+    // Calls of both kinds.
+    Call *callOf(AttemptId attempt);
+    void dropAttempt(AttemptId attempt);
+    void cancelAttempts(Call &call);
+    void close(CallId call);
+    /// Ends a call that can't get its answer: by an answer of the router's own, or by breaking off its stream.
+    void fail(Instant now, Call &call, base::ErrorKind kind, const std::string &detail);
+    void forward(Instant now, Call &call, AttemptId attempt, int status);
+    void exclude(Call &call, EndpointIndex index);
+    bool mayRepeat(Instant now, Call &call);
+    AttemptId startAttempt(Instant now, Call &call, Attempt attempt);
+    void expire(Instant now);
+    void askReport(Instant now, EndpointIndex index);
+
+    // Plain services.
+    void startPlain(Instant now, Call &call);
+    std::optional<EndpointIndex> choosePlain(Instant now, const Call &call) const;
+    void onPlainAnswer(Instant now, Call &call, AttemptId attempt, const AnswerHead &head);
+    void afterPlainFailure(Instant now, Call &call, base::ErrorKind kind, const std::string &detail);
+    void hedge(Instant now, Call &call);
+
+    // Streams over paths.
+    void startStream(Instant now, Call &call);
+    placement::Path findPath(Instant now, const Call &call, std::vector<EndpointIndex> &indices);
+    void onStreamRefused(Instant now, Call &call, AttemptId attempt, const AnswerHead &head);
+    void afterStreamFailure(Instant now, Call &call, const std::string &detail);
+    void watchStream(Instant now, Call &call);
+    /// Moves the streams that pass through a silent endpoint.
+    void moveStreams(Instant now, EndpointIndex index);
+
+    void tick(Instant now);
+    void updateReadiness(Instant now);
+    void continueStopping(Instant now);
+    void checkSuspects(Instant now);
+    std::uint64_t draw();
+
+    RelaySettings settings;
+    RelayDriver &driver;
+    EndpointRegistry endpoints;
+    PlannerDuty planner;
+    RetryWindow retries;
+    RelayCounters counters;
+
+    FleetConfigPtr config;
+    RouteTable routes;
+    Instant configSentAt{0};
+    Instant listedAt{0};
+
+    std::unordered_map<CallId, std::unique_ptr<Call>> calls;
+    std::unordered_map<AttemptId, Attempt> attempts;
+    AttemptId nextAttempt = 1;
+    std::uint64_t draws = 0;
+
+    bool ready = false;
+    bool stopping = false;
+    bool connectionsClosed = false;
+    bool exited = false;
+    Instant stopAt{0};
+};
+
+} // namespace relay
--- a/programs/trefoilportd/main.cpp
+++ b/programs/trefoilportd/main.cpp
@@ -5,6 +5,7 @@
 #include "PlatformDuty.h"
 #include "RecordDuty.h"
 #include "settings/Parse.h"
+#include "trefoilport/PlatformPlugin.h"
 
 #include <gflags/gflags.h>
 
@@ -101,6 +102,11 @@
     gflags::SetUsageMessage("one instance of trefoilport\nusage: trefoilportd --settings FILE");
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    for (const trefoilport::PlatformPlugin &plugin : trefoilport::registeredPlatforms()) {
+        if (FLAGS_settings.empty() && plugin.isPresent()) {
+            return plugin.run();
+        }
+    }
     std::ifstream file(FLAGS_settings);
     if (!file) {
         std::cerr << "trefoilportd: can't read the settings file '" << FLAGS_settings << "' (--settings FILE)\n";
