Paths stay inside a zone: the pipe between zones is shared by all

Ruled out: errors of endpoints (3 failed of 2,356), memory (0 preempted). Change: crossing zones costs the pipe's time for all that share it; an instance scales its own load on an endpoint to all instances.

--- a/libs/placement/src/PathChooser.cpp
+++ b/libs/placement/src/PathChooser.cpp
@@ -15,6 +15,8 @@
 /// Share of a holder's memory above which its cost rises, since estimates of answer length are often too low.
 constexpr double ComfortableFill = 0.7;
 constexpr double FillPenalty = 4.0;
+/// The pipe between two zones serves all requests one after another: what one takes there delays many others.
+constexpr double PipeSharing = 20;
 /// Fixed cost of one more stage for each token, in ms.
 constexpr double HopMs = 0.2;
 constexpr double Unreachable = std::numeric_limits<double>::infinity();
@@ -123,7 +125,8 @@
         const double perToken = transferMs(profile_, 1, crossesZone) + (crossesZone ? profile_.zoneDelayMs : 0);
         stage.firstMs += transferMs(profile_, request_.promptTokens, crossesZone) + (crossesZone ? profile_.zoneDelayMs : 0);
         stage.tokenMs += perToken;
-        const double cost = nodes_[from].cost + stage.firstMs + stage.tokenMs * request_.answerTokens;
+        const double pipeMs = crossesZone ? transferMs(profile_, request_.promptTokens + request_.answerTokens, true) : 0;
+        const double cost = nodes_[from].cost + stage.firstMs + stage.tokenMs * request_.answerTokens + PipeSharing * pipeMs;
         Node &to = nodes_[boundaryOf(layers.end) * zones_ + holders_[index].zone];
         if (cost < to.cost) {
             to = {cost, nodes_[from].firstMs + stage.firstMs, nodes_[from].tokenMs + stage.tokenMs, index, layers, from, nodes_[from].stages + 1};
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -26,7 +26,7 @@
 {
     const placement::EngineProfile &profile = *call.service->engine;
     std::vector<placement::Holder> holders;
-    const double others = std::max(1.0, settings.instances / 3.0);
+    const double others = std::max(1U, settings.instances);
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         const EndpointState &state = endpoints.at(i);
         const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
