--- a/libs/placement/src/EngineProfile.cpp
+++ b/libs/placement/src/EngineProfile.cpp
@@ -27,8 +27,7 @@
 
 double stepMs(const EngineProfile &profile, const AcceleratorKind &kind, std::uint32_t layers, double sequences, double contextTokens)
 {
-    const double whole
-        = profile.stepMs + profile.stepMsPerSequence * sequences + profile.stepMsPerThousandTokens * contextTokens / TokensPerThousand;
+    const double whole = profile.stepMs + profile.stepMsPerSequence * sequences + profile.stepMsPerThousandTokens * contextTokens / TokensPerThousand;
     return kind.stepFactor * whole * shareOf(profile, layers);
 }
 
--- a/libs/placement/src/LayerPlanner.cpp
+++ b/libs/placement/src/LayerPlanner.cpp
@@ -114,7 +114,9 @@
             continue;
         }
         const std::uint32_t block = profile.layers / count;
-        const auto room = [&](const AcceleratorKind &kind) { return kvTokens(profile, kind, block) / usualTokens(profile); };
+        const auto room = [&](const AcceleratorKind &kind) {
+            return kvTokens(profile, kind, block) / usualTokens(profile);
+        };
         if (std::all_of(profile.kinds.begin(), profile.kinds.end(), [&](const auto &kind) { return room(kind) >= LeastRequests; })) {
             return block;
         }
@@ -132,8 +134,7 @@
         return 0;
     }
     std::uint32_t layers = block;
-    while (layers + block <= profile.layers
-           && kvTokens(profile, profile.kinds[kind], layers + block) >= ComfortableRequests * usualTokens(profile)) {
+    while (layers + block <= profile.layers && kvTokens(profile, profile.kinds[kind], layers + block) >= ComfortableRequests * usualTokens(profile)) {
         layers += block;
     }
     return layers;
--- /dev/null
+++ b/libs/placement/tests/PlacementTests.cpp
@@ -0,0 +1,250 @@
+#include "placement/LayerPlanner.h"
+#include "placement/PathChooser.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace placement;
+
+namespace {
+
+constexpr std::uint32_t Big = 0;
+constexpr std::uint32_t Small = 2;
+
+/// A model of 80 layers on three kinds of accelerators, none of which holds it whole.
+EngineProfile mixedProfile()
+{
+    EngineProfile profile;
+    profile.layers = 80;
+    profile.layerMb = 1750;
+    profile.kvTokenBytes = 918000;
+    profile.stepMs = 1.02;
+    profile.stepMsPerSequence = 0.00714;
+    profile.stepMsPerThousandTokens = 0.00956;
+    profile.readTokensPerMs = 105;
+    profile.readMsPerMillionPairs = 0.309;
+    profile.activationBytes = 45900;
+    profile.linkMbps = 400000;
+    profile.zonePipeMbps = 26000;
+    profile.zoneDelayMs = 0.75;
+    profile.loadSeconds = 14;
+    profile.loadsAtOnce = 5;
+    profile.usualPromptTokens = 774;
+    profile.usualAnswerTokens = 200;
+    profile.kinds = {{"big", 72000, 2.4, 3.2}, {"middle", 43200, 5.6, 2.7}, {"small", 21600, 16, 8.2}};
+    return profile;
+}
+
+/// Hosts of each kind in each of three zones.
+std::vector<Host> mixedFleet()
+{
+    const std::uint32_t counts[3][3] = {{1, 3, 8}, {1, 6, 5}, {2, 2, 5}};
+    std::vector<Host> hosts;
+    for (std::uint32_t zone = 0; zone < 3; ++zone) {
+        for (std::uint32_t kind = 0; kind < 3; ++kind) {
+            hosts.insert(hosts.end(), counts[zone][kind], Host{kind, zone, {}});
+        }
+    }
+    return hosts;
+}
+
+std::vector<Host> placed(const EngineProfile &profile, std::vector<Host> hosts)
+{
+    for (const Assignment &assignment : planLayers(profile, hosts)) {
+        hosts[assignment.host].held = assignment.range;
+    }
+    return hosts;
+}
+
+std::uint32_t holdersOf(const std::vector<Host> &hosts, std::uint32_t layer, std::optional<std::uint32_t> zone = std::nullopt)
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        hosts.begin(), hosts.end(), [&](const Host &host) { return host.held.first <= layer && layer < host.held.end && (!zone || host.zone == *zone); }));
+}
+
+std::vector<Holder> holdersFrom(const std::vector<Host> &hosts)
+{
+    std::vector<Holder> holders;
+    holders.reserve(hosts.size());
+    for (const Host &host : hosts) {
+        holders.push_back({host.kind, host.zone, host.held, 0, 0, 1, true, true});
+    }
+    return holders;
+}
+
+/// True if the stages run every layer once and in order.
+bool runsEveryLayerOnce(const EngineProfile &profile, const Path &path)
+{
+    std::uint32_t next = 0;
+    for (const PathStage &stage : path.stages) {
+        if (stage.layers.first != next || stage.layers.empty()) {
+            return false;
+        }
+        next = stage.layers.end;
+    }
+    return next == profile.layers;
+}
+
+} // namespace
+
+TEST_GROUP(TheMemoryOfAnEndpoint)
+{
+    EngineProfile profile = mixedProfile();
+};
+
+TEST(TheMemoryOfAnEndpoint, isWhatTheLayersLeave)
+{
+    DOUBLES_EQUAL(161220, kvTokens(profile, profile.kinds[Big], 20), 1);
+    DOUBLES_EQUAL(35730, kvTokens(profile, profile.kinds[Small], 10), 1);
+    DOUBLES_EQUAL(0, kvTokens(profile, profile.kinds[Small], 13), 0);
+}
+
+TEST(TheMemoryOfAnEndpoint, boundsTheRangeOfItsKind)
+{
+    for (std::uint32_t kind = 0; kind < profile.kinds.size(); ++kind) {
+        const std::uint32_t layers = rangeLayers(profile, kind);
+        CHECK(layers > 0);
+        CHECK(layers * profile.layerMb < profile.kinds[kind].memoryMb);
+        LONGS_EQUAL(0, layers % blockLayers(profile));
+    }
+}
+
+TEST(TheMemoryOfAnEndpoint, keepsAKindOutThatCannotHoldABlock)
+{
+    profile.kinds.push_back({"tiny", 1000, 1, 1});
+    LONGS_EQUAL(0, rangeLayers(profile, 3));
+    CHECK(planLayers(profile, {{3, 0, {}}}).empty());
+}
+
+TEST_GROUP(ThePlan)
+{
+    EngineProfile profile = mixedProfile();
+    std::vector<Host> hosts = placed(profile, mixedFleet());
+};
+
+TEST(ThePlan, givesEachZoneAllLayers)
+{
+    for (std::uint32_t zone = 0; zone < 3; ++zone) {
+        for (std::uint32_t layer = 0; layer < profile.layers; ++layer) {
+            CHECK(holdersOf(hosts, layer, zone) >= 1);
+        }
+    }
+}
+
+TEST(ThePlan, bearsTheLossOfAnyEndpoint)
+{
+    for (std::size_t lost = 0; lost < hosts.size(); ++lost) {
+        std::vector<Host> rest = hosts;
+        rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(lost));
+        for (std::uint32_t layer = 0; layer < profile.layers; ++layer) {
+            CHECK(holdersOf(rest, layer) >= 1);
+        }
+    }
+}
+
+TEST(ThePlan, leavesWhatIsHeldWhereItIs)
+{
+    CHECK(planLayers(profile, hosts).empty());
+}
+
+TEST(ThePlan, bringsARestartedEndpointBackToTheThinnestLayers)
+{
+    const Host before = hosts.front();
+    hosts.front().held = {};
+    const auto plan = planLayers(profile, hosts);
+    LONGS_EQUAL(1, plan.size());
+    LONGS_EQUAL(0, plan.front().host);
+    CHECK(plan.front().range == before.held);
+}
+
+TEST(ThePlan, isTheSameForTheSameInput)
+{
+    const auto again = placed(profile, mixedFleet());
+    CHECK(std::equal(again.begin(), again.end(), hosts.begin(), [](const Host &a, const Host &b) { return a.held == b.held; }));
+}
+
+TEST_GROUP(ThePath)
+{
+    EngineProfile profile = mixedProfile();
+    std::vector<Holder> holders = holdersFrom(placed(mixedProfile(), mixedFleet()));
+    PathRequest request{774, 200, 0};
+};
+
+TEST(ThePath, runsEveryLayerOnceAndInOrder)
+{
+    for (std::uint32_t zone = 0; zone < 3; ++zone) {
+        request.zone = zone;
+        CHECK(runsEveryLayerOnce(profile, choosePath(profile, holders, request)));
+    }
+}
+
+TEST(ThePath, staysInsideAZoneIfThePipeBetweenZonesIsSlow)
+{
+    profile.zonePipeMbps /= 10;
+    const Path path = choosePath(profile, holders, request);
+    std::set<std::uint32_t> zones;
+    for (const PathStage &stage : path.stages) {
+        zones.insert(holders[stage.holder].zone);
+    }
+    LONGS_EQUAL(1, zones.size());
+}
+
+TEST(ThePath, goesRoundALostEndpoint)
+{
+    const Path before = choosePath(profile, holders, request);
+    for (const PathStage &stage : before.stages) {
+        std::vector<Holder> rest = holders;
+        rest[stage.holder].usable = false;
+        const Path after = choosePath(profile, rest, request);
+        CHECK(runsEveryLayerOnce(profile, after));
+        for (const PathStage &other : after.stages) {
+            CHECK(other.holder != stage.holder);
+        }
+    }
+}
+
+TEST(ThePath, avoidsAnEndpointWithoutRoom)
+{
+    const Path before = choosePath(profile, holders, request);
+    const std::uint32_t full = before.stages.front().holder;
+    holders[full].contextTokens = kvTokens(profile, profile.kinds[holders[full].kind], holders[full].held.size());
+    const Path after = choosePath(profile, holders, request);
+    CHECK(runsEveryLayerOnce(profile, after));
+    CHECK(after.stages.front().holder != full);
+}
+
+TEST(ThePath, doesNotExistIfALayerIsMissing)
+{
+    for (Holder &holder : holders) {
+        holder.usable = holder.usable && !(holder.held.first <= 40 && 40 < holder.held.end);
+    }
+    CHECK(choosePath(profile, holders, request).stages.empty());
+}
+
+/// The pattern: one chain looks best to every request, and all of them pile up on it.
+TEST(ThePath, spreadsAPeakOverChains)
+{
+    std::set<std::uint32_t> firsts;
+    for (int i = 0; i < 200; ++i) {
+        const Path path = choosePath(profile, holders, request);
+        CHECK(runsEveryLayerOnce(profile, path));
+        firsts.insert(path.stages.front().holder);
+        for (const PathStage &stage : path.stages) {
+            holders[stage.holder].sequences += 1;
+            holders[stage.holder].contextTokens += request.promptTokens + request.answerTokens;
+        }
+    }
+    CHECK(firsts.size() >= 3);
+}
+
+TEST(ThePath, prefersFastStagesToSlowOnes)
+{
+    const Path path = choosePath(profile, holders, request);
+    const std::uint32_t first = path.stages.front().holder;
+    holders[first].slowness = 20;
+    const Path after = choosePath(profile, holders, request);
+    CHECK(after.stages.front().holder != first);
+}
--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/EnumNames.h"
 #include "base/ErrorKind.h"
 #include "relay/Endpoint.h"
 #include "relay/FleetConfig.h"
@@ -67,6 +68,13 @@
     NoAnswer,
 };
 
+inline constexpr base::EnumNames<OrderOutcome, 4> OrderOutcomeNames = {{
+    {OrderOutcome::Accepted, "accepted"},
+    {OrderOutcome::Refused, "refused"},
+    {OrderOutcome::Fenced, "fenced"},
+    {OrderOutcome::NoAnswer, "no_answer"},
+}};
+
 /// The planner's lease, as it lies in the store.
 struct LeaseRecord {
     std::string holder;
--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -29,8 +29,8 @@
 void EndpointRegistry::update(EndpointState &state, const EndpointEntry &entry)
 {
     const bool isRestarted = entry.incarnation > state.entry.incarnation;
-    const bool isOlder = entry.incarnation < state.entry.incarnation
-        || (entry.incarnation == state.entry.incarnation && entry.orderCount < state.entry.orderCount);
+    const bool isOlder =
+        entry.incarnation < state.entry.incarnation || (entry.incarnation == state.entry.incarnation && entry.orderCount < state.entry.orderCount);
     if (isRestarted) {
         state.suspectUntil = Instant{0};
         state.failedReports = 0;
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -64,7 +64,8 @@
     dispatch.timeLeft = std::chrono::duration_cast<Ms>(call.deadline - now);
     dispatch.freshConnection = call.route->kind == RequestKind::OnceOnly;
     dispatch.priority = call.priority;
-    driver.record({"sent", call.requestId, state.entry.id, "attempt " + std::to_string(call.sendings) + ", configuration " + std::to_string(call.config->version)});
+    driver.record(
+        {"sent", call.requestId, state.entry.id, "attempt " + std::to_string(call.sendings) + ", configuration " + std::to_string(call.config->version)});
     driver.send(std::move(dispatch));
 }
 
--- a/libs/relay/src/PlannerDuty.cpp
+++ b/libs/relay/src/PlannerDuty.cpp
@@ -213,6 +213,7 @@
         driver_.record({"lease_fenced", "", endpoints_.at(index).entry.id, "fence " + std::to_string(record_.fence)});
         return;
     }
+    driver_.record({"order_answered", "", endpoints_.at(index).entry.id, std::string(base::nameIn(OrderOutcomeNames, outcome))});
     if (found == pending_.end()) {
         return;
     }
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -70,8 +70,8 @@
     if (stopping && now - stopAt > RefuseAfter) {
         return refuse(base::ErrorKind::Stopping, "this instance is shutting down");
     }
-    const std::string age = "configuration " + std::to_string(config->version) + ", age "
-        + std::to_string(std::chrono::duration_cast<Ms>(now - configSentAt).count()) + " ms";
+    const std::string age =
+        "configuration " + std::to_string(config->version) + ", age " + std::to_string(std::chrono::duration_cast<Ms>(now - configSentAt).count()) + " ms";
     const Route *route = routes.find(arrival.host, arrival.path);
     const bool isProof = configIsCurrent(now, ProofAge);
     if (route == nullptr) {
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -37,13 +37,11 @@
         while (kind < profile.kinds.size() && profile.kinds[kind].name != state.entry.accelerator) {
             ++kind;
         }
-        holders.push_back(
-            {kind, state.zone, state.entry.layers, state.openRequests * others, state.contextTokens * others, state.slowness, true, true});
+        holders.push_back({kind, state.zone, state.entry.layers, state.openRequests * others, state.contextTokens * others, state.slowness, true, true});
         indices.push_back(i);
     }
     const std::uint32_t answer = call.answerTokens > 0 ? call.answerTokens : DefaultAnswerTokens;
-    return placement::choosePath(
-        profile, holders, {static_cast<double>(call.promptTokens), static_cast<double>(answer), endpoints.zoneNumber(settings.zone)});
+    return placement::choosePath(profile, holders, {static_cast<double>(call.promptTokens), static_cast<double>(answer), endpoints.zoneNumber(settings.zone)});
 }
 
 void RelayKernel::Impl::startStream(Instant now, Call &call)
--- /dev/null
+++ b/libs/relay/tests/AdmissionTests.cpp
@@ -0,0 +1,198 @@
+#include "FakeDriver.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace relay;
+
+TEST_GROUP(AnInstance)
+{
+    RelayBed bed;
+
+    base::ErrorKind lastRejection() const
+    {
+        return bed.driver.rejected.back().rejection.kind;
+    }
+};
+
+TEST(AnInstance, passesARequestOnWithItsTeamAndTimeLeft)
+{
+    bed.call("/book/seat", "key-a", Ms(900));
+    LONGS_EQUAL(1, bed.driver.sent.size());
+    STRCMP_EQUAL("team-a", bed.driver.sent.front().team.c_str());
+    LONGS_EQUAL(900, bed.driver.sent.front().timeLeft.count());
+    CHECK(bed.driver.sent.front().freshConnection);
+}
+
+TEST(AnInstance, knowsRoutesByTheLongestPrefix)
+{
+    auto config = std::make_shared<FleetConfig>(*RelayBed::config(2));
+    Route inner = config->routes[2];
+    inner.pathPrefix = "/read/inner/";
+    inner.isPublic = true;
+    config->routes.push_back(inner);
+    bed.kernel.onConfig(bed.now, bed.now, config);
+    bed.call("/read/inner/x", "");
+    LONGS_EQUAL(1, bed.driver.sent.size());
+    bed.call("/read/outer", "");
+    CHECK(lastRejection() == base::ErrorKind::Unauthenticated);
+    bed.call("/elsewhere", "key-a");
+    CHECK(lastRejection() == base::ErrorKind::UnknownRoute);
+}
+
+TEST(AnInstance, neverGoesBackToAnOlderConfiguration)
+{
+    auto newer = std::make_shared<FleetConfig>(*RelayBed::config(5));
+    newer->teamOfKey.erase("key-a");
+    bed.kernel.onConfig(bed.now, bed.now, newer);
+    bed.kernel.onConfig(bed.now, bed.now, RelayBed::config(4));
+    bed.call("/book/seat", "key-a");
+    CHECK(lastRejection() == base::ErrorKind::Unauthenticated);
+    LONGS_EQUAL(5, bed.kernel.configVersion());
+}
+
+/// A key that was taken away must not be used for long on an instance that can't reach the store.
+TEST(AnInstance, refusesKeyedRequestsUnderAConfigurationThatIsTooOld)
+{
+    bed.pass(Ms(4400), false);
+    bed.call("/book/seat");
+    LONGS_EQUAL(1, bed.driver.sent.size());
+    bed.pass(Ms(200), false);
+    bed.call("/book/seat");
+    LONGS_EQUAL(1, bed.driver.sent.size());
+    CHECK(lastRejection() == base::ErrorKind::Unconfirmed);
+    CHECK(bed.driver.rejected.back().rejection.retryAfter.count() > 0);
+}
+
+TEST(AnInstance, countsTheAgeOfAConfigurationFromTheSendingOfItsRead)
+{
+    bed.now += Ms(4600);
+    bed.kernel.onConfig(bed.now, bed.now - Ms(4550), nullptr);
+    bed.call("/book/seat");
+    CHECK(bed.driver.sent.empty());
+}
+
+TEST(AnInstance, doesNotSayThatARouteIsUnknownWhenItsConfigurationMayBeOld)
+{
+    bed.pass(Ms(2500), false);
+    bed.call("/elsewhere");
+    CHECK(lastRejection() == base::ErrorKind::Unconfirmed);
+    bed.call("/book/seat", "unheard-of");
+    CHECK(lastRejection() == base::ErrorKind::Unconfirmed);
+}
+
+TEST(AnInstance, isReadyOnlyWhileItsConfigurationIsCurrent)
+{
+    CHECK(bed.driver.ready);
+    bed.pass(Ms(3200), false);
+    CHECK(!bed.driver.ready);
+    bed.pass(Ms(100));
+    CHECK(bed.driver.ready);
+}
+
+TEST(AnInstance, isNotReadyBeforeItHasReadBothConfigurationAndEndpoints)
+{
+    FakeDriver driver;
+    RelayKernel fresh(RelayBed::settings(), driver);
+    fresh.onTick(bed.now);
+    CHECK(!driver.ready);
+    fresh.onConfig(bed.now, bed.now, RelayBed::config(1));
+    CHECK(!driver.ready);
+    fresh.onEndpoints(bed.now, bed.entries);
+    CHECK(driver.ready);
+}
+
+TEST(AnInstance, finishesWhatIsUnderWayBeforeItStops)
+{
+    const CallId call = bed.call("/book/seat", "key-a", Ms(5000));
+    bed.kernel.onStop(bed.now);
+    CHECK(!bed.driver.ready);
+    bed.pass(Ms(1000));
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {200, false, true, ""});
+    LONGS_EQUAL(call, bed.driver.forwarded.back());
+    bed.pass(Ms(1000));
+    CHECK(!bed.driver.exited);
+    bed.pass(Ms(1000));
+    CHECK(bed.driver.connectionsClosed);
+    CHECK(bed.driver.exited);
+}
+
+TEST(AnInstance, turnsRequestsAwayOnceItsStopIsNear)
+{
+    bed.call("/book/seat", "key-a", Ms(7000));
+    bed.kernel.onStop(bed.now);
+    bed.pass(Ms(1000));
+    bed.call("/book/seat");
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    bed.pass(Ms(3000));
+    bed.call("/book/seat");
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(lastRejection() == base::ErrorKind::Stopping);
+}
+
+TEST_GROUP(AnEndpoint)
+{
+    RelayBed bed;
+
+    bool isUsedWithin(int calls, const std::string &id)
+    {
+        for (int i = 0; i < calls; ++i) {
+            bed.call("/read/x");
+            bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {200, false, true, ""});
+            if (bed.driver.sent.back().endpoint == id) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void list(const std::string &id, bool draining)
+    {
+        for (EndpointEntry &entry : bed.entries) {
+            entry.draining = entry.id == id ? draining : entry.draining;
+        }
+    }
+};
+
+TEST(AnEndpoint, getsNoNewWorkWhileItDrains)
+{
+    CHECK(isUsedWithin(5, "desk-a"));
+    list("desk-a", true);
+    bed.kernel.onEndpoints(bed.now, bed.entries);
+    CHECK(!isUsedWithin(20, "desk-a"));
+}
+
+TEST(AnEndpoint, isGoneOnceTheListLacksIt)
+{
+    std::erase_if(bed.entries, [](const EndpointEntry &entry) { return entry.id == "desk-a"; });
+    bed.kernel.onEndpoints(bed.now, bed.entries);
+    CHECK(!isUsedWithin(20, "desk-a"));
+}
+
+/// Entries lapse while the store is away; those of living endpoints are back within moments of its return.
+TEST(AnEndpoint, isKeptForAMomentIfItsEntryLapsedDuringAnOutageOfTheStore)
+{
+    const auto all = bed.entries;
+    bed.pass(Ms(2500), false);
+    bed.entries.clear();
+    bed.kernel.onConfig(bed.now, bed.now, nullptr);
+    bed.kernel.onEndpoints(bed.now, bed.entries);
+    CHECK(isUsedWithin(5, "desk-a"));
+    bed.pass(Ms(2500));
+    const std::size_t before = bed.driver.sent.size();
+    bed.call("/read/x");
+    LONGS_EQUAL(before, bed.driver.sent.size());
+    bed.entries = all;
+    bed.pass(Ms(50));
+    CHECK(isUsedWithin(5, "desk-a"));
+}
+
+TEST(AnEndpoint, thatFailsIsLeftToTheOthers)
+{
+    for (int i = 0; i < 12; ++i) {
+        bed.call("/book/seat");
+        const bool fails = bed.driver.sent.back().endpoint == "desk-a";
+        bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {fails ? 500 : 200, false, true, ""});
+    }
+    const auto last = bed.driver.sent.end() - 6;
+    CHECK(std::none_of(last, bed.driver.sent.end(), [](const Dispatch &dispatch) { return dispatch.endpoint == "desk-a"; }));
+}
--- /dev/null
+++ b/libs/relay/tests/FakeDriver.h
@@ -0,0 +1,240 @@
+#pragma once
+
+#include "relay/RelayKernel.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+/// Remembers what the kernel has had done.
+class FakeDriver : public relay::RelayDriver
+{
+public:
+    struct Rejected {
+        relay::CallId call;
+        relay::Rejection rejection;
+    };
+    struct LeaseWrite {
+        relay::LeaseRecord record;
+        std::uint64_t expectedRevision;
+    };
+
+    void send(relay::Dispatch dispatch) override
+    {
+        sent.push_back(std::move(dispatch));
+    }
+    void cancel(relay::AttemptId attempt) override
+    {
+        cancelled.push_back(attempt);
+    }
+    void reject(relay::CallId call, const relay::Rejection &rejection) override
+    {
+        rejected.push_back({call, rejection});
+    }
+    void forward(relay::CallId call, relay::AttemptId) override
+    {
+        forwarded.push_back(call);
+    }
+    void beginStream(relay::CallId call, relay::AttemptId) override
+    {
+        begun.push_back(call);
+    }
+    void endStream(relay::CallId call) override
+    {
+        ended.push_back(call);
+    }
+    void breakStream(relay::CallId call) override
+    {
+        broken.push_back(call);
+    }
+    void readReport(const std::string &endpoint, const std::string &) override
+    {
+        reportsAsked.push_back(endpoint);
+    }
+    void sendOrder(const relay::PlaceOrder &order) override
+    {
+        orders.push_back(order);
+    }
+    void readLease() override
+    {
+        ++leaseReads;
+    }
+    void writeLease(const relay::LeaseRecord &record, std::uint64_t expectedRevision) override
+    {
+        leaseWrites.push_back({record, expectedRevision});
+    }
+    void setReady(bool isReady) override
+    {
+        ready = isReady;
+    }
+    void closeConnections() override
+    {
+        connectionsClosed = true;
+    }
+    void exit() override
+    {
+        exited = true;
+    }
+    void record(const relay::Decision &) override
+    {
+    }
+
+    bool wasCancelled(relay::AttemptId attempt) const
+    {
+        return std::find(cancelled.begin(), cancelled.end(), attempt) != cancelled.end();
+    }
+
+    std::vector<relay::Dispatch> sent;
+    std::vector<relay::AttemptId> cancelled;
+    std::vector<Rejected> rejected;
+    std::vector<relay::CallId> forwarded;
+    std::vector<relay::CallId> begun;
+    std::vector<relay::CallId> ended;
+    std::vector<relay::CallId> broken;
+    std::vector<std::string> reportsAsked;
+    std::vector<relay::PlaceOrder> orders;
+    std::vector<LeaseWrite> leaseWrites;
+    int leaseReads = 0;
+    bool ready = false;
+    bool connectionsClosed = false;
+    bool exited = false;
+};
+
+/// A small fleet in front of one kernel: a model in two halves, each held twice, and a plain service with three endpoints.
+struct RelayBed {
+    static constexpr std::uint32_t HalfLayers = 40;
+
+    RelayBed()
+        : kernel(settings(), driver)
+    {
+        kernel.onConfig(now, now, config(1));
+        kernel.onEndpoints(now, entries);
+        kernel.onTick(now);
+    }
+
+    static relay::RelaySettings settings()
+    {
+        relay::RelaySettings settings;
+        settings.instance = "one";
+        settings.zone = "zone-a";
+        settings.planner = false;
+        settings.seed = 7;
+        return settings;
+    }
+
+    static placement::EngineProfile engine()
+    {
+        placement::EngineProfile profile;
+        profile.layers = 80;
+        profile.layerMb = 1000;
+        profile.kvTokenBytes = 80000;
+        profile.stepMs = 1;
+        profile.readTokensPerMs = 100;
+        profile.loadSeconds = 10;
+        profile.loadsAtOnce = 4;
+        profile.usualPromptTokens = 500;
+        profile.usualAnswerTokens = 100;
+        profile.kinds = {{"gpu", 50000, 1, 1}};
+        return profile;
+    }
+
+    static relay::FleetConfigPtr config(std::uint64_t version)
+    {
+        auto config = std::make_shared<relay::FleetConfig>();
+        config->version = version;
+        config->hasTeams = true;
+        config->teamOfKey = {{"key-a", {"team-a", std::nullopt}}, {"key-b", {"team-b", 3}}};
+        config->services = {{"model", "/health", 100, engine()}, {"desk", "/health", 100, std::nullopt}};
+        const auto route = [&](const char *name, const char *prefix, relay::RequestKind kind, std::uint32_t attempts, const char *service) {
+            relay::Route entry;
+            entry.name = name;
+            entry.host = "api.example";
+            entry.pathPrefix = prefix;
+            entry.kind = kind;
+            entry.timeout = relay::Ms(kind == relay::RequestKind::Stream ? 20000 : 1200);
+            entry.targetLatency = relay::Ms(150);
+            entry.maxAttempts = attempts;
+            entry.isResumable = kind == relay::RequestKind::Stream;
+            entry.services = {{service, 1}};
+            config->routes.push_back(entry);
+        };
+        route("stream", "/stream/", relay::RequestKind::Stream, 2, "model");
+        route("book", "/book/", relay::RequestKind::OnceOnly, 1, "desk");
+        route("read", "/read/", relay::RequestKind::Idempotent, 2, "desk");
+        return config;
+    }
+
+    static relay::EndpointEntry engineEntry(const std::string &id, const std::string &zone, placement::LayerRange layers)
+    {
+        relay::EndpointEntry entry;
+        entry.id = id;
+        entry.service = "model";
+        entry.address = id + ":1";
+        entry.zone = zone;
+        entry.incarnation = 1;
+        entry.slots = 100;
+        entry.accelerator = "gpu";
+        entry.layers = layers;
+        return entry;
+    }
+
+    static relay::EndpointEntry deskEntry(const std::string &id, const std::string &zone)
+    {
+        relay::EndpointEntry entry;
+        entry.id = id;
+        entry.service = "desk";
+        entry.address = id + ":1";
+        entry.zone = zone;
+        entry.incarnation = 1;
+        entry.slots = 6;
+        return entry;
+    }
+
+    relay::CallId call(const std::string &path, const std::string &key = "key-a", relay::Ms timeLimit = relay::Ms(20000))
+    {
+        relay::CallArrival arrival;
+        arrival.call = ++lastCall;
+        arrival.requestId = "request-" + std::to_string(lastCall);
+        arrival.host = "api.example";
+        arrival.path = path;
+        arrival.keyDigest = key;
+        arrival.timeLimit = timeLimit;
+        arrival.promptTokens = 500;
+        arrival.answerTokens = 100;
+        kernel.onCall(now, arrival);
+        return lastCall;
+    }
+
+    /// Lets time pass in small steps; the store answers all the while if it is said to.
+    void pass(relay::Ms time, bool storeAnswers = true)
+    {
+        constexpr relay::Ms Step{50};
+        for (relay::Ms done{0}; done < time; done += Step) {
+            now += Step;
+            if (storeAnswers) {
+                kernel.onConfig(now, now, nullptr);
+                kernel.onEndpoints(now, entries);
+            }
+            kernel.onTick(now);
+        }
+    }
+
+    relay::AttemptId lastAttempt() const
+    {
+        return driver.sent.back().attempt;
+    }
+
+    std::vector<relay::EndpointEntry> entries = {
+        engineEntry("low-a", "zone-a", {0, HalfLayers}),
+        engineEntry("high-a", "zone-a", {HalfLayers, 80}),
+        engineEntry("low-b", "zone-b", {0, HalfLayers}),
+        engineEntry("high-b", "zone-b", {HalfLayers, 80}),
+        deskEntry("desk-a", "zone-a"),
+        deskEntry("desk-b", "zone-b"),
+        deskEntry("desk-c", "zone-c"),
+    };
+    relay::Instant now{std::chrono::seconds(100)};
+    FakeDriver driver;
+    relay::RelayKernel kernel;
+    relay::CallId lastCall = 0;
+};
--- /dev/null
+++ b/libs/relay/tests/PlainCallTests.cpp
@@ -0,0 +1,134 @@
+#include "FakeDriver.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace relay;
+
+TEST_GROUP(ARequestThatMayRunOnce)
+{
+    RelayBed bed;
+
+    base::ErrorKind lastRejection() const
+    {
+        return bed.driver.rejected.back().rejection.kind;
+    }
+};
+
+TEST(ARequestThatMayRunOnce, isNotSentAgainAfterItMayHaveRun)
+{
+    for (const AttemptFailure failure : {AttemptFailure::Broken, AttemptFailure::TimedOut}) {
+        const std::size_t before = bed.driver.sent.size();
+        bed.call("/book/seat");
+        bed.kernel.onFailure(bed.now, bed.lastAttempt(), failure);
+        bed.pass(Ms(2000));
+        LONGS_EQUAL(before + 1, bed.driver.sent.size());
+        CHECK(base::errorAnswer(lastRejection()).ran != base::Ran::No);
+    }
+}
+
+TEST(ARequestThatMayRunOnce, goesToAnotherEndpointIfTheFirstDidNotRunIt)
+{
+    bed.call("/book/seat");
+    const std::string first = bed.driver.sent.back().endpoint;
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {503, true, false, ""});
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(bed.driver.sent.back().endpoint != first);
+}
+
+TEST(ARequestThatMayRunOnce, goesToAnotherEndpointIfNothingOfItLeft)
+{
+    bed.call("/book/seat");
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::NotSent);
+    LONGS_EQUAL(2, bed.driver.sent.size());
+}
+
+TEST(ARequestThatMayRunOnce, isRefusedAsNotRunOnlyIfNoEndpointRanIt)
+{
+    bed.call("/book/seat");
+    for (int i = 0; i < 3; ++i) {
+        bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {503, true, false, ""});
+    }
+    LONGS_EQUAL(3, bed.driver.sent.size());
+    CHECK(base::errorAnswer(lastRejection()).ran == base::Ran::No);
+}
+
+TEST(ARequestThatMayRunOnce, isAnsweredWithinTheRoutesTimeout)
+{
+    bed.call("/book/seat");
+    bed.pass(Ms(1150));
+    CHECK(bed.driver.rejected.empty());
+    bed.pass(Ms(100));
+    CHECK(lastRejection() == base::ErrorKind::UpstreamTimeout);
+    CHECK(bed.driver.wasCancelled(bed.lastAttempt()));
+}
+
+TEST(ARequestThatMayRunOnce, getsTheEndpointsOwnFailureUnchanged)
+{
+    const CallId call = bed.call("/book/seat");
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {500, false, true, ""});
+    LONGS_EQUAL(call, bed.driver.forwarded.back());
+    LONGS_EQUAL(1, bed.driver.sent.size());
+}
+
+TEST(ARequestThatMayRunOnce, doesNotGetADamagedAnswer)
+{
+    bed.call("/book/seat");
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {200, false, false, ""});
+    CHECK(bed.driver.forwarded.empty());
+    CHECK(lastRejection() == base::ErrorKind::UpstreamBroken);
+}
+
+TEST(ARequestThatMayRunOnce, isBrokenOffWhenItsCallerLeaves)
+{
+    const CallId call = bed.call("/book/seat");
+    const AttemptId attempt = bed.lastAttempt();
+    bed.kernel.onCallerGone(bed.now, call);
+    CHECK(bed.driver.wasCancelled(attempt));
+    bed.kernel.onAnswer(bed.now, attempt, {200, false, true, ""});
+    CHECK(bed.driver.forwarded.empty());
+}
+
+TEST_GROUP(ARequestThatMayBeRepeated)
+{
+    RelayBed bed;
+};
+
+TEST(ARequestThatMayBeRepeated, goesToASecondEndpointWhenTheFirstIsLate)
+{
+    const CallId call = bed.call("/read/x");
+    const std::string first = bed.driver.sent.back().endpoint;
+    bed.pass(Ms(150));
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(bed.driver.sent.back().endpoint != first);
+    bed.kernel.onAnswer(bed.now, bed.driver.sent.back().attempt, {200, false, true, ""});
+    LONGS_EQUAL(call, bed.driver.forwarded.back());
+    CHECK(bed.driver.wasCancelled(bed.driver.sent.front().attempt));
+}
+
+TEST(ARequestThatMayBeRepeated, isSentNoMoreOftenThanTheRouteAllows)
+{
+    bed.call("/read/x");
+    for (int i = 0; i < 4; ++i) {
+        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    }
+    bed.pass(Ms(500));
+    LONGS_EQUAL(2, bed.driver.sent.size());
+}
+
+/// The pattern: every endpoint fails, and each failure would bring another sending.
+TEST(ARequestThatMayBeRepeated, isRepeatedOnlyWithinTheSharedBudget)
+{
+    constexpr int Calls = 500;
+    for (int i = 0; i < Calls; ++i) {
+        bed.call("/read/x");
+        const AttemptId first = bed.lastAttempt();
+        bed.kernel.onFailure(bed.now, first, AttemptFailure::Broken);
+        if (bed.lastAttempt() != first) {
+            bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+        }
+    }
+    const RelaySettings settings = RelayBed::settings();
+    const double allowed = settings.retryShare * Calls + settings.retryReserve / settings.instances;
+    CHECK(static_cast<double>(bed.driver.sent.size()) - Calls <= allowed);
+    CHECK(bed.driver.sent.size() > Calls);
+}
--- /dev/null
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -0,0 +1,191 @@
+#include "FakeDriver.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace relay;
+
+TEST_GROUP(AStream)
+{
+    RelayBed bed;
+
+    CallId startStream(int events)
+    {
+        const CallId call = bed.call("/stream/x");
+        for (int id = 1; id <= events; ++id) {
+            CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), static_cast<std::uint64_t>(id)));
+        }
+        return call;
+    }
+
+    /// The stage of the last path that holds the upper half.
+    std::string upperStage() const
+    {
+        return bed.driver.sent.back().hops.back().address;
+    }
+
+    EndpointReport reportOf(const std::string &stalledOn) const
+    {
+        EndpointReport report;
+        report.incarnation = 1;
+        report.layers = {0, RelayBed::HalfLayers};
+        if (!stalledOn.empty()) {
+            report.stalled = {{"request-1", stalledOn}};
+        }
+        return report;
+    }
+};
+
+TEST(AStream, passesThroughEveryLayerOnceInsideOneZone)
+{
+    startStream(0);
+    const Dispatch &dispatch = bed.driver.sent.back();
+    LONGS_EQUAL(2, dispatch.hops.size());
+    LONGS_EQUAL(0, dispatch.hops[0].layers.first);
+    LONGS_EQUAL(RelayBed::HalfLayers, dispatch.hops[0].layers.end);
+    LONGS_EQUAL(RelayBed::HalfLayers, dispatch.hops[1].layers.first);
+    LONGS_EQUAL(80, dispatch.hops[1].layers.end);
+    STRCMP_EQUAL(dispatch.address.c_str(), dispatch.hops[0].address.c_str());
+}
+
+TEST(AStream, beginsWithItsFirstEventAndEndsWithItsLast)
+{
+    const CallId call = startStream(3);
+    LONGS_EQUAL(1, bed.driver.begun.size());
+    bed.kernel.onStreamEnd(bed.now, bed.lastAttempt());
+    LONGS_EQUAL(call, bed.driver.ended.back());
+    CHECK(bed.driver.broken.empty());
+}
+
+TEST(AStream, goesOnAfterTheLastEventWhenItsRunBreaks)
+{
+    const CallId call = startStream(3);
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    STRCMP_EQUAL("3", bed.driver.sent.back().lastEventId.c_str());
+    CHECK(!bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 4));
+    LONGS_EQUAL(1, bed.driver.begun.size());
+    bed.kernel.onStreamEnd(bed.now, bed.lastAttempt());
+    LONGS_EQUAL(call, bed.driver.ended.back());
+}
+
+TEST(AStream, isBrokenOffVisiblyWhenAnEventIsMissing)
+{
+    const CallId call = startStream(3);
+    CHECK(!bed.kernel.onEvent(bed.now, bed.lastAttempt(), 5));
+    LONGS_EQUAL(call, bed.driver.broken.back());
+    CHECK(bed.driver.ended.empty());
+}
+
+TEST(AStream, isBrokenOffVisiblyWhenNoSendingIsLeft)
+{
+    const CallId call = startStream(3);
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 4));
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    LONGS_EQUAL(call, bed.driver.broken.back());
+    LONGS_EQUAL(2, bed.driver.sent.size());
+}
+
+TEST(AStream, resumesWhereItsCallerSaysSo)
+{
+    CallArrival arrival;
+    arrival.call = 900;
+    arrival.requestId = "resumed";
+    arrival.host = "api.example";
+    arrival.path = "/stream/x";
+    arrival.keyDigest = "key-a";
+    arrival.lastEventId = "12";
+    bed.kernel.onCall(bed.now, arrival);
+    STRCMP_EQUAL("12", bed.driver.sent.back().lastEventId.c_str());
+    CHECK(!bed.kernel.onEvent(bed.now, bed.lastAttempt(), 12));
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 13));
+}
+
+TEST(AStream, movesWhenAStageOfItsPathIsSilent)
+{
+    startStream(2);
+    const std::string silent = upperStage();
+    const std::string first = bed.driver.sent.back().endpoint;
+    bed.pass(Ms(300));
+    LONGS_EQUAL(1, bed.driver.reportsAsked.size());
+    STRCMP_EQUAL(first.c_str(), bed.driver.reportsAsked.back().c_str());
+    bed.kernel.onReport(bed.now, first, reportOf(silent));
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(bed.driver.wasCancelled(bed.driver.sent.front().attempt));
+    CHECK(upperStage() != silent);
+    STRCMP_EQUAL("2", bed.driver.sent.back().lastEventId.c_str());
+}
+
+TEST(AStream, thatMovedFromALostEndpointMayMoveOnceMore)
+{
+    startStream(2);
+    const std::string first = bed.driver.sent.back().endpoint;
+    bed.pass(Ms(300));
+    bed.kernel.onReport(bed.now, first, reportOf(upperStage()));
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    LONGS_EQUAL(3, bed.driver.sent.size());
+}
+
+TEST(AStream, movesWhenTheFirstStageDoesNotAnswerAQuestion)
+{
+    startStream(2);
+    const std::string first = bed.driver.sent.back().endpoint;
+    bed.pass(Ms(300));
+    bed.kernel.onReport(bed.now, first, std::nullopt);
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(bed.driver.sent.back().endpoint != first);
+}
+
+TEST(AStream, isLeftAloneWhileItMakesProgress)
+{
+    startStream(2);
+    for (std::uint64_t id = 3; id < 20; ++id) {
+        bed.pass(Ms(150));
+        CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), id));
+    }
+    CHECK(bed.driver.reportsAsked.empty());
+    LONGS_EQUAL(1, bed.driver.sent.size());
+}
+
+TEST(AStream, triesAnotherPathWhenAStageRefuses)
+{
+    startStream(0);
+    const std::string full = upperStage();
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {503, true, false, full});
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(upperStage() != full);
+}
+
+TEST(AStream, isRefusedAtOnceWithATimeToReturnWhenALayerIsMissing)
+{
+    for (EndpointEntry &entry : bed.entries) {
+        entry.draining = entry.layers.first == RelayBed::HalfLayers;
+    }
+    bed.kernel.onEndpoints(bed.now, bed.entries);
+    bed.call("/stream/x");
+    CHECK(bed.driver.sent.empty());
+    CHECK(base::errorAnswer(bed.driver.rejected.back().rejection.kind).ran == base::Ran::No);
+    CHECK(bed.driver.rejected.back().rejection.retryAfter.count() > 0);
+}
+
+TEST(AStream, isAskedForLayersAnewWhenAnEndpointDoesNotHoldItsPart)
+{
+    startStream(0);
+    const std::string misdirected = upperStage();
+    const std::string id = misdirected.substr(0, misdirected.find(':'));
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {421, true, false, misdirected});
+    CHECK(std::find(bed.driver.reportsAsked.begin(), bed.driver.reportsAsked.end(), id) != bed.driver.reportsAsked.end());
+    const auto views = bed.kernel.endpoints();
+    const auto view = std::find_if(views.begin(), views.end(), [&](const EndpointView &entry) { return entry.id == id; });
+    CHECK(view->layers.empty());
+}
+
+TEST(AStream, endsItsRunWhenItsCallerLeaves)
+{
+    const CallId call = startStream(2);
+    bed.kernel.onCallerGone(bed.now, call);
+    CHECK(bed.driver.wasCancelled(bed.driver.sent.back().attempt));
+    LONGS_EQUAL(0, bed.kernel.openCalls());
+}
