Orders carry the count of orders that the endpoint itself reports

The log of one endpoint: its entry in the list shows SeqNo 1, its own report 0; the order named 1 as precondition. The list counts heartbeats under that name, the report counts orders. Ruled out: fencing (no 412), a load in progress (report says not busy). Change: the count comes from reports only and is 0 after a start; the list's layers give way to a report for as long as the list lags.

--- a/libs/relay/include/relay/Endpoint.h
+++ b/libs/relay/include/relay/Endpoint.h
@@ -17,8 +17,6 @@
     std::string zone;
     /// Grows with each start under the same id; milliseconds since the Unix epoch.
     std::uint64_t incarnation = 0;
-    /// Orders that it has begun since its start.
-    std::uint64_t orderCount = 0;
     bool draining = false;
     std::uint32_t slots = 1;
     /// Name in EngineProfile::kinds; empty for endpoints without layers.
@@ -37,6 +35,7 @@
 /// What an endpoint says of itself when asked.
 struct EndpointReport {
     std::uint64_t incarnation = 0;
+    /// Orders that it has begun since its start.
     std::uint64_t orderCount = 0;
     bool loading = false;
     placement::LayerRange layers;
--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -13,6 +13,8 @@
 /// Between the questions to a silent endpoint.
 constexpr Ms FirstSuspicion{300};
 constexpr Ms LongestSuspicion{1500};
+/// Between a change at an endpoint and the list that shows it: a heartbeat, the store's lag and one reading of the list.
+constexpr Ms ListLag{2700};
 constexpr Ms AvoidTime{150};
 constexpr double LatencyWeight = 0.15;
 constexpr double FailureWeight = 0.3;
@@ -26,21 +28,17 @@
     return state.failureShare * std::exp2(-ageMs / FailureHalfLifeMs);
 }
 
-void EndpointRegistry::update(EndpointState &state, const EndpointEntry &entry)
+void EndpointRegistry::update(EndpointState &state, const EndpointEntry &entry, Instant now)
 {
-    const bool isRestarted = entry.incarnation > state.entry.incarnation;
-    const bool isOlder =
-        entry.incarnation < state.entry.incarnation || (entry.incarnation == state.entry.incarnation && entry.orderCount < state.entry.orderCount);
-    if (isRestarted) {
-        state.suspectUntil = Instant{0};
-        state.failedReports = 0;
-    }
     const EndpointEntry known = state.entry;
     state.entry = entry;
-    if (isOlder) {
+    if (entry.incarnation > known.incarnation) {
+        state.suspectUntil = Instant{0};
+        state.failedReports = 0;
+        state.orderCount = 0;
+    } else if (entry.incarnation < known.incarnation || now < state.reportedAt + ListLag) {
         // The list lags behind what the endpoint said itself.
         state.entry.incarnation = known.incarnation;
-        state.entry.orderCount = known.orderCount;
         state.entry.layers = known.layers;
         state.entry.modelVersion = known.modelVersion;
     }
@@ -58,7 +56,7 @@
             lastArrival_ = now;
         }
         EndpointState &state = states_[found->second];
-        update(state, entry);
+        update(state, entry, now);
         state.zone = zoneNumber(entry.zone);
         state.listed = true;
         state.missingUntil = Instant{0};
@@ -74,7 +72,7 @@
     }
 }
 
-void EndpointRegistry::onReport(EndpointIndex index, const EndpointReport &report)
+void EndpointRegistry::onReport(EndpointIndex index, const EndpointReport &report, Instant now)
 {
     EndpointState &state = states_[index];
     state.suspectUntil = Instant{0};
@@ -85,7 +83,8 @@
         return; // The report is older than the list.
     }
     state.entry.incarnation = report.incarnation;
-    state.entry.orderCount = report.orderCount;
+    state.orderCount = report.orderCount;
+    state.reportedAt = now;
     state.entry.layers = report.layers;
     state.entry.modelVersion = report.modelVersion;
 }
--- a/libs/relay/src/PlannerDuty.cpp
+++ b/libs/relay/src/PlannerDuty.cpp
@@ -197,11 +197,11 @@
     const double loads = std::max(1.0, static_cast<double>(pending_.size() + 1) / std::max(1U, profile.loadsAtOnce));
     loadMs_ = profile.loadSeconds * 1e3 * range.size() / std::max(1U, profile.layers) * loads;
     pending_[index] = {range, state.entry.incarnation, now + OrderTime, false};
-    driver_.sendOrder({state.entry.id, state.entry.address, range, record_.fence, state.entry.orderCount});
+    driver_.sendOrder({state.entry.id, state.entry.address, range, record_.fence, state.orderCount});
     driver_.record({"order_place",
                     "",
                     state.entry.id,
-                    "layers " + toText(range) + ", fence " + std::to_string(record_.fence) + ", orders so far " + std::to_string(state.entry.orderCount)});
+                    "layers " + toText(range) + ", fence " + std::to_string(record_.fence) + ", orders so far " + std::to_string(state.orderCount)});
 }
 
 void PlannerDuty::onOrderAnswer(Instant now, EndpointIndex index, OrderOutcome outcome)
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -456,7 +456,7 @@
         impl_->planner.onReport(now, *index, false);
         return;
     }
-    impl_->endpoints.onReport(*index, *report);
+    impl_->endpoints.onReport(*index, *report, now);
     impl_->planner.onReport(now, *index, true);
     for (const StalledRequest &stalled : report->stalled) {
         const auto atFault = impl_->endpoints.findAddress(stalled.address);
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -24,6 +24,10 @@
     Instant avoidUntil{0};
     bool reportPending = false;
     Instant reportAskedAt{0};
+    /// Of the last answer; the list lags behind it.
+    Instant reportedAt{0};
+    /// Orders that it has begun since its start, as far as this instance knows.
+    std::uint64_t orderCount = 0;
     double slowness = 1;
     bool loading = false;
     /// Requests of this instance that are on it, and their tokens of context.
@@ -43,7 +47,7 @@
     void onList(Instant now, const std::vector<EndpointEntry> &entries, bool afterOutage);
 
     /// Takes what an endpoint says of itself; clears suspicion.
-    void onReport(EndpointIndex index, const EndpointReport &report);
+    void onReport(EndpointIndex index, const EndpointReport &report, Instant now);
 
     /// The endpoint is silent: no new work until it has answered again.
     void suspect(EndpointIndex index, Instant now);
@@ -91,7 +95,7 @@
     }
 
 private:
-    void update(EndpointState &state, const EndpointEntry &entry);
+    void update(EndpointState &state, const EndpointEntry &entry, Instant now);
 
     std::vector<EndpointState> states_;
     std::unordered_map<std::string, EndpointIndex> byId_;
--- a/libs/relay/tests/PlannerTests.cpp
+++ b/libs/relay/tests/PlannerTests.cpp
@@ -54,7 +54,6 @@
             for (EndpointEntry &entry : entries) {
                 if (entry.id == order.endpoint) {
                     entry.layers = order.layers;
-                    entry.orderCount = order.expectedOrderCount + 1;
                 }
             }
         }
@@ -183,7 +182,6 @@
     pass(Ms(200));
     const std::size_t before = driver.orders.size();
     entries.front().incarnation = 2;
-    entries.front().orderCount = 0;
     entries.front().layers = {};
     pass(Ms(300));
     LONGS_EQUAL(before + 1, driver.orders.size());
