--- a/libs/relay/src/PlannerDuty.cpp
+++ b/libs/relay/src/PlannerDuty.cpp
@@ -14,7 +14,7 @@
 constexpr Ms LeaseMargin{500};
 constexpr Ms PlanPeriod{100};
 /// The first plan waits until no endpoint has joined the list for this time.
-constexpr Ms SettleTime{400};
+constexpr Ms SettleTime{1500};
 /// An order without an answer is looked after once this time is over.
 constexpr Ms OrderTime{700};
 constexpr Ms RetryTime{200};
