Mesh between instances: each tells the others its load on the endpoints

Change: digests over ZeroMQ every 600 ms, the list of instances lies in the store; the retry reserve is divided by the instances that are heard.

--- a/libs/relay/include/relay/Endpoint.h
+++ b/libs/relay/include/relay/Endpoint.h
@@ -25,6 +25,14 @@
     std::uint64_t modelVersion = 0;
 };
 
+/// One instance of the router.
+struct InstanceEntry {
+    /// The same over restarts.
+    std::string id;
+    /// Where it takes messages of the others, IP:port.
+    std::string meshAddress;
+};
+
 /// A request that makes no progress at the endpoint that reports it, since it depends on another one.
 struct StalledRequest {
     std::string requestId;
--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -4,6 +4,7 @@
 #include "base/ErrorKind.h"
 #include "relay/Endpoint.h"
 #include "relay/FleetConfig.h"
+#include "wire/RelayDigest.h"
 
 #include <string>
 #include <string_view>
@@ -118,6 +119,8 @@
     virtual void readLease() = 0;
     /// Writes the lease if it still has the revision; 0 means that it must not exist.
     virtual void writeLease(const LeaseRecord &record, std::uint64_t expectedRevision) = 0;
+    /// Sends a digest to other instances; it may be lost.
+    virtual void sendDigest(const std::vector<std::string> &addresses, const wire::RelayDigest &digest) = 0;
     virtual void setReady(bool ready) = 0;
     /// Answers from now on end their connections, and idle ones are closed.
     virtual void closeConnections() = 0;
--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -11,6 +11,8 @@
 
 /// What one instance is told at its start.
 struct RelaySettings {
+    /// Name of the instance, the same over restarts.
+    std::string node;
     /// Unique among all processes, restarts included.
     std::string instance;
     std::string zone;
@@ -24,8 +26,6 @@
     double retryShare = 0.2;
     double retryReserve = 100;
     Ms retryWindow{10000};
-    /// Instances that share the retry reserve.
-    std::uint32_t instances = 9;
     /// The planner's lease ends so long after its last renewal.
     Ms leaseTime{3000};
     bool planner = true;
@@ -116,6 +116,10 @@
     /// A current list of all endpoints.
     void onEndpoints(Instant now, const std::vector<EndpointEntry> &entries);
 
+    /// The list of instances, this one included.
+    void onInstances(Instant now, const std::vector<InstanceEntry> &instances);
+    void onDigest(Instant now, const wire::RelayDigest &digest);
+
     void onCall(Instant now, const CallArrival &arrival);
     void onCallerGone(Instant now, CallId call);
     /// A whole answer has arrived that is not a stream of events.
--- /dev/null
+++ b/libs/relay/src/PeerLoads.cpp
@@ -0,0 +1,95 @@
+#include "details/PeerLoads.h"
+
+#include <algorithm>
+
+namespace relay {
+
+namespace {
+
+constexpr Ms DigestPeriod{600};
+/// A digest older than this says nothing any more.
+constexpr Ms DigestLife{2000};
+/// An instance that has been silent for longer takes no part any more.
+constexpr Ms MemberLife{8000};
+/// Assumed until the list of instances has been read.
+constexpr std::uint32_t AssumedInstances = 9;
+
+} // namespace
+
+PeerLoads::PeerLoads(EndpointRegistry &endpoints)
+    : endpoints_(endpoints)
+{
+}
+
+void PeerLoads::onInstances(const std::vector<InstanceEntry> &instances, const std::string &own)
+{
+    listed_ = static_cast<std::uint32_t>(instances.size());
+    addresses_.clear();
+    for (const InstanceEntry &instance : instances) {
+        if (instance.id != own) {
+            addresses_.push_back(instance.meshAddress);
+        }
+    }
+}
+
+void PeerLoads::onDigest(const wire::RelayDigest &digest, Instant now)
+{
+    if (digest.leaving) {
+        peers_.erase(digest.instance);
+        return;
+    }
+    peers_[digest.instance] = {digest, now};
+}
+
+bool PeerLoads::isFresh(const Peer &peer, Instant now) const
+{
+    return now < peer.heardAt + DigestLife;
+}
+
+std::optional<wire::RelayDigest> PeerLoads::dueDigest(Instant now, const std::string &own, bool leaving)
+{
+    if (now < sentAt_ + DigestPeriod || addresses_.empty()) {
+        return std::nullopt;
+    }
+    sentAt_ = now;
+    std::erase_if(peers_, [&](const auto &entry) { return now >= entry.second.heardAt + MemberLife; });
+    wire::RelayDigest digest{own, leaving, {}, {}};
+    for (EndpointIndex i = 0; i < endpoints_.size(); ++i) {
+        const EndpointState &state = endpoints_.at(i);
+        if (state.openRequests > 0) {
+            digest.loads.push_back({wire::endpointHash(state.entry.id), state.openRequests, static_cast<std::uint64_t>(std::max(0.0, state.contextTokens))});
+        }
+    }
+    return digest;
+}
+
+LoadEstimate PeerLoads::loadOn(EndpointIndex index, Instant now) const
+{
+    const EndpointState &state = endpoints_.at(index);
+    const std::uint32_t hash = wire::endpointHash(state.entry.id);
+    LoadEstimate sum{static_cast<double>(state.openRequests), state.contextTokens};
+    std::uint32_t heard = 1;
+    for (const auto &[id, peer] : peers_) {
+        if (!isFresh(peer, now)) {
+            continue;
+        }
+        ++heard;
+        const auto load = std::find_if(peer.digest.loads.begin(), peer.digest.loads.end(), [&](const auto &entry) { return entry.endpoint == hash; });
+        if (load != peer.digest.loads.end()) {
+            sum.openRequests += load->openRequests;
+            sum.contextTokens += static_cast<double>(load->contextTokens);
+        }
+    }
+    const double unheard = static_cast<double>(std::max(heard, instances())) / heard;
+    return {sum.openRequests * unheard, sum.contextTokens * unheard};
+}
+
+std::uint32_t PeerLoads::instances() const
+{
+    if (!peers_.empty()) {
+        return static_cast<std::uint32_t>(peers_.size()) + 1;
+    }
+    return std::max(1U, listed_ > 0 ? listed_ : AssumedInstances);
+}
+
+} // namespace relay
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -36,7 +36,7 @@
             continue;
         }
         const double latency = state.latencyMs > 0 ? state.latencyMs : AssumedLatencyShare * target;
-        const double queue = 1.0 + static_cast<double>(state.openRequests) / std::max(1U, state.entry.slots) * settings.instances;
+        const double queue = 1.0 + peers.loadOn(i, now).openRequests / std::max(1U, state.entry.slots);
         const double zone = state.entry.zone == settings.zone ? 0 : ZoneCostMs;
         const double cost = latency * queue + zone + FailureCost * target * failureShareAt(state, now);
         if (!best || cost < bestCost) {
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -32,9 +32,11 @@
     : settings(std::move(relaySettings))
     , driver(relayDriver)
     , planner(endpoints, relayDriver)
+    , peers(endpoints)
 {
     planner.configure(settings);
     retries.configure(settings);
+    retries.setInstances(peers.instances());
 }
 
 std::uint64_t RelayKernel::Impl::draw()
@@ -292,6 +294,9 @@
     }
     checkSuspects(now);
     planner.tick(now, config);
+    if (const auto digest = peers.dueDigest(now, settings.node, stopping)) {
+        driver.sendDigest(peers.addresses(), *digest);
+    }
     updateReadiness(now);
     if (stopping) {
         continueStopping(now);
@@ -377,6 +382,18 @@
     impl_->updateReadiness(now);
 }
 
+void RelayKernel::onInstances(Instant, const std::vector<InstanceEntry> &instances)
+{
+    impl_->peers.onInstances(instances, impl_->settings.node);
+    impl_->retries.setInstances(impl_->peers.instances());
+}
+
+void RelayKernel::onDigest(Instant now, const wire::RelayDigest &digest)
+{
+    impl_->peers.onDigest(digest, now);
+    impl_->retries.setInstances(impl_->peers.instances());
+}
+
 void RelayKernel::onCall(Instant now, const CallArrival &arrival)
 {
     impl_->arrive(now, arrival);
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -26,7 +26,6 @@
 {
     const placement::EngineProfile &profile = *call.service->engine;
     std::vector<placement::Holder> holders;
-    const double others = std::max(1U, settings.instances);
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         const EndpointState &state = endpoints.at(i);
         const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
@@ -37,7 +36,8 @@
         while (kind < profile.kinds.size() && profile.kinds[kind].name != state.entry.accelerator) {
             ++kind;
         }
-        holders.push_back({kind, state.zone, state.entry.layers, state.openRequests * others, state.contextTokens * others, state.slowness, true, true});
+        const LoadEstimate load = peers.loadOn(i, now);
+        holders.push_back({kind, state.zone, state.entry.layers, load.openRequests, load.contextTokens, state.slowness, true, true});
         indices.push_back(i);
     }
     const std::uint32_t answer = call.answerTokens > 0 ? call.answerTokens : DefaultAnswerTokens;
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "details/EndpointRegistry.h"
+#include "details/PeerLoads.h"
 #include "details/PlannerDuty.h"
 #include "details/RetryWindow.h"
 #include "details/RouteTable.h"
@@ -105,6 +106,7 @@
     RelayDriver &driver;
     EndpointRegistry endpoints;
     PlannerDuty planner;
+    PeerLoads peers;
     RetryWindow retries;
     RelayCounters counters;
 
--- a/libs/relay/src/details/RetryWindow.h
+++ b/libs/relay/src/details/RetryWindow.h
@@ -16,10 +16,16 @@
     void configure(const RelaySettings &settings)
     {
         share_ = settings.retryShare;
-        reserve_ = settings.retryReserve / std::max(1U, settings.instances);
+        reserve_ = settings.retryReserve;
         window_ = settings.retryWindow;
     }
 
+    /// Instances that share the reserve, at least 1.
+    void setInstances(std::uint32_t instances)
+    {
+        instances_ = instances;
+    }
+
     void onRequest(const std::string &service, Instant now)
     {
         Counts &counts = countsOf(service, now);
@@ -30,7 +36,7 @@
     bool take(const std::string &service, Instant now)
     {
         Counts &counts = countsOf(service, now);
-        const double allowed = share_ * static_cast<double>(counts.requests.size()) + reserve_;
+        const double allowed = share_ * static_cast<double>(counts.requests.size()) + reserve_ / instances_;
         if (static_cast<double>(counts.repeats.size()) + 1 > allowed) {
             return false;
         }
@@ -57,6 +63,7 @@
 
     double share_ = 0;
     double reserve_ = 0;
+    std::uint32_t instances_ = 1;
     Instant window_{0};
     std::unordered_map<std::string, Counts> services_;
 };
--- /dev/null
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "base/Result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wire {
+
+/// Requests of one instance on one endpoint.
+struct EndpointLoad {
+    /// From endpointHash().
+    std::uint32_t endpoint = 0;
+    std::uint32_t openRequests = 0;
+    /// Tokens of context of these requests in all; exact to 256.
+    std::uint64_t contextTokens = 0;
+};
+
+/// An endpoint that does not answer, in one of its incarnations.
+struct SilentEndpoint {
+    std::uint32_t endpoint = 0;
+    std::uint64_t incarnation = 0;
+};
+
+/// What an instance tells the others of the requests that it relays.
+struct RelayDigest {
+    std::string instance;
+    bool leaving = false;
+    std::vector<EndpointLoad> loads;
+    std::vector<SilentEndpoint> silent;
+};
+
+/// Stands for an endpoint's id in a digest. Two ids may share a value; a digest only improves choices, and nothing rests on it.
+std::uint32_t endpointHash(std::string_view endpointId);
+
+std::string encode(const RelayDigest &digest);
+base::Result<RelayDigest> decodeRelayDigest(std::string_view bytes);
+
+} // namespace wire
