--- a/libs/placement/src/LayerPlanner.cpp
+++ b/libs/placement/src/LayerPlanner.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 /// A range leaves room for this many usual requests if its kind can hold more than one block.
-constexpr double ComfortableRequests = 150;
+constexpr double ComfortableRequests = 100;
 /// The smallest useful room, in usual requests; a kind with less takes no part unless nothing else holds the model.
-constexpr double LeastRequests = 60;
+constexpr double LeastRequests = 20;
 /// Stages of a path: each adds a wait for the pass that is in progress there.
 constexpr std::uint32_t MostBlocks = 16;
 /// Sequences in a batch at which holders are compared.
