The planner moves idle endpoints to layers that a loss has made thin

Ruled out: wrong load (the endpoints themselves refused 5 to 13 a second for memory), slow streams (late ones had moved or had been refused). Change: planMove finds the one move with the largest gain; an endpoint that carries requests moves only for more.

--- a/libs/placement/include/placement/LayerPlanner.h
+++ b/libs/placement/include/placement/LayerPlanner.h
@@ -2,6 +2,8 @@
 
 #include "placement/EngineProfile.h"
 
+#include <optional>
+
 namespace placement {
 
 /// An endpoint that can hold layers.
@@ -12,6 +14,9 @@
     std::uint32_t zone = 0;
     /// Layers that it holds or is loading; empty if none.
     LayerRange held;
+    /// Requests that pass through it.
+    double openRequests = 0;
+    bool mayMove = true;
 };
 
 /// A range that an empty endpoint should load; the index is that of the host in the call.
@@ -33,6 +38,10 @@
 /// a request need not leave the zone, then layers that are thin in the whole fleet, so that one loss is covered elsewhere.
 std::vector<Assignment> planLayers(const EngineProfile &profile, const std::vector<Host> &hosts);
 
+/// The one endpoint whose move to other layers helps most, if any move helps enough: after a loss, when layers have become thin that others
+/// hold in plenty. Endpoints without work move first, since what passes through a range holds up its release.
+std::optional<Assignment> planMove(const EngineProfile &profile, const std::vector<Host> &hosts);
+
 /// Requests that a holder of so many layers serves at the same time, by memory and by speed.
 double concurrentRequests(const EngineProfile &profile, std::uint32_t kind, std::uint32_t layers);
 
--- a/libs/placement/src/LayerPlanner.cpp
+++ b/libs/placement/src/LayerPlanner.cpp
@@ -21,6 +21,9 @@
 constexpr double ReferenceRequestMs = 4000;
 /// What a layer available in the whole fleet is worth against one in the own zone.
 constexpr double FleetWeight = 0.4;
+/// Smallest gain for which an endpoint is moved, and what each request that passes through it takes from the gain.
+constexpr double LeastMoveGain = 0.35;
+constexpr double OpenRequestCost = 0.05;
 
 double usualTokens(const EngineProfile &profile)
 {
@@ -45,9 +48,9 @@
     {
     }
 
-    void add(const Host &host, LayerRange range)
+    void add(const Host &host, LayerRange range, double sign = 1)
     {
-        const double capacity = concurrentRequests(profile_, host.kind, range.size());
+        const double capacity = sign * concurrentRequests(profile_, host.kind, range.size());
         std::vector<double> &zone = zoneOf(host.zone);
         for (std::uint32_t b = range.first / block_; b < range.end / block_ && b < fleet_.size(); ++b) {
             zone[b] += capacity;
@@ -140,6 +143,36 @@
     return layers;
 }
 
+std::optional<Assignment> planMove(const EngineProfile &profile, const std::vector<Host> &hosts)
+{
+    const std::uint32_t block = blockLayers(profile);
+    if (block == 0) {
+        return std::nullopt;
+    }
+    Coverage coverage(profile, block);
+    for (const Host &host : hosts) {
+        coverage.add(host, host.held);
+    }
+    std::optional<Assignment> best;
+    double bestGain = LeastMoveGain;
+    for (std::uint32_t i = 0; i < hosts.size(); ++i) {
+        const Host &host = hosts[i];
+        const std::uint32_t size = rangeLayers(profile, host.kind);
+        if (!host.mayMove || host.held.empty() || size == 0) {
+            continue;
+        }
+        coverage.add(host, host.held, -1);
+        const LayerRange range = bestRange(profile, coverage, host, size, block);
+        const double gain = coverage.gain(host, range) - coverage.gain(host, host.held) - OpenRequestCost * host.openRequests;
+        if (range != host.held && gain > bestGain) {
+            bestGain = gain;
+            best = Assignment{i, range};
+        }
+        coverage.add(host, host.held);
+    }
+    return best;
+}
+
 std::vector<Assignment> planLayers(const EngineProfile &profile, const std::vector<Host> &hosts)
 {
     std::vector<Assignment> plan;
--- a/libs/placement/tests/PlacementTests.cpp
+++ b/libs/placement/tests/PlacementTests.cpp
@@ -45,7 +45,7 @@
     std::vector<Host> hosts;
     for (std::uint32_t zone = 0; zone < 3; ++zone) {
         for (std::uint32_t kind = 0; kind < 3; ++kind) {
-            hosts.insert(hosts.end(), counts[zone][kind], Host{kind, zone, {}});
+            hosts.insert(hosts.end(), counts[zone][kind], Host{kind, zone, {}, 0, true});
         }
     }
     return hosts;
@@ -116,7 +116,7 @@
 {
     profile.kinds.push_back({"tiny", 1000, 1, 1});
     LONGS_EQUAL(0, rangeLayers(profile, 3));
-    CHECK(planLayers(profile, {{3, 0, {}}}).empty());
+    CHECK(planLayers(profile, {{3, 0, {}, 0, true}}).empty());
 }
 
 TEST_GROUP(ThePlan)
@@ -166,6 +166,41 @@
     CHECK(std::equal(again.begin(), again.end(), hosts.begin(), [](const Host &a, const Host &b) { return a.held == b.held; }));
 }
 
+TEST(ThePlan, movesNothingInAFleetThatIsWhole)
+{
+    CHECK(!planMove(profile, hosts));
+}
+
+/// The pattern: the only fast holder of some layers in its zone is lost for seconds or for good.
+TEST(ThePlan, movesAnIdleEndpointToLayersThatHaveBecomeThin)
+{
+    const auto lost = std::find_if(hosts.begin(), hosts.end(), [&](const Host &host) { return host.kind == 1 && holdersOf(hosts, host.held.first, host.zone) <= 2; });
+    CHECK(lost != hosts.end());
+    const Host gone = *lost;
+    hosts.erase(lost);
+    for (Host &host : hosts) {
+        host.openRequests = host.kind == Big ? 90 : 0;
+    }
+    const auto move = planMove(profile, hosts);
+    CHECK(move.has_value());
+    CHECK(hosts[move->host].kind != Big);
+    CHECK(move->range.first <= gone.held.first && gone.held.first < move->range.end);
+    const std::uint32_t before = holdersOf(hosts, gone.held.first);
+    hosts[move->host].held = move->range;
+    LONGS_EQUAL(before + 1, holdersOf(hosts, gone.held.first));
+}
+
+TEST(ThePlan, comesToRestAfterAFewMoves)
+{
+    hosts.erase(hosts.begin() + 1);
+    int moves = 0;
+    for (auto move = planMove(profile, hosts); move && moves < 20; move = planMove(profile, hosts)) {
+        hosts[move->host].held = move->range;
+        ++moves;
+    }
+    CHECK(moves < 8);
+}
+
 TEST_GROUP(ThePath)
 {
     EngineProfile profile = mixedProfile();
--- a/libs/relay/src/PlannerDuty.cpp
+++ b/libs/relay/src/PlannerDuty.cpp
@@ -1,7 +1,5 @@
 #include "details/PlannerDuty.h"
 
-#include "placement/LayerPlanner.h"
-
 #include <algorithm>
 
 namespace relay {
@@ -13,6 +11,8 @@
 /// The holder stops so long before others may take the lease.
 constexpr Ms LeaseMargin{500};
 constexpr Ms PlanPeriod{100};
+/// Between two moves of endpoints that hold layers.
+constexpr Ms MovePeriod{300};
 /// The first plan waits until no endpoint has joined the list for this time.
 constexpr Ms SettleTime{1500};
 /// An order without an answer is looked after once this time is over.
@@ -28,8 +28,9 @@
 
 } // namespace
 
-PlannerDuty::PlannerDuty(EndpointRegistry &endpoints, RelayDriver &driver)
+PlannerDuty::PlannerDuty(EndpointRegistry &endpoints, const PeerLoads &loads, RelayDriver &driver)
     : endpoints_(endpoints)
+    , loads_(loads)
     , driver_(driver)
 {
 }
@@ -178,19 +179,43 @@
         const auto waiting = pending_.find(i);
         const placement::LayerRange held = waiting != pending_.end() ? waiting->second.range : state.entry.layers;
         anyHeld = anyHeld || !held.empty();
-        hosts.push_back({kind, state.zone, held});
+        hosts.push_back({kind, state.zone, held, loads_.loadOn(i, now).openRequests, waiting == pending_.end() && !state.loading});
         indices.push_back(i);
     }
     if (!anyHeld && now < endpoints_.lastArrival() + SettleTime) {
         return;
     }
-    for (const placement::Assignment &assignment : placement::planLayers(profile, hosts)) {
+    const auto assignments = placement::planLayers(profile, hosts);
+    if (assignments.empty()) {
+        return moveOne(now, profile, hosts, indices);
+    }
+    for (const placement::Assignment &assignment : assignments) {
         if (!endpoints_.at(indices[assignment.host]).loading) {
             order(now, indices[assignment.host], assignment.range, profile);
         }
     }
 }
 
+void PlannerDuty::moveOne(Instant now,
+                          const placement::EngineProfile &profile,
+                          const std::vector<placement::Host> &hosts,
+                          const std::vector<EndpointIndex> &indices)
+{
+    if (now < nextMove_ || pending_.size() >= std::max(1U, profile.loadsAtOnce)) {
+        return;
+    }
+    const auto move = placement::planMove(profile, hosts);
+    if (!move) {
+        return;
+    }
+    nextMove_ = now + MovePeriod;
+    const EndpointIndex index = indices[move->host];
+    order(now, index, move->range, profile);
+    // Nothing new goes to the layers that it gives up.
+    endpoints_.at(index).entry.layers = {};
+    endpoints_.at(index).reportedAt = now;
+}
+
 void PlannerDuty::order(Instant now, EndpointIndex index, placement::LayerRange range, const placement::EngineProfile &profile)
 {
     const EndpointState &state = endpoints_.at(index);
@@ -217,6 +242,9 @@
     if (found == pending_.end()) {
         return;
     }
+    if (outcome == OrderOutcome::Accepted && !found->second.accepted) {
+        ++endpoints_.at(index).orderCount;
+    }
     found->second.accepted = outcome == OrderOutcome::Accepted;
     const Ms wait = outcome == OrderOutcome::Accepted ? Ms(static_cast<std::int64_t>(loadMs_)) + LoadSlack : Ms{0};
     found->second.checkAt = now + wait;
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -31,8 +31,8 @@
 RelayKernel::Impl::Impl(RelaySettings relaySettings, RelayDriver &relayDriver)
     : settings(std::move(relaySettings))
     , driver(relayDriver)
-    , planner(endpoints, relayDriver)
     , peers(endpoints)
+    , planner(endpoints, peers, relayDriver)
 {
     planner.configure(settings);
     retries.configure(settings);
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -203,6 +203,11 @@
     }
     call->lastEvent = eventId;
     call->lastEventId = std::to_string(eventId);
+    if (call->streamBegun) {
+        call->longestGap = std::max(call->longestGap, now - call->lastDelivery);
+    } else {
+        call->firstWait = now - call->arrivedAt;
+    }
     call->lastDelivery = now;
     if (!call->streamBegun) {
         call->streamBegun = true;
@@ -225,7 +230,8 @@
         return impl_->afterStreamFailure(now, *call, "the stream ended without an event");
     }
     ++impl_->counters.streamsEnded;
-    impl_->driver.record({"stream_ended", call->requestId, impl_->endpoints.at(first).entry.id, "last event " + call->lastEventId});
+    impl_->driver.record({"stream_ended", call->requestId, impl_->endpoints.at(first).entry.id, "last event " + call->lastEventId + ", first after " + std::to_string(call->firstWait / Ms(1)) + " ms, longest pause "
+                                + std::to_string(call->longestGap / Ms(1)) + " ms, sendings " + std::to_string(call->sendings)});
     impl_->dropAttempt(attempt);
     const CallId id = call->id;
     impl_->driver.endStream(id);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -46,6 +46,9 @@
     std::uint64_t lastEvent = 0;
     bool streamBegun = false;
     Instant lastDelivery{0};
+    /// Until the first event, and the longest pause between two.
+    Instant firstWait{0};
+    Instant longestGap{0};
     std::vector<AttemptId> attempts;
     /// Sendings after which the request may have run, but for those that ended with their endpoint.
     std::uint32_t runs = 0;
@@ -105,8 +108,8 @@
     RelaySettings settings;
     RelayDriver &driver;
     EndpointRegistry endpoints;
-    PlannerDuty planner;
     PeerLoads peers;
+    PlannerDuty planner;
     RetryWindow retries;
     RelayCounters counters;
 
--- a/libs/relay/src/details/PlannerDuty.h
+++ b/libs/relay/src/details/PlannerDuty.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "details/EndpointRegistry.h"
+#include "details/PeerLoads.h"
+#include "placement/LayerPlanner.h"
 
 #include <map>
 
@@ -10,7 +12,7 @@
 class PlannerDuty
 {
 public:
-    PlannerDuty(EndpointRegistry &endpoints, RelayDriver &driver);
+    PlannerDuty(EndpointRegistry &endpoints, const PeerLoads &loads, RelayDriver &driver);
 
     void configure(const RelaySettings &settings);
 
@@ -39,9 +41,11 @@
     void write(const LeaseRecord &record, std::uint64_t expectedRevision, Instant now);
     void settlePending(Instant now);
     void orderLayers(Instant now, const Service &service);
+    void moveOne(Instant now, const placement::EngineProfile &profile, const std::vector<placement::Host> &hosts, const std::vector<EndpointIndex> &indices);
     void order(Instant now, EndpointIndex index, placement::LayerRange range, const placement::EngineProfile &profile);
 
     EndpointRegistry &endpoints_;
+    const PeerLoads &loads_;
     RelayDriver &driver_;
     std::string instance_;
     bool enabled_ = true;
@@ -62,6 +66,7 @@
 
     std::map<EndpointIndex, Pending> pending_;
     Instant nextPlan_{0};
+    Instant nextMove_{0};
     double loadMs_ = 0;
 };
 
