Streams of a lost stage are shared among chains; a slow queue is no reason to move

All instances had chosen the same next chain, whose prompts waited for each other longer than the 1.2 s after which a stream moved. Ruled out: a second loss (one endpoint_silent only), memory (the refusals of the endpoints came after). Change: prompts that are not read yet count in the prediction, times the instances that send at the same moment; a stream moves without a report of a stall only if its first stage goes on with others.

--- a/libs/placement/include/placement/PathChooser.h
+++ b/libs/placement/include/placement/PathChooser.h
@@ -12,6 +12,8 @@
     /// Requests whose tokens pass through it, and their tokens of context in all.
     double sequences = 0;
     double contextTokens = 0;
+    /// Prompt tokens that it has been sent and has not read yet.
+    double unreadTokens = 0;
     /// How much slower than its profile it works; 1 is as expected.
     double slowness = 1;
     bool usable = true;
--- a/libs/placement/src/PathChooser.cpp
+++ b/libs/placement/src/PathChooser.cpp
@@ -100,7 +100,8 @@
         const double pressure = fill > ComfortableFill ? 1 + FillPenalty * (fill - ComfortableFill) : 1;
         const double step = stepMs(profile_, kind, layers, holder.sequences + 1, holder.contextTokens + needed);
         const double factor = WaitFactor * holder.slowness * pressure;
-        return {factor * (readMs(profile_, kind, layers, request_.promptTokens) + step), factor * step + HopMs};
+        const double read = readMs(profile_, kind, layers, request_.promptTokens) + readMs(profile_, kind, layers, 1) * holder.unreadTokens;
+        return {factor * (read + step), factor * step + HopMs};
     }
 
     void extend(std::size_t boundary, std::uint32_t zone)
--- a/libs/placement/tests/PlacementTests.cpp
+++ b/libs/placement/tests/PlacementTests.cpp
@@ -2,6 +2,7 @@
 #include "placement/PathChooser.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <set>
 
@@ -70,7 +71,7 @@
     std::vector<Holder> holders;
     holders.reserve(hosts.size());
     for (const Host &host : hosts) {
-        holders.push_back({host.kind, host.zone, host.held, 0, 0, 1, true, true});
+        holders.push_back({host.kind, host.zone, host.held, 0, 0, 0, 1, true, true});
     }
     return holders;
 }
@@ -275,6 +276,24 @@
     CHECK(firsts.size() >= 3);
 }
 
+/// The pattern: a stage is lost, and all its streams go to the next best path at once, whose prompts then wait for each other.
+TEST(ThePath, sharesTheStreamsOfALostStageAmongChains)
+{
+    std::map<std::uint32_t, int> byFirst;
+    constexpr int Streams = 100;
+    for (int i = 0; i < Streams; ++i) {
+        const Path path = choosePath(profile, holders, request);
+        ++byFirst[path.stages.front().holder];
+        for (const PathStage &stage : path.stages) {
+            holders[stage.holder].unreadTokens += request.promptTokens;
+        }
+    }
+    CHECK(byFirst.size() >= 2);
+    for (const auto &[first, streams] : byFirst) {
+        CHECK(streams <= Streams * 2 / 3);
+    }
+}
+
 TEST(ThePath, prefersFastStagesToSlowOnes)
 {
     const Path path = choosePath(profile, holders, request);
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -142,6 +142,7 @@
     if (found == attempts.end()) {
         return;
     }
+    noteRead(found->second);
     for (const EndpointIndex stage : found->second.stages) {
         EndpointState &state = endpoints.at(stage);
         --state.openRequests;
@@ -153,6 +154,17 @@
     attempts.erase(found);
 }
 
+void RelayKernel::Impl::noteRead(Attempt &attempt)
+{
+    if (attempt.hasEvents) {
+        return;
+    }
+    attempt.hasEvents = true;
+    for (const EndpointIndex stage : attempt.stages) {
+        endpoints.at(stage).unreadTokens -= attempt.promptTokens;
+    }
+}
+
 void RelayKernel::Impl::cancelAttempts(Call &call)
 {
     const std::vector<AttemptId> open = call.attempts;
@@ -226,6 +238,7 @@
         EndpointState &state = endpoints.at(stage);
         ++state.openRequests;
         state.contextTokens += attempt.contextTokens;
+        state.unreadTokens += attempt.promptTokens;
     }
     attempts.emplace(id, std::move(attempt));
     call.attempts.push_back(id);
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -37,7 +37,9 @@
             ++kind;
         }
         const LoadEstimate load = peers.loadOn(i, now);
-        holders.push_back({kind, state.zone, state.entry.layers, load.openRequests, load.contextTokens, state.slowness, true, true});
+        // What the others have sent in these moments isn't known yet; after a loss they send as much as this instance.
+        const double unread = state.unreadTokens * peers.instances();
+        holders.push_back({kind, state.zone, state.entry.layers, load.openRequests, load.contextTokens, unread, state.slowness, true, true});
         indices.push_back(i);
     }
     const std::uint32_t answer = call.answerTokens > 0 ? call.answerTokens : DefaultAnswerTokens;
@@ -68,6 +70,7 @@
         text += (text.empty() ? "" : " ") + endpoints.at(index).entry.id + "=" + std::to_string(stage.layers.first) + "-" + std::to_string(stage.layers.end);
     }
     attempt.contextTokens = call.promptTokens + (call.answerTokens > 0 ? call.answerTokens : DefaultAnswerTokens);
+    attempt.promptTokens = call.promptTokens;
     attempt.predictedFirstMs = path.firstTokenMs;
     const AttemptId id = startAttempt(now, call, std::move(attempt));
     const EndpointState &first = endpoints.at(indices[path.stages.front().holder]);
@@ -142,10 +145,13 @@
         return;
     }
     call.nextLook = now + LookPeriod;
-    if (silence < MoveAfter || !call.route->isResumable) {
-        return askReport(now, attempt.stages.front());
-    }
     const EndpointIndex first = attempt.stages.front();
+    askReport(now, first);
+    // Streams that wait for their prompt to be read, or whose stages are all late, would only wait longer elsewhere.
+    const bool othersGoOn = endpoints.at(first).eventAt > attempt.progressAt + Instant(MoveAfter) / 2;
+    if (silence < MoveAfter || !call.route->isResumable || !attempt.hasEvents || !othersGoOn) {
+        return;
+    }
     call.mayHaveRun = true;
     if (call.runs >= call.route->maxAttempts) {
         return; // There is no sending left to move to.
@@ -190,7 +196,8 @@
     }
     Attempt &state = impl_->attempts.at(attempt);
     state.progressAt = now;
-    state.hasEvents = true;
+    impl_->noteRead(state);
+    impl_->endpoints.at(state.stages.front()).eventAt = now;
     call->mayHaveRun = true;
     const bool isNext = eventId == call->lastEvent + 1 || (!call->streamBegun && call->lastEvent == 0);
     if (eventId <= call->lastEvent && call->lastEvent != 0) {
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -33,6 +33,10 @@
     /// Requests of this instance that are on it, and their tokens of context.
     std::uint32_t openRequests = 0;
     double contextTokens = 0;
+    /// Prompt tokens of those of them that have not begun to answer.
+    double unreadTokens = 0;
+    /// When a stream that it serves as the first stage last had an event.
+    Instant eventAt{0};
     /// Smoothed time to a plain answer, and share of requests that failed lately.
     double latencyMs = 0;
     double failureShare = 0;
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -20,6 +20,8 @@
     Instant progressAt{0};
     /// Tokens of context that it is expected to take on each stage.
     double contextTokens = 0;
+    /// Prompt tokens that each stage reads first.
+    double promptTokens = 0;
     double predictedFirstMs = 0;
     bool hasEvents = false;
 };
@@ -72,6 +74,8 @@
     // Calls of both kinds.
     Call *callOf(AttemptId attempt);
     void dropAttempt(AttemptId attempt);
+    /// The stages have read the attempt's prompt.
+    void noteRead(Attempt &attempt);
     void cancelAttempts(Call &call);
     void close(CallId call);
     /// Ends a call that can't get its answer: by an answer of the router's own, or by breaking off its stream.
