--- a/libs/placement/src/PathChooser.cpp
+++ b/libs/placement/src/PathChooser.cpp
@@ -16,7 +16,7 @@
 constexpr double ComfortableFill = 0.7;
 constexpr double FillPenalty = 4.0;
 /// The pipe between two zones serves all requests one after another: what one takes there delays many others.
-constexpr double PipeSharing = 20;
+constexpr double PipeSharing = 60;
 /// Fixed cost of one more stage for each token, in ms.
 constexpr double HopMs = 0.2;
 constexpr double Unreachable = std::numeric_limits<double>::infinity();
