--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -15,7 +15,8 @@
 constexpr Ms LongestSuspicion{1500};
 /// Between a change at an endpoint and the list that shows it: a heartbeat, the store's lag and one reading of the list.
 constexpr Ms ListLag{2700};
-constexpr Ms AvoidTime{150};
+constexpr Ms AvoidTime{75};
+constexpr int MostRefusals = 5;
 constexpr double LatencyWeight = 0.15;
 constexpr double FailureWeight = 0.3;
 constexpr double FailureHalfLifeMs = 2500;
@@ -34,6 +35,8 @@
     state.entry = entry;
     if (entry.incarnation > known.incarnation) {
         state.suspectUntil = Instant{0};
+        state.avoidUntil = Instant{0};
+        state.refusals = 0;
         state.failedReports = 0;
         state.orderCount = 0;
     } else if (entry.incarnation < known.incarnation || now < state.reportedAt + ListLag) {
@@ -99,7 +102,17 @@
 
 void EndpointRegistry::avoid(EndpointIndex index, Instant now)
 {
-    states_[index].avoidUntil = now + AvoidTime;
+    EndpointState &state = states_[index];
+    // Attempts that were under way together count as one refusal.
+    if (now >= state.avoidUntil) {
+        state.refusals = std::min(state.refusals + 1, MostRefusals);
+    }
+    state.avoidUntil = now + AvoidTime * (1 << state.refusals);
+}
+
+void EndpointRegistry::onAccepted(EndpointIndex index)
+{
+    states_[index].refusals = 0;
 }
 
 void EndpointRegistry::forgetLayers(EndpointIndex index)
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -82,6 +82,7 @@
         return afterPlainFailure(now, call, base::ErrorKind::Overloaded, "the endpoint refused the request without running it");
     }
     call.mayHaveRun = true;
+    endpoints.onAccepted(endpoint);
     const bool isSuccess = head.status < FirstFailureStatus && head.genuine;
     if (isSuccess) {
         endpoints.onPlainAnswer(endpoint, latency, now);
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -196,6 +196,11 @@
     }
     Attempt &state = impl_->attempts.at(attempt);
     state.progressAt = now;
+    if (!state.hasEvents) {
+        for (const EndpointIndex stage : state.stages) {
+            impl_->endpoints.onAccepted(stage);
+        }
+    }
     impl_->noteRead(state);
     impl_->endpoints.at(state.stages.front()).eventAt = now;
     call->mayHaveRun = true;
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -20,8 +20,9 @@
     /// Takes no new work and is asked for its state once this time is over; zero if it is trusted.
     Instant suspectUntil{0};
     int failedReports = 0;
-    /// Has lately refused work for lack of room.
+    /// Has lately refused work without running it; how often in a row.
     Instant avoidUntil{0};
+    int refusals = 0;
     bool reportPending = false;
     Instant reportAskedAt{0};
     /// Of the last answer; the list lags behind it.
@@ -56,9 +57,12 @@
     /// The endpoint is silent: no new work until it has answered again.
     void suspect(EndpointIndex index, Instant now);
 
-    /// The endpoint has no room at the moment.
+    /// The endpoint refuses work without running it, for lack of room or since it is leaving. The pause grows with each refusal in a row.
     void avoid(EndpointIndex index, Instant now);
 
+    /// The endpoint has taken work.
+    void onAccepted(EndpointIndex index);
+
     /// Its layers are not what they seemed; it gets no work until it has reported.
     void forgetLayers(EndpointIndex index);
 
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -158,6 +158,24 @@
     CHECK(upperStage() != full);
 }
 
+/// The pattern: an endpoint leaves while the store is away, so that the list goes on naming it, and refuses every request.
+TEST(AStream, triesAnEndpointThatKeepsRefusingMoreAndMoreSeldom)
+{
+    int refusals = 0;
+    for (int i = 0; i < 100; ++i) {
+        bed.call("/stream/x");
+        while (upperStage() == "high-a:1") {
+            ++refusals;
+            bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {503, true, false, "high-a:1"});
+        }
+        bed.kernel.onEvent(bed.now, bed.lastAttempt(), 1);
+        bed.kernel.onStreamEnd(bed.now, bed.lastAttempt());
+        bed.pass(Ms(50));
+    }
+    CHECK(refusals >= 2);
+    CHECK(refusals <= 8);
+}
+
 TEST(AStream, isRefusedAtOnceWithATimeToReturnWhenALayerIsMissing)
 {
     for (EndpointEntry &entry : bed.entries) {
