--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// A list read later than this after the previous one counts as read after an outage.
-constexpr Ms OutageTime{1800};
+constexpr Ms OutageTime{2700};
 /// A caller without a time limit of its own is given this one.
 constexpr Ms DefaultTimeLimit{30000};
 /// From the request to stop until idle connections are closed: by then the balancer sends nothing new.
