A stopping server ends idle connections by ending their read

Ruled out: the time of the shutdown (the balancer sends nothing new by then; this was a kept connection). Change: the pending read is cancelled; what has been read by then is answered with 'Connection: close'.

--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -144,8 +144,9 @@
     void closeIfIdle()
     {
         if (isIdle_ && buffer_.size() == 0) {
+            // Ends the pending read. A request that has been read by now is still answered, since its read can't be cancelled any more.
             beast::error_code ignored;
-            stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+            stream_.socket().cancel(ignored);
         }
     }
 
@@ -158,6 +159,7 @@
         beast::error_code error;
         limitReading(server_->limits.idleTime);
         co_await http::async_read_some(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+        isIdle_ = isIdle_ && error;
         if (!error && !parser.is_done()) {
             limitReading(server_->limits.requestTime);
             co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
@@ -195,7 +197,6 @@
         id_ = server_->nextId++;
         ended_ = false;
         keepAlive_ = message.keep_alive();
-        isIdle_ = false;
         server_->exchanges[id_] = shared_from_this();
         HttpRequest request{std::string(message.method_string()), std::string(message.target()), {}, std::move(message.body())};
         for (const auto &field : message) {
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -1,11 +1,16 @@
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
 
-#include <CppUTest/TestHarness.h>
+#include "details/Asio.h"
 
+#include <atomic>
+#include <deque>
+#include <future>
 #include <optional>
 #include <thread>
 
+#include <CppUTest/TestHarness.h>
+
 namespace {
 
 /// A server that answers /whole, streams three chunks on /stream, breaks /cut off, and never answers /silent.
@@ -47,6 +52,22 @@
         return net::callAndWait(call);
     }
 
+    const net::Address &address() const
+    {
+        return address_;
+    }
+
+    /// Closes the server's connections in its own thread, and waits for that.
+    void closeConnections()
+    {
+        std::promise<void> done;
+        loop_.post([&]() {
+            server_->closeConnections();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
 private:
     void answer(net::ExchangeId id, const net::HttpRequest &request)
     {
@@ -74,6 +95,98 @@
     std::thread thread_;
 };
 
+/// A client that sends and receives bytes as it likes.
+class RawClient
+{
+public:
+    explicit RawClient(const net::Address &address)
+        : socket_(io_)
+    {
+        socket_.connect({boost::asio::ip::make_address(address.host), address.port});
+    }
+
+    void send(const std::string &bytes)
+    {
+        boost::asio::write(socket_, boost::asio::buffer(bytes));
+    }
+
+    /// Everything up to the end of the connection.
+    std::string receiveAll()
+    {
+        std::string received;
+        boost::system::error_code error;
+        boost::asio::read(socket_, boost::asio::dynamic_buffer(received), error);
+        return received;
+    }
+
+    /// Everything up to and with the text.
+    std::string receiveUntil(const std::string &text)
+    {
+        std::string received;
+        boost::system::error_code error;
+        boost::asio::read_until(socket_, boost::asio::dynamic_buffer(received), text, error);
+        return received;
+    }
+
+private:
+    boost::asio::io_context io_;
+    boost::asio::ip::tcp::socket socket_;
+};
+
+/// A server that sends the same bytes in answer to the first request on each connection, and keeps the connection open.
+class FixedServer
+{
+public:
+    explicit FixedServer(std::string answer)
+        : acceptor_(io_, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , thread_([this, answer = std::move(answer)]() { serve(answer); })
+    {
+    }
+
+    ~FixedServer()
+    {
+        // One more connection ends the wait for it.
+        stopped_ = true;
+        boost::system::error_code ignored;
+        boost::asio::ip::tcp::socket last(io_);
+        last.connect(acceptor_.local_endpoint(), ignored);
+        thread_.join();
+    }
+
+    net::Address address() const
+    {
+        return {"127.0.0.1", acceptor_.local_endpoint().port()};
+    }
+
+    int connections() const
+    {
+        return connections_;
+    }
+
+private:
+    void serve(const std::string &answer)
+    {
+        while (!stopped_) {
+            auto &socket = sockets_.emplace_back(acceptor_.accept());
+            if (stopped_) {
+                return;
+            }
+            ++connections_;
+            std::string request;
+            boost::system::error_code error;
+            boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", error);
+            boost::asio::write(socket, boost::asio::buffer(answer), error);
+        }
+    }
+
+    boost::asio::io_context io_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::deque<boost::asio::ip::tcp::socket> sockets_;
+    std::atomic<bool> stopped_{false};
+    std::atomic<int> connections_{0};
+    std::thread thread_;
+};
+
 } // namespace
 
 TEST_GROUP(AnHttpExchange)
@@ -133,3 +246,66 @@
     CHECK(!result.ok);
     CHECK(result.failure == net::CallFailure::NotSent);
 }
+
+TEST_GROUP(AConnectionOfAServerThatStops)
+{
+    SmallServer server;
+};
+
+TEST(AConnectionOfAServerThatStops, endsWhenItIsIdle)
+{
+    RawClient client(server.address());
+    client.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\n");
+    STRCMP_CONTAINS("200", client.receiveUntil("whole ").c_str());
+    server.closeConnections();
+    STRCMP_EQUAL("", client.receiveAll().c_str());
+}
+
+/// The pattern: the request arrives in the moment in which the server closes its idle connections.
+TEST(AConnectionOfAServerThatStops, stillAnswersARequestThatItHasBegunToRead)
+{
+    RawClient client(server.address());
+    client.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\nGET /wh");
+    STRCMP_CONTAINS("200", client.receiveUntil("whole ").c_str());
+    // The second request's first bytes are with the server: one more exchange elsewhere gives it the time to read them.
+    CHECK(server.get("/whole").ok);
+    server.closeConnections();
+    client.send("ole HTTP/1.1\r\nHost: a\r\n\r\n");
+    const std::string answer = client.receiveAll();
+    STRCMP_CONTAINS("200", answer.c_str());
+    STRCMP_CONTAINS("Connection: close", answer.c_str());
+}
+
+TEST_GROUP(AKeptConnection)
+{
+    /// Bodies of two requests that one client makes, one after the other.
+    std::vector<std::string> bodiesOfTwo(const net::Address &address)
+    {
+        net::EventLoop loop;
+        net::HttpClient client(loop);
+        std::vector<std::string> bodies;
+        std::function<void()> next = [&]() {
+            net::ClientCall call;
+            call.address = address;
+            client.fetch(
+                std::move(call),
+                [&](const net::HttpResponse &response) {
+                    bodies.push_back(response.body);
+                    bodies.size() < 2 ? next() : loop.stop();
+                },
+                [&](net::CallFailure) { loop.stop(); });
+        };
+        next();
+        loop.run();
+        return bodies;
+    }
+};
+
+TEST(AKeptConnection, isNotUsedAgainAfterBytesThatBelongToNoRequest)
+{
+    FixedServer server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale");
+    const auto bodies = bodiesOfTwo(server.address());
+    LONGS_EQUAL(2, bodies.size());
+    STRCMP_EQUAL("ok", bodies[1].c_str());
+    LONGS_EQUAL(2, server.connections());
+}
