Slow and silent endpoints are found sooner, told to the others and count for less in the plan

Change: a look after 150 ms, all stages are asked (each at most every 1.2 s), slowness and silence go into the digests, the plan divides capacity by slowness; two log lines, endpoint_slow and endpoint_usual.

--- a/libs/placement/include/placement/LayerPlanner.h
+++ b/libs/placement/include/placement/LayerPlanner.h
@@ -17,6 +17,8 @@
     /// Requests that pass through it.
     double openRequests = 0;
     bool mayMove = true;
+    /// How much slower than its profile it works; 1 is as expected.
+    double slowness = 1;
 };
 
 /// A range that an empty endpoint should load; the index is that of the host in the call.
--- a/libs/placement/src/LayerPlanner.cpp
+++ b/libs/placement/src/LayerPlanner.cpp
@@ -50,7 +50,7 @@
 
     void add(const Host &host, LayerRange range, double sign = 1)
     {
-        const double capacity = sign * concurrentRequests(profile_, host.kind, range.size());
+        const double capacity = sign * capacityOf(host, range);
         std::vector<double> &zone = zoneOf(host.zone);
         for (std::uint32_t b = range.first / block_; b < range.end / block_ && b < fleet_.size(); ++b) {
             zone[b] += capacity;
@@ -61,7 +61,7 @@
     /// What the host would add by holding the range: the logarithm makes the first holder worth most.
     double gain(const Host &host, LayerRange range)
     {
-        const double capacity = concurrentRequests(profile_, host.kind, range.size());
+        const double capacity = capacityOf(host, range);
         const std::vector<double> &zone = zoneOf(host.zone);
         double sum = 0;
         for (std::uint32_t b = range.first / block_; b < range.end / block_; ++b) {
@@ -71,6 +71,11 @@
     }
 
 private:
+    double capacityOf(const Host &host, LayerRange range) const
+    {
+        return concurrentRequests(profile_, host.kind, range.size()) / std::max(1.0, host.slowness);
+    }
+
     std::vector<double> &zoneOf(std::uint32_t zone)
     {
         return zones_.try_emplace(zone, fleet_.size(), 0).first->second;
--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -56,6 +56,7 @@
         const auto [found, isNew] = byId_.try_emplace(entry.id, size());
         if (isNew) {
             states_.emplace_back();
+            byHash_[wire::endpointHash(entry.id)] = found->second;
             lastArrival_ = now;
         }
         EndpointState &state = states_[found->second];
@@ -147,6 +148,12 @@
     return found == byId_.end() ? std::nullopt : std::optional(found->second);
 }
 
+std::optional<EndpointIndex> EndpointRegistry::findHash(std::uint32_t hash) const
+{
+    const auto found = byHash_.find(hash);
+    return found == byHash_.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::optional<EndpointIndex> EndpointRegistry::findAddress(const std::string &address) const
 {
     std::optional<EndpointIndex> match;
--- a/libs/relay/src/PeerLoads.cpp
+++ b/libs/relay/src/PeerLoads.cpp
@@ -11,6 +11,9 @@
 constexpr Ms DigestLife{2000};
 /// An instance that has been silent for longer takes no part any more.
 constexpr Ms MemberLife{8000};
+/// Slowness that is worth telling, and for how long after the endpoint's own word.
+constexpr double LeastSlowness = 1.3;
+constexpr Ms SlownessLife{1200};
 /// Assumed until the list of instances has been read.
 constexpr std::uint32_t AssumedInstances = 9;
 
@@ -46,6 +49,11 @@
     return now < peer.heardAt + DigestLife;
 }
 
+void PeerLoads::expedite()
+{
+    sentAt_ = Instant{0};
+}
+
 std::optional<wire::RelayDigest> PeerLoads::dueDigest(Instant now, const std::string &own, bool leaving)
 {
     if (now < sentAt_ + DigestPeriod || addresses_.empty()) {
@@ -53,9 +61,14 @@
     }
     sentAt_ = now;
     std::erase_if(peers_, [&](const auto &entry) { return now >= entry.second.heardAt + MemberLife; });
-    wire::RelayDigest digest{own, leaving, {}, {}};
+    wire::RelayDigest digest{own, leaving, {}, {}, {}};
     for (EndpointIndex i = 0; i < endpoints_.size(); ++i) {
         const EndpointState &state = endpoints_.at(i);
+        if (state.listed && state.suspectUntil.count() != 0) {
+            digest.silent.push_back({wire::endpointHash(state.entry.id), state.entry.incarnation});
+        } else if (state.listed && state.slowness >= LeastSlowness && now < state.reportedAt + SlownessLife) {
+            digest.slow.push_back({wire::endpointHash(state.entry.id), state.slowness});
+        }
         if (state.openRequests > 0) {
             digest.loads.push_back({wire::endpointHash(state.entry.id), state.openRequests, static_cast<std::uint64_t>(std::max(0.0, state.contextTokens))});
         }
--- a/libs/relay/src/PlannerDuty.cpp
+++ b/libs/relay/src/PlannerDuty.cpp
@@ -179,7 +179,7 @@
         const auto waiting = pending_.find(i);
         const placement::LayerRange held = waiting != pending_.end() ? waiting->second.range : state.entry.layers;
         anyHeld = anyHeld || !held.empty();
-        hosts.push_back({kind, state.zone, held, loads_.loadOn(i, now).openRequests, waiting == pending_.end() && !state.loading});
+        hosts.push_back({kind, state.zone, held, loads_.loadOn(i, now).openRequests, waiting == pending_.end() && !state.loading, state.slowness});
         indices.push_back(i);
     }
     if (!anyHeld && now < endpoints_.lastArrival() + SettleTime) {
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -23,8 +23,11 @@
 constexpr Ms ProofAge{1800};
 constexpr Ms RetryAfterLeast{250};
 constexpr std::uint64_t RetryAfterSpreadMs = 700;
-/// A question to an endpoint is not repeated within this time.
-constexpr Ms ReportPeriod{120};
+/// An endpoint that was slow is asked again after this time, by whichever instance comes first.
+constexpr Ms SlowPeriod{1000};
+/// A word of the endpoint itself that is newer than this goes before what others say of it.
+constexpr Ms OwnWordLife{500};
+constexpr double LeastSlowness = 1.3;
 
 } // namespace
 
@@ -249,10 +252,10 @@
     return id;
 }
 
-void RelayKernel::Impl::askReport(Instant now, EndpointIndex index)
+void RelayKernel::Impl::askReport(Instant now, EndpointIndex index, Ms period)
 {
     EndpointState &state = endpoints.at(index);
-    if (state.reportPending || now < state.reportAskedAt + ReportPeriod || state.entry.accelerator.empty()) {
+    if (state.reportPending || now < state.reportAskedAt + period || state.entry.accelerator.empty()) {
         return;
     }
     state.reportPending = true;
@@ -286,6 +289,48 @@
     }
 }
 
+void RelayKernel::Impl::checkSlow(Instant now)
+{
+    for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
+        const EndpointState &state = endpoints.at(i);
+        if (state.listed && state.slowness >= LeastSlowness && now >= state.reportedAt + SlowPeriod) {
+            askReport(now, i, SlowPeriod);
+        }
+    }
+}
+
+void RelayKernel::Impl::takeForSilent(Instant now, EndpointIndex index, const std::string &requestId, const std::string &evidence)
+{
+    endpoints.suspect(index, now);
+    peers.expedite();
+    driver.record({"endpoint_silent", requestId, endpoints.at(index).entry.id, evidence});
+    moveStreams(now, index);
+}
+
+void RelayKernel::Impl::onDigest(Instant now, const wire::RelayDigest &digest)
+{
+    peers.onDigest(digest, now);
+    retries.setInstances(peers.instances());
+    for (const wire::SilentEndpoint &silent : digest.silent) {
+        const auto index = endpoints.findHash(silent.endpoint);
+        if (!index) {
+            continue;
+        }
+        const EndpointState &state = endpoints.at(*index);
+        const bool isNews = state.suspectUntil.count() == 0 && state.entry.incarnation == silent.incarnation && now >= state.reportedAt + OwnWordLife;
+        if (state.listed && isNews) {
+            takeForSilent(now, *index, "", "says " + digest.instance);
+        }
+    }
+    for (const wire::SlowEndpoint &slow : digest.slow) {
+        const auto index = endpoints.findHash(slow.endpoint);
+        if (index && now >= endpoints.at(*index).reportedAt + OwnWordLife) {
+            endpoints.at(*index).slowness = slow.slowness;
+            endpoints.at(*index).reportedAt = std::max(endpoints.at(*index).reportedAt, now - OwnWordLife);
+        }
+    }
+}
+
 void RelayKernel::Impl::tick(Instant now)
 {
     expire(now);
@@ -306,6 +351,7 @@
         }
     }
     checkSuspects(now);
+    checkSlow(now);
     planner.tick(now, config);
     if (const auto digest = peers.dueDigest(now, settings.node, stopping)) {
         driver.sendDigest(peers.addresses(), *digest);
@@ -403,8 +449,7 @@
 
 void RelayKernel::onDigest(Instant now, const wire::RelayDigest &digest)
 {
-    impl_->peers.onDigest(digest, now);
-    impl_->retries.setInstances(impl_->peers.instances());
+    impl_->onDigest(now, digest);
 }
 
 void RelayKernel::onCall(Instant now, const CallArrival &arrival)
@@ -477,23 +522,26 @@
     EndpointState &state = impl_->endpoints.at(*index);
     state.reportPending = false;
     if (!report) {
-        const bool isNew = state.suspectUntil.count() == 0;
-        impl_->endpoints.suspect(*index, now);
-        if (isNew) {
-            impl_->driver.record({"endpoint_silent", "", endpoint, "no answer to a question for its state"});
-            impl_->moveStreams(now, *index);
+        if (state.suspectUntil.count() == 0) {
+            impl_->takeForSilent(now, *index, "", "no answer to a question for its state");
+        } else {
+            impl_->endpoints.suspect(*index, now);
         }
         impl_->planner.onReport(now, *index, false);
         return;
     }
+    const double slownessBefore = state.slowness;
     impl_->endpoints.onReport(*index, *report, now);
+    if ((state.slowness >= LeastSlowness) != (slownessBefore >= LeastSlowness)) {
+        const char *const event = state.slowness >= LeastSlowness ? "endpoint_slow" : "endpoint_usual";
+        impl_->driver.record({event, "", endpoint, std::to_string(state.slowness) + " times the usual time"});
+        impl_->peers.expedite();
+    }
     impl_->planner.onReport(now, *index, true);
     for (const StalledRequest &stalled : report->stalled) {
         const auto atFault = impl_->endpoints.findAddress(stalled.address);
         if (atFault && impl_->endpoints.at(*atFault).suspectUntil.count() == 0) {
-            impl_->endpoints.suspect(*atFault, now);
-            impl_->driver.record({"endpoint_silent", stalled.requestId, impl_->endpoints.at(*atFault).entry.id, "requests stall on it, says " + endpoint});
-            impl_->moveStreams(now, *atFault);
+            impl_->takeForSilent(now, *atFault, stalled.requestId, "requests stall on it, says " + endpoint);
         }
     }
 }
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -7,9 +7,11 @@
 namespace {
 
 /// A stream without progress for this time is looked after.
-constexpr Ms LookAfterGap{250};
+constexpr Ms LookAfterGap{150};
 constexpr Ms LookAfterSending{350};
 constexpr Ms LookPeriod{100};
+/// The later stages of a late stream's path are asked whether they are slow, no more often than this.
+constexpr Ms StagePeriod{1200};
 /// A stream without progress for this time is moved, whatever its endpoints say.
 constexpr Ms MoveAfter{1200};
 /// Callers leave after a pause of about two seconds: a stream that can't go on before is broken off.
@@ -147,6 +149,9 @@
     call.nextLook = now + LookPeriod;
     const EndpointIndex first = attempt.stages.front();
     askReport(now, first);
+    for (const EndpointIndex stage : attempt.stages) {
+        askReport(now, stage, StagePeriod);
+    }
     // Streams that wait for their prompt to be read, or whose stages are all late, would only wait longer elsewhere.
     const bool othersGoOn = endpoints.at(first).eventAt > attempt.progressAt + Instant(MoveAfter) / 2;
     if (silence < MoveAfter || !call.route->isResumable || !attempt.hasEvents || !othersGoOn) {
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -73,6 +73,8 @@
     bool isUsable(EndpointIndex index, Instant now) const;
 
     std::optional<EndpointIndex> find(const std::string &id) const;
+    /// By the value that stands for it in digests.
+    std::optional<EndpointIndex> findHash(std::uint32_t hash) const;
     std::optional<EndpointIndex> findAddress(const std::string &address) const;
 
     EndpointState &at(EndpointIndex index)
@@ -107,6 +109,7 @@
 
     std::vector<EndpointState> states_;
     std::unordered_map<std::string, EndpointIndex> byId_;
+    std::unordered_map<std::uint32_t, EndpointIndex> byHash_;
     std::unordered_map<std::string, std::uint32_t> zones_;
     bool hasList_ = false;
     Instant lastArrival_{0};
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -85,7 +85,13 @@
     bool mayRepeat(Instant now, Call &call);
     AttemptId startAttempt(Instant now, Call &call, Attempt attempt);
     void expire(Instant now);
-    void askReport(Instant now, EndpointIndex index);
+    /// Asks an endpoint for its state, unless that was done within the period.
+    void askReport(Instant now, EndpointIndex index, Ms period = Ms(120));
+    /// An endpoint turns out to be silent; the evidence goes to the log.
+    void takeForSilent(Instant now, EndpointIndex index, const std::string &requestId, const std::string &evidence);
+    void onDigest(Instant now, const wire::RelayDigest &digest);
+    /// Asks endpoints that were slow whether they still are.
+    void checkSlow(Instant now);
 
     // Plain services.
     void startPlain(Instant now, Call &call);
--- a/libs/relay/src/details/PeerLoads.h
+++ b/libs/relay/src/details/PeerLoads.h
@@ -27,6 +27,8 @@
 
     /// This instance's digest, if one is due.
     std::optional<wire::RelayDigest> dueDigest(Instant now, const std::string &own, bool leaving);
+    /// Makes the next digest due at once, for news that others should not wait for.
+    void expedite();
     /// Mesh addresses of the others.
     const std::vector<std::string> &addresses() const
     {
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -24,12 +24,20 @@
     std::uint64_t incarnation = 0;
 };
 
+/// An endpoint that works more slowly than its profile, as it has lately said itself.
+struct SlowEndpoint {
+    std::uint32_t endpoint = 0;
+    /// Multiple of the usual time; exact to a tenth.
+    double slowness = 1;
+};
+
 /// What an instance tells the others of the requests that it relays.
 struct RelayDigest {
     std::string instance;
     bool leaving = false;
     std::vector<EndpointLoad> loads;
     std::vector<SilentEndpoint> silent;
+    std::vector<SlowEndpoint> slow;
 };
 
 /// Stands for an endpoint's id in a digest. Two ids may share a value; a digest only improves choices, and nothing rests on it.
