Streams with a silent stage move at their next look; a peer's word of silence leads to a question

Ruled out: the earlier look (150 against 250 ms gives no difference once the word of others is only a question). Change: a peer's word pauses new work for 350 ms and asks the endpoint; each look at a stream asks whether a stage is silent. Two tests, both failed before.

--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -15,6 +15,7 @@
 constexpr Ms LongestSuspicion{1500};
 /// Between a change at an endpoint and the list that shows it: a heartbeat, the store's lag and one reading of the list.
 constexpr Ms ListLag{2700};
+constexpr Ms QuestionTime{350};
 constexpr Ms AvoidTime{75};
 constexpr int MostRefusals = 5;
 constexpr double LatencyWeight = 0.15;
@@ -81,6 +82,7 @@
     EndpointState &state = states_[index];
     state.suspectUntil = Instant{0};
     state.failedReports = 0;
+    state.avoidUntil = state.refusals == 0 ? Instant{0} : state.avoidUntil;
     state.slowness = std::max(1.0, report.slowness);
     state.loading = report.loading;
     if (report.incarnation < state.entry.incarnation) {
@@ -111,6 +113,11 @@
     state.avoidUntil = now + AvoidTime * (1 << state.refusals);
 }
 
+void EndpointRegistry::pause(EndpointIndex index, Instant now)
+{
+    states_[index].avoidUntil = std::max(states_[index].avoidUntil, now + QuestionTime);
+}
+
 void EndpointRegistry::onAccepted(EndpointIndex index)
 {
     states_[index].refusals = 0;
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -304,7 +304,7 @@
     endpoints.suspect(index, now);
     peers.expedite();
     driver.record({"endpoint_silent", requestId, endpoints.at(index).entry.id, evidence});
-    moveStreams(now, index);
+    moveStreams(now);
 }
 
 void RelayKernel::Impl::onDigest(Instant now, const wire::RelayDigest &digest)
@@ -319,7 +319,9 @@
         const EndpointState &state = endpoints.at(*index);
         const bool isNews = state.suspectUntil.count() == 0 && state.entry.incarnation == silent.incarnation && now >= state.reportedAt + OwnWordLife;
         if (state.listed && isNews) {
-            takeForSilent(now, *index, "", "says " + digest.instance);
+            // The other may be the one that is cut off: new work keeps away for the time of a question.
+            endpoints.pause(*index, now);
+            askReport(now, *index);
         }
     }
     for (const wire::SlowEndpoint &slow : digest.slow) {
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -12,6 +12,8 @@
 constexpr Ms LookPeriod{100};
 /// The later stages of a late stream's path are asked whether they are slow, no more often than this.
 constexpr Ms StagePeriod{1200};
+/// A stream whose path has a silent stage is moved once it has had no event for this time.
+constexpr Ms MoveAfterSilence{75};
 /// A stream without progress for this time is moved, whatever its endpoints say.
 constexpr Ms MoveAfter{1200};
 /// Callers leave after a pause of about two seconds: a stream that can't go on before is broken off.
@@ -141,6 +143,9 @@
     }
     const AttemptId id = call.attempts.front();
     const Attempt &attempt = attempts.at(id);
+    if (const auto silent = call.route->isResumable ? silentStage(now, attempt) : std::nullopt) {
+        return moveStream(now, call, id, *silent);
+    }
     const Instant silence = now - attempt.progressAt;
     const Instant firstLimit = std::max(Instant(LookAfterSending), Instant(Ms(static_cast<std::int64_t>(FirstTokenFactor * attempt.predictedFirstMs))));
     if (silence < (attempt.hasEvents ? Instant(LookAfterGap) : firstLimit)) {
@@ -167,29 +172,44 @@
     afterStreamFailure(now, call, "the stream made no progress");
 }
 
-void RelayKernel::Impl::moveStreams(Instant now, EndpointIndex index)
+std::optional<EndpointIndex> RelayKernel::Impl::silentStage(Instant now, const Attempt &attempt) const
+{
+    if (now - attempt.progressAt < MoveAfterSilence) {
+        return std::nullopt;
+    }
+    const auto found
+        = std::find_if(attempt.stages.begin(), attempt.stages.end(), [&](EndpointIndex stage) { return endpoints.at(stage).suspectUntil.count() != 0; });
+    return found == attempt.stages.end() ? std::nullopt : std::optional(*found);
+}
+
+void RelayKernel::Impl::moveStream(Instant now, Call &call, AttemptId attempt, EndpointIndex silent)
+{
+    call.mayHaveRun = true;
+    // A run that ends with its endpoint doesn't count against the route's limit.
+    --call.runs;
+    exclude(call, silent);
+    driver.record({"stream_moved", call.requestId, endpoints.at(silent).entry.id, "a stage of its path is silent"});
+    driver.cancel(attempt);
+    dropAttempt(attempt);
+    afterStreamFailure(now, call, "a stage of the path is silent");
+}
+
+void RelayKernel::Impl::moveStreams(Instant now)
 {
-    std::vector<AttemptId> affected;
+    std::vector<AttemptId> open;
+    open.reserve(attempts.size());
     for (const auto &[id, attempt] : attempts) {
-        const bool passes = std::find(attempt.stages.begin(), attempt.stages.end(), index) != attempt.stages.end();
-        if (passes && now - attempt.progressAt >= LookAfterGap / 2) {
-            affected.push_back(id);
-        }
+        open.push_back(id);
     }
-    std::sort(affected.begin(), affected.end());
-    for (const AttemptId id : affected) {
+    std::sort(open.begin(), open.end());
+    for (const AttemptId id : open) {
         Call *call = callOf(id);
         if (call == nullptr || call->route->kind != RequestKind::Stream || !call->route->isResumable) {
             continue;
         }
-        call->mayHaveRun = true;
-        // A run that ends with its endpoint doesn't count against the route's limit.
-        --call->runs;
-        exclude(*call, index);
-        driver.record({"stream_moved", call->requestId, endpoints.at(index).entry.id, "a stage of its path is silent"});
-        driver.cancel(id);
-        dropAttempt(id);
-        afterStreamFailure(now, *call, "a stage of the path is silent");
+        if (const auto silent = silentStage(now, attempts.at(id))) {
+            moveStream(now, *call, id, *silent);
+        }
     }
 }
 
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -60,6 +60,9 @@
     /// The endpoint refuses work without running it, for lack of room or since it is leaving. The pause grows with each refusal in a row.
     void avoid(EndpointIndex index, Instant now);
 
+    /// The endpoint gets no new work for the time of a question to it.
+    void pause(EndpointIndex index, Instant now);
+
     /// The endpoint has taken work.
     void onAccepted(EndpointIndex index);
 
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -106,8 +106,11 @@
     void onStreamRefused(Instant now, Call &call, AttemptId attempt, const AnswerHead &head);
     void afterStreamFailure(Instant now, Call &call, const std::string &detail);
     void watchStream(Instant now, Call &call);
-    /// Moves the streams that pass through a silent endpoint.
-    void moveStreams(Instant now, EndpointIndex index);
+    /// A silent stage of the path, if the stream has been without events since; none otherwise.
+    std::optional<EndpointIndex> silentStage(Instant now, const Attempt &attempt) const;
+    void moveStream(Instant now, Call &call, AttemptId attempt, EndpointIndex silent);
+    /// Moves the streams that pass through silent endpoints.
+    void moveStreams(Instant now);
 
     void tick(Instant now);
     void updateReadiness(Instant now);
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -116,6 +116,23 @@
     STRCMP_EQUAL("2", bed.driver.sent.back().lastEventId.c_str());
 }
 
+/// The pattern: a stage falls silent just after an event of one of its streams, and is known to be silent before that stream is late.
+TEST(AStream, movesEvenIfItsStageWasFoundSilentThroughAnother)
+{
+    startStream(2);
+    const std::string silent = upperStage();
+    const std::string first = bed.driver.sent.back().endpoint;
+    const AttemptId early = bed.lastAttempt();
+    bed.pass(Ms(300));
+    bed.kernel.onEvent(bed.now, early, 3);
+    bed.kernel.onReport(bed.now, first, reportOf(silent));
+    CHECK(!bed.driver.wasCancelled(early));
+    bed.pass(Ms(100));
+    CHECK(bed.driver.wasCancelled(early));
+    CHECK(upperStage() != silent);
+    STRCMP_EQUAL("3", bed.driver.sent.back().lastEventId.c_str());
+}
+
 TEST(AStream, thatMovedFromALostEndpointMayMoveOnceMore)
 {
     startStream(2);
@@ -168,6 +185,24 @@
     CHECK(upperStage() == other);
 }
 
+/// The pattern: an instance that is cut off takes all endpoints for silent and says so.
+TEST(AStream, doesNotMoveOnTheWordOfAnotherInstanceAlone)
+{
+    startStream(2);
+    const std::string stage = upperStage();
+    const std::string id = stage.substr(0, stage.find(':'));
+    bed.pass(Ms(100));
+    bed.kernel.onDigest(bed.now, {"two", false, {}, {{wire::endpointHash(id), 1}}, {}});
+    LONGS_EQUAL(1, bed.driver.sent.size());
+    STRCMP_EQUAL(id.c_str(), bed.driver.reportsAsked.back().c_str());
+    EndpointReport report;
+    report.incarnation = 1;
+    report.layers = {RelayBed::HalfLayers, 80};
+    bed.kernel.onReport(bed.now, id, report);
+    bed.call("/stream/x");
+    CHECK(upperStage() == stage);
+}
+
 TEST(AStream, isLeftAloneWhileItMakesProgress)
 {
     startStream(2);
