The relay host becomes a library; platform/ only translates

The summary of latencies moves to libs/record and serves both faces: first event, pause between events and plain answers are on the metrics address. RelayKernel.cpp is split by job.

--- a/platform/EventFrames.h
+++ b/libs/net/include/net/EventFrames.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
+namespace net {
+
 /// One whole event of a stream, with its id and its bytes up to and with the blank line.
 struct EventFrame {
     std::uint64_t id = 0;
@@ -38,3 +41,5 @@
     }
     return frame;
 }
+
+} // namespace net
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -1,3 +1,4 @@
+#include "net/EventFrames.h"
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
 
@@ -276,30 +277,27 @@
     STRCMP_CONTAINS("Connection: close", answer.c_str());
 }
 
-TEST_GROUP(AKeptConnection)
-{
-    /// Bodies of two requests that one client makes, one after the other.
-    std::vector<std::string> bodiesOfTwo(const net::Address &address)
-    {
-        net::EventLoop loop;
-        net::HttpClient client(loop);
-        std::vector<std::string> bodies;
-        std::function<void()> next = [&]() {
-            net::ClientCall call;
-            call.address = address;
-            client.fetch(
-                std::move(call),
-                [&](const net::HttpResponse &response) {
-                    bodies.push_back(response.body);
-                    bodies.size() < 2 ? next() : loop.stop();
-                },
-                [&](net::CallFailure) { loop.stop(); });
-        };
-        next();
-        loop.run();
-        return bodies;
-    }
+TEST_GROUP(AKeptConnection){/// Bodies of two requests that one client makes, one after the other.
+                            std::vector<std::string> bodiesOfTwo(const net::Address &address){net::EventLoop loop;
+net::HttpClient client(loop);
+std::vector<std::string> bodies;
+std::function<void()> next = [&]() {
+    net::ClientCall call;
+    call.address = address;
+    client.fetch(
+        std::move(call),
+        [&](const net::HttpResponse &response) {
+            bodies.push_back(response.body);
+            bodies.size() < 2 ? next() : loop.stop();
+        },
+        [&](net::CallFailure) { loop.stop(); });
 };
+next();
+loop.run();
+return bodies;
+}
+}
+;
 
 TEST(AKeptConnection, isNotUsedAgainAfterBytesThatBelongToNoRequest)
 {
@@ -309,3 +307,28 @@
     STRCMP_EQUAL("ok", bodies[1].c_str());
     LONGS_EQUAL(2, server.connections());
 }
+
+TEST_GROUP(AnEventFrame){};
+
+TEST(AnEventFrame, isTakenOnlyWhenItIsWhole)
+{
+    CHECK(!net::firstEvent(""));
+    CHECK(!net::firstEvent("id: 1\ndata: x\n"));
+    const auto frame = net::firstEvent("id: 12\ndata: x\n\nid: 13\nda");
+    CHECK(frame.has_value());
+    LONGS_EQUAL(12, frame->id);
+    LONGS_EQUAL(16, frame->bytes.size());
+}
+
+TEST(AnEventFrame, mayEndItsLinesWithReturns)
+{
+    const auto frame = net::firstEvent("id: 4\r\ndata: x\r\n\r\nid: 5");
+    CHECK(frame.has_value());
+    LONGS_EQUAL(4, frame->id);
+    CHECK(frame->bytes.ends_with("\r\n\r\n"));
+}
+
+TEST(AnEventFrame, mayLackAnId)
+{
+    CHECK(!net::firstEvent(": comment\n\n")->hasId);
+}
--- a/libs/placement/tests/PlacementTests.cpp
+++ b/libs/placement/tests/PlacementTests.cpp
@@ -175,7 +175,8 @@
 /// The pattern: the only fast holder of some layers in its zone is lost for seconds or for good.
 TEST(ThePlan, movesAnIdleEndpointToLayersThatHaveBecomeThin)
 {
-    const auto lost = std::find_if(hosts.begin(), hosts.end(), [&](const Host &host) { return host.kind == 1 && holdersOf(hosts, host.held.first, host.zone) <= 2; });
+    const auto lost =
+        std::find_if(hosts.begin(), hosts.end(), [&](const Host &host) { return host.kind == 1 && holdersOf(hosts, host.held.first, host.zone) <= 2; });
     CHECK(lost != hosts.end());
     const Host gone = *lost;
     hosts.erase(lost);
--- a/programs/trefoilportd/Latency.h
+++ b/libs/record/include/record/Latency.h
@@ -4,6 +4,8 @@
 #include <memory>
 #include <string>
 
+namespace record {
+
 /// Running quantiles of a duration by the P² algorithm, in constant memory. Not thread-safe.
 class Latency
 {
@@ -20,3 +22,5 @@
     struct Impl;
     std::unique_ptr<Impl> impl_;
 };
+
+} // namespace record
--- a/programs/trefoilportd/Latency.cpp
+++ b/libs/record/src/Latency.cpp
@@ -1,4 +1,4 @@
-#include "Latency.h"
+#include "record/Latency.h"
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -8,6 +8,8 @@
 
 #include <sstream>
 
+namespace record {
+
 namespace acc = boost::accumulators;
 
 namespace {
@@ -55,3 +57,5 @@
     out << name << "_count " << acc::count(impl_->totals) << "\n";
     return out.str();
 }
+
+} // namespace record
--- /dev/null
+++ b/libs/relay/src/Calls.cpp
@@ -0,0 +1,177 @@
+#include "details/KernelImpl.h"
+
+#include <algorithm>
+
+namespace relay {
+
+Call *RelayKernel::Impl::callOf(AttemptId attempt)
+{
+    const auto found = attempts.find(attempt);
+    if (found == attempts.end()) {
+        return nullptr;
+    }
+    const auto call = calls.find(found->second.call);
+    return call == calls.end() ? nullptr : call->second.get();
+}
+
+void RelayKernel::Impl::dropAttempt(AttemptId attempt)
+{
+    const auto found = attempts.find(attempt);
+    if (found == attempts.end()) {
+        return;
+    }
+    noteRead(found->second);
+    for (const EndpointIndex stage : found->second.stages) {
+        EndpointState &state = endpoints.at(stage);
+        --state.openRequests;
+        state.contextTokens -= found->second.contextTokens;
+    }
+    if (const auto call = calls.find(found->second.call); call != calls.end()) {
+        std::erase(call->second->attempts, attempt);
+    }
+    attempts.erase(found);
+}
+
+void RelayKernel::Impl::noteRead(Attempt &attempt)
+{
+    if (attempt.hasEvents) {
+        return;
+    }
+    attempt.hasEvents = true;
+    for (const EndpointIndex stage : attempt.stages) {
+        endpoints.at(stage).unreadTokens -= attempt.promptTokens;
+    }
+}
+
+void RelayKernel::Impl::cancelAttempts(Call &call)
+{
+    const std::vector<AttemptId> open = call.attempts;
+    for (const AttemptId attempt : open) {
+        driver.cancel(attempt);
+        dropAttempt(attempt);
+    }
+}
+
+void RelayKernel::Impl::close(CallId call)
+{
+    const auto found = calls.find(call);
+    if (found != calls.end()) {
+        cancelAttempts(*found->second);
+        calls.erase(found);
+    }
+}
+
+void RelayKernel::Impl::fail(Instant now, Call &call, base::ErrorKind kind, const std::string &detail)
+{
+    const CallId id = call.id;
+    ++counters.failed;
+    if (call.streamBegun) {
+        ++counters.streamsBroken;
+        driver.record({"stream_broken", call.requestId, std::string(base::nameOf(kind)), detail});
+        cancelAttempts(call);
+        driver.breakStream(id);
+    } else {
+        // A status that promises "not run" is for requests of which no sending may have run.
+        const bool saysNotRun = base::errorAnswer(kind).ran == base::Ran::No;
+        const base::ErrorKind truthful = saysNotRun && call.mayHaveRun ? base::ErrorKind::UpstreamBroken : kind;
+        cancelAttempts(call);
+        reject(now, id, call.requestId, truthful, detail);
+    }
+    close(id);
+}
+
+void RelayKernel::Impl::forward(Instant, Call &call, AttemptId attempt, int status)
+{
+    const CallId id = call.id;
+    driver.forward(id, attempt);
+    driver.record({"answered", call.requestId, endpoints.at(attempts.at(attempt).stages.front()).entry.id, "status " + std::to_string(status)});
+    dropAttempt(attempt);
+    close(id);
+}
+
+void RelayKernel::Impl::exclude(Call &call, EndpointIndex index)
+{
+    if (std::find(call.excluded.begin(), call.excluded.end(), index) == call.excluded.end()) {
+        call.excluded.push_back(index);
+    }
+}
+
+bool RelayKernel::Impl::mayRepeat(Instant now, Call &call)
+{
+    constexpr std::uint32_t MostSendings = 5;
+    if (call.sendings == 0) {
+        return true;
+    }
+    const bool mayRunAgain = call.route->kind == RequestKind::OnceOnly ? !call.mayHaveRun : call.runs < call.route->maxAttempts;
+    return mayRunAgain && call.sendings < MostSendings && retries.take(call.service->name, now);
+}
+
+AttemptId RelayKernel::Impl::startAttempt(Instant now, Call &call, Attempt attempt)
+{
+    const AttemptId id = nextAttempt++;
+    attempt.call = call.id;
+    attempt.sentAt = now;
+    attempt.progressAt = now;
+    for (const EndpointIndex stage : attempt.stages) {
+        EndpointState &state = endpoints.at(stage);
+        ++state.openRequests;
+        state.contextTokens += attempt.contextTokens;
+        state.unreadTokens += attempt.promptTokens;
+    }
+    attempts.emplace(id, std::move(attempt));
+    call.attempts.push_back(id);
+    counters.retries += call.sendings > 0 ? 1 : 0;
+    ++call.sendings;
+    ++call.runs;
+    ++counters.attempts;
+    return id;
+}
+
+void RelayKernel::Impl::expire(Instant now)
+{
+    std::vector<CallId> due;
+    for (const auto &[id, call] : calls) {
+        if (now >= call->deadline) {
+            due.push_back(id);
+        }
+    }
+    for (const CallId id : due) {
+        Call &call = *calls.at(id);
+        const bool neverSent = !call.mayHaveRun && call.attempts.empty();
+        fail(now, call, neverSent ? base::ErrorKind::DeadlineUnreachable : base::ErrorKind::UpstreamTimeout, "no whole answer within the time limit");
+    }
+}
+
+void RelayKernel::onFailure(Instant now, AttemptId attempt, AttemptFailure failure)
+{
+    Call *call = impl_->callOf(attempt);
+    if (call == nullptr) {
+        return;
+    }
+    const EndpointIndex first = impl_->attempts.at(attempt).stages.front();
+    const std::string detail = impl_->endpoints.at(first).entry.id
+        + (failure == AttemptFailure::NotSent        ? " could not be reached"
+               : failure == AttemptFailure::TimedOut ? " did not answer in time"
+                                                     : " broke off");
+    impl_->driver.record({"attempt_failed", call->requestId, impl_->endpoints.at(first).entry.id, detail});
+    impl_->dropAttempt(attempt);
+    impl_->exclude(*call, first);
+    if (failure == AttemptFailure::NotSent) {
+        --call->runs;
+    } else {
+        call->mayHaveRun = true;
+    }
+    if (call->route->kind == RequestKind::Stream) {
+        if (failure == AttemptFailure::NotSent) {
+            impl_->endpoints.suspect(first, now);
+        } else {
+            impl_->askReport(now, first);
+        }
+        impl_->afterStreamFailure(now, *call, detail);
+    } else {
+        impl_->endpoints.onPlainFailure(first, now);
+        impl_->afterPlainFailure(now, *call, failure == AttemptFailure::NotSent ? base::ErrorKind::NoEndpoint : base::ErrorKind::UpstreamBroken, detail);
+    }
+}
+
+} // namespace relay
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -177,8 +177,8 @@
     if (now - attempt.progressAt < MoveAfterSilence) {
         return std::nullopt;
     }
-    const auto found
-        = std::find_if(attempt.stages.begin(), attempt.stages.end(), [&](EndpointIndex stage) { return endpoints.at(stage).suspectUntil.count() != 0; });
+    const auto found =
+        std::find_if(attempt.stages.begin(), attempt.stages.end(), [&](EndpointIndex stage) { return endpoints.at(stage).suspectUntil.count() != 0; });
     return found == attempt.stages.end() ? std::nullopt : std::optional(*found);
 }
 
@@ -267,8 +267,11 @@
         return impl_->afterStreamFailure(now, *call, "the stream ended without an event");
     }
     ++impl_->counters.streamsEnded;
-    impl_->driver.record({"stream_ended", call->requestId, impl_->endpoints.at(first).entry.id, "last event " + call->lastEventId + ", first after " + std::to_string(call->firstWait / Ms(1)) + " ms, longest pause "
-                                + std::to_string(call->longestGap / Ms(1)) + " ms, sendings " + std::to_string(call->sendings)});
+    impl_->driver.record({"stream_ended",
+                          call->requestId,
+                          impl_->endpoints.at(first).entry.id,
+                          "last event " + call->lastEventId + ", first after " + std::to_string(call->firstWait / Ms(1)) + " ms, longest pause "
+                              + std::to_string(call->longestGap / Ms(1)) + " ms, sendings " + std::to_string(call->sendings)});
     impl_->dropAttempt(attempt);
     const CallId id = call->id;
     impl_->driver.endStream(id);
--- a/platform/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -1,14 +1,16 @@
 #pragma once
 
-#include "BootSettings.h"
-#include "StoreReader.h"
 #include "mesh/Mesh.h"
 #include "net/HttpServer.h"
 #include "record/DecisionLog.h"
+#include "record/Latency.h"
+#include "relayhost/Dialect.h"
 
 #include <thread>
 #include <unordered_map>
 
+namespace relayhost {
+
 /// Carries out what the kernel decides, over HTTP, on one event loop.
 ///
 /// All duties share one thread: the machines have a quarter of a core, and each hop between threads costs wake-ups that are paid for.
@@ -16,7 +18,7 @@
 class RelayHost : public relay::RelayDriver
 {
 public:
-    RelayHost(BootSettings settings, std::string settingsPath);
+    RelayHost(const Dialect &dialect, const StoreFactory &makeStore, HostSettings settings, std::string settingsPath);
 
     /// Runs until the kernel has ended the process.
     void run();
@@ -43,7 +45,10 @@
     struct OpenCall {
         net::HttpRequest request;
         std::string requestId;
+        relay::Instant arrivedAt{0};
         relay::Instant deadline{0};
+        /// Of the last event that was passed on; zero before the first.
+        relay::Instant eventAt{0};
     };
 
     /// A sending that is under way, with what has arrived of its answer.
@@ -62,22 +67,25 @@
     void onRequest(net::ExchangeId exchange, net::HttpRequest request);
     void onOperatorRequest(net::HttpServer &server, net::ExchangeId exchange, const net::HttpRequest &request);
     void onMeshMessage(const std::string &bytes);
+    /// Takes the times for the latency metrics.
+    void noteEvents(relay::CallId call);
     void onData(relay::AttemptId id, const std::string &data);
     void onEnd(relay::AttemptId id);
     void onFailure(relay::AttemptId id, net::CallFailure failure);
     std::string metricsText() const;
-    StoreReader::Handlers storeHandlers();
+    StoreHandlers storeHandlers();
     net::HttpServer::Handlers callerHandlers();
     net::HttpServer::Handlers operatorHandlers(std::unique_ptr<net::HttpServer> &server);
 
-    BootSettings settings_;
+    const Dialect &dialect_;
+    HostSettings settings_;
     std::string settingsPath_;
     std::string settingsText_;
     net::EventLoop loop_;
     net::HttpClient endpointClient_;
     record::DecisionLog log_;
     relay::RelayKernel kernel_;
-    StoreReader store_;
+    std::unique_ptr<Store> store_;
     mesh::Mesh mesh_;
     std::thread meshThread_;
     std::unique_ptr<net::HttpServer> callerServer_;
@@ -85,7 +93,15 @@
     std::unique_ptr<net::HttpServer> metricsServer_;
     std::unordered_map<relay::CallId, OpenCall> calls_;
     std::unordered_map<relay::AttemptId, OpenAttempt> attempts_;
+    record::Latency firstEvent_;
+    record::Latency betweenEvents_;
+    record::Latency plainAnswer_;
     relay::Instant settingsReadAt_{0};
     bool ready_ = false;
     bool stopSeen_ = false;
 };
+
+/// Runs an instance from its settings file until it is stopped; the result is the exit code of the process.
+int runInstance(const Dialect &dialect, const StoreFactory &makeStore, const std::string &settingsPath);
+
+} // namespace relayhost
--- /dev/null
+++ b/libs/relayhost/src/HostActions.cpp
@@ -0,0 +1,273 @@
+#include "relayhost/RelayHost.h"
+
+#include "base/Time.h"
+#include "net/EventFrames.h"
+
+namespace relayhost {
+
+namespace {
+
+constexpr relay::Ms ConnectTime{400};
+constexpr relay::Ms ReportTime{350};
+constexpr relay::Ms OrderTime{700};
+/// The endpoint is given this time beyond the request's to say that it is over.
+constexpr relay::Ms AnswerSlack{300};
+constexpr std::size_t LargestAnswer = 16 * 1024 * 1024;
+
+relay::Instant now()
+{
+    return base::readSuspendClock();
+}
+
+relay::AttemptFailure failureOf(net::CallFailure failure)
+{
+    switch (failure) {
+    case net::CallFailure::NotSent:
+        return relay::AttemptFailure::NotSent;
+    case net::CallFailure::TimedOut:
+        return relay::AttemptFailure::TimedOut;
+    default:
+        return relay::AttemptFailure::Broken;
+    }
+}
+
+} // namespace
+
+void RelayHost::send(relay::Dispatch dispatch)
+{
+    const auto call = calls_.find(dispatch.call);
+    if (call == calls_.end()) {
+        return;
+    }
+    const relay::AttemptId id = dispatch.attempt;
+    net::ClientCall request;
+    request.address = net::parseAddress(dispatch.address);
+    request.request = dialect_.encodeDispatch(call->second.request, dispatch);
+    request.connectTime = ConnectTime;
+    request.totalTime = dispatch.timeLeft + AnswerSlack;
+    request.freshConnection = dispatch.freshConnection;
+    request.bodyLimit = LargestAnswer;
+    net::ClientHandlers handlers;
+    handlers.onHead = [this, id](int status, const net::Headers &headers) {
+        const auto attempt = attempts_.find(id);
+        if (attempt == attempts_.end()) {
+            return;
+        }
+        attempt->second.status = status;
+        attempt->second.headers = headers;
+        const auto open = calls_.find(attempt->second.call);
+        const bool isGenuine = open != calls_.end() && dialect_.decodeAnswer(status, headers, open->second.requestId).genuine;
+        attempt->second.isStream = isGenuine && dialect_.isEventStream(status, headers);
+    };
+    handlers.onData = [this, id](const std::string &data) {
+        onData(id, data);
+    };
+    handlers.onEnd = [this, id]() {
+        onEnd(id);
+    };
+    handlers.onFailure = [this, id](net::CallFailure failure) {
+        onFailure(id, failure);
+    };
+    attempts_[id].call = dispatch.call;
+    attempts_[id].clientCall = endpointClient_.start(std::move(request), std::move(handlers));
+}
+
+void RelayHost::onData(relay::AttemptId id, const std::string &data)
+{
+    auto attempt = attempts_.find(id);
+    if (attempt == attempts_.end()) {
+        return;
+    }
+    attempt->second.body += data;
+    if (!attempt->second.isStream) {
+        return;
+    }
+    const relay::CallId call = attempt->second.call;
+    std::string wanted;
+    std::size_t taken = 0;
+    while (attempt != attempts_.end()) {
+        const auto frame = net::firstEvent(std::string_view(attempt->second.body).substr(taken));
+        if (!frame) {
+            break;
+        }
+        taken += frame->bytes.size();
+        const std::string bytes(frame->bytes);
+        if (frame->hasId && kernel_.onEvent(now(), id, frame->id)) {
+            wanted += bytes;
+        }
+        attempt = attempts_.find(id);
+    }
+    if (!wanted.empty()) {
+        noteEvents(call);
+        callerServer_->writeChunk(call, wanted);
+    }
+    attempt = attempts_.find(id);
+    if (attempt != attempts_.end()) {
+        attempt->second.body.erase(0, taken);
+    }
+}
+
+void RelayHost::noteEvents(relay::CallId call)
+{
+    const auto open = calls_.find(call);
+    if (open == calls_.end()) {
+        return;
+    }
+    const relay::Instant time = now();
+    if (open->second.eventAt.count() == 0) {
+        firstEvent_.add(time - open->second.arrivedAt);
+    } else {
+        betweenEvents_.add(time - open->second.eventAt);
+    }
+    open->second.eventAt = time;
+}
+
+void RelayHost::onEnd(relay::AttemptId id)
+{
+    const auto attempt = attempts_.find(id);
+    if (attempt == attempts_.end()) {
+        return;
+    }
+    if (attempt->second.isStream) {
+        if (attempt->second.body.empty()) {
+            kernel_.onStreamEnd(now(), id);
+        } else {
+            kernel_.onFailure(now(), id, relay::AttemptFailure::Broken);
+        }
+    } else {
+        const auto call = calls_.find(attempt->second.call);
+        const std::string requestId = call == calls_.end() ? "" : call->second.requestId;
+        kernel_.onAnswer(now(), id, dialect_.decodeAnswer(attempt->second.status, attempt->second.headers, requestId));
+    }
+    attempts_.erase(id);
+}
+
+void RelayHost::onFailure(relay::AttemptId id, net::CallFailure failure)
+{
+    if (attempts_.erase(id) > 0) {
+        kernel_.onFailure(now(), id, failureOf(failure));
+    }
+}
+
+void RelayHost::cancel(relay::AttemptId attempt)
+{
+    const auto found = attempts_.find(attempt);
+    if (found != attempts_.end()) {
+        const net::ClientCallId clientCall = found->second.clientCall;
+        attempts_.erase(found);
+        endpointClient_.cancel(clientCall);
+    }
+}
+
+void RelayHost::reject(relay::CallId call, const relay::Rejection &rejection)
+{
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) {
+        return;
+    }
+    const auto left = std::chrono::duration_cast<relay::Ms>(found->second.deadline - now());
+    callerServer_->respond(call, dialect_.encodeRejection(rejection, found->second.requestId, left));
+    calls_.erase(found);
+}
+
+void RelayHost::forward(relay::CallId call, relay::AttemptId attempt)
+{
+    const auto found = attempts_.find(attempt);
+    if (const auto open = calls_.find(call); open != calls_.end()) {
+        plainAnswer_.add(now() - open->second.arrivedAt);
+    }
+    if (found != attempts_.end()) {
+        callerServer_->respond(call, {found->second.status, net::endToEnd(found->second.headers, {}), found->second.body});
+    }
+    calls_.erase(call);
+}
+
+void RelayHost::beginStream(relay::CallId call, relay::AttemptId attempt)
+{
+    const auto found = attempts_.find(attempt);
+    if (found != attempts_.end()) {
+        callerServer_->beginStream(call, found->second.status, net::endToEnd(found->second.headers, {}));
+    }
+}
+
+void RelayHost::endStream(relay::CallId call)
+{
+    callerServer_->endStream(call);
+    calls_.erase(call);
+}
+
+void RelayHost::breakStream(relay::CallId call)
+{
+    callerServer_->abort(call);
+    calls_.erase(call);
+}
+
+void RelayHost::readReport(const std::string &endpoint, const std::string &address)
+{
+    net::ClientCall call;
+    call.address = net::parseAddress(address);
+    call.request = dialect_.encodeReportRequest(endpoint);
+    call.connectTime = ReportTime;
+    call.totalTime = ReportTime;
+    endpointClient_.fetch(
+        std::move(call),
+        [this, endpoint](const net::HttpResponse &response) { kernel_.onReport(now(), endpoint, dialect_.decodeReport(response)); },
+        [this, endpoint](net::CallFailure) { kernel_.onReport(now(), endpoint, std::nullopt); });
+}
+
+void RelayHost::sendOrder(const relay::PlaceOrder &order)
+{
+    net::ClientCall call;
+    call.address = net::parseAddress(order.address);
+    call.request = dialect_.encodeOrder(order);
+    call.connectTime = ConnectTime;
+    call.totalTime = OrderTime;
+    const std::string endpoint = order.endpoint;
+    endpointClient_.fetch(
+        std::move(call),
+        [this, endpoint](const net::HttpResponse &response) { kernel_.onOrderAnswer(now(), endpoint, dialect_.decodeOrderAnswer(response.status)); },
+        [this, endpoint](net::CallFailure) { kernel_.onOrderAnswer(now(), endpoint, relay::OrderOutcome::NoAnswer); });
+}
+
+void RelayHost::readLease()
+{
+    store_->readLease();
+}
+
+void RelayHost::writeLease(const relay::LeaseRecord &lease, std::uint64_t expectedRevision)
+{
+    store_->writeLease(lease, expectedRevision);
+}
+
+void RelayHost::sendDigest(const std::vector<std::string> &addresses, const wire::RelayDigest &digest)
+{
+    const std::string bytes = wire::encode(digest);
+    for (const std::string &address : addresses) {
+        mesh_.send(address, bytes);
+    }
+}
+
+void RelayHost::onMeshMessage(const std::string &bytes)
+{
+    auto digest = wire::decodeRelayDigest(bytes);
+    if (base::isOk(digest)) {
+        loop_.post([this, digest = std::get<wire::RelayDigest>(std::move(digest))]() { kernel_.onDigest(now(), digest); });
+    }
+}
+
+void RelayHost::setReady(bool ready)
+{
+    ready_ = ready;
+}
+
+void RelayHost::closeConnections()
+{
+    callerServer_->closeConnections();
+}
+
+void RelayHost::exit()
+{
+    loop_.stop();
+}
+
+} // namespace relayhost
--- /dev/null
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -0,0 +1,258 @@
+#include "relayhost/RelayHost.h"
+
+#include "base/Time.h"
+
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <unistd.h>
+
+namespace relayhost {
+
+namespace {
+
+constexpr relay::Ms BusyTick{50};
+constexpr relay::Ms IdleTick{100};
+constexpr relay::Ms SettingsPeriod{2000};
+constexpr std::size_t MeshRingItems = 256;
+constexpr std::size_t OperatorHeaderBytes = 4096;
+constexpr int BadSettings = 2;
+constexpr int BadAddress = 3;
+
+std::atomic<bool> stopRequested{false};
+std::atomic<bool> reloadRequested{false};
+
+relay::Instant now()
+{
+    return base::readSuspendClock();
+}
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+net::ServerLimits serverLimits(const relay::CallerLimits &limits)
+{
+    net::ServerLimits server;
+    server.headerBytes = limits.headerBytes;
+    server.bodyBytes = limits.bodyBytes;
+    server.requestTime = limits.headerTime;
+    server.idleTime = limits.idleTime;
+    return server;
+}
+
+/// A process that is restarted must not take itself for the earlier one.
+std::string processName(const std::string &node)
+{
+    return node + "/" + std::to_string(base::readClocks().wall) + "-" + std::to_string(::getpid());
+}
+
+base::ErrorKind kindOf(net::RefusalKind refusal)
+{
+    switch (refusal) {
+    case net::RefusalKind::HeaderTooLarge:
+        return base::ErrorKind::HeaderTooLarge;
+    case net::RefusalKind::BodyTooLarge:
+        return base::ErrorKind::BodyTooLarge;
+    case net::RefusalKind::TooSlow:
+        return base::ErrorKind::RequestTimeout;
+    default:
+        return base::ErrorKind::BadRequest;
+    }
+}
+
+} // namespace
+
+RelayHost::RelayHost(const Dialect &dialect, const StoreFactory &makeStore, HostSettings settings, std::string settingsPath)
+    : dialect_(dialect)
+    , settings_(std::move(settings))
+    , settingsPath_(std::move(settingsPath))
+    , settingsText_(readFile(settingsPath_))
+    , endpointClient_(loop_)
+    , kernel_(settings_.relay, *this)
+    , store_(makeStore(loop_, settings_.store, storeHandlers()))
+    , mesh_(net::toString(settings_.mesh), {}, MeshRingItems, [this](const std::string &bytes) { onMeshMessage(bytes); })
+    , callerServer_(std::make_unique<net::HttpServer>(loop_, settings_.callers, serverLimits({}), callerHandlers()))
+    , readinessServer_(
+          std::make_unique<net::HttpServer>(loop_, settings_.readiness, serverLimits({OperatorHeaderBytes, 0}), operatorHandlers(readinessServer_)))
+    , metricsServer_(std::make_unique<net::HttpServer>(loop_, settings_.metrics, serverLimits({OperatorHeaderBytes, 0}), operatorHandlers(metricsServer_)))
+{
+}
+
+StoreHandlers RelayHost::storeHandlers()
+{
+    StoreHandlers handlers;
+    handlers.onConfig = [this](relay::Instant sentAt, const relay::FleetConfigPtr &config) {
+        if (config) {
+            callerServer_->setLimits(serverLimits(config->limits));
+        }
+        kernel_.onConfig(now(), sentAt, config);
+    };
+    handlers.onEndpoints = [this](const std::vector<relay::EndpointEntry> &entries) {
+        kernel_.onEndpoints(now(), entries);
+    };
+    handlers.onLease = [this](std::uint64_t revision, const relay::LeaseRecord &lease) {
+        kernel_.onLeaseRead(now(), revision, lease);
+    };
+    handlers.onLeaseWritten = [this](relay::Instant sentAt, std::uint64_t revision) {
+        kernel_.onLeaseWritten(now(), sentAt, revision);
+    };
+    handlers.onInstances = [this](const std::vector<relay::InstanceEntry> &instances) {
+        kernel_.onInstances(now(), instances);
+    };
+    handlers.onReachable = [this](bool reachable) {
+        record({reachable ? "store_reached" : "store_lost", "", net::toString(settings_.store), ""});
+    };
+    handlers.onDamaged = [this](std::size_t damaged) {
+        record({"endpoint_entries_damaged", "", "", std::to_string(damaged) + " entries left out"});
+    };
+    return handlers;
+}
+
+net::HttpServer::Handlers RelayHost::callerHandlers()
+{
+    net::HttpServer::Handlers handlers;
+    handlers.onRequest = [this](net::ExchangeId exchange, net::HttpRequest request) {
+        onRequest(exchange, std::move(request));
+    };
+    handlers.onAbort = [this](net::ExchangeId exchange) {
+        calls_.erase(exchange);
+        kernel_.onCallerGone(now(), exchange);
+    };
+    handlers.refusal = [this](net::RefusalKind refusal) {
+        record({"malformed_request", "", std::string(base::nameOf(kindOf(refusal))), ""});
+        return dialect_.encodeRejection({kindOf(refusal), "the request can't be read", relay::Ms(0)}, "", relay::Ms(0));
+    };
+    return handlers;
+}
+
+net::HttpServer::Handlers RelayHost::operatorHandlers(std::unique_ptr<net::HttpServer> &server)
+{
+    net::HttpServer::Handlers handlers;
+    handlers.onRequest = [this, &server](net::ExchangeId exchange, const net::HttpRequest &request) {
+        onOperatorRequest(*server, exchange, request);
+    };
+    handlers.onAbort = [](net::ExchangeId) {
+    };
+    handlers.refusal = [this](net::RefusalKind refusal) {
+        return dialect_.encodeRejection({kindOf(refusal), "", relay::Ms(0)}, "", relay::Ms(0));
+    };
+    return handlers;
+}
+
+void RelayHost::run()
+{
+    record({"started", "", settings_.relay.instance, "callers on " + net::toString(settings_.callers) + ", store " + net::toString(settings_.store)});
+    store_->start({settings_.node, net::toString(settings_.mesh)});
+    tick();
+    meshThread_ = std::thread([this]() { mesh_.run(); });
+    loop_.run();
+    mesh_.stop();
+    meshThread_.join();
+    record({"stopped", "", settings_.relay.instance, ""});
+}
+
+void RelayHost::tick()
+{
+    if (stopRequested && !stopSeen_) {
+        stopSeen_ = true;
+        kernel_.onStop(now());
+    }
+    if (reloadRequested.exchange(false) || now() - settingsReadAt_ >= SettingsPeriod) {
+        rereadSettings();
+    }
+    kernel_.onTick(now());
+    loop_.after(kernel_.openCalls() > 0 ? BusyTick : IdleTick, [this]() { tick(); });
+}
+
+void RelayHost::rereadSettings()
+{
+    settingsReadAt_ = now();
+    const std::string text = readFile(settingsPath_);
+    if (text == settingsText_ || text.empty()) {
+        return;
+    }
+    const auto parsed = dialect_.parseSettings(text);
+    if (!base::isOk(parsed)) {
+        record({"settings_refused", "", settingsPath_, base::errorOf(parsed).detail + "; the earlier ones stay in force"});
+        return;
+    }
+    settingsText_ = text;
+    relay::RelaySettings changed = base::valueOf(parsed).relay;
+    changed.instance = settings_.relay.instance;
+    changed.seed = settings_.relay.seed;
+    settings_.relay = changed;
+    settings_.store = base::valueOf(parsed).store;
+    store_->setAddress(settings_.store);
+    kernel_.onSettings(changed);
+    record({"settings_reloaded", "", settingsPath_, ""});
+}
+
+void RelayHost::onRequest(net::ExchangeId exchange, net::HttpRequest request)
+{
+    const DecodedCall decoded = dialect_.decodeCall(exchange, request);
+    OpenCall call;
+    call.requestId = decoded.arrival.requestId;
+    call.arrivedAt = now();
+    call.deadline = call.arrivedAt + decoded.arrival.timeLimit;
+    call.request = std::move(request);
+    calls_.emplace(exchange, std::move(call));
+    if (decoded.isMalformed) {
+        return reject(exchange, {base::ErrorKind::BadRequest, "the request lacks an id, a host or an absolute path", relay::Ms(0)});
+    }
+    kernel_.onCall(now(), decoded.arrival);
+}
+
+void RelayHost::onOperatorRequest(net::HttpServer &server, net::ExchangeId exchange, const net::HttpRequest &request)
+{
+    constexpr int Ok = 200;
+    constexpr int Unavailable = 503;
+    constexpr int NotFound = 404;
+    if (request.target == dialect_.readinessPath()) {
+        return server.respond(exchange, {ready_ ? Ok : Unavailable, {}, ""});
+    }
+    if (request.target == dialect_.metricsPath()) {
+        return server.respond(exchange, {Ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metricsText()});
+    }
+    server.respond(exchange, {NotFound, {}, ""});
+}
+
+void RelayHost::record(const relay::Decision &decision)
+{
+    log_.write({decision.event, decision.requestId, decision.subject, decision.detail}, now());
+}
+
+int runInstance(const Dialect &dialect, const StoreFactory &makeStore, const std::string &settingsPath)
+{
+    auto parsed = dialect.parseSettings(readFile(settingsPath));
+    if (!base::isOk(parsed)) {
+        std::cerr << "trefoilportd: " << settingsPath << ": " << base::errorOf(parsed).detail << "\n";
+        return BadSettings;
+    }
+    HostSettings settings = std::get<HostSettings>(std::move(parsed));
+    settings.relay.instance = processName(settings.node);
+    settings.relay.seed = std::hash<std::string>{}(settings.relay.instance);
+    record::setUpJsonLog(settings.node, settings.zone);
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGTERM, [](int) { stopRequested = true; });
+    std::signal(SIGINT, [](int) { stopRequested = true; });
+    std::signal(SIGHUP, [](int) { reloadRequested = true; });
+    int code = 0;
+    try {
+        RelayHost host(dialect, makeStore, std::move(settings), settingsPath);
+        host.run();
+    } catch (const std::exception &error) {
+        std::cerr << "trefoilportd: " << error.what() << "\n";
+        code = BadAddress;
+    }
+    record::shutDownJsonLog();
+    return code;
+}
+
+} // namespace relayhost
--- a/programs/trefoilportd/CallersDuty.h
+++ b/programs/trefoilportd/CallersDuty.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "KernelDuty.h"
-#include "Latency.h"
 #include "net/HttpServer.h"
+#include "record/Latency.h"
 #include "settings/DaemonSettings.h"
 #include "timeline/EventLog.h"
 
@@ -69,8 +69,8 @@
     net::EventLoop loop_;
     net::HttpServer server_;
     std::map<net::ExchangeId, Open> open_;
-    Latency firstToken_;
-    Latency betweenTokens_;
+    record::Latency firstToken_;
+    record::Latency betweenTokens_;
     bool ready_ = false;
 };
 
