Requests that crash the endpoints that run them are barred fleet-wide

A caller sends such a request again, with another id, to any instance. Change: a broken attempt without events counts as a strike once its endpoint has restarted or fallen silent; strikes travel in the digests; after three the request is refused at once. Connections that merely break are no strikes. Four tests; sizes and damage of digests have theirs.

--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -65,6 +65,9 @@
         }
         team = found->second;
     }
+    if (crashes.isBarred(arrival.fingerprint, now)) {
+        return refuse(base::ErrorKind::Quarantined, "this request has crashed the endpoints that ran it");
+    }
     const std::string &serviceName = serviceOf(*route, base::hashOf(arrival.requestId));
     const auto service = std::find_if(config->services.begin(), config->services.end(), [&](const Service &entry) { return entry.name == serviceName; });
     if (service == config->services.end()) {
@@ -75,6 +78,7 @@
     Call &call = *owned;
     call.id = arrival.call;
     call.requestId = arrival.requestId;
+    call.fingerprint = arrival.fingerprint;
     call.config = config;
     call.route = route;
     call.service = &*service;
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -96,9 +96,21 @@
     }
 }
 
+void RelayKernel::Impl::noteBroken(Instant now, const Call &call, const Attempt &attempt, EndpointIndex endpoint)
+{
+    // A request that crashes its endpoint does so as it begins to run. One that has had events was on an endpoint that crashed for another reason.
+    const bool hadEvents = call.route->kind == RequestKind::Stream && attempt.hasEvents;
+    if (!hadEvents) {
+        crashes.onBroken(call.fingerprint, endpoint, now);
+    }
+}
+
 bool RelayKernel::Impl::mayRepeat(Instant now, Call &call)
 {
     constexpr std::uint32_t MostSendings = 5;
+    if (crashes.isBarred(call.fingerprint, now)) {
+        return false;
+    }
     if (call.sendings == 0) {
         return true;
     }
@@ -154,6 +166,9 @@
                : failure == AttemptFailure::TimedOut ? " did not answer in time"
                                                      : " broke off");
     impl_->driver.record({"attempt_failed", call->requestId, impl_->endpoints.at(first).entry.id, detail});
+    if (failure == AttemptFailure::Broken) {
+        impl_->noteBroken(now, *call, impl_->attempts.at(attempt), first);
+    }
     impl_->dropAttempt(attempt);
     impl_->exclude(*call, first);
     if (failure == AttemptFailure::NotSent) {
--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -46,6 +46,23 @@
     }
 }
 
+void RelayKernel::Impl::checkCrashes(Instant now)
+{
+    for (const std::uint64_t fingerprint : crashes.tick(now)) {
+        untoldStrikes.push_back(fingerprint);
+        peers.expedite();
+        driver.record({"crash_strike", "", std::to_string(fingerprint), "an endpoint crashed on this request"});
+    }
+}
+
+void RelayKernel::Impl::sendDigest(Instant now)
+{
+    if (auto digest = peers.dueDigest(now, settings.node, stopping)) {
+        digest->strikes.swap(untoldStrikes);
+        driver.sendDigest(peers.addresses(), *digest);
+    }
+}
+
 void RelayKernel::Impl::takeForSilent(Instant now, EndpointIndex index, const std::string &requestId, const std::string &evidence)
 {
     endpoints.suspect(index, now);
@@ -71,6 +88,9 @@
             askReport(now, *index);
         }
     }
+    for (const std::uint64_t fingerprint : digest.strikes) {
+        crashes.onStrike(fingerprint, now);
+    }
     for (const wire::SlowEndpoint &slow : digest.slow) {
         const auto index = endpoints.findHash(slow.endpoint);
         if (index && now >= endpoints.at(*index).reportedAt + OwnWordLife) {
--- a/libs/relay/src/PeerLoads.cpp
+++ b/libs/relay/src/PeerLoads.cpp
@@ -61,7 +61,7 @@
     }
     sentAt_ = now;
     std::erase_if(peers_, [&](const auto &entry) { return now >= entry.second.heardAt + MemberLife; });
-    wire::RelayDigest digest{own, leaving, {}, {}, {}};
+    wire::RelayDigest digest{own, leaving, {}, {}, {}, {}};
     for (EndpointIndex i = 0; i < endpoints_.size(); ++i) {
         const EndpointState &state = endpoints_.at(i);
         if (state.listed && state.suspectUntil.count() != 0) {
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -23,6 +23,7 @@
     , driver(relayDriver)
     , peers(endpoints)
     , planner(endpoints, peers, relayDriver)
+    , crashes(endpoints)
 {
     planner.configure(settings);
     retries.configure(settings);
@@ -55,10 +56,9 @@
     }
     checkSuspects(now);
     checkSlow(now);
+    checkCrashes(now);
     planner.tick(now, config);
-    if (const auto digest = peers.dueDigest(now, settings.node, stopping)) {
-        driver.sendDigest(peers.addresses(), *digest);
-    }
+    sendDigest(now);
     updateReadiness(now);
     if (stopping) {
         continueStopping(now);
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -185,6 +185,7 @@
 void RelayKernel::Impl::moveStream(Instant now, Call &call, AttemptId attempt, EndpointIndex silent)
 {
     call.mayHaveRun = true;
+    noteBroken(now, call, attempts.at(attempt), silent);
     // A run that ends with its endpoint doesn't count against the route's limit.
     --call.runs;
     exclude(call, silent);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "details/CrashGuard.h"
 #include "details/EndpointRegistry.h"
 #include "details/PeerLoads.h"
 #include "details/PlannerDuty.h"
@@ -30,6 +31,7 @@
 struct Call {
     CallId id = 0;
     std::string requestId;
+    std::uint64_t fingerprint = 0;
     /// Keeps the route alive.
     FleetConfigPtr config;
     const Route *route = nullptr;
@@ -83,6 +85,8 @@
     void forward(Instant now, Call &call, AttemptId attempt, int status);
     void exclude(Call &call, EndpointIndex index);
     bool mayRepeat(Instant now, Call &call);
+    /// The attempt broke off at the endpoint: it may have crashed it.
+    void noteBroken(Instant now, const Call &call, const Attempt &attempt, EndpointIndex endpoint);
     AttemptId startAttempt(Instant now, Call &call, Attempt attempt);
     void expire(Instant now);
     /// Asks an endpoint for its state, unless that was done within the period.
@@ -92,6 +96,8 @@
     void onDigest(Instant now, const wire::RelayDigest &digest);
     /// Asks endpoints that were slow whether they still are.
     void checkSlow(Instant now);
+    void checkCrashes(Instant now);
+    void sendDigest(Instant now);
 
     // Plain services.
     void startPlain(Instant now, Call &call);
@@ -124,6 +130,9 @@
     PeerLoads peers;
     PlannerDuty planner;
     RetryWindow retries;
+    CrashGuard crashes;
+    /// Strikes that the next digest tells the others.
+    std::vector<std::uint64_t> untoldStrikes;
     RelayCounters counters;
 
     FleetConfigPtr config;
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -199,7 +199,7 @@
         return entry;
     }
 
-    relay::CallId call(const std::string &path, const std::string &key = "key-a", relay::Ms timeLimit = relay::Ms(20000))
+    relay::CallId call(const std::string &path, const std::string &key = "key-a", relay::Ms timeLimit = relay::Ms(20000), std::uint64_t fingerprint = 0)
     {
         relay::CallArrival arrival;
         arrival.call = ++lastCall;
@@ -210,6 +210,7 @@
         arrival.timeLimit = timeLimit;
         arrival.promptTokens = 500;
         arrival.answerTokens = 100;
+        arrival.fingerprint = fingerprint != 0 ? fingerprint : lastCall;
         kernel.onCall(now, arrival);
         return lastCall;
     }
--- a/libs/relay/tests/PlainCallTests.cpp
+++ b/libs/relay/tests/PlainCallTests.cpp
@@ -132,3 +132,68 @@
     CHECK(static_cast<double>(bed.driver.sent.size()) - Calls <= allowed);
     CHECK(bed.driver.sent.size() > Calls);
 }
+
+TEST_GROUP(ARequestThatCrashesEndpoints)
+{
+    static constexpr std::uint64_t Fatal = 666;
+    RelayBed bed;
+
+    /// Sends the request; the endpoint that gets it breaks off and is listed as restarted a moment later.
+    bool crashesOne()
+    {
+        const std::size_t before = bed.driver.sent.size();
+        bed.call("/book/seat", "key-a", Ms(1000), Fatal);
+        if (bed.driver.sent.size() == before) {
+            return false;
+        }
+        const std::string endpoint = bed.driver.sent.back().endpoint;
+        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+        for (EndpointEntry &entry : bed.entries) {
+            entry.incarnation += entry.id == endpoint ? 1 : 0;
+        }
+        bed.pass(Ms(200));
+        return true;
+    }
+};
+
+TEST(ARequestThatCrashesEndpoints, reachesNoFourth)
+{
+    CHECK(crashesOne());
+    CHECK(crashesOne());
+    CHECK(crashesOne());
+    CHECK(!crashesOne());
+    CHECK(bed.driver.rejected.back().rejection.kind == base::ErrorKind::Quarantined);
+}
+
+TEST(ARequestThatCrashesEndpoints, doesNotHarmOtherRequests)
+{
+    for (int i = 0; i < 3; ++i) {
+        crashesOne();
+    }
+    const std::size_t before = bed.driver.sent.size();
+    bed.call("/book/seat");
+    LONGS_EQUAL(before + 1, bed.driver.sent.size());
+}
+
+TEST(ARequestThatCrashesEndpoints, isKnownToTheOtherInstances)
+{
+    CHECK(crashesOne());
+    bed.pass(Ms(700));
+    std::size_t told = 0;
+    for (const wire::RelayDigest &digest : bed.driver.digests) {
+        told += static_cast<std::size_t>(std::count(digest.strikes.begin(), digest.strikes.end(), Fatal));
+    }
+    LONGS_EQUAL(1, told);
+    bed.kernel.onDigest(bed.now, {"two", false, {}, {}, {}, {Fatal, Fatal}});
+    CHECK(!crashesOne());
+}
+
+TEST(ARequestThatCrashesEndpoints, isNotTakenForOneBecauseConnectionsBreak)
+{
+    for (int i = 0; i < 10; ++i) {
+        bed.call("/book/seat", "key-a", Ms(1000), Fatal);
+        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+        bed.pass(Ms(200));
+    }
+    LONGS_EQUAL(10, bed.driver.sent.size());
+}
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -38,6 +38,8 @@
     std::vector<EndpointLoad> loads;
     std::vector<SilentEndpoint> silent;
     std::vector<SlowEndpoint> slow;
+    /// Fingerprints of requests, once for each endpoint that they have crashed since the last digest.
+    std::vector<std::uint64_t> strikes;
 };
 
 /// Stands for an endpoint's id in a digest. Two ids may share a value; a digest only improves choices, and nothing rests on it.
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -37,6 +37,9 @@
         out.add_slow(slow.endpoint);
         out.add_slowness_tenths(static_cast<std::uint32_t>(slow.slowness * Tenths));
     }
+    for (const std::uint64_t strike : digest.strikes) {
+        out.add_strike(strike);
+    }
     return out.SerializeAsString();
 }
 
@@ -48,7 +51,7 @@
     if (!isWhole || in.instance().empty()) {
         return base::Error{base::ErrorKind::BadRequest, "malformed bytes in place of a relay digest"};
     }
-    RelayDigest digest{in.instance(), in.leaving(), {}, {}, {}};
+    RelayDigest digest{in.instance(), in.leaving(), {}, {}, {}, {}};
     digest.loads.reserve(static_cast<std::size_t>(in.endpoint_size()));
     for (int i = 0; i < in.endpoint_size(); ++i) {
         digest.loads.push_back({in.endpoint(i), in.open_requests(i), in.context(i) * TokensPerUnit});
@@ -61,6 +64,7 @@
     for (int i = 0; i < in.slow_size(); ++i) {
         digest.slow.push_back({in.slow(i), in.slowness_tenths(i) / Tenths});
     }
+    digest.strikes.assign(in.strike().begin(), in.strike().end());
     return digest;
 }
 
--- a/libs/wire/tests/CodecTests.cpp
+++ b/libs/wire/tests/CodecTests.cpp
@@ -1,5 +1,6 @@
 #include "base/Hash.h"
 #include "wire/Codec.h"
+#include "wire/RelayDigest.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -64,3 +65,42 @@
         (void)wire::decodeLease(bad);
     }
 }
+
+TEST_GROUP(ARelayDigest)
+{
+    const wire::RelayDigest digest{"one", true, {{7, 3, 1024}, {9, 1, 0}}, {{4, 17}}, {{5, 2.5}}, {11, 11}};
+};
+
+TEST(ARelayDigest, comesBackAsItWas)
+{
+    const auto back = wire::decodeRelayDigest(wire::encode(digest));
+    CHECK(base::isOk(back));
+    const wire::RelayDigest &value = base::valueOf(back);
+    STRCMP_EQUAL("one", value.instance.c_str());
+    CHECK(value.leaving);
+    LONGS_EQUAL(2, value.loads.size());
+    LONGS_EQUAL(1024, value.loads[0].contextTokens);
+    LONGS_EQUAL(17, value.silent[0].incarnation);
+    DOUBLES_EQUAL(2.5, value.slow[0].slowness, 0.01);
+    LONGS_EQUAL(2, value.strikes.size());
+}
+
+/// 33 endpoints under load, sent to 8 others every 600 ms, must stay under the 4 KB a second that a node may use for control.
+TEST(ARelayDigest, staysSmall)
+{
+    wire::RelayDigest full{"front-somewhere-12", false, {}, {}, {}, {}};
+    for (std::uint32_t i = 0; i < 33; ++i) {
+        full.loads.push_back({0xf0000000U + i, 100, 100000});
+    }
+    CHECK(wire::encode(full).size() * 8 / 0.6 < 4096);
+}
+
+TEST(ARelayDigest, isRefusedWhenItsListsDoNotMatch)
+{
+    const std::string bytes = wire::encode(digest);
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        wire::decodeRelayDigest(bytes.substr(0, length));
+    }
+    CHECK(!base::isOk(wire::decodeRelayDigest("")));
+    CHECK(!base::isOk(wire::decodeRelayDigest("\x0a\x01x\x1a\x04\x01\x02\x03\x04")));
+}
