A few instances read the store for all

Change: three instances follow the store; the others ask one of them every 0.4 s how old its knowledge is, counted from the question, and read by themselves on news or when nobody answers. Readers tell news in their digests at once. Found on the way: with bounds of 1.5 s nobody rested, since a watch answers after 1.9 s; the order of instances by an unmixed hash was that of names.

--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -121,6 +121,13 @@
     virtual void writeLease(const LeaseRecord &record, std::uint64_t expectedRevision) = 0;
     /// Sends a digest to other instances; it may be lost.
     virtual void sendDigest(const std::vector<std::string> &addresses, const wire::RelayDigest &digest) = 0;
+    virtual void sendQuestion(const std::string &address, const wire::FreshnessQuestion &question) = 0;
+    virtual void sendAnswer(const std::string &address, const wire::FreshnessAnswer &answer) = 0;
+    /// Whether the store is read continuously; at the start it is.
+    virtual void followStore(bool follow) = 0;
+    /// Reads the configuration, or the list of endpoints, once and now.
+    virtual void refreshConfig() = 0;
+    virtual void refreshEndpoints() = 0;
     virtual void setReady(bool ready) = 0;
     /// Answers from now on end their connections, and idle ones are closed.
     virtual void closeConnections() = 0;
--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -118,7 +118,8 @@
 
     /// The list of instances, this one included.
     void onInstances(Instant now, const std::vector<InstanceEntry> &instances);
-    void onDigest(Instant now, const wire::RelayDigest &digest);
+    /// Another instance sent a message.
+    void onPeerMessage(Instant now, const wire::RelayMessage &message);
 
     void onCall(Instant now, const CallArrival &arrival);
     void onCallerGone(Instant now, CallId call);
--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -21,7 +21,7 @@
 
 bool RelayKernel::Impl::configIsCurrent(Instant now, Ms limit) const
 {
-    return config && now - configSentAt <= limit;
+    return config && now - known.configAt <= limit;
 }
 
 void RelayKernel::Impl::reject(Instant, CallId call, const std::string &requestId, base::ErrorKind kind, const std::string &detail)
@@ -48,7 +48,7 @@
         return refuse(base::ErrorKind::Stopping, "this instance is shutting down");
     }
     const std::string age =
-        "configuration " + std::to_string(config->version) + ", age " + std::to_string(std::chrono::duration_cast<Ms>(now - configSentAt).count()) + " ms";
+        "configuration " + std::to_string(config->version) + ", age " + std::to_string(std::chrono::duration_cast<Ms>(now - known.configAt).count()) + " ms";
     const Route *route = routes.find(arrival.host, arrival.path);
     const bool isProof = configIsCurrent(now, ProofAge);
     if (route == nullptr) {
--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -11,6 +11,8 @@
 /// A word of the endpoint itself that is newer than this goes before what others say of it.
 constexpr Ms OwnWordLife{500};
 constexpr double LeastSlowness = 1.3;
+/// A list of endpoints that is older is no news to the others.
+constexpr Ms NewsLife{1000};
 
 } // namespace
 
@@ -59,6 +61,8 @@
 {
     if (auto digest = peers.dueDigest(now, settings.node, stopping)) {
         digest->strikes.swap(untoldStrikes);
+        digest->configVersion = known.configVersion;
+        digest->endpointsHash = now - known.endpointsAt < NewsLife ? known.endpointsHash : 0;
         driver.sendDigest(peers.addresses(), *digest);
     }
 }
@@ -88,6 +92,7 @@
             askReport(now, *index);
         }
     }
+    storeDuty.onNews(digest.configVersion, digest.endpointsHash, now, known);
     for (const std::uint64_t fingerprint : digest.strikes) {
         crashes.onStrike(fingerprint, now);
     }
--- a/libs/relay/src/PeerLoads.cpp
+++ b/libs/relay/src/PeerLoads.cpp
@@ -1,5 +1,7 @@
 #include "details/PeerLoads.h"
 
+#include "base/Hash.h"
+
 #include <algorithm>
 
 namespace relay {
@@ -28,9 +30,11 @@
 {
     listed_ = static_cast<std::uint32_t>(instances.size());
     addresses_.clear();
+    addressById_.clear();
     for (const InstanceEntry &instance : instances) {
         if (instance.id != own) {
             addresses_.push_back(instance.meshAddress);
+            addressById_[instance.id] = instance.meshAddress;
         }
     }
 }
@@ -61,7 +65,7 @@
     }
     sentAt_ = now;
     std::erase_if(peers_, [&](const auto &entry) { return now >= entry.second.heardAt + MemberLife; });
-    wire::RelayDigest digest{own, leaving, {}, {}, {}, {}};
+    wire::RelayDigest digest{own, leaving, {}, {}, {}, {}, 0, 0};
     for (EndpointIndex i = 0; i < endpoints_.size(); ++i) {
         const EndpointState &state = endpoints_.at(i);
         if (state.listed && state.suspectUntil.count() != 0) {
@@ -97,6 +101,30 @@
     return {sum.openRequests * unheard, sum.contextTokens * unheard};
 }
 
+std::vector<std::string> PeerLoads::firstInstances(const std::string &own, std::size_t count, Instant now) const
+{
+    std::vector<std::string> live;
+    for (const auto &[id, peer] : peers_) {
+        if (isFresh(peer, now) && addressById_.contains(id)) {
+            live.push_back(id);
+        }
+    }
+    if (live.empty()) {
+        return live;
+    }
+    live.push_back(own);
+    // By hash, so that the first ones are not all of one zone.
+    std::sort(live.begin(), live.end(), [](const auto &a, const auto &b) { return base::mixBits(base::hashOf(a)) < base::mixBits(base::hashOf(b)); });
+    live.resize(std::min(count, live.size()));
+    return live;
+}
+
+std::string PeerLoads::addressOf(const std::string &instance) const
+{
+    const auto found = addressById_.find(instance);
+    return found == addressById_.end() ? "" : found->second;
+}
+
 std::uint32_t PeerLoads::instances() const
 {
     if (!peers_.empty()) {
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -23,6 +23,7 @@
     , driver(relayDriver)
     , peers(endpoints)
     , planner(endpoints, peers, relayDriver)
+    , storeDuty(peers, relayDriver)
     , crashes(endpoints)
 {
     planner.configure(settings);
@@ -58,6 +59,7 @@
     checkSlow(now);
     checkCrashes(now);
     planner.tick(now, config);
+    storeDuty.tick(now, settings.node, known);
     sendDigest(now);
     updateReadiness(now);
     if (stopping) {
@@ -93,6 +95,24 @@
     }
 }
 
+namespace {
+
+/// The same for lists with the same content, in any order.
+std::uint64_t hashOfList(const std::vector<EndpointEntry> &entries)
+{
+    std::uint64_t sum = entries.size() + 1;
+    for (const EndpointEntry &entry : entries) {
+        std::uint64_t hash = base::hashOf(entry.address, base::hashOf(entry.id));
+        hash = base::mixBits(hash ^ entry.incarnation);
+        hash = base::mixBits(hash ^ (entry.draining ? 1U : 0U));
+        hash = base::mixBits(hash ^ (static_cast<std::uint64_t>(entry.layers.first) << 32U | entry.layers.end));
+        sum += base::mixBits(hash ^ entry.modelVersion);
+    }
+    return sum;
+}
+
+} // namespace
+
 RelayKernel::RelayKernel(RelaySettings settings, RelayDriver &driver)
     : impl_(std::make_unique<Impl>(std::move(settings), driver))
 {
@@ -130,9 +150,11 @@
     if (config && (!impl.config || config->version > impl.config->version)) {
         impl.routes = RouteTable(config);
         impl.config = std::move(config);
+        impl.known.configVersion = impl.config->version;
+        impl.peers.expedite();
         impl.driver.record({"config_in_force", "", impl.settings.instance, "version " + std::to_string(impl.config->version)});
     }
-    impl.configSentAt = std::max(impl.configSentAt, sentAt);
+    impl.known.configAt = std::max(impl.known.configAt, sentAt);
     impl.updateReadiness(now);
 }
 
@@ -141,6 +163,12 @@
     const bool afterOutage = impl_->listedAt.count() != 0 && now - impl_->listedAt > OutageTime;
     impl_->listedAt = now;
     impl_->endpoints.onList(now, entries, afterOutage);
+    const std::uint64_t hash = hashOfList(entries);
+    if (hash != impl_->known.endpointsHash) {
+        impl_->known.endpointsHash = hash;
+        impl_->peers.expedite();
+    }
+    impl_->known.endpointsAt = now;
     impl_->updateReadiness(now);
 }
 
@@ -150,9 +178,22 @@
     impl_->retries.setInstances(impl_->peers.instances());
 }
 
-void RelayKernel::onDigest(Instant now, const wire::RelayDigest &digest)
+void RelayKernel::onPeerMessage(Instant now, const wire::RelayMessage &message)
 {
-    impl_->onDigest(now, digest);
+    if (const auto *digest = std::get_if<wire::RelayDigest>(&message)) {
+        impl_->onDigest(now, *digest);
+    } else if (const auto *question = std::get_if<wire::FreshnessQuestion>(&message)) {
+        const std::string address = impl_->peers.addressOf(question->instance);
+        const auto answer = impl_->storeDuty.answerTo(*question, now, impl_->known);
+        if (answer && !address.empty()) {
+            impl_->driver.sendAnswer(address, *answer);
+        }
+    } else if (const auto *answer = std::get_if<wire::FreshnessAnswer>(&message)) {
+        const Instant listedBefore = impl_->known.endpointsAt;
+        impl_->storeDuty.onAnswer(*answer, now, impl_->known);
+        impl_->listedAt = impl_->known.endpointsAt > listedBefore ? now : impl_->listedAt;
+        impl_->updateReadiness(now);
+    }
 }
 
 void RelayKernel::onCall(Instant now, const CallArrival &arrival)
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -6,6 +6,7 @@
 #include "details/PlannerDuty.h"
 #include "details/RetryWindow.h"
 #include "details/RouteTable.h"
+#include "details/StoreDuty.h"
 #include "placement/PathChooser.h"
 #include "relay/RelayKernel.h"
 
@@ -129,6 +130,7 @@
     EndpointRegistry endpoints;
     PeerLoads peers;
     PlannerDuty planner;
+    StoreDuty storeDuty;
     RetryWindow retries;
     CrashGuard crashes;
     /// Strikes that the next digest tells the others.
@@ -137,7 +139,8 @@
 
     FleetConfigPtr config;
     RouteTable routes;
-    Instant configSentAt{0};
+    /// What is known of the store, and as of when.
+    StoreDuty::Knowledge known;
     Instant listedAt{0};
 
     std::unordered_map<CallId, std::unique_ptr<Call>> calls;
--- a/libs/relay/src/details/PeerLoads.h
+++ b/libs/relay/src/details/PeerLoads.h
@@ -38,6 +38,12 @@
     /// Load of all instances on an endpoint.
     LoadEstimate loadOn(EndpointIndex index, Instant now) const;
 
+    /// The instances, this one included, that come first in an order that all agree on; empty if no other has been heard of lately.
+    std::vector<std::string> firstInstances(const std::string &own, std::size_t count, Instant now) const;
+
+    /// Mesh address of an instance; empty if it isn't listed.
+    std::string addressOf(const std::string &instance) const;
+
     /// Instances that share limits, at least 1.
     std::uint32_t instances() const;
 
@@ -51,6 +57,7 @@
 
     EndpointRegistry &endpoints_;
     std::vector<std::string> addresses_;
+    std::map<std::string, std::string> addressById_;
     std::map<std::string, Peer> peers_;
     std::uint32_t listed_ = 0;
     Instant sentAt_{0};
--- /dev/null
+++ b/libs/relay/src/details/StoreDuty.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "details/PeerLoads.h"
+
+#include <array>
+
+namespace relay {
+
+/// Decides whether this instance reads the store itself or relies on instances that do, so that the calls to the store don't grow with the
+/// fleet.
+///
+/// A few instances read. The others ask one of them again and again how old its knowledge is. The answer counts from the moment of the
+/// question, whatever delays it: knowledge is never taken for younger than it is. Who gets no good answer in time reads by itself.
+class StoreDuty
+{
+public:
+    StoreDuty(const PeerLoads &peers, RelayDriver &driver);
+
+    /// What this instance knows, and as of when.
+    struct Knowledge {
+        std::uint64_t configVersion = 0;
+        Instant configAt{0};
+        std::uint64_t endpointsHash = 0;
+        Instant endpointsAt{0};
+    };
+
+    void tick(Instant now, const std::string &own, const Knowledge &known);
+
+    /// The answer to another's question; none if this instance knows nothing yet.
+    std::optional<wire::FreshnessAnswer> answerTo(const wire::FreshnessQuestion &question, Instant now, const Knowledge &known) const;
+
+    /// Takes an answer: `known` becomes younger where the other's knowledge is the same.
+    void onAnswer(const wire::FreshnessAnswer &answer, Instant now, Knowledge &known);
+
+    /// Another instance's digest names what it knows.
+    void onNews(std::uint64_t configVersion, std::uint64_t endpointsHash, Instant now, const Knowledge &known);
+
+private:
+    void refresh(bool config, bool endpoints, Instant now);
+
+    const PeerLoads &peers_;
+    RelayDriver &driver_;
+    bool follows_ = true;
+    Instant nextQuestion_{0};
+    Instant refreshedAt_{0};
+    std::uint64_t nextNumber_ = 1;
+    /// When the latest questions were sent, by number.
+    std::array<Instant, 16> askedAt_{};
+};
+
+} // namespace relay
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -68,6 +68,26 @@
         digestAddresses = addresses;
         digests.push_back(digest);
     }
+    void sendQuestion(const std::string &address, const wire::FreshnessQuestion &question) override
+    {
+        questions.push_back({address, question});
+    }
+    void sendAnswer(const std::string &address, const wire::FreshnessAnswer &answer) override
+    {
+        answers.push_back({address, answer});
+    }
+    void followStore(bool follow) override
+    {
+        follows = follow;
+    }
+    void refreshConfig() override
+    {
+        ++configRefreshes;
+    }
+    void refreshEndpoints() override
+    {
+        ++endpointRefreshes;
+    }
     void setReady(bool isReady) override
     {
         ready = isReady;
@@ -101,6 +121,11 @@
     std::vector<LeaseWrite> leaseWrites;
     std::vector<std::string> digestAddresses;
     std::vector<wire::RelayDigest> digests;
+    std::vector<std::pair<std::string, wire::FreshnessQuestion>> questions;
+    std::vector<std::pair<std::string, wire::FreshnessAnswer>> answers;
+    bool follows = true;
+    int configRefreshes = 0;
+    int endpointRefreshes = 0;
     int leaseReads = 0;
     bool ready = false;
     bool connectionsClosed = false;
--- a/libs/relay/tests/PlainCallTests.cpp
+++ b/libs/relay/tests/PlainCallTests.cpp
@@ -184,7 +184,7 @@
         told += static_cast<std::size_t>(std::count(digest.strikes.begin(), digest.strikes.end(), Fatal));
     }
     LONGS_EQUAL(1, told);
-    bed.kernel.onDigest(bed.now, {"two", false, {}, {}, {}, {Fatal, Fatal}});
+    bed.kernel.onPeerMessage(bed.now, wire::RelayDigest{"two", false, {}, {}, {}, {Fatal, Fatal}, 0, 0});
     CHECK(!crashesOne());
 }
 
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -176,11 +176,11 @@
     startStream(0);
     const std::string other = upperStage();
     const std::string id = other.substr(0, other.find(':'));
-    bed.kernel.onDigest(bed.now, {"two", false, {}, {}, {{wire::endpointHash(id), 12}}, {}});
+    bed.kernel.onPeerMessage(bed.now, wire::RelayDigest{"two", false, {}, {}, {{wire::endpointHash(id), 12}}, {}, 0, 0});
     bed.call("/stream/x");
     CHECK(upperStage() != other);
     const std::string next = upperStage();
-    bed.kernel.onDigest(bed.now, {"two", false, {}, {{wire::endpointHash(next.substr(0, next.find(':'))), 1}}, {}, {}});
+    bed.kernel.onPeerMessage(bed.now, wire::RelayDigest{"two", false, {}, {{wire::endpointHash(next.substr(0, next.find(':'))), 1}}, {}, {}, 0, 0});
     bed.call("/stream/x");
     CHECK(upperStage() == other);
 }
@@ -192,7 +192,7 @@
     const std::string stage = upperStage();
     const std::string id = stage.substr(0, stage.find(':'));
     bed.pass(Ms(100));
-    bed.kernel.onDigest(bed.now, {"two", false, {}, {{wire::endpointHash(id), 1}}, {}, {}});
+    bed.kernel.onPeerMessage(bed.now, wire::RelayDigest{"two", false, {}, {{wire::endpointHash(id), 1}}, {}, {}, 0, 0});
     LONGS_EQUAL(1, bed.driver.sent.size());
     STRCMP_EQUAL(id.c_str(), bed.driver.reportsAsked.back().c_str());
     EndpointReport report;
--- a/libs/relayhost/include/relayhost/Dialect.h
+++ b/libs/relayhost/include/relayhost/Dialect.h
@@ -69,6 +69,11 @@
     virtual void start(const relay::InstanceEntry &own) = 0;
     /// Changes the store's address.
     virtual void setAddress(const net::Address &address) = 0;
+    /// Whether to read continuously; it does so from the start.
+    virtual void follow(bool follow) = 0;
+    /// Reads once and now, also while it doesn't follow.
+    virtual void refreshConfig() = 0;
+    virtual void refreshEndpoints() = 0;
     virtual void readLease() = 0;
     virtual void writeLease(const relay::LeaseRecord &record, std::uint64_t expectedRevision) = 0;
 };
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -35,6 +35,11 @@
     void readLease() override;
     void writeLease(const relay::LeaseRecord &record, std::uint64_t expectedRevision) override;
     void sendDigest(const std::vector<std::string> &addresses, const wire::RelayDigest &digest) override;
+    void sendQuestion(const std::string &address, const wire::FreshnessQuestion &question) override;
+    void sendAnswer(const std::string &address, const wire::FreshnessAnswer &answer) override;
+    void followStore(bool follow) override;
+    void refreshConfig() override;
+    void refreshEndpoints() override;
     void setReady(bool ready) override;
     void closeConnections() override;
     void exit() override;
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -249,12 +249,37 @@
 
 void RelayHost::onMeshMessage(const std::string &bytes)
 {
-    auto digest = wire::decodeRelayDigest(bytes);
-    if (base::isOk(digest)) {
-        loop_.post([this, digest = std::get<wire::RelayDigest>(std::move(digest))]() { kernel_.onDigest(now(), digest); });
+    auto message = wire::decodeRelayMessage(bytes);
+    if (base::isOk(message)) {
+        loop_.post([this, message = std::get<wire::RelayMessage>(std::move(message))]() { kernel_.onPeerMessage(now(), message); });
     }
 }
 
+void RelayHost::sendQuestion(const std::string &address, const wire::FreshnessQuestion &question)
+{
+    mesh_.send(address, wire::encode(question));
+}
+
+void RelayHost::sendAnswer(const std::string &address, const wire::FreshnessAnswer &answer)
+{
+    mesh_.send(address, wire::encode(answer));
+}
+
+void RelayHost::followStore(bool follow)
+{
+    store_->follow(follow);
+}
+
+void RelayHost::refreshConfig()
+{
+    store_->refreshConfig();
+}
+
+void RelayHost::refreshEndpoints()
+{
+    store_->refreshEndpoints();
+}
+
 void RelayHost::setReady(bool ready)
 {
     ready_ = ready;
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace wire {
@@ -40,12 +41,33 @@
     std::vector<SlowEndpoint> slow;
     /// Fingerprints of requests, once for each endpoint that they have crashed since the last digest.
     std::vector<std::uint64_t> strikes;
+    /// What a reader of the store has read last; 0 from instances that don't read it.
+    std::uint64_t configVersion = 0;
+    std::uint64_t endpointsHash = 0;
 };
 
+/// Asks an instance how old its knowledge of the store is.
+struct FreshnessQuestion {
+    std::string instance;
+    std::uint64_t number = 0;
+};
+
+/// What an instance knows of the store, and how old that was when it answered.
+struct FreshnessAnswer {
+    std::uint64_t number = 0;
+    std::uint64_t configVersion = 0;
+    std::uint64_t configAgeMs = 0;
+    std::uint64_t endpointsHash = 0;
+    std::uint64_t endpointsAgeMs = 0;
+};
+
+/// A message between relaying instances.
+using RelayMessage = std::variant<RelayDigest, FreshnessQuestion, FreshnessAnswer>;
+
 /// Stands for an endpoint's id in a digest. Two ids may share a value; a digest only improves choices, and nothing rests on it.
 std::uint32_t endpointHash(std::string_view endpointId);
 
-std::string encode(const RelayDigest &digest);
-base::Result<RelayDigest> decodeRelayDigest(std::string_view bytes);
+std::string encode(const RelayMessage &message);
+base::Result<RelayMessage> decodeRelayMessage(std::string_view bytes);
 
 } // namespace wire
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -3,6 +3,8 @@
 #include "Records.pb.h"
 #include "base/Hash.h"
 
+#include <optional>
+
 namespace wire {
 
 namespace {
@@ -19,9 +21,12 @@
     return static_cast<std::uint32_t>(hash ^ (hash >> HalfBits));
 }
 
-std::string encode(const RelayDigest &digest)
+namespace {
+
+void fill(trefoilport::pb::RelayDigest &out, const RelayDigest &digest)
 {
-    trefoilport::pb::RelayDigest out;
+    out.set_config_version(digest.configVersion);
+    out.set_endpoints_hash(digest.endpointsHash);
     out.set_instance(digest.instance);
     out.set_leaving(digest.leaving);
     for (const EndpointLoad &load : digest.loads) {
@@ -40,18 +45,16 @@
     for (const std::uint64_t strike : digest.strikes) {
         out.add_strike(strike);
     }
-    return out.SerializeAsString();
 }
 
-base::Result<RelayDigest> decodeRelayDigest(std::string_view bytes)
+std::optional<RelayDigest> toDigest(const trefoilport::pb::RelayDigest &in)
 {
-    trefoilport::pb::RelayDigest in;
-    const bool isWhole = in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) && in.open_requests_size() == in.endpoint_size()
-        && in.context_size() == in.endpoint_size() && in.silent_incarnation_size() == in.silent_size() && in.slowness_tenths_size() == in.slow_size();
+    const bool isWhole = in.open_requests_size() == in.endpoint_size() && in.context_size() == in.endpoint_size()
+        && in.silent_incarnation_size() == in.silent_size() && in.slowness_tenths_size() == in.slow_size();
     if (!isWhole || in.instance().empty()) {
-        return base::Error{base::ErrorKind::BadRequest, "malformed bytes in place of a relay digest"};
+        return std::nullopt;
     }
-    RelayDigest digest{in.instance(), in.leaving(), {}, {}, {}, {}};
+    RelayDigest digest{in.instance(), in.leaving(), {}, {}, {}, {}, in.config_version(), in.endpoints_hash()};
     digest.loads.reserve(static_cast<std::size_t>(in.endpoint_size()));
     for (int i = 0; i < in.endpoint_size(); ++i) {
         digest.loads.push_back({in.endpoint(i), in.open_requests(i), in.context(i) * TokensPerUnit});
@@ -68,4 +71,65 @@
     return digest;
 }
 
+std::optional<RelayMessage> toMessage(const trefoilport::pb::RelayMessage &in)
+{
+    if (in.has_question() && !in.question().instance().empty()) {
+        return FreshnessQuestion{in.question().instance(), in.question().number()};
+    }
+    if (in.has_answer()) {
+        const auto &answer = in.answer();
+        return FreshnessAnswer{answer.number(), answer.config_version(), answer.config_age_ms(), answer.endpoints_hash(), answer.endpoints_age_ms()};
+    }
+    if (in.has_digest()) {
+        if (auto digest = toDigest(in.digest())) {
+            return *digest;
+        }
+    }
+    return std::nullopt;
+}
+
+/// Fills the envelope with whatever the message is.
+struct Filler {
+    trefoilport::pb::RelayMessage &out;
+
+    void operator()(const RelayDigest &digest) const
+    {
+        fill(*out.mutable_digest(), digest);
+    }
+    void operator()(const FreshnessQuestion &question) const
+    {
+        out.mutable_question()->set_instance(question.instance);
+        out.mutable_question()->set_number(question.number);
+    }
+    void operator()(const FreshnessAnswer &answer) const
+    {
+        auto &filled = *out.mutable_answer();
+        filled.set_number(answer.number);
+        filled.set_config_version(answer.configVersion);
+        filled.set_config_age_ms(answer.configAgeMs);
+        filled.set_endpoints_hash(answer.endpointsHash);
+        filled.set_endpoints_age_ms(answer.endpointsAgeMs);
+    }
+};
+
+} // namespace
+
+std::string encode(const RelayMessage &message)
+{
+    trefoilport::pb::RelayMessage out;
+    std::visit(Filler{out}, message);
+    return out.SerializeAsString();
+}
+
+base::Result<RelayMessage> decodeRelayMessage(std::string_view bytes)
+{
+    trefoilport::pb::RelayMessage in;
+    if (in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        if (auto message = toMessage(in)) {
+            return *message;
+        }
+    }
+    return base::Error{base::ErrorKind::BadRequest, "malformed bytes in place of a relay message"};
+}
+
 } // namespace wire
--- a/libs/wire/tests/CodecTests.cpp
+++ b/libs/wire/tests/CodecTests.cpp
@@ -68,14 +68,15 @@
 
 TEST_GROUP(ARelayDigest)
 {
-    const wire::RelayDigest digest{"one", true, {{7, 3, 1024}, {9, 1, 0}}, {{4, 17}}, {{5, 2.5}}, {11, 11}};
+    const wire::RelayDigest digest{"one", true, {{7, 3, 1024}, {9, 1, 0}}, {{4, 17}}, {{5, 2.5}}, {11, 11}, 8, 99};
 };
 
 TEST(ARelayDigest, comesBackAsItWas)
 {
-    const auto back = wire::decodeRelayDigest(wire::encode(digest));
+    const auto back = wire::decodeRelayMessage(wire::encode(digest));
     CHECK(base::isOk(back));
-    const wire::RelayDigest &value = base::valueOf(back);
+    const auto &value = std::get<wire::RelayDigest>(base::valueOf(back));
+    LONGS_EQUAL(8, value.configVersion);
     STRCMP_EQUAL("one", value.instance.c_str());
     CHECK(value.leaving);
     LONGS_EQUAL(2, value.loads.size());
@@ -88,7 +89,7 @@
 /// 33 endpoints under load, sent to 8 others every 600 ms, must stay under the 4 KB a second that a node may use for control.
 TEST(ARelayDigest, staysSmall)
 {
-    wire::RelayDigest full{"front-somewhere-12", false, {}, {}, {}, {}};
+    wire::RelayDigest full{"front-somewhere-12", false, {}, {}, {}, {}, 0, 0};
     for (std::uint32_t i = 0; i < 33; ++i) {
         full.loads.push_back({0xf0000000U + i, 100, 100000});
     }
@@ -99,8 +100,18 @@
 {
     const std::string bytes = wire::encode(digest);
     for (std::size_t length = 0; length < bytes.size(); ++length) {
-        wire::decodeRelayDigest(bytes.substr(0, length));
+        wire::decodeRelayMessage(bytes.substr(0, length));
     }
-    CHECK(!base::isOk(wire::decodeRelayDigest("")));
-    CHECK(!base::isOk(wire::decodeRelayDigest("\x0a\x01x\x1a\x04\x01\x02\x03\x04")));
+    CHECK(!base::isOk(wire::decodeRelayMessage("")));
+    CHECK(!base::isOk(wire::decodeRelayMessage("\x0a\x09\x0a\x01x\x1a\x04\x01\x02\x03\x04")));
+}
+
+TEST(ARelayDigest, sharesItsEnvelopeWithQuestionsAndAnswers)
+{
+    const auto question = wire::decodeRelayMessage(wire::encode(wire::FreshnessQuestion{"one", 5}));
+    LONGS_EQUAL(5, std::get<wire::FreshnessQuestion>(base::valueOf(question)).number);
+    const auto answer = wire::decodeRelayMessage(wire::encode(wire::FreshnessAnswer{5, 7, 120, 99, 30}));
+    const auto &value = std::get<wire::FreshnessAnswer>(base::valueOf(answer));
+    LONGS_EQUAL(7, value.configVersion);
+    LONGS_EQUAL(30, value.endpointsAgeMs);
 }
