--- a/libs/placement/include/placement/EngineProfile.h
+++ b/libs/placement/include/placement/EngineProfile.h
@@ -66,6 +66,9 @@
     friend bool operator==(const LayerRange &, const LayerRange &) = default;
 };
 
+/// Index of the kind of that name; the number of kinds if there is none.
+std::uint32_t kindIndex(const EngineProfile &profile, const std::string &name);
+
 /// Tokens of context that fit beside so many layers; 0 if the layers alone don't fit.
 double kvTokens(const EngineProfile &profile, const AcceleratorKind &kind, std::uint32_t layers);
 
--- a/libs/placement/src/EngineProfile.cpp
+++ b/libs/placement/src/EngineProfile.cpp
@@ -18,6 +18,12 @@
 
 } // namespace
 
+std::uint32_t kindIndex(const EngineProfile &profile, const std::string &name)
+{
+    const auto found = std::find_if(profile.kinds.begin(), profile.kinds.end(), [&](const AcceleratorKind &kind) { return kind.name == name; });
+    return static_cast<std::uint32_t>(found - profile.kinds.begin());
+}
+
 double kvTokens(const EngineProfile &profile, const AcceleratorKind &kind, std::uint32_t layers)
 {
     const double freeMb = kind.memoryMb - layers * profile.layerMb;
--- a/libs/relay/include/relay/Endpoint.h
+++ b/libs/relay/include/relay/Endpoint.h
@@ -50,8 +50,6 @@
     std::uint64_t modelVersion = 0;
     /// Over 1 means that it works more slowly than its profile.
     double slowness = 1;
-    double usedTokenLayers = 0;
-    double totalTokenLayers = 0;
     std::vector<StalledRequest> stalled;
 };
 
--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -24,7 +24,7 @@
     return config && now - known.configAt <= limit;
 }
 
-void RelayKernel::Impl::reject(Instant, CallId call, const std::string &requestId, base::ErrorKind kind, const std::string &detail)
+void RelayKernel::Impl::reject(CallId call, const std::string &requestId, base::ErrorKind kind, const std::string &detail)
 {
     ++counters.rejected;
     Rejection rejection{kind, detail, Ms{0}};
@@ -39,7 +39,7 @@
 {
     ++counters.calls;
     const auto refuse = [&](base::ErrorKind kind, const std::string &detail) {
-        reject(now, arrival.call, arrival.requestId, kind, detail);
+        reject(arrival.call, arrival.requestId, kind, detail);
     };
     if (!config || !endpoints.hasList()) {
         return refuse(base::ErrorKind::Unconfirmed, "no configuration has been read yet");
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -20,7 +20,7 @@
     if (found == attempts.end()) {
         return;
     }
-    noteRead(found->second);
+    settleUnread(found->second);
     for (const EndpointIndex stage : found->second.stages) {
         EndpointState &state = endpoints.at(stage);
         --state.openRequests;
@@ -32,7 +32,7 @@
     attempts.erase(found);
 }
 
-void RelayKernel::Impl::noteRead(Attempt &attempt)
+void RelayKernel::Impl::settleUnread(Attempt &attempt)
 {
     if (attempt.hasEvents) {
         return;
@@ -75,12 +75,12 @@
         const bool saysNotRun = base::errorAnswer(kind).ran == base::Ran::No;
         const base::ErrorKind truthful = saysNotRun && call.mayHaveRun ? base::ErrorKind::UpstreamBroken : kind;
         cancelAttempts(call);
-        reject(now, id, call.requestId, truthful, detail);
+        reject(id, call.requestId, truthful, detail);
     }
     close(id);
 }
 
-void RelayKernel::Impl::forward(Instant, Call &call, AttemptId attempt, int status)
+void RelayKernel::Impl::forward(Call &call, AttemptId attempt, int status)
 {
     const CallId id = call.id;
     driver.forward(id, attempt);
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -105,7 +105,7 @@
         dropAttempt(attempt);
         return fail(now, call, base::ErrorKind::UpstreamBroken, "the endpoint's answer is damaged");
     }
-    forward(now, call, attempt, head.status);
+    forward(call, attempt, head.status);
 }
 
 void RelayKernel::Impl::afterPlainFailure(Instant now, Call &call, base::ErrorKind kind, const std::string &detail)
--- a/libs/relay/src/PlannerDuty.cpp
+++ b/libs/relay/src/PlannerDuty.cpp
@@ -77,20 +77,20 @@
     const bool isMine = record_.holder == instance_ && revision_ != 0;
     if (isMine && record_.fence > refusedFence_) {
         nextAction_ = now + RenewPeriod;
-        write({instance_, record_.fence, record_.renewal + 1}, revision_, now);
+        write({instance_, record_.fence, record_.renewal + 1}, revision_);
         return;
     }
     const bool isFree = hasRead_ && (revision_ == 0 || record_.holder.empty() || now >= seenAt_ + leaseTime_);
     if (isFree) {
         nextAction_ = now + ObservePeriod;
-        write({instance_, record_.fence + 1, 0}, revision_, now);
+        write({instance_, record_.fence + 1, 0}, revision_);
         return;
     }
     nextAction_ = now + ObservePeriod;
     driver_.readLease();
 }
 
-void PlannerDuty::write(const LeaseRecord &record, std::uint64_t expectedRevision, Instant)
+void PlannerDuty::write(const LeaseRecord &record, std::uint64_t expectedRevision)
 {
     writing_ = true;
     written_ = record;
@@ -137,7 +137,7 @@
     releasing_ = true;
     validUntil_ = Instant{0};
     if (record_.holder == instance_ && revision_ != 0 && !writing_) {
-        write({"", record_.fence, record_.renewal + 1}, revision_, Instant{0});
+        write({"", record_.fence, record_.renewal + 1}, revision_);
     }
 }
 
@@ -172,10 +172,7 @@
         if (state.entry.service != service.name || !state.listed || state.entry.draining || state.suspectUntil.count() != 0) {
             continue;
         }
-        std::uint32_t kind = 0;
-        while (kind < profile.kinds.size() && profile.kinds[kind].name != state.entry.accelerator) {
-            ++kind;
-        }
+        const std::uint32_t kind = placement::kindIndex(profile, state.entry.accelerator);
         const auto waiting = pending_.find(i);
         const placement::LayerRange held = waiting != pending_.end() ? waiting->second.range : state.entry.layers;
         anyHeld = anyHeld || !held.empty();
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -36,10 +36,7 @@
         if (state.entry.service != call.service->name || state.entry.layers.empty() || isExcluded || !endpoints.isUsable(i, now)) {
             continue;
         }
-        std::uint32_t kind = 0;
-        while (kind < profile.kinds.size() && profile.kinds[kind].name != state.entry.accelerator) {
-            ++kind;
-        }
+        const std::uint32_t kind = placement::kindIndex(profile, state.entry.accelerator);
         const LoadEstimate load = peers.loadOn(i, now);
         // What the others have sent in these moments isn't known yet; after a loss they send as much as this instance.
         const double unread = state.unreadTokens * peers.instances();
@@ -100,7 +97,7 @@
     if (!head.notRun) {
         call.mayHaveRun = true;
         if (head.genuine && !call.streamBegun) {
-            return forward(now, call, attempt, head.status);
+            return forward(call, attempt, head.status);
         }
         dropAttempt(attempt);
         exclude(call, first);
@@ -227,7 +224,7 @@
             impl_->endpoints.onAccepted(stage);
         }
     }
-    impl_->noteRead(state);
+    impl_->settleUnread(state);
     impl_->endpoints.at(state.stages.front()).eventAt = now;
     call->mayHaveRun = true;
     const bool isNext = eventId == call->lastEvent + 1 || (!call->streamBegun && call->lastEvent == 0);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -25,6 +25,7 @@
     /// Prompt tokens that each stage reads first.
     double promptTokens = 0;
     double predictedFirstMs = 0;
+    /// Its prompt has been read: events have come, or it is over.
     bool hasEvents = false;
 };
 
@@ -71,19 +72,19 @@
 
     // Admission.
     void arrive(Instant now, const CallArrival &arrival);
-    void reject(Instant now, CallId call, const std::string &requestId, base::ErrorKind kind, const std::string &detail);
+    void reject(CallId call, const std::string &requestId, base::ErrorKind kind, const std::string &detail);
     bool configIsCurrent(Instant now, Ms limit) const;
 
     // Calls of both kinds.
     Call *callOf(AttemptId attempt);
     void dropAttempt(AttemptId attempt);
-    /// The stages have read the attempt's prompt.
-    void noteRead(Attempt &attempt);
+    /// The stages have read the attempt's prompt, or need not read it any more.
+    void settleUnread(Attempt &attempt);
     void cancelAttempts(Call &call);
     void close(CallId call);
     /// Ends a call that can't get its answer: by an answer of the router's own, or by breaking off its stream.
     void fail(Instant now, Call &call, base::ErrorKind kind, const std::string &detail);
-    void forward(Instant now, Call &call, AttemptId attempt, int status);
+    void forward(Call &call, AttemptId attempt, int status);
     void exclude(Call &call, EndpointIndex index);
     bool mayRepeat(Instant now, Call &call);
     /// The attempt broke off at the endpoint: it may have crashed it.
--- a/libs/relay/src/details/PlannerDuty.h
+++ b/libs/relay/src/details/PlannerDuty.h
@@ -38,7 +38,7 @@
     };
 
     void keepLease(Instant now);
-    void write(const LeaseRecord &record, std::uint64_t expectedRevision, Instant now);
+    void write(const LeaseRecord &record, std::uint64_t expectedRevision);
     void settlePending(Instant now);
     void orderLayers(Instant now, const Service &service);
     void moveOne(Instant now, const placement::EngineProfile &profile, const std::vector<placement::Host> &hosts, const std::vector<EndpointIndex> &indices);
