--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -61,7 +61,7 @@
     }
 }
 
-void RelayKernel::Impl::fail(Instant now, Call &call, base::ErrorKind kind, const std::string &detail)
+void RelayKernel::Impl::fail(Call &call, base::ErrorKind kind, const std::string &detail)
 {
     const CallId id = call.id;
     ++counters.failed;
@@ -150,7 +150,7 @@
     for (const CallId id : due) {
         Call &call = *calls.at(id);
         const bool neverSent = !call.mayHaveRun && call.attempts.empty();
-        fail(now, call, neverSent ? base::ErrorKind::DeadlineUnreachable : base::ErrorKind::UpstreamTimeout, "no whole answer within the time limit");
+        fail(call, neverSent ? base::ErrorKind::DeadlineUnreachable : base::ErrorKind::UpstreamTimeout, "no whole answer within the time limit");
     }
 }
 
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -86,7 +86,7 @@
     }
     if (elapsed >= settings.stopTime) {
         while (!calls.empty()) {
-            fail(now, *calls.begin()->second, base::ErrorKind::Stopping, "this instance has to stop now");
+            fail(*calls.begin()->second, base::ErrorKind::Stopping, "this instance has to stop now");
         }
     }
     if (!exited && calls.empty() && elapsed >= LeastStopTime) {
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -83,7 +83,7 @@
     void cancelAttempts(Call &call);
     void close(CallId call);
     /// Ends a call that can't get its answer: by an answer of the router's own, or by breaking off its stream.
-    void fail(Instant now, Call &call, base::ErrorKind kind, const std::string &detail);
+    void fail(Call &call, base::ErrorKind kind, const std::string &detail);
     void forward(Call &call, AttemptId attempt, int status);
     void exclude(Call &call, EndpointIndex index);
     bool mayRepeat(Instant now, Call &call);
