A run whose later stage was lost counts against the route's limit

Each move had given the run back. Ruled out: repeats after refusals (the trace shows runs), the caller's own repeats (one request id). Change: the run is given back only if the first stage itself is lost. A test that failed before; the one that took the opposite for granted now loses the first stage.

--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -183,8 +183,10 @@
 {
     call.mayHaveRun = true;
     noteBroken(now, call, attempts.at(attempt), silent);
-    // A run that ends with its endpoint doesn't count against the route's limit.
-    --call.runs;
+    // A run is counted at its first stage: it doesn't count against the route's limit only if that endpoint is the one that was lost.
+    if (silent == attempts.at(attempt).stages.front()) {
+        --call.runs;
+    }
     exclude(call, silent);
     driver.record({"stream_moved", call.requestId, endpoints.at(silent).entry.id, "a stage of its path is silent"});
     driver.cancel(attempt);
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -133,17 +133,31 @@
     STRCMP_EQUAL("3", bed.driver.sent.back().lastEventId.c_str());
 }
 
-TEST(AStream, thatMovedFromALostEndpointMayMoveOnceMore)
+TEST(AStream, thatMovedFromALostFirstStageMayMoveOnceMore)
 {
     startStream(2);
     const std::string first = bed.driver.sent.back().endpoint;
     bed.pass(Ms(300));
-    bed.kernel.onReport(bed.now, first, reportOf(upperStage()));
+    bed.kernel.onReport(bed.now, first, std::nullopt);
     CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
     bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
     LONGS_EQUAL(3, bed.driver.sent.size());
 }
 
+/// The pattern: later stages are lost twice in one stream's life. Its first stages live, so that both runs count.
+TEST(AStream, thatLostALaterStageHasUsedUpARun)
+{
+    const CallId call = startStream(2);
+    const std::string first = bed.driver.sent.back().endpoint;
+    bed.pass(Ms(300));
+    bed.kernel.onReport(bed.now, first, reportOf(upperStage()));
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    LONGS_EQUAL(call, bed.driver.broken.back());
+}
+
 TEST(AStream, movesWhenTheFirstStageDoesNotAnswerAQuestion)
 {
     startStream(2);
