--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -135,6 +135,8 @@
 
 TEST(AStream, thatMovedFromALostFirstStageMayMoveOnceMore)
 {
+    bed.entries.push_back(RelayBed::engineEntry("low-c", "zone-c", {0, RelayBed::HalfLayers}));
+    bed.kernel.onEndpoints(bed.now, bed.entries);
     startStream(2);
     const std::string first = bed.driver.sent.back().endpoint;
     bed.pass(Ms(300));
