The kernel decides margins and the time to return, the adapter reads bounds

Cause: a review of platform/ for decisions. It chose how long before the platform's bounds a configuration, a stop or the retry reserve is used up, and cut the time to return to a third of what the caller has left. Ruled out: moving the platform's own bounds; they are read as before. Change: RelaySettings carry the bounds as the platform states them; margins are constants of the relay kernel, the time to return is cut there. The test of the cut moves with it and failed first in the kernel.

--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -16,13 +16,11 @@
     /// Unique among all processes, restarts included.
     std::string instance;
     std::string zone;
-    /// Oldest configuration under which requests that need a key are still passed on.
-    Ms maxConfigAge{4500};
-    /// Oldest configuration under which the instance says that it is ready.
-    Ms readyConfigAge{3000};
-    /// Time between the request to stop and the moment at which the process ends at the latest.
-    Ms stopTime{7500};
-    /// Further sendings of requests in a window: a share of the requests, and so many besides for all instances together.
+    /// A key that was taken away must not be honoured for longer on any instance.
+    Ms revocationTime{5000};
+    /// The process is killed so long after it was asked to stop.
+    Ms graceTime{8000};
+    /// Bound on further sendings of requests in a window: a share of the requests, and so many besides for all instances together.
     double retryShare = 0.2;
     double retryReserve = 100;
     Ms retryWindow{10000};
--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -16,6 +16,17 @@
 constexpr Ms ProofAge{1800};
 constexpr Ms RetryAfterLeast{250};
 constexpr std::uint64_t RetryAfterSpreadMs = 700;
+/// Callers don't return later than after this part of the time that they have left.
+constexpr int RetryAfterParts = 3;
+/// A configuration is used for keys until so long before the bound on keys that were taken away.
+constexpr Ms RevocationMargin{500};
+/// Share of that bound after which the balancer is told to look for another instance.
+constexpr double ReadinessShare = 0.6;
+
+Ms timeLimitOf(const CallArrival &arrival)
+{
+    return arrival.timeLimit.count() > 0 ? arrival.timeLimit : DefaultTimeLimit;
+}
 
 } // namespace
 
@@ -24,12 +35,23 @@
     return config && now - known.configAt <= limit;
 }
 
-void RelayKernel::Impl::reject(CallId call, const std::string &requestId, base::ErrorKind kind, const std::string &detail)
+Ms RelayKernel::Impl::oldestForKeys() const
+{
+    return settings.revocationTime - RevocationMargin;
+}
+
+Ms RelayKernel::Impl::oldestForReadiness() const
+{
+    return Ms(static_cast<std::int64_t>(ReadinessShare * static_cast<double>(settings.revocationTime.count())));
+}
+
+void RelayKernel::Impl::reject(CallId call, const std::string &requestId, Ms timeLeft, base::ErrorKind kind, const std::string &detail)
 {
     ++counters.rejected;
     Rejection rejection{kind, detail, Ms{0}};
     if (base::errorAnswer(kind).retriable) {
-        rejection.retryAfter = RetryAfterLeast + Ms(draw() % RetryAfterSpreadMs);
+        const Ms longest = std::max(Ms{0}, timeLeft / RetryAfterParts);
+        rejection.retryAfter = std::min(longest, RetryAfterLeast + Ms(draw() % RetryAfterSpreadMs));
     }
     driver.reject(call, rejection);
     driver.record({"rejected", requestId, std::string(base::nameOf(kind)), detail});
@@ -39,7 +61,7 @@
 {
     ++counters.calls;
     const auto refuse = [&](base::ErrorKind kind, const std::string &detail) {
-        reject(arrival.call, arrival.requestId, kind, detail);
+        reject(arrival.call, arrival.requestId, timeLimitOf(arrival), kind, detail);
     };
     if (!config || !endpoints.hasList()) {
         return refuse(base::ErrorKind::Unconfirmed, "no configuration has been read yet");
@@ -56,7 +78,7 @@
     }
     Team team;
     if (config->hasTeams && !route->isPublic) {
-        if (!configIsCurrent(now, settings.maxConfigAge)) {
+        if (!configIsCurrent(now, oldestForKeys())) {
             return refuse(base::ErrorKind::Unconfirmed, "the configuration is too old to check a key; " + age);
         }
         const auto found = config->teamOfKey.find(arrival.keyDigest);
@@ -85,7 +107,7 @@
     call.team = team.name;
     call.priority = team.priority.value_or(route->priority);
     call.arrivedAt = now;
-    call.callerDeadline = now + (arrival.timeLimit.count() > 0 ? arrival.timeLimit : DefaultTimeLimit);
+    call.callerDeadline = now + timeLimitOf(arrival);
     call.deadline = call.callerDeadline;
     if (route->timeout.count() > 0 && now + route->timeout < call.deadline) {
         call.deadline = now + route->timeout;
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -61,7 +61,7 @@
     }
 }
 
-void RelayKernel::Impl::fail(Call &call, base::ErrorKind kind, const std::string &detail)
+void RelayKernel::Impl::fail(Instant now, Call &call, base::ErrorKind kind, const std::string &detail)
 {
     const CallId id = call.id;
     ++counters.failed;
@@ -75,7 +75,7 @@
         const bool saysNotRun = base::errorAnswer(kind).ran == base::Ran::No;
         const base::ErrorKind truthful = saysNotRun && call.mayHaveRun ? base::ErrorKind::UpstreamBroken : kind;
         cancelAttempts(call);
-        reject(id, call.requestId, truthful, detail);
+        reject(id, call.requestId, std::chrono::duration_cast<Ms>(call.callerDeadline - now), truthful, detail);
     }
     close(id);
 }
@@ -150,7 +150,7 @@
     for (const CallId id : due) {
         Call &call = *calls.at(id);
         const bool neverSent = !call.mayHaveRun && call.attempts.empty();
-        fail(call, neverSent ? base::ErrorKind::DeadlineUnreachable : base::ErrorKind::UpstreamTimeout, "no whole answer within the time limit");
+        fail(now, call, neverSent ? base::ErrorKind::DeadlineUnreachable : base::ErrorKind::UpstreamTimeout, "no whole answer within the time limit");
     }
 }
 
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -51,7 +51,7 @@
 {
     const auto endpoint = choosePlain(now, call);
     if (!endpoint) {
-        return fail(call, base::ErrorKind::NoEndpoint, "no usable endpoint of service '" + call.service->name + "'");
+        return fail(now, call, base::ErrorKind::NoEndpoint, "no usable endpoint of service '" + call.service->name + "'");
     }
     const AttemptId id = startAttempt(now, call, {0, {*endpoint}, now, now, 0, 0, 0, false});
     const EndpointState &state = endpoints.at(*endpoint);
@@ -103,7 +103,7 @@
     }
     if (!head.genuine) {
         dropAttempt(attempt);
-        return fail(call, base::ErrorKind::UpstreamBroken, "the endpoint's answer is damaged");
+        return fail(now, call, base::ErrorKind::UpstreamBroken, "the endpoint's answer is damaged");
     }
     forward(call, attempt, head.status);
 }
@@ -116,7 +116,7 @@
     if (choosePlain(now, call) && mayRepeat(now, call)) {
         return startPlain(now, call);
     }
-    fail(call, kind, detail);
+    fail(now, call, kind, detail);
 }
 
 void RelayKernel::Impl::hedge(Instant now, Call &call)
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -15,6 +15,8 @@
 constexpr Ms CloseConnectionsAfter{2500};
 /// The process stays so long after the request to stop even when idle.
 constexpr Ms LeastStopTime{2800};
+/// The process ends so long before it would be killed.
+constexpr Ms StopMargin{600};
 
 } // namespace
 
@@ -69,7 +71,7 @@
 
 void RelayKernel::Impl::updateReadiness(Instant now)
 {
-    const bool should = !stopping && endpoints.hasList() && configIsCurrent(now, settings.readyConfigAge);
+    const bool should = !stopping && endpoints.hasList() && configIsCurrent(now, oldestForReadiness());
     if (should != ready) {
         ready = should;
         driver.setReady(ready);
@@ -84,9 +86,9 @@
         connectionsClosed = true;
         driver.closeConnections();
     }
-    if (elapsed >= settings.stopTime) {
+    if (elapsed >= settings.graceTime - StopMargin) {
         while (!calls.empty()) {
-            fail(*calls.begin()->second, base::ErrorKind::Stopping, "this instance has to stop now");
+            fail(now, *calls.begin()->second, base::ErrorKind::Stopping, "this instance has to stop now");
         }
     }
     if (!exited && calls.empty() && elapsed >= LeastStopTime) {
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -59,7 +59,7 @@
             call.nextLook = now + ResumePeriod; // A path may be back before the caller leaves.
             return;
         }
-        return fail(call, base::ErrorKind::NoEndpoint, "no path over all layers has room");
+        return fail(now, call, base::ErrorKind::NoEndpoint, "no path over all layers has room");
     }
     Attempt attempt;
     Dispatch dispatch;
@@ -117,14 +117,14 @@
     if (mayRepeat(now, call)) {
         return startStream(now, call);
     }
-    fail(call, base::ErrorKind::Overloaded, "the path's endpoints refused the request without running it");
+    fail(now, call, base::ErrorKind::Overloaded, "the path's endpoints refused the request without running it");
 }
 
 void RelayKernel::Impl::afterStreamFailure(Instant now, Call &call, const std::string &detail)
 {
     const bool canGoOn = !call.mayHaveRun || call.route->isResumable;
     if (!canGoOn || !mayRepeat(now, call)) {
-        return fail(call, call.mayHaveRun ? base::ErrorKind::UpstreamBroken : base::ErrorKind::NoEndpoint, detail);
+        return fail(now, call, call.mayHaveRun ? base::ErrorKind::UpstreamBroken : base::ErrorKind::NoEndpoint, detail);
     }
     counters.streamsResumed += call.streamBegun ? 1 : 0;
     startStream(now, call);
@@ -235,7 +235,7 @@
     }
     if (!isNext) {
         impl_->driver.record({"event_gap", call->requestId, "", "event " + std::to_string(eventId) + " after " + std::to_string(call->lastEvent)});
-        impl_->fail(*call, base::ErrorKind::AnswerIncomplete, "an event of the stream is missing");
+        impl_->fail(now, *call, base::ErrorKind::AnswerIncomplete, "an event of the stream is missing");
         return false;
     }
     call->lastEvent = eventId;
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -72,8 +72,13 @@
 
     // Admission.
     void arrive(Instant now, const CallArrival &arrival);
-    void reject(CallId call, const std::string &requestId, base::ErrorKind kind, const std::string &detail);
+    /// Answers a caller who goes on waiting for `timeLeft`.
+    void reject(CallId call, const std::string &requestId, Ms timeLeft, base::ErrorKind kind, const std::string &detail);
     bool configIsCurrent(Instant now, Ms limit) const;
+    /// Oldest configuration under which requests that need a key are passed on.
+    Ms oldestForKeys() const;
+    /// Oldest configuration under which the instance says that it is ready.
+    Ms oldestForReadiness() const;
 
     // Calls of both kinds.
     Call *callOf(AttemptId attempt);
@@ -83,7 +88,7 @@
     void cancelAttempts(Call &call);
     void close(CallId call);
     /// Ends a call that can't get its answer: by an answer of the router's own, or by breaking off its stream.
-    void fail(Call &call, base::ErrorKind kind, const std::string &detail);
+    void fail(Instant now, Call &call, base::ErrorKind kind, const std::string &detail);
     void forward(Call &call, AttemptId attempt, int status);
     void exclude(Call &call, EndpointIndex index);
     bool mayRepeat(Instant now, Call &call);
--- a/libs/relay/src/details/RetryWindow.h
+++ b/libs/relay/src/details/RetryWindow.h
@@ -16,7 +16,7 @@
     void configure(const RelaySettings &settings)
     {
         share_ = settings.retryShare;
-        reserve_ = settings.retryReserve;
+        reserve_ = ReserveShare * settings.retryReserve;
         window_ = settings.retryWindow;
     }
 
@@ -61,6 +61,9 @@
         return counts;
     }
 
+    /// The counts of the other instances lag, so that not all of the reserve is used.
+    static constexpr double ReserveShare = 0.8;
+
     double share_ = 0;
     double reserve_ = 0;
     std::uint32_t instances_ = 1;
--- a/libs/relay/tests/AdmissionTests.cpp
+++ b/libs/relay/tests/AdmissionTests.cpp
@@ -63,6 +63,16 @@
     CHECK(bed.driver.rejected.back().rejection.retryAfter.count() > 0);
 }
 
+/// A time to return that lies beyond what the caller will wait is no help.
+TEST(AnInstance, tellsCallersToReturnWithinAThirdOfTheirTime)
+{
+    bed.pass(Ms(4800), false);
+    for (const int timeLimit : {30, 300, 900}) {
+        bed.call("/book/seat", "key-a", Ms(timeLimit));
+        CHECK(bed.driver.rejected.back().rejection.retryAfter <= Ms(timeLimit / 3));
+    }
+}
+
 TEST(AnInstance, countsTheAgeOfAConfigurationFromTheSendingOfItsRead)
 {
     bed.now += Ms(4600);
--- a/libs/relayhost/include/relayhost/Dialect.h
+++ b/libs/relayhost/include/relayhost/Dialect.h
@@ -32,8 +32,8 @@
     virtual relay::AnswerHead decodeAnswer(int status, const net::Headers &headers, const std::string &requestId) const = 0;
     /// True if the answer is a stream of events that may be passed on.
     virtual bool isEventStream(int status, const net::Headers &headers) const = 0;
-    /// The router's own answer to a caller who waits for so long yet.
-    virtual net::HttpResponse encodeRejection(const relay::Rejection &rejection, const std::string &requestId, relay::Ms timeLeft) const = 0;
+    /// The router's own answer.
+    virtual net::HttpResponse encodeRejection(const relay::Rejection &rejection, const std::string &requestId) const = 0;
 
     virtual net::HttpRequest encodeReportRequest(const std::string &endpoint) const = 0;
     virtual std::optional<relay::EndpointReport> decodeReport(const net::HttpResponse &response) const = 0;
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -51,7 +51,6 @@
         net::HttpRequest request;
         std::string requestId;
         relay::Instant arrivedAt{0};
-        relay::Instant deadline{0};
         /// Of the last event that was passed on; zero before the first.
         relay::Instant eventAt{0};
     };
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -165,8 +165,7 @@
     if (found == calls_.end()) {
         return;
     }
-    const auto left = std::chrono::duration_cast<relay::Ms>(found->second.deadline - now());
-    callerServer_->respond(call, dialect_.encodeRejection(rejection, found->second.requestId, left));
+    callerServer_->respond(call, dialect_.encodeRejection(rejection, found->second.requestId));
     calls_.erase(found);
 }
 
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -127,7 +127,7 @@
     };
     handlers.refusal = [this](net::RefusalKind refusal) {
         record({"malformed_request", "", std::string(base::nameOf(kindOf(refusal))), ""});
-        return dialect_.encodeRejection({kindOf(refusal), "the request can't be read", relay::Ms(0)}, "", relay::Ms(0));
+        return dialect_.encodeRejection({kindOf(refusal), "the request can't be read", relay::Ms(0)}, "");
     };
     return handlers;
 }
@@ -141,7 +141,7 @@
     handlers.onAbort = [](net::ExchangeId) {
     };
     handlers.refusal = [this](net::RefusalKind refusal) {
-        return dialect_.encodeRejection({kindOf(refusal), "", relay::Ms(0)}, "", relay::Ms(0));
+        return dialect_.encodeRejection({kindOf(refusal), "", relay::Ms(0)}, "");
     };
     return handlers;
 }
@@ -200,7 +200,6 @@
     OpenCall call;
     call.requestId = decoded.arrival.requestId;
     call.arrivedAt = now();
-    call.deadline = call.arrivedAt + decoded.arrival.timeLimit;
     call.request = std::move(request);
     calls_.emplace(exchange, std::move(call));
     if (decoded.isMalformed) {
