When the store is called is decided in relayhost, the adapter makes single calls

Cause: the review of platform/ for decisions: StoreReader chose when to read, watch, list anew, rest and retry, and what counts as a gap. Ruled out: leaving it there as translation: none of it depends on the platform's messages, and none of it had a test. Change: StoreFollower (libs/relayhost) holds the schedule; StoreClient is one call for each member, implemented by platform/ObjectStore. A lease that can't be read now counts as a lost store and gets a log line; before, that failure was swallowed while the instance rested. Seven tests with a fake client.

--- a/libs/relayhost/include/relayhost/Dialect.h
+++ b/libs/relayhost/include/relayhost/Dialect.h
@@ -4,8 +4,7 @@
 #include "relay/RelayKernel.h"
 #include "relayhost/HostSettings.h"
 
-#include <functional>
-#include <memory>
+#include <optional>
 
 namespace relayhost {
 
@@ -45,40 +44,4 @@
     virtual std::string_view metricsPath() const = 0;
 };
 
-/// What a store reports; all are called in the loop's thread.
-struct StoreHandlers {
-    /// The configuration is as of the time at which the read was sent; null if it is the one reported last.
-    std::function<void(relay::Instant sentAt, relay::FleetConfigPtr)> onConfig;
-    std::function<void(std::vector<relay::EndpointEntry>)> onEndpoints;
-    std::function<void(std::uint64_t revision, relay::LeaseRecord)> onLease;
-    /// Revision 0: not written, or unknown.
-    std::function<void(relay::Instant sentAt, std::uint64_t revision)> onLeaseWritten;
-    std::function<void(std::vector<relay::InstanceEntry>)> onInstances;
-    /// True when the store answers again, false when it has stopped to.
-    std::function<void(bool reachable)> onReachable;
-    std::function<void(std::size_t damaged)> onDamaged;
-};
-
-/// The platform's store, as far as a relaying instance needs it.
-class Store
-{
-public:
-    virtual ~Store() = default;
-
-    /// Enters this instance in the list of instances, and starts to read, again and again.
-    virtual void start(const relay::InstanceEntry &own) = 0;
-    /// Changes the store's address.
-    virtual void setAddress(const net::Address &address) = 0;
-    /// Whether to read continuously; it does so from the start.
-    virtual void follow(bool follow) = 0;
-    /// Reads once and now, also while it doesn't follow.
-    virtual void refreshConfig() = 0;
-    virtual void refreshEndpoints() = 0;
-    virtual void readLease() = 0;
-    virtual void writeLease(const relay::LeaseRecord &record, std::uint64_t expectedRevision) = 0;
-};
-
-/// Makes the store's client on the host's loop.
-using StoreFactory = std::function<std::unique_ptr<Store>(net::EventLoop &loop, const net::Address &address, StoreHandlers handlers)>;
-
 } // namespace relayhost
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -5,6 +5,7 @@
 #include "record/DecisionLog.h"
 #include "record/Latency.h"
 #include "relayhost/Dialect.h"
+#include "relayhost/StoreFollower.h"
 
 #include <thread>
 #include <unordered_map>
@@ -89,7 +90,7 @@
     net::HttpClient endpointClient_;
     record::DecisionLog log_;
     relay::RelayKernel kernel_;
-    std::unique_ptr<Store> store_;
+    StoreFollower store_;
     mesh::Mesh mesh_;
     std::thread meshThread_;
     std::unique_ptr<net::HttpServer> callerServer_;
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -230,12 +230,12 @@
 
 void RelayHost::readLease()
 {
-    store_->readLease();
+    store_.readLease();
 }
 
 void RelayHost::writeLease(const relay::LeaseRecord &lease, std::uint64_t expectedRevision)
 {
-    store_->writeLease(lease, expectedRevision);
+    store_.writeLease(lease, expectedRevision);
 }
 
 void RelayHost::sendDigest(const std::vector<std::string> &addresses, const wire::RelayDigest &digest)
@@ -266,17 +266,17 @@
 
 void RelayHost::followStore(bool follow)
 {
-    store_->follow(follow);
+    store_.follow(follow);
 }
 
 void RelayHost::refreshConfig()
 {
-    store_->refreshConfig();
+    store_.refreshConfig();
 }
 
 void RelayHost::refreshEndpoints()
 {
-    store_->refreshEndpoints();
+    store_.refreshEndpoints();
 }
 
 void RelayHost::setReady(bool ready)
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -76,7 +76,7 @@
     , settingsText_(readFile(settingsPath_))
     , endpointClient_(loop_)
     , kernel_(settings_.relay, *this)
-    , store_(makeStore(loop_, settings_.store, storeHandlers()))
+    , store_(loop_, makeStore(loop_, settings_.store), storeHandlers())
     , mesh_(net::toString(settings_.mesh), {}, MeshRingItems, [this](const std::string &bytes) { onMeshMessage(bytes); })
     , callerServer_(std::make_unique<net::HttpServer>(loop_, settings_.callers, serverLimits({}), callerHandlers()))
     , readinessServer_(
@@ -97,8 +97,8 @@
     handlers.onEndpoints = [this](const std::vector<relay::EndpointEntry> &entries) {
         kernel_.onEndpoints(now(), entries);
     };
-    handlers.onLease = [this](std::uint64_t revision, const relay::LeaseRecord &lease) {
-        kernel_.onLeaseRead(now(), revision, lease);
+    handlers.onLease = [this](const LeaseRead &lease) {
+        kernel_.onLeaseRead(now(), lease.first, lease.second);
     };
     handlers.onLeaseWritten = [this](relay::Instant sentAt, std::uint64_t revision) {
         kernel_.onLeaseWritten(now(), sentAt, revision);
@@ -149,7 +149,7 @@
 void RelayHost::run()
 {
     record({"started", "", settings_.relay.instance, "callers on " + net::toString(settings_.callers) + ", store " + net::toString(settings_.store)});
-    store_->start({settings_.node, net::toString(settings_.mesh)});
+    store_.start({settings_.node, net::toString(settings_.mesh)});
     tick();
     meshThread_ = std::thread([this]() { mesh_.run(); });
     loop_.run();
@@ -189,7 +189,7 @@
     changed.seed = settings_.relay.seed;
     settings_.relay = changed;
     settings_.store = base::valueOf(parsed).store;
-    store_->setAddress(settings_.store);
+    store_.setAddress(settings_.store);
     kernel_.onSettings(changed);
     record({"settings_reloaded", "", settingsPath_, ""});
 }
--- /dev/null
+++ b/libs/relayhost/tests/StoreFollowerTests.cpp
@@ -0,0 +1,160 @@
+#include "relayhost/StoreFollower.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace relayhost;
+
+namespace {
+
+/// Keeps each call until the test answers it.
+struct FakeClient : StoreClient {
+    void setAddress(const net::Address &) override
+    {
+    }
+    void readConfig(std::function<void(ConfigRead)> done) override
+    {
+        configReads.push_back(std::move(done));
+    }
+    void listEndpoints(std::function<void(std::optional<EndpointListing>)> done) override
+    {
+        lists.push_back(std::move(done));
+    }
+    void watchEndpoints(std::uint64_t revision, relay::Ms, std::function<void(std::optional<EndpointChanges>)> done) override
+    {
+        watchedFrom.push_back(revision);
+        watches.push_back(std::move(done));
+        if (onWatch) {
+            onWatch();
+        }
+    }
+    void enterInstance(const relay::InstanceEntry &, std::function<void(bool)> done) override
+    {
+        done(true);
+    }
+    void listInstances(std::function<void(std::optional<std::vector<relay::InstanceEntry>>)>) override
+    {
+    }
+    void readLease(std::function<void(std::optional<LeaseRead>)> done) override
+    {
+        done(std::nullopt);
+    }
+    void writeLease(const relay::LeaseRecord &, std::uint64_t, std::function<void(std::uint64_t)> done) override
+    {
+        done(0);
+    }
+
+    std::vector<std::function<void(ConfigRead)>> configReads;
+    std::vector<std::function<void(std::optional<EndpointListing>)>> lists;
+    std::vector<std::function<void(std::optional<EndpointChanges>)>> watches;
+    std::vector<std::uint64_t> watchedFrom;
+    std::function<void()> onWatch;
+};
+
+relay::EndpointEntry entry(const std::string &id)
+{
+    relay::EndpointEntry endpoint;
+    endpoint.id = id;
+    return endpoint;
+}
+
+} // namespace
+
+TEST_GROUP(AFollowerOfTheStore)
+{
+    net::EventLoop loop;
+    FakeClient *client = nullptr;
+    std::unique_ptr<StoreFollower> follower;
+    std::vector<std::vector<relay::EndpointEntry>> reported;
+    std::vector<relay::Instant> configSentAt;
+    std::vector<bool> reachable;
+
+    void setup() override
+    {
+        StoreHandlers handlers;
+        handlers.onConfig = [this](relay::Instant sentAt, const relay::FleetConfigPtr &) { configSentAt.push_back(sentAt); };
+        handlers.onEndpoints = [this](std::vector<relay::EndpointEntry> entries) { reported.push_back(std::move(entries)); };
+        handlers.onLease = [](const LeaseRead &) {};
+        handlers.onLeaseWritten = [](relay::Instant, std::uint64_t) {};
+        handlers.onInstances = [](const std::vector<relay::InstanceEntry> &) {};
+        handlers.onReachable = [this](bool isReachable) { reachable.push_back(isReachable); };
+        handlers.onDamaged = [](std::size_t) {};
+        auto owned = std::make_unique<FakeClient>();
+        client = owned.get();
+        follower = std::make_unique<StoreFollower>(loop, std::move(owned), std::move(handlers));
+        follower->start({"one", "10.0.0.1:7000"});
+    }
+};
+
+TEST(AFollowerOfTheStore, watchesFromTheRevisionOfItsList)
+{
+    client->lists.at(0)(EndpointListing{{entry("a"), entry("b")}, 40, 0});
+    LONGS_EQUAL(2, reported.at(0).size());
+    LONGS_EQUAL(40, client->watchedFrom.at(0));
+}
+
+TEST(AFollowerOfTheStore, reportsTheListAsTheChangesLeaveIt)
+{
+    client->lists.at(0)(EndpointListing{{entry("a"), entry("b")}, 40, 0});
+    client->onWatch = [this]() { loop.stop(); };
+    client->watches.at(0)(EndpointChanges{{{"a", std::nullopt}, {"c", entry("c")}, {"d", entry("d")}}, 44});
+    LONGS_EQUAL(3, reported.at(1).size());
+    STRCMP_EQUAL("b", reported.at(1).at(0).id.c_str());
+    loop.run();
+    LONGS_EQUAL(44, client->watchedFrom.at(1));
+}
+
+/// The pattern: the store forgets its history while changes are made, or the watch hangs in a dead connection.
+TEST(AFollowerOfTheStore, readsTheWholeListAfterAGap)
+{
+    client->lists.at(0)(EndpointListing{{entry("a")}, 40, 0});
+    client->watches.at(0)(std::nullopt);
+    LONGS_EQUAL(2, client->lists.size());
+    client->lists.at(1)(EndpointListing{{entry("b")}, 50, 0});
+    STRCMP_EQUAL("b", reported.back().at(0).id.c_str());
+    LONGS_EQUAL(50, client->watchedFrom.back());
+}
+
+TEST(AFollowerOfTheStore, takesNothingForCurrentThatItDidNotGet)
+{
+    client->configReads.at(0)({false, nullptr});
+    CHECK(configSentAt.empty());
+    client->lists.at(0)(std::nullopt);
+    CHECK(reported.empty());
+}
+
+TEST(AFollowerOfTheStore, saysWhenTheStoreIsLostAndReachedAgain)
+{
+    client->configReads.at(0)({true, nullptr});
+    follower->readLease();
+    client->lists.at(0)(EndpointListing{{}, 40, 0});
+    LONGS_EQUAL(3, reachable.size());
+    CHECK(reachable[0] && !reachable[1] && reachable[2]);
+}
+
+TEST(AFollowerOfTheStore, restsAndReadsOnDemandWhenOthersReadForIt)
+{
+    follower->follow(false);
+    client->configReads.at(0)({true, nullptr});
+    client->lists.at(0)(EndpointListing{{entry("a")}, 40, 0});
+    CHECK(client->watches.empty());
+    LONGS_EQUAL(1, client->configReads.size());
+    follower->refreshConfig();
+    follower->refreshEndpoints();
+    LONGS_EQUAL(2, client->configReads.size());
+    LONGS_EQUAL(2, client->lists.size());
+    // One read is under way: another demand adds none.
+    follower->refreshConfig();
+    LONGS_EQUAL(2, client->configReads.size());
+}
+
+TEST(AFollowerOfTheStore, goesOnAtOnceWhenItIsToFollowAgain)
+{
+    follower->follow(false);
+    client->configReads.at(0)({true, nullptr});
+    client->lists.at(0)(EndpointListing{{entry("a")}, 40, 0});
+    follower->follow(true);
+    LONGS_EQUAL(2, client->configReads.size());
+    LONGS_EQUAL(2, client->lists.size());
+    client->lists.at(1)(EndpointListing{{entry("a")}, 45, 0});
+    LONGS_EQUAL(45, client->watchedFrom.at(0));
+}
