The unused lease record goes; mutants of the relay kernel, placement, adapter, HTTP and follower

Change: forty further mutants in scripts/mutants.sh; the record, its codec and its place among the stored values are removed. The seeded damage that also tried its decoder now tries the relay messages, half of the rounds on a damaged digest.

--- a/libs/relayhost/tests/StoreFollowerTests.cpp
+++ b/libs/relayhost/tests/StoreFollowerTests.cpp
@@ -71,13 +71,23 @@
     void setup() override
     {
         StoreHandlers handlers;
-        handlers.onConfig = [this](relay::Instant sentAt, const relay::FleetConfigPtr &) { configSentAt.push_back(sentAt); };
-        handlers.onEndpoints = [this](std::vector<relay::EndpointEntry> entries) { reported.push_back(std::move(entries)); };
-        handlers.onLease = [](const LeaseRead &) {};
-        handlers.onLeaseWritten = [](relay::Instant, std::uint64_t) {};
-        handlers.onInstances = [](const std::vector<relay::InstanceEntry> &) {};
-        handlers.onReachable = [this](bool isReachable) { reachable.push_back(isReachable); };
-        handlers.onDamaged = [](std::size_t) {};
+        handlers.onConfig = [this](relay::Instant sentAt, const relay::FleetConfigPtr &) {
+            configSentAt.push_back(sentAt);
+        };
+        handlers.onEndpoints = [this](std::vector<relay::EndpointEntry> entries) {
+            reported.push_back(std::move(entries));
+        };
+        handlers.onLease = [](const LeaseRead &) {
+        };
+        handlers.onLeaseWritten = [](relay::Instant, std::uint64_t) {
+        };
+        handlers.onInstances = [](const std::vector<relay::InstanceEntry> &) {
+        };
+        handlers.onReachable = [this](bool isReachable) {
+            reachable.push_back(isReachable);
+        };
+        handlers.onDamaged = [](std::size_t) {
+        };
         auto owned = std::make_unique<FakeClient>();
         client = owned.get();
         follower = std::make_unique<StoreFollower>(loop, std::move(owned), std::move(handlers));
@@ -95,7 +105,9 @@
 TEST(AFollowerOfTheStore, reportsTheListAsTheChangesLeaveIt)
 {
     client->lists.at(0)(EndpointListing{{entry("a"), entry("b")}, 40, 0});
-    client->onWatch = [this]() { loop.stop(); };
+    client->onWatch = [this]() {
+        loop.stop();
+    };
     client->watches.at(0)(EndpointChanges{{{"a", std::nullopt}, {"c", entry("c")}, {"d", entry("d")}}, 44});
     LONGS_EQUAL(3, reported.at(1).size());
     STRCMP_EQUAL("b", reported.at(1).at(0).id.c_str());
--- a/libs/wire/include/wire/Codec.h
+++ b/libs/wire/include/wire/Codec.h
@@ -15,9 +15,6 @@
 std::string encode(const ConfigHead &head);
 base::Result<ConfigHead> decodeConfigHead(std::string_view bytes);
 
-std::string encode(const LeaseRecord &lease);
-base::Result<LeaseRecord> decodeLease(std::string_view bytes);
-
 std::string encode(const PeerEnvelope &envelope);
 base::Result<PeerEnvelope> decodePeerEnvelope(std::string_view bytes);
 
--- a/libs/wire/include/wire/Records.h
+++ b/libs/wire/include/wire/Records.h
@@ -147,10 +147,4 @@
     std::uint64_t stamp = 0;
 };
 
-/// A time-limited right to a duty. The object's version is the fencing number.
-struct LeaseRecord {
-    std::string holder;
-    std::uint32_t termMs = 0;
-};
-
 } // namespace wire
--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -212,23 +212,6 @@
     return toHead(message);
 }
 
-std::string encode(const LeaseRecord &lease)
-{
-    trefoilport::pb::LeaseRecord message;
-    message.set_holder(lease.holder);
-    message.set_term_ms(lease.termMs);
-    return message.SerializeAsString();
-}
-
-base::Result<LeaseRecord> decodeLease(std::string_view bytes)
-{
-    trefoilport::pb::LeaseRecord message;
-    if (!parse(message, bytes)) {
-        return malformed("lease");
-    }
-    return LeaseRecord{message.holder(), message.term_ms()};
-}
-
 std::string encode(const PeerEnvelope &envelope)
 {
     trefoilport::pb::PeerEnvelope message;
--- a/libs/wire/tests/CodecTests.cpp
+++ b/libs/wire/tests/CodecTests.cpp
@@ -50,10 +50,11 @@
     wire::Gossip gossip;
     gossip.members.push_back({"a", 1, 2, 3, 4, 5, 6, true, false, false, "127.0.0.1:1", "z"});
     gossip.strikes.push_back({9, "a", 2, 1000});
-    const std::string good = wire::encode(wire::PeerEnvelope{"a", 1, gossip});
+    const std::string goodEnvelope = wire::encode(wire::PeerEnvelope{"a", 1, gossip});
+    const std::string goodDigest = wire::encode(wire::RelayDigest{"a", false, {{1, 2, 512}}, {{3, 4}}, {{5, 2}}, {6}, 7, 8});
     base::Random random(20261204);
     for (int round = 0; round < 20000; ++round) {
-        std::string bad = good;
+        std::string bad = round % 2 == 0 ? goodEnvelope : goodDigest;
         const std::uint64_t edits = 1 + random.below(4);
         for (std::uint64_t i = 0; i < edits; ++i) {
             bad[random.below(bad.size())] = static_cast<char>(random.next());
@@ -62,7 +63,7 @@
         (void)wire::decodePeerEnvelope(bad);
         (void)wire::decodeConfigHead(bad);
         (void)wire::decodeClaimBucket(bad);
-        (void)wire::decodeLease(bad);
+        (void)wire::decodeRelayMessage(bad);
     }
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Breaks the kernel on purpose, one mechanism at a time, in a copy of the tree, and requires the kernel's tests to notice each.
+# Breaks both kernels and the adapter on purpose, one mechanism at a time, in a copy of the tree, and requires the tests to notice each.
 # An argument limits the run to mutants whose name matches it as an extended regular expression.
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -14,9 +14,9 @@
 caught=0
 missed=0
 
-# mutant NAME FILE SED-EXPRESSION
-mutant() {
-    local name=$1 file=trefoilport/src/$2 expression=$3
+# break_it TEST-PROGRAM NAME FILE SED-EXPRESSION
+break_it() {
+    local program=$1 name=$2 file=$3 expression=$4
     grep -qE "$only" <<<"$name" || return 0
     cp "$file" "$work/original"
     sed -i "$expression" "$file"
@@ -25,11 +25,11 @@
         missed=$((missed + 1))
         return
     fi
-    if ! cmake --build build --target trefoilportTests -- --quiet >"$work/log" 2>&1; then
+    if ! cmake --build build --target "$program" -- --quiet >"$work/log" 2>&1; then
         echo "$name: does not compile"
         tail -5 "$work/log"
         missed=$((missed + 1))
-    elif timeout 120 build/tests/trefoilportTests >"$work/log" 2>&1; then
+    elif timeout 120 "build/tests/$program" >"$work/log" 2>&1; then
         echo "$name: NOT noticed"
         missed=$((missed + 1))
     else
@@ -39,6 +39,16 @@
     cp "$work/original" "$file"
 }
 
+# mutant NAME FILE SED-EXPRESSION: the daemon's own kernel
+mutant() {
+    break_it trefoilportTests "$1" "trefoilport/src/$2" "$3"
+}
+
+# relay NAME FILE SED-EXPRESSION: the kernel of relayed requests
+relay() {
+    break_it relayTests "relay-$1" "libs/relay/src/$2" "$3"
+}
+
 mutant ambiguous-write-counts-as-granted ClaimLedger.cpp 's/case StoreStatus::Ambiguous:/case StoreStatus::Ambiguous: bucket.version = done.version; bucket.cached = bucket.proposed; bucket.cacheValid = wasWriting; finishWrite(bucket, actions); break; case StoreStatus::NotFound:/; s/^    case StoreStatus::NotFound:$//'
 mutant foreign-claim-is-taken-over ClaimLedger.cpp 's/if (found->nonce != op.claim.nonce) {/if (false) {/'
 mutant no-release ClaimLedger.cpp 's/    op.decided = !op.everWritten;/    op.decided = true;/'
@@ -62,5 +72,45 @@
 mutant exits-with-open-calls Kernel.cpp 's/    if (idle \&\& (context/    if ((context/'
 mutant exits-with-open-claims Kernel.cpp 's/(context.ledger.isSettled() || timeIsUp)/true/'
 mutant pause-is-held-against-others Membership.cpp 's/        if (wasPaused) {/        if (false) {/'
+relay unsafe-is-sent-again Calls.cpp 's/RequestKind::OnceOnly ? !call.mayHaveRun :/RequestKind::OnceOnly ? true :/'
+relay false-not-run Calls.cpp 's/saysNotRun \&\& call.mayHaveRun ?/false ?/'
+relay runs-are-not-counted Calls.cpp 's/call.runs < call.route->maxAttempts;/true;/'
+relay no-retry-window Calls.cpp 's/ \&\& retries.take(call.service->name, now);/;/'
+relay damaged-answer-passes PlainCalls.cpp 's/    if (!head.genuine) {/    if (false) {/'
+relay gone-caller-keeps-its-run Calls.cpp 's/        driver.cancel(attempt);/        (void)attempt;/'
+relay old-configuration-for-keys Admission.cpp 's/if (!configIsCurrent(now, oldestForKeys())) {/if (false) {/'
+relay old-configuration-proves Admission.cpp 's/const bool isProof = .*;/const bool isProof = true;/'
+relay configuration-goes-back RelayKernel.cpp 's/config->version > impl.config->version/true/'
+relay age-from-arrival StoreDuty.cpp 's/const Instant askedAt = .*;/const Instant askedAt = now;/'
+relay older-configuration-is-kept-young StoreDuty.cpp 's/if (answer.configVersion == known.configVersion) {/if (true) {/'
+relay draining-gets-work EndpointRegistry.cpp 's/ \&\& !state.entry.draining//'
+relay gone-gets-work EndpointRegistry.cpp 's/state.listed = now < state.missingUntil;/state.listed = true;/'
+relay lapsed-entry-is-gone EndpointRegistry.cpp 's/if (afterOutage \&\& /if (false \&\& /'
+relay event-twice StreamCalls.cpp 's/if (eventId <= call->lastEvent \&\& call->lastEvent != 0) {/if (false) {/; s/    if (!isNext) {/    if (false) {/'
+relay event-gap-passes StreamCalls.cpp 's/    if (!isNext) {/    if (false) {/'
+relay resumes-from-the-start StreamCalls.cpp 's/    dispatch.lastEventId = call.lastEventId;/    (void)0;/'
+relay silence-moves-nothing EndpointHealth.cpp 's/    moveStreams(now);/    (void)0;/; s/^}$/}/' 
+relay later-stage-gives-its-run-back StreamCalls.cpp 's/if (silent == attempts.at(attempt).stages.front()) {/if (true) {/'
+relay peers-are-believed EndpointHealth.cpp 's/            endpoints.pause(\*index, now);/            takeForSilent(now, *index, "", "");/'
+relay no-slowness StreamCalls.cpp 's/unread, state.slowness,/unread, 1.0,/'
+relay crash-is-forgotten CrashGuard.cpp 's/    ++strikes.count;/    strikes.count = 0;/'
+relay break-is-a-crash CrashGuard.cpp 's/const bool hasCrashed = .*;/const bool hasCrashed = true;/'
+relay lease-outlives-a-pause PlannerDuty.cpp 's/    return now < validUntil_ \&\& /    return validUntil_.count() != 0 \&\& /'
+relay same-fence-again PlannerDuty.cpp 's/record_.fence + 1, 0}/record_.fence, 0}/'
+relay refused-fence-goes-on PlannerDuty.cpp 's/refusedFence_ = std::max(refusedFence_, record_.fence);/(void)0;/; s/        validUntil_ = Instant{0};\r*$/        (void)0;/'
+relay held-layers-are-ordered PlannerDuty.cpp 's/waiting->second.range : state.entry.layers;/waiting->second.range : placement::LayerRange{};/'
+relay stop-takes-streams Admission.cpp 's/if (stopping \&\& now - stopAt > RefuseAfter) {/if (false) {/'
+relay stop-cuts-requests RelayKernel.cpp 's/if (!exited \&\& calls.empty() \&\& elapsed/if (!exited \&\& elapsed/'
+break_it placementTests placement-layer-is-left-out libs/placement/src/PathChooser.cpp 's/const bool covers = holder.usable \&\& holder.held.first <= layer \&\& /const bool covers = holder.usable \&\& /'
+break_it placementTests placement-full-holder-is-used libs/placement/src/PathChooser.cpp 's/    if (fill > 1) {/    if (false) {/; s/        if (fill > 1) {/        if (false) {/'
+break_it placementTests placement-range-over-memory libs/placement/src/EngineProfile.cpp 's/const double freeMb = kind.memoryMb - .*;/const double freeMb = kind.memoryMb;/'
+break_it placementTests placement-no-move libs/placement/src/LayerPlanner.cpp 's/constexpr double LeastMoveGain = 0.35;/constexpr double LeastMoveGain = 1e9;/'
+break_it placementTests placement-herd libs/placement/src/PathChooser.cpp 's/ + readMs(profile_, kind, layers, 1) \* holder.unreadTokens;/;/'
+break_it platformAdapterTests adapter-key-is-passed-on platform/Messages.cpp 's/ownFields = {names::ApiKey, names::Team,/ownFields = {names::Team,/; s/{names::ApiKey, names::Team, /{names::Team, /'
+break_it platformAdapterTests adapter-seal-is-not-needed platform/Messages.cpp 's/head.genuine = !net::headerIn(headers, names::Seal).empty() \&\& /head.genuine = /'
+break_it platformAdapterTests adapter-any-503-is-not-run platform/Messages.cpp 's/head.notRun = status == Misdirected ||/head.notRun = status == Misdirected || status == 503 ||/'
+break_it netTests net-extra-bytes-are-kept libs/net/src/HttpClient.cpp 's/ \&\& buffer.size() == 0) {/) {/'
+break_it netTests net-idle-close-cuts-a-request libs/net/src/HttpServer.cpp 's/if (isIdle_ \&\& buffer_.size() == 0) {/if (true) {/'
+break_it relayhostTests follower-gap-is-overlooked libs/relayhost/src/StoreFollower.cpp 's/        return listEndpoints(); \/\/ The history.*/        return watchEndpoints();/'
 echo "$caught noticed, $missed not"
 [ $missed -eq 0 ]
--- a/trefoilport/include/trefoilport/Types.h
+++ b/trefoilport/include/trefoilport/Types.h
@@ -90,7 +90,7 @@
 };
 
 /// A value that the kernel keeps in the store; the driver encodes it.
-using StoreValue = std::variant<std::monostate, wire::ClaimBucket, wire::ConfigHead, wire::LeaseRecord>;
+using StoreValue = std::variant<std::monostate, wire::ClaimBucket, wire::ConfigHead>;
 
 /// What happened, for the time line.
 enum class TimelineKind {
