Reading pass: an answer's assumed length is set once, comments say what holds

Cause: a newcomer's reading of the diff. The comment of MoveAfter still told the rule from before the herd was mended; the default length of an answer stood twice in the path code. Change: comments, and the default set where the request is taken. No behaviour changes.

--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -10,6 +10,8 @@
 
 /// A caller without a time limit of its own is given this one.
 constexpr Ms DefaultTimeLimit{30000};
+/// Expected length of an answer of which the caller says nothing.
+constexpr std::uint32_t AssumedAnswerTokens = 200;
 /// From the request to stop until requests on open connections are turned away.
 constexpr Ms RefuseAfter{2500};
 /// A configuration older than this doesn't prove that a key or a route is unknown.
@@ -114,7 +116,7 @@
         call.routeEndsFirst = true;
     }
     call.promptTokens = arrival.promptTokens;
-    call.answerTokens = arrival.answerTokens;
+    call.answerTokens = arrival.answerTokens > 0 ? arrival.answerTokens : AssumedAnswerTokens;
     call.lastEventId = arrival.lastEventId;
     call.lastEvent = std::strtoull(arrival.lastEventId.c_str(), nullptr, 10);
     call.lastDelivery = now;
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// A stream without progress for this time is looked after.
+/// A stream without an event for this time is looked after; before its first event it has longer.
 constexpr Ms LookAfterGap{150};
 constexpr Ms LookAfterSending{350};
 constexpr Ms LookPeriod{100};
@@ -14,15 +14,14 @@
 constexpr Ms StagePeriod{1200};
 /// A stream whose path has a silent stage is moved once it has had no event for this time.
 constexpr Ms MoveAfterSilence{75};
-/// A stream without progress for this time is moved, whatever its endpoints say.
+/// A stream that has begun and has had no event for this time is moved if its first stage goes on with others meanwhile.
 constexpr Ms MoveAfter{1200};
 /// Callers leave after a pause of about two seconds: a stream that can't go on before is broken off.
 constexpr Ms ResumeWithin{1900};
 constexpr Ms ResumePeriod{50};
+/// Multiple of the predicted time to the first event that is still no cause for a look.
 constexpr double FirstTokenFactor = 3.0;
 constexpr int MisdirectedStatus = 421;
-/// Expected answer where the caller gives none, and room for answers that grow beyond what was expected.
-constexpr std::uint32_t DefaultAnswerTokens = 200;
 
 } // namespace
 
@@ -43,8 +42,9 @@
         holders.push_back({kind, state.zone, state.entry.layers, load.openRequests, load.contextTokens, unread, state.slowness, true, true});
         indices.push_back(i);
     }
-    const std::uint32_t answer = call.answerTokens > 0 ? call.answerTokens : DefaultAnswerTokens;
-    return placement::choosePath(profile, holders, {static_cast<double>(call.promptTokens), static_cast<double>(answer), endpoints.zoneNumber(settings.zone)});
+    const double prompt = call.promptTokens;
+    const double answer = call.answerTokens;
+    return placement::choosePath(profile, holders, {prompt, answer, endpoints.zoneNumber(settings.zone)});
 }
 
 void RelayKernel::Impl::startStream(Instant now, Call &call)
@@ -70,7 +70,7 @@
         dispatch.hops.push_back({endpoints.at(index).entry.address, stage.layers});
         text += (text.empty() ? "" : " ") + endpoints.at(index).entry.id + "=" + std::to_string(stage.layers.first) + "-" + std::to_string(stage.layers.end);
     }
-    attempt.contextTokens = call.promptTokens + (call.answerTokens > 0 ? call.answerTokens : DefaultAnswerTokens);
+    attempt.contextTokens = call.promptTokens + call.answerTokens;
     attempt.promptTokens = call.promptTokens;
     attempt.predictedFirstMs = path.firstTokenMs;
     const AttemptId id = startAttempt(now, call, std::move(attempt));
