--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -110,6 +110,7 @@
 break_it placementTests placement-no-move libs/placement/src/LayerPlanner.cpp 's/constexpr double LeastMoveGain = 0.35;/constexpr double LeastMoveGain = 1e9;/'
 break_it placementTests placement-herd libs/placement/src/PathChooser.cpp 's/ + readMs(profile_, kind, layers, 1) \* holder.unreadTokens;/;/'
 break_it platformAdapterTests adapter-key-is-passed-on platform/Messages.cpp 's/        names::ApiKey, names::Team, names::TimeLimitMs,/        names::Team, names::TimeLimitMs,/'
+break_it platformAdapterTests adapter-any-endpoint-may-run-it platform/Messages.cpp 's/    add(names::ExpectedEndpoint, dispatch.endpoint);/    (void)0;/'
 break_it platformAdapterTests adapter-seal-is-not-needed platform/Messages.cpp 's/head.genuine = !net::headerIn(headers, names::Seal).empty() \&\& /head.genuine = /'
 break_it platformAdapterTests adapter-any-503-is-not-run platform/Messages.cpp 's/head.notRun = status == Misdirected ||/head.notRun = status == Misdirected || status == 503 ||/'
 break_it netTests net-extra-bytes-are-kept libs/net/src/HttpClient.cpp 's/ \&\& buffer.size() == 0) {/) {/'
