trefoilctl explain: the story of one request over the logs of all instances

Ruled out: a trace kept by each instance and asked over HTTP (an instance that died has none, and the platform's operators reach no instance); a text search alone (it doesn't find what was learned of the endpoints of the path). Change: libs/timeline has RequestStory, without files or network: it parses log lines, takes those of the request, those of its instance about itself and those of any instance about endpoints of its paths, from 5 s before, orders them and says how the request ended and what led to it. trefoilctl explain reads files or standard input. Before: no command.

--- /dev/null
+++ b/libs/timeline/tests/RequestStoryTests.cpp
@@ -0,0 +1,104 @@
+#include "timeline/RequestStory.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+timeline::LogLine line(const char *time, const char *instance, const char *event, const char *request, const char *subject, const char *detail)
+{
+    return {std::string("2026-08-25 07:55:") + time, instance, event, request, subject, detail, 0};
+}
+
+bool mentions(const timeline::RequestStory &story, const char *event)
+{
+    return timeline::toText(story).find(event) != std::string::npos;
+}
+
+} // namespace
+
+TEST_GROUP(AStoryOfARequest){};
+
+TEST(AStoryOfARequest, readsALineOfTheLogAfterACollectorsPrefix)
+{
+    const auto parsed = timeline::parseLogLine(
+        R"(  15.38 front-1 { "timestamp": "2026-08-25 07:55:32,386", "level": "INFO", "message": "stream_broken", "context_map": )"
+        R"({ "detail": "refused", "instance": "front-1", "request": "5da0", "subject": "overloaded", "left_out": "12", "zone": "z" } })");
+    CHECK(parsed.has_value());
+    STRCMP_EQUAL("2026-08-25 07:55:32,386", parsed->time.c_str());
+    STRCMP_EQUAL("stream_broken", parsed->event.c_str());
+    STRCMP_EQUAL("5da0", parsed->request.c_str());
+    STRCMP_EQUAL("overloaded", parsed->subject.c_str());
+    LONGS_EQUAL(12, parsed->leftOut);
+}
+
+TEST(AStoryOfARequest, skipsWhatIsNoLineOfTheLog)
+{
+    CHECK(!timeline::parseLogLine("").has_value());
+    CHECK(!timeline::parseLogLine("built in 0.0 s").has_value());
+    CHECK(!timeline::parseLogLine("{ \"timestamp\": \"2026\"").has_value());
+    CHECK(!timeline::parseLogLine("{ \"message\": \"no fields\" }").has_value());
+    CHECK(!timeline::parseLogLine("[1, 2]").has_value());
+}
+
+TEST(AStoryOfARequest, tellsAStreamThatLostAStageAndNamesTheStage)
+{
+    const auto story = timeline::explainRequest(
+        {
+            line("32,363", "front-1", "stream_moved", "r1", "b", "a stage of its path is silent"),
+            line("30,000", "front-1", "sent", "r1", "a", "attempt 1, configuration 7, path a=0-20 b=20-80, predicted 41 ms to the first token"),
+            line("32,300", "front-2", "endpoint_silent", "", "b", "requests stall on it, says a"),
+            line("32,301", "front-2", "endpoint_silent", "", "elsewhere", "no answer to a question for its state"),
+            line("32,400", "front-1", "stream_broken", "r1", "overloaded", "no sending is left"),
+            line("31,000", "front-1", "sent", "r2", "a", "attempt 1, configuration 7, path a=0-80, predicted 41 ms to the first token"),
+        },
+        "r1");
+    CHECK(story.ending == timeline::Ending::StreamBroken);
+    LONGS_EQUAL(4, story.lines.size());
+    STRCMP_EQUAL("sent", story.lines.front().event.c_str());
+    STRCMP_CONTAINS("broken off as overloaded: no sending is left", story.cause.c_str());
+    STRCMP_CONTAINS("endpoint_silent at 07:55:32,300 b (requests stall on it, says a)", story.cause.c_str());
+    CHECK(!mentions(story, "elsewhere"));
+}
+
+TEST(AStoryOfARequest, showsWhatItsInstanceKnewOfTheStoreWhenItRefused)
+{
+    const auto story = timeline::explainRequest(
+        {
+            line("28,000", "front-1", "store_lost", "", "10.0.0.1:1", ""),
+            line("28,500", "front-2", "store_lost", "", "10.0.0.1:1", ""),
+            line("31,000", "front-1", "rejected", "r1", "configuration_unconfirmed", "the configuration is too old to check a key"),
+            line("31,500", "front-1", "store_reached", "", "10.0.0.1:1", ""),
+        },
+        "r1");
+    CHECK(story.ending == timeline::Ending::Rejected);
+    LONGS_EQUAL(2, story.lines.size());
+    STRCMP_CONTAINS("as configuration_unconfirmed", story.cause.c_str());
+    STRCMP_CONTAINS("store_lost at 07:55:28,000", story.cause.c_str());
+}
+
+TEST(AStoryOfARequest, leavesOutWhatHappenedLongBefore)
+{
+    const auto story = timeline::explainRequest(
+        {
+            line("10,000", "front-1", "endpoint_silent", "", "a", "no answer to a question for its state"),
+            line("31,000", "front-1", "sent", "r1", "a", "attempt 1, configuration 7"),
+            line("31,030", "front-1", "answered", "r1", "a", "status 200"),
+        },
+        "r1");
+    CHECK(story.ending == timeline::Ending::Answered);
+    LONGS_EQUAL(2, story.lines.size());
+    STRCMP_EQUAL("answered by a, status 200", story.cause.c_str());
+}
+
+TEST(AStoryOfARequest, saysThatItsEndOrAllOfItIsMissing)
+{
+    auto sent = line("31,000", "front-1", "sent", "r1", "a", "attempt 1, configuration 7");
+    auto other = line("31,000", "front-1", "sent", "r2", "a", "attempt 1, configuration 7");
+    other.leftOut = 40;
+    const auto cut = timeline::explainRequest({sent, other}, "r1");
+    CHECK(cut.ending == timeline::Ending::Missing);
+    LONGS_EQUAL(40, cut.leftOut);
+    STRCMP_CONTAINS("40 lines about requests were left out", timeline::toText(cut).c_str());
+    CHECK(timeline::explainRequest({sent}, "r9").ending == timeline::Ending::Unknown);
+    CHECK(timeline::explainRequest({}, "r1").lines.empty());
+}
--- a/programs/trefoilctl/ExitCode.h
+++ b/programs/trefoilctl/ExitCode.h
@@ -22,5 +22,5 @@
     {ExitCode::Conflict, "another operator changed the same file"},
     {ExitCode::Pending, "staged, but not yet accepted by every instance"},
     {ExitCode::Unreachable, "the platform or the instance could not be reached"},
-    {ExitCode::Refused, "the instance refused: wrong operators' key or unknown name"},
+    {ExitCode::Refused, "the instance refused: wrong operators' key or unknown name; for explain: no line mentions the request"},
 }};
--- a/programs/trefoilctl/main.cpp
+++ b/programs/trefoilctl/main.cpp
@@ -1,4 +1,5 @@
 #include "Apply.h"
+#include "Explain.h"
 #include "Folder.h"
 #include "Show.h"
 
@@ -176,6 +177,15 @@
           [](const Arguments &) {
               return showTimeline(showOptions(), FLAGS_trace);
           }}},
+        {"explain",
+         {"REQUEST LOG...",
+          "what became of a request, from the instances' logs (files, or - for standard input)",
+          2,
+          false,
+          false,
+          [](const Arguments &a) {
+              return explainRequest(a[0], {a.begin() + 1, a.end()}, FLAGS_json);
+          }}},
         {"settings",
          {"",
           "every setting with default, unit and range",
