Streams go round a lost later stage instead of running anew

Cause: when a stage of a path other than the first is lost, its streams were broken off and run anew over all layers. All stages of the new path read their prompts again (predicted 0.9 to 1.7 s to the first token after a loss), each move counted as a run, and only one is allowed. Ruled out: noticing the loss sooner (the pauses of streams that found room at once were 230 to 400 ms, so most of the time went to reading and waiting, not to noticing); a second run outside the route's limit (it counts: the first stage lives). Change: the kernel asks the first stage to take other holders for the lost layers and goes on with the same run (Detours.cpp); the path search takes a range of layers and the zones before and after it; the driver has sendDetour, the adapter its message. A refusal that names a stage is tried over another holder, three times at most; where the first stage doesn't know the request, or nobody has room, a new run follows as before. Streams that may not be resumed are saved by the same way.

--- a/libs/placement/include/placement/PathChooser.h
+++ b/libs/placement/include/placement/PathChooser.h
@@ -2,6 +2,8 @@
 
 #include "placement/EngineProfile.h"
 
+#include <optional>
+
 namespace placement {
 
 /// An endpoint that holds layers, with the work that is on it.
@@ -25,8 +27,12 @@
 struct PathRequest {
     double promptTokens = 0;
     double answerTokens = 0;
-    /// Zone of the instance that asks.
+    /// Zone of the instance that asks, or of the stage before the layers.
     std::uint32_t zone = 0;
+    /// The layers that the path must run; empty for the whole model.
+    LayerRange layers = {};
+    /// Zone of the stage after the layers, if there is one.
+    std::optional<std::uint32_t> nextZone = std::nullopt;
 };
 
 /// One stage: the holder's index in the call, and the layers that it runs.
@@ -35,7 +41,7 @@
     LayerRange layers;
 };
 
-/// A chain of stages over all layers with its predicted times; no stages if there is none.
+/// A chain of stages over the wanted layers with its predicted times; no stages if there is none.
 struct Path {
     std::vector<PathStage> stages;
     double firstTokenMs = 0;
--- a/libs/placement/src/PathChooser.cpp
+++ b/libs/placement/src/PathChooser.cpp
@@ -45,12 +45,13 @@
         : profile_(profile)
         , holders_(holders)
         , request_(request)
+        , wanted_(request.layers.empty() ? LayerRange{0, profile.layers} : request.layers)
     {
         collectBoundaries();
         for (const Holder &holder : holders) {
             zones_ = std::max(zones_, holder.zone + 1);
         }
-        zones_ = std::max(zones_, request.zone + 1);
+        zones_ = std::max({zones_, request.zone + 1, request.nextZone.value_or(0) + 1});
         nodes_.resize(boundaries_.size() * zones_);
     }
 
@@ -71,11 +72,11 @@
 private:
     void collectBoundaries()
     {
-        boundaries_ = {0, profile_.layers};
+        boundaries_ = {wanted_.first, wanted_.end};
         for (const Holder &holder : holders_) {
             if (holder.usable && !holder.held.empty()) {
-                boundaries_.push_back(holder.held.first);
-                boundaries_.push_back(std::min(holder.held.end, profile_.layers));
+                boundaries_.push_back(std::clamp(holder.held.first, wanted_.first, wanted_.end));
+                boundaries_.push_back(std::clamp(holder.held.end, wanted_.first, wanted_.end));
             }
         }
         std::sort(boundaries_.begin(), boundaries_.end());
@@ -114,8 +115,8 @@
         for (std::uint32_t i = 0; i < holders_.size(); ++i) {
             const Holder &holder = holders_[i];
             const bool covers = holder.usable && holder.held.first <= layer && layer < holder.held.end && holder.kind < profile_.kinds.size();
-            if (covers && (boundary > 0 || holder.canBeFirst)) {
-                tryStage(from, i, {layer, std::min(holder.held.end, profile_.layers)}, boundary > 0 && holder.zone != zone);
+            if (covers && (layer > 0 || holder.canBeFirst)) {
+                tryStage(from, i, {layer, std::min(holder.held.end, wanted_.end)}, layer > 0 && holder.zone != zone);
             }
         }
     }
@@ -134,11 +135,22 @@
         }
     }
 
+    /// Of getting from the last stage, in that zone, to the stage after the wanted layers.
+    double costToNext(std::size_t zone) const
+    {
+        if (!request_.nextZone || *request_.nextZone == zone) {
+            return 0;
+        }
+        const double tokenMs = transferMs(profile_, 1, true) + profile_.zoneDelayMs;
+        return tokenMs * request_.answerTokens + PipeSharing * transferMs(profile_, request_.promptTokens + request_.answerTokens, true);
+    }
+
     Path best() const
     {
-        std::size_t last = (boundaries_.size() - 1) * zones_;
-        for (std::size_t node = last; node < nodes_.size(); ++node) {
-            last = nodes_[node].cost < nodes_[last].cost ? node : last;
+        const std::size_t begin = (boundaries_.size() - 1) * zones_;
+        std::size_t last = begin;
+        for (std::size_t node = begin; node < nodes_.size(); ++node) {
+            last = nodes_[node].cost + costToNext(node - begin) < nodes_[last].cost + costToNext(last - begin) ? node : last;
         }
         Path path;
         if (nodes_[last].cost == Unreachable) {
@@ -156,6 +168,7 @@
     const EngineProfile &profile_;
     const std::vector<Holder> &holders_;
     const PathRequest &request_;
+    const LayerRange wanted_;
     std::vector<std::uint32_t> boundaries_;
     std::uint32_t zones_ = 1;
     std::vector<Node> nodes_;
--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -61,6 +61,17 @@
     std::uint64_t expectedOrderCount = 0;
 };
 
+/// Has other stages take the place of lost ones in the path of a request that goes on at its first stage.
+struct Detour {
+    AttemptId attempt = 0;
+    std::string requestId;
+    /// The first stage, to which it is told.
+    std::string endpoint;
+    std::string address;
+    /// The whole new path; its first stage is the same.
+    std::vector<Hop> hops;
+};
+
 /// How an order was answered.
 enum class OrderOutcome {
     Accepted,
@@ -115,6 +126,7 @@
     /// Asks an endpoint for its state.
     virtual void readReport(const std::string &endpoint, const std::string &address) = 0;
     virtual void sendOrder(const PlaceOrder &order) = 0;
+    virtual void sendDetour(const Detour &detour) = 0;
     /// Reads the lease; the answer may be seconds old.
     virtual void readLease() = 0;
     /// Writes the lease if it still has the revision; 0 means that it must not exist.
--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -79,6 +79,7 @@
     std::uint64_t rejected = 0;
     std::uint64_t failed = 0;
     std::uint64_t streamsResumed = 0;
+    std::uint64_t streamsDetoured = 0;
     std::uint64_t streamsBroken = 0;
     std::uint64_t streamsEnded = 0;
     std::uint64_t reports = 0;
@@ -132,6 +133,8 @@
     /// None if the endpoint did not answer in time.
     void onReport(Instant now, const std::string &endpoint, const std::optional<EndpointReport> &report);
     void onOrderAnswer(Instant now, const std::string &endpoint, OrderOutcome outcome);
+    /// The address names the stage that stood in the way; empty if none is known.
+    void onDetourAnswer(Instant now, AttemptId attempt, OrderOutcome outcome, const std::string &faultAddress);
     /// Revision 0 means that there is no lease.
     void onLeaseRead(Instant now, std::uint64_t revision, const LeaseRecord &record);
     /// Revision 0 means that the write did not take place, or that its outcome is unknown.
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -34,13 +34,40 @@
 
 void RelayKernel::Impl::settleUnread(Attempt &attempt)
 {
-    if (attempt.hasEvents) {
-        return;
+    for (const EndpointIndex stage : attempt.unreadStages) {
+        endpoints.at(stage).unreadTokens -= attempt.promptTokens;
     }
-    attempt.hasEvents = true;
+    attempt.unreadStages.clear();
+}
+
+void RelayKernel::Impl::replaceStages(Attempt &attempt, std::vector<EndpointIndex> stages, std::vector<placement::LayerRange> layers)
+{
+    const auto contains = [](const std::vector<EndpointIndex> &list, EndpointIndex stage) {
+        return std::find(list.begin(), list.end(), stage) != list.end();
+    };
     for (const EndpointIndex stage : attempt.stages) {
-        endpoints.at(stage).unreadTokens -= attempt.promptTokens;
+        if (contains(stages, stage)) {
+            continue;
+        }
+        EndpointState &state = endpoints.at(stage);
+        --state.openRequests;
+        state.contextTokens -= attempt.contextTokens;
+        if (std::erase(attempt.unreadStages, stage) > 0) {
+            state.unreadTokens -= attempt.promptTokens;
+        }
+    }
+    for (const EndpointIndex stage : stages) {
+        if (contains(attempt.stages, stage)) {
+            continue;
+        }
+        EndpointState &state = endpoints.at(stage);
+        ++state.openRequests;
+        state.contextTokens += attempt.contextTokens;
+        state.unreadTokens += attempt.promptTokens;
+        attempt.unreadStages.push_back(stage);
     }
+    attempt.stages = std::move(stages);
+    attempt.layers = std::move(layers);
 }
 
 void RelayKernel::Impl::cancelAttempts(Call &call)
@@ -126,12 +153,9 @@
     attempt.call = call.id;
     attempt.sentAt = now;
     attempt.progressAt = now;
-    for (const EndpointIndex stage : attempt.stages) {
-        EndpointState &state = endpoints.at(stage);
-        ++state.openRequests;
-        state.contextTokens += attempt.contextTokens;
-        state.unreadTokens += attempt.promptTokens;
-    }
+    std::vector<EndpointIndex> stages;
+    stages.swap(attempt.stages);
+    replaceStages(attempt, std::move(stages), std::move(attempt.layers));
     attempts.emplace(id, std::move(attempt));
     call.attempts.push_back(id);
     counters.retries += call.sendings > 0 ? 1 : 0;
--- /dev/null
+++ b/libs/relay/src/Detours.cpp
@@ -0,0 +1,117 @@
+#include "details/KernelImpl.h"
+
+#include <algorithm>
+
+namespace relay {
+
+namespace {
+
+/// Detours that are tried for one run before it is given up for a new one.
+constexpr int MostDetours = 3;
+
+} // namespace
+
+bool RelayKernel::Impl::isLost(EndpointIndex stage) const
+{
+    return endpoints.at(stage).suspectUntil.count() != 0;
+}
+
+bool RelayKernel::Impl::detour(Instant now, Call &call, AttemptId id, std::optional<EndpointIndex> fault)
+{
+    Attempt &attempt = attempts.at(id);
+    if (attempt.detours >= MostDetours) {
+        return false;
+    }
+    const auto mustGo = [&](EndpointIndex stage) {
+        return isLost(stage) || stage == fault;
+    };
+    Candidates others = candidates(now, call);
+    for (std::size_t i = 0; i < others.indices.size(); ++i) {
+        // An endpoint may stand in a path only once.
+        others.holders[i].usable = std::find(attempt.stages.begin(), attempt.stages.end(), others.indices[i]) == attempt.stages.end();
+    }
+    std::vector<EndpointIndex> stages;
+    std::vector<placement::LayerRange> layers;
+    for (std::size_t i = 0; i < attempt.stages.size();) {
+        std::size_t end = i;
+        while (end < attempt.stages.size() && mustGo(attempt.stages[end])) {
+            ++end;
+        }
+        if (end == i) {
+            stages.push_back(attempt.stages[i]);
+            layers.push_back(attempt.layers[i]);
+            ++i;
+            continue;
+        }
+        const placement::Path way = wayRound(call, attempt, i, end, others);
+        if (way.stages.empty()) {
+            return false;
+        }
+        for (const placement::PathStage &stage : way.stages) {
+            stages.push_back(others.indices[stage.holder]);
+            layers.push_back(stage.layers);
+            others.holders[stage.holder].usable = false;
+        }
+        i = end;
+    }
+    ++attempt.detours;
+    attempt.detourPending = true;
+    attempt.progressAt = now;
+    replaceStages(attempt, std::move(stages), std::move(layers));
+    tellDetour(call, id);
+    return true;
+}
+
+placement::Path
+RelayKernel::Impl::wayRound(const Call &call, const Attempt &attempt, std::size_t first, std::size_t end, const Candidates &others) const
+{
+    placement::PathRequest request;
+    request.promptTokens = call.promptTokens;
+    request.answerTokens = call.answerTokens;
+    request.layers = {attempt.layers[first].first, attempt.layers[end - 1].end};
+    request.zone = endpoints.at(attempt.stages[first - 1]).zone;
+    if (end < attempt.stages.size()) {
+        request.nextZone = endpoints.at(attempt.stages[end]).zone;
+    }
+    return placement::choosePath(*call.service->engine, others.holders, request);
+}
+
+void RelayKernel::Impl::tellDetour(const Call &call, AttemptId id)
+{
+    const Attempt &attempt = attempts.at(id);
+    const EndpointState &first = endpoints.at(attempt.stages.front());
+    Detour detour{id, call.requestId, first.entry.id, first.entry.address, {}};
+    std::string path;
+    for (std::size_t i = 0; i < attempt.stages.size(); ++i) {
+        const EndpointState &stage = endpoints.at(attempt.stages[i]);
+        detour.hops.push_back({stage.entry.address, attempt.layers[i]});
+        path += " " + stage.entry.id + "=" + std::to_string(attempt.layers[i].first) + "-" + std::to_string(attempt.layers[i].end);
+    }
+    ++counters.streamsDetoured;
+    driver.record({"stream_detoured", call.requestId, first.entry.id, "detour " + std::to_string(attempt.detours) + ", path" + path});
+    driver.sendDetour(detour);
+}
+
+void RelayKernel::Impl::onDetourAnswer(Instant now, Call &call, AttemptId id, OrderOutcome outcome, const std::string &faultAddress)
+{
+    Attempt &attempt = attempts.at(id);
+    attempt.detourPending = false;
+    if (outcome == OrderOutcome::Accepted) {
+        return;
+    }
+    driver.record({"detour_failed", call.requestId, faultAddress, std::string(base::nameIn(OrderOutcomeNames, outcome))});
+    const auto fault = endpoints.findAddress(faultAddress);
+    if (fault) {
+        exclude(call, *fault);
+        endpoints.avoid(*fault, now);
+    }
+    const bool canTryAgain = outcome == OrderOutcome::NoAnswer || (outcome == OrderOutcome::Refused && fault && *fault != attempt.stages.front());
+    if (canTryAgain && detour(now, call, id, fault)) {
+        return;
+    }
+    if (call.route->isResumable) {
+        runAnew(now, call, id, "the way round a lost stage was refused");
+    }
+}
+
+} // namespace relay
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -53,7 +53,9 @@
     if (!endpoint) {
         return fail(now, call, base::ErrorKind::NoEndpoint, "no usable endpoint of service '" + call.service->name + "'");
     }
-    const AttemptId id = startAttempt(now, call, {0, {*endpoint}, now, now, 0, 0, 0, false});
+    Attempt attempt;
+    attempt.stages = {*endpoint};
+    const AttemptId id = startAttempt(now, call, std::move(attempt));
     const EndpointState &state = endpoints.at(*endpoint);
     Dispatch dispatch;
     dispatch.attempt = id;
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -235,6 +235,13 @@
     }
 }
 
+void RelayKernel::onDetourAnswer(Instant now, AttemptId attempt, OrderOutcome outcome, const std::string &faultAddress)
+{
+    if (Call *call = impl_->callOf(attempt)) {
+        impl_->onDetourAnswer(now, *call, attempt, outcome, faultAddress);
+    }
+}
+
 void RelayKernel::onLeaseRead(Instant now, std::uint64_t revision, const LeaseRecord &record)
 {
     impl_->planner.onLeaseRead(now, revision, record);
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -25,26 +25,23 @@
 
 } // namespace
 
-placement::Path RelayKernel::Impl::findPath(Instant now, const Call &call, std::vector<EndpointIndex> &indices)
+Candidates RelayKernel::Impl::candidates(Instant now, const Call &call) const
 {
-    const placement::EngineProfile &profile = *call.service->engine;
-    std::vector<placement::Holder> holders;
+    Candidates found;
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         const EndpointState &state = endpoints.at(i);
         const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
         if (state.entry.service != call.service->name || state.entry.layers.empty() || isExcluded || !endpoints.isUsable(i, now)) {
             continue;
         }
-        const std::uint32_t kind = placement::kindIndex(profile, state.entry.accelerator);
+        const std::uint32_t kind = placement::kindIndex(*call.service->engine, state.entry.accelerator);
         const LoadEstimate load = peers.loadOn(i, now);
         // What the others have sent in these moments isn't known yet; after a loss they send as much as this instance.
         const double unread = state.unreadTokens * peers.instances();
-        holders.push_back({kind, state.zone, state.entry.layers, load.openRequests, load.contextTokens, unread, state.slowness, true, true});
-        indices.push_back(i);
+        found.holders.push_back({kind, state.zone, state.entry.layers, load.openRequests, load.contextTokens, unread, state.slowness, true, true});
+        found.indices.push_back(i);
     }
-    const double prompt = call.promptTokens;
-    const double answer = call.answerTokens;
-    return placement::choosePath(profile, holders, {prompt, answer, endpoints.zoneNumber(settings.zone)});
+    return found;
 }
 
 void RelayKernel::Impl::startStream(Instant now, Call &call)
@@ -52,8 +49,13 @@
     if (!call.service->engine) {
         return startPlain(now, call);
     }
-    std::vector<EndpointIndex> indices;
-    const placement::Path path = findPath(now, call, indices);
+    const auto [holders, indices] = candidates(now, call);
+    const placement::PathRequest request{static_cast<double>(call.promptTokens),
+                                         static_cast<double>(call.answerTokens),
+                                         endpoints.zoneNumber(settings.zone),
+                                         {},
+                                         std::nullopt};
+    const placement::Path path = placement::choosePath(*call.service->engine, holders, request);
     if (path.stages.empty()) {
         if (call.sendings > 0 && now - call.lastDelivery < ResumeWithin && call.mayHaveRun) {
             call.nextLook = now + ResumePeriod; // A path may be back before the caller leaves.
@@ -67,6 +69,7 @@
     for (const placement::PathStage &stage : path.stages) {
         const EndpointIndex index = indices[stage.holder];
         attempt.stages.push_back(index);
+        attempt.layers.push_back(stage.layers);
         dispatch.hops.push_back({endpoints.at(index).entry.address, stage.layers});
         text += (text.empty() ? "" : " ") + endpoints.at(index).entry.id + "=" + std::to_string(stage.layers.first) + "-" + std::to_string(stage.layers.end);
     }
@@ -140,8 +143,8 @@
     }
     const AttemptId id = call.attempts.front();
     const Attempt &attempt = attempts.at(id);
-    if (const auto silent = call.route->isResumable ? silentStage(now, attempt) : std::nullopt) {
-        return moveStream(now, call, id, *silent);
+    if (const auto silent = silentStage(now, attempt)) {
+        return leaveStage(now, call, id, *silent);
     }
     const Instant silence = now - attempt.progressAt;
     const Instant firstLimit = std::max(Instant(LookAfterSending), Instant(Ms(static_cast<std::int64_t>(FirstTokenFactor * attempt.predictedFirstMs))));
@@ -163,10 +166,7 @@
     if (call.runs >= call.route->maxAttempts) {
         return; // There is no sending left to move to.
     }
-    driver.record({"stream_moved", call.requestId, endpoints.at(first).entry.id, "no progress for " + std::to_string(silence / Ms(1)) + " ms"});
-    driver.cancel(id);
-    dropAttempt(id);
-    afterStreamFailure(now, call, "the stream made no progress");
+    runAnew(now, call, id, "no progress for " + std::to_string(silence / Ms(1)) + " ms");
 }
 
 std::optional<EndpointIndex> RelayKernel::Impl::silentStage(Instant now, const Attempt &attempt) const
@@ -175,23 +175,46 @@
         return std::nullopt;
     }
     const auto found =
-        std::find_if(attempt.stages.begin(), attempt.stages.end(), [&](EndpointIndex stage) { return endpoints.at(stage).suspectUntil.count() != 0; });
+        std::find_if(attempt.stages.begin(), attempt.stages.end(), [&](EndpointIndex stage) { return isLost(stage); });
     return found == attempt.stages.end() ? std::nullopt : std::optional(*found);
 }
 
+void RelayKernel::Impl::leaveStage(Instant now, Call &call, AttemptId attempt, EndpointIndex silent)
+{
+    const Attempt &state = attempts.at(attempt);
+    const bool isFirst = silent == state.stages.front();
+    if (!isFirst && state.detourPending) {
+        return;
+    }
+    noteBroken(now, call, state, silent);
+    if (!isFirst) {
+        if (detour(now, call, attempt)) {
+            return;
+        }
+    }
+    if (call.route->isResumable) {
+        moveStream(now, call, attempt, silent);
+    }
+}
+
 void RelayKernel::Impl::moveStream(Instant now, Call &call, AttemptId attempt, EndpointIndex silent)
 {
-    call.mayHaveRun = true;
-    noteBroken(now, call, attempts.at(attempt), silent);
     // A run is counted at its first stage: it doesn't count against the route's limit only if that endpoint is the one that was lost.
     if (silent == attempts.at(attempt).stages.front()) {
         --call.runs;
     }
     exclude(call, silent);
-    driver.record({"stream_moved", call.requestId, endpoints.at(silent).entry.id, "a stage of its path is silent"});
+    runAnew(now, call, attempt, endpoints.at(silent).entry.id + " is silent");
+}
+
+void RelayKernel::Impl::runAnew(Instant now, Call &call, AttemptId attempt, const std::string &reason)
+{
+    call.mayHaveRun = true;
+    const EndpointIndex first = attempts.at(attempt).stages.front();
+    driver.record({"stream_moved", call.requestId, endpoints.at(first).entry.id, reason});
     driver.cancel(attempt);
     dropAttempt(attempt);
-    afterStreamFailure(now, call, "a stage of the path is silent");
+    afterStreamFailure(now, call, reason);
 }
 
 void RelayKernel::Impl::moveStreams(Instant now)
@@ -204,11 +227,11 @@
     std::sort(open.begin(), open.end());
     for (const AttemptId id : open) {
         Call *call = callOf(id);
-        if (call == nullptr || call->route->kind != RequestKind::Stream || !call->route->isResumable) {
+        if (call == nullptr || call->route->kind != RequestKind::Stream) {
             continue;
         }
         if (const auto silent = silentStage(now, attempts.at(id))) {
-            moveStream(now, *call, id, *silent);
+            leaveStage(now, *call, id, *silent);
         }
     }
 }
@@ -226,6 +249,7 @@
             impl_->endpoints.onAccepted(stage);
         }
     }
+    state.hasEvents = true;
     impl_->settleUnread(state);
     impl_->endpoints.at(state.stages.front()).eventAt = now;
     call->mayHaveRun = true;
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -17,6 +17,10 @@
     CallId call = 0;
     /// The endpoints that it passes through; one for plain services.
     std::vector<EndpointIndex> stages;
+    /// The layers that each of them runs; none for plain services.
+    std::vector<placement::LayerRange> layers;
+    /// Stages that have not read its prompt yet, or not the tokens so far.
+    std::vector<EndpointIndex> unreadStages;
     Instant sentAt{0};
     /// Of the last event, or of the sending.
     Instant progressAt{0};
@@ -25,8 +29,10 @@
     /// Prompt tokens that each stage reads first.
     double promptTokens = 0;
     double predictedFirstMs = 0;
-    /// Its prompt has been read: events have come, or it is over.
     bool hasEvents = false;
+    /// Detours that its first stage was told of, and whether the last one has no answer yet.
+    int detours = 0;
+    bool detourPending = false;
 };
 
 /// A request of a caller that has not had its whole answer.
@@ -67,6 +73,12 @@
     Instant nextLook{0};
 };
 
+/// Endpoints of a service that a path may lead over; both lists have the same order.
+struct Candidates {
+    std::vector<placement::Holder> holders;
+    std::vector<EndpointIndex> indices;
+};
+
 struct RelayKernel::Impl {
     Impl(RelaySettings relaySettings, RelayDriver &relayDriver);
 
@@ -85,6 +97,8 @@
     void dropAttempt(AttemptId attempt);
     /// The stages have read the attempt's prompt, or need not read it any more.
     void settleUnread(Attempt &attempt);
+    /// Its load goes from the stages that it had to these.
+    void replaceStages(Attempt &attempt, std::vector<EndpointIndex> stages, std::vector<placement::LayerRange> layers);
     void cancelAttempts(Call &call);
     void close(CallId call);
     /// Ends a call that can't get its answer: by an answer of the router's own, or by breaking off its stream.
@@ -115,13 +129,25 @@
 
     // Streams over paths.
     void startStream(Instant now, Call &call);
-    placement::Path findPath(Instant now, const Call &call, std::vector<EndpointIndex> &indices);
+    Candidates candidates(Instant now, const Call &call) const;
     void onStreamRefused(Instant now, Call &call, AttemptId attempt, const AnswerHead &head);
     void afterStreamFailure(Instant now, Call &call, const std::string &detail);
     void watchStream(Instant now, Call &call);
     /// A silent stage of the path, if the stream has been without events since; none otherwise.
     std::optional<EndpointIndex> silentStage(Instant now, const Attempt &attempt) const;
+    /// Takes a stream off a silent stage: by a detour, else by a new run.
+    void leaveStage(Instant now, Call &call, AttemptId attempt, EndpointIndex silent);
     void moveStream(Instant now, Call &call, AttemptId attempt, EndpointIndex silent);
+    /// Has other endpoints take the place of lost stages, and of the one at fault; false if there are none, or none is to be tried any more.
+    bool detour(Instant now, Call &call, AttemptId attempt, std::optional<EndpointIndex> fault = std::nullopt);
+    void tellDetour(const Call &call, AttemptId attempt);
+    /// Gives a run up and goes on with a new one.
+    void runAnew(Instant now, Call &call, AttemptId attempt, const std::string &reason);
+    /// A way over other endpoints for the lost stages [first, end) of an attempt.
+    placement::Path wayRound(const Call &call, const Attempt &attempt, std::size_t first, std::size_t end, const Candidates &others) const;
+    void onDetourAnswer(Instant now, Call &call, AttemptId attempt, OrderOutcome outcome, const std::string &faultAddress);
+    /// A stage that can't go on.
+    bool isLost(EndpointIndex stage) const;
     /// Moves the streams that pass through silent endpoints.
     void moveStreams(Instant now);
 
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -55,6 +55,10 @@
     {
         orders.push_back(order);
     }
+    void sendDetour(const relay::Detour &detour) override
+    {
+        detours.push_back(detour);
+    }
     void readLease() override
     {
         ++leaseReads;
@@ -118,6 +122,7 @@
     std::vector<relay::CallId> broken;
     std::vector<std::string> reportsAsked;
     std::vector<relay::PlaceOrder> orders;
+    std::vector<relay::Detour> detours;
     std::vector<LeaseWrite> leaseWrites;
     std::vector<std::string> digestAddresses;
     std::vector<wire::RelayDigest> digests;
--- a/libs/relayhost/include/relayhost/Dialect.h
+++ b/libs/relayhost/include/relayhost/Dialect.h
@@ -38,6 +38,9 @@
     virtual std::optional<relay::EndpointReport> decodeReport(const net::HttpResponse &response) const = 0;
     virtual net::HttpRequest encodeOrder(const relay::PlaceOrder &order) const = 0;
     virtual relay::OrderOutcome decodeOrderAnswer(int status) const = 0;
+    virtual net::HttpRequest encodeDetour(const relay::Detour &detour) const = 0;
+    /// Address of the stage that stood in a detour's way; empty if the answer names none.
+    virtual std::string decodeDetourFault(const net::HttpResponse &response) const = 0;
 
     /// Paths of the readiness check and of the metrics.
     virtual std::string_view readinessPath() const = 0;
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -33,6 +33,7 @@
     void breakStream(relay::CallId call) override;
     void readReport(const std::string &endpoint, const std::string &address) override;
     void sendOrder(const relay::PlaceOrder &order) override;
+    void sendDetour(const relay::Detour &detour) override;
     void readLease() override;
     void writeLease(const relay::LeaseRecord &record, std::uint64_t expectedRevision) override;
     void sendDigest(const std::vector<std::string> &addresses, const wire::RelayDigest &digest) override;
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -228,6 +228,22 @@
         [this, endpoint](net::CallFailure) { kernel_.onOrderAnswer(now(), endpoint, relay::OrderOutcome::NoAnswer); });
 }
 
+void RelayHost::sendDetour(const relay::Detour &detour)
+{
+    net::ClientCall call;
+    call.address = net::parseAddress(detour.address);
+    call.request = dialect_.encodeDetour(detour);
+    call.connectTime = ReportTime;
+    call.totalTime = ReportTime;
+    const relay::AttemptId attempt = detour.attempt;
+    endpointClient_.fetch(
+        std::move(call),
+        [this, attempt](const net::HttpResponse &response) {
+            kernel_.onDetourAnswer(now(), attempt, dialect_.decodeOrderAnswer(response.status), dialect_.decodeDetourFault(response));
+        },
+        [this, attempt](net::CallFailure) { kernel_.onDetourAnswer(now(), attempt, relay::OrderOutcome::NoAnswer, ""); });
+}
+
 void RelayHost::readLease()
 {
     store_.readLease();
