Changes of the endpoint list go from instance to instance; few instances seek the planner's lease

Ruled out: fewer reads of the configuration (they prove keys); a longer period between questions (it bounds the time to know that an endpoint leaves); watches by all (a call for each change and instance). Change: the list is kept with the store's revision (EndpointList). A question between instances names the revision that the asker knows, the answer brings what has changed since; a hash still proves that both lists are the same. A digest is news only if its revision is later; the news is asked for at once, and read from the store if it isn't told within 350 ms, or leads to another list. Only instances that read the store for all may take the lease; whose knowledge is old says so in its digests and is no reader. The holder's end is noticed when its time is over, not up to 1 s later. Instances that start read the list of instances at 0.5 s intervals first; a watch follows the one before after 0.25 s.

--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -112,8 +112,8 @@
 
     /// A current read of the configuration ended; it was sent at that time. Null if it is the version already known.
     void onConfig(Instant now, Instant sentAt, FleetConfigPtr config);
-    /// A current list of all endpoints.
-    void onEndpoints(Instant now, const std::vector<EndpointEntry> &entries);
+    /// A current list of all endpoints, with all changes up to a revision of the store.
+    void onEndpoints(Instant now, const std::vector<EndpointEntry> &entries, std::uint64_t revision);
 
     /// The list of instances, this one included.
     void onInstances(Instant now, const std::vector<InstanceEntry> &instances);
--- a/libs/relay/src/Detours.cpp
+++ b/libs/relay/src/Detours.cpp
@@ -62,8 +62,7 @@
     return true;
 }
 
-placement::Path
-RelayKernel::Impl::wayRound(const Call &call, const Attempt &attempt, std::size_t first, std::size_t end, const Candidates &others) const
+placement::Path RelayKernel::Impl::wayRound(const Call &call, const Attempt &attempt, std::size_t first, std::size_t end, const Candidates &others) const
 {
     placement::PathRequest request;
     request.promptTokens = call.promptTokens;
--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -63,6 +63,8 @@
         digest->strikes.swap(untoldStrikes);
         digest->configVersion = known.configVersion;
         digest->endpointsHash = now - known.endpointsAt < NewsLife ? known.endpointsHash : 0;
+        digest->endpointsRevision = known.endpointsRevision;
+        digest->isBehind = StoreDuty::isBehind(now, known);
         driver.sendDigest(peers.addresses(), *digest);
     }
 }
@@ -92,7 +94,7 @@
             askReport(now, *index);
         }
     }
-    storeDuty.onNews(digest.configVersion, digest.endpointsHash, now, known);
+    storeDuty.onNews(digest, settings.node, now, known);
     for (const std::uint64_t fingerprint : digest.strikes) {
         crashes.onStrike(fingerprint, now);
     }
--- /dev/null
+++ b/libs/relay/src/EndpointList.cpp
@@ -0,0 +1,152 @@
+#include "details/EndpointList.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace relay {
+
+namespace {
+
+/// Endpoints that are gone are told to others as long as there are not more of them.
+constexpr std::size_t MostRemoved = 256;
+constexpr unsigned HalfBits = 32;
+
+wire::EndpointRecord toRecord(const EndpointEntry &entry)
+{
+    return {entry.id,
+            entry.service,
+            entry.address,
+            entry.zone,
+            entry.incarnation,
+            entry.draining,
+            entry.slots,
+            entry.accelerator,
+            entry.layers.first,
+            entry.layers.end,
+            entry.modelVersion};
+}
+
+EndpointEntry toEntry(const wire::EndpointRecord &record)
+{
+    return {record.id,
+            record.service,
+            record.address,
+            record.zone,
+            record.incarnation,
+            record.draining,
+            record.slots,
+            record.accelerator,
+            {record.firstLayer, record.endLayer},
+            record.modelVersion};
+}
+
+} // namespace
+
+bool EndpointList::replace(const std::vector<EndpointEntry> &entries, std::uint64_t revision)
+{
+    if (revision < revision_) {
+        return false;
+    }
+    if (revision_ == 0) {
+        knownSince_ = revision;
+    }
+    std::set<std::string> present;
+    for (const EndpointEntry &entry : entries) {
+        present.insert(entry.id);
+        put(toRecord(entry), revision);
+    }
+    std::vector<std::string> gone;
+    for (const auto &[id, listed] : listed_) {
+        if (!present.contains(id)) {
+            gone.push_back(id);
+        }
+    }
+    for (const std::string &id : gone) {
+        remove(id, revision);
+    }
+    revision_ = revision;
+    return true;
+}
+
+bool EndpointList::apply(const wire::EndpointListChanges &changes, std::uint64_t revision)
+{
+    if (revision <= revision_ || revision_ == 0) {
+        return false;
+    }
+    for (const wire::EndpointRecord &record : changes.changed) {
+        put(record, revision);
+    }
+    for (const std::string &id : changes.removed) {
+        remove(id, revision);
+    }
+    revision_ = revision;
+    return true;
+}
+
+void EndpointList::put(const wire::EndpointRecord &record, std::uint64_t revision)
+{
+    Listed &listed = listed_[record.id];
+    if (listed.changedAt == 0 || listed.record != record) {
+        listed = {record, revision};
+        std::erase_if(removed_, [&](const Removed &removed) { return removed.id == record.id; });
+    }
+}
+
+void EndpointList::remove(const std::string &id, std::uint64_t revision)
+{
+    if (listed_.erase(id) == 0) {
+        return;
+    }
+    removed_.push_back({id, revision});
+    if (removed_.size() > MostRemoved) {
+        knownSince_ = std::max(knownSince_, removed_.front().removedAt);
+        removed_.pop_front();
+    }
+}
+
+std::optional<wire::EndpointListChanges> EndpointList::since(std::uint64_t revision) const
+{
+    if (revision_ == 0 || revision < knownSince_) {
+        return std::nullopt;
+    }
+    wire::EndpointListChanges changes;
+    for (const auto &[id, listed] : listed_) {
+        if (listed.changedAt > revision) {
+            changes.changed.push_back(listed.record);
+        }
+    }
+    for (const Removed &removed : removed_) {
+        if (removed.removedAt > revision) {
+            changes.removed.push_back(removed.id);
+        }
+    }
+    return changes;
+}
+
+std::vector<EndpointEntry> EndpointList::entries() const
+{
+    std::vector<EndpointEntry> entries;
+    entries.reserve(listed_.size());
+    for (const auto &[id, listed] : listed_) {
+        entries.push_back(toEntry(listed.record));
+    }
+    return entries;
+}
+
+std::uint64_t EndpointList::hash() const
+{
+    std::uint64_t hash = listed_.size() + 1;
+    for (const auto &[id, listed] : listed_) {
+        const wire::EndpointRecord &record = listed.record;
+        hash = base::hashOf(record.address, base::mixBits(base::hashOf(id, hash)));
+        hash = base::mixBits(hash ^ record.incarnation);
+        hash = base::mixBits(hash ^ (record.draining ? 1U : 0U));
+        hash = base::mixBits(hash ^ (static_cast<std::uint64_t>(record.firstLayer) << HalfBits | record.endLayer));
+        hash = base::mixBits(hash ^ record.modelVersion);
+    }
+    return hash;
+}
+
+} // namespace relay
--- a/libs/relay/src/PeerLoads.cpp
+++ b/libs/relay/src/PeerLoads.cpp
@@ -101,24 +101,31 @@
     return {sum.openRequests * unheard, sum.contextTokens * unheard};
 }
 
-std::vector<std::string> PeerLoads::firstInstances(const std::string &own, std::size_t count, Instant now) const
+std::vector<std::string> PeerLoads::firstInstances(const std::string &own, bool isBehind, std::size_t count, Instant now) const
 {
     std::vector<std::string> live;
     for (const auto &[id, peer] : peers_) {
-        if (isFresh(peer, now) && addressById_.contains(id)) {
+        if (isFresh(peer, now) && !peer.digest.isBehind && addressById_.contains(id)) {
             live.push_back(id);
         }
     }
     if (live.empty()) {
         return live;
     }
-    live.push_back(own);
+    if (!isBehind) {
+        live.push_back(own);
+    }
     // By hash, so that the first ones are not all of one zone.
     std::sort(live.begin(), live.end(), [](const auto &a, const auto &b) { return base::mixBits(base::hashOf(a)) < base::mixBits(base::hashOf(b)); });
     live.resize(std::min(count, live.size()));
     return live;
 }
 
+bool PeerLoads::isAlone(Instant now) const
+{
+    return std::none_of(peers_.begin(), peers_.end(), [&](const auto &entry) { return isFresh(entry.second, now); });
+}
+
 std::string PeerLoads::addressOf(const std::string &instance) const
 {
     const auto found = addressById_.find(instance);
--- a/libs/relay/src/PlannerDuty.cpp
+++ b/libs/relay/src/PlannerDuty.cpp
@@ -47,12 +47,12 @@
     return now < validUntil_ && record_.fence > refusedFence_;
 }
 
-void PlannerDuty::tick(Instant now, const FleetConfigPtr &config)
+void PlannerDuty::tick(Instant now, const FleetConfigPtr &config, bool mayTakeLease)
 {
     if (!enabled_ || releasing_) {
         return;
     }
-    keepLease(now);
+    keepLease(now, mayTakeLease);
     if (!holdsLease(now)) {
         pending_.clear();
         return;
@@ -69,7 +69,7 @@
     }
 }
 
-void PlannerDuty::keepLease(Instant now)
+void PlannerDuty::keepLease(Instant now, bool mayTakeLease)
 {
     if (writing_ || now < nextAction_) {
         return;
@@ -80,13 +80,17 @@
         write({instance_, record_.fence, record_.renewal + 1}, revision_);
         return;
     }
+    if (!mayTakeLease) {
+        hasRead_ = false; // What was read may be old when this instance may take the lease again.
+        return;
+    }
     const bool isFree = hasRead_ && (revision_ == 0 || record_.holder.empty() || now >= seenAt_ + leaseTime_);
     if (isFree) {
         nextAction_ = now + ObservePeriod;
         write({instance_, record_.fence + 1, 0}, revision_);
         return;
     }
-    nextAction_ = now + ObservePeriod;
+    nextAction_ = hasRead_ ? std::min(now + Instant(ObservePeriod), seenAt_ + leaseTime_) : now + Instant(ObservePeriod);
     driver_.readLease();
 }
 
@@ -106,7 +110,7 @@
     revision_ = revision;
     record_ = record;
     seenAt_ = now;
-    if (revision == 0 || record.holder.empty()) {
+    if (revision == 0 || record.holder.empty() || record.holder == instance_) {
         nextAction_ = now;
     }
 }
@@ -116,7 +120,7 @@
     writing_ = false;
     if (revision == 0) {
         // Another instance was faster, or the outcome is unknown: a read tells.
-        nextAction_ = now + RetryTime;
+        nextAction_ = now + ObservePeriod;
         driver_.readLease();
         return;
     }
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -60,8 +60,8 @@
     checkSuspects(now);
     checkSlow(now);
     checkCrashes(now);
-    planner.tick(now, config);
     storeDuty.tick(now, settings.node, known);
+    planner.tick(now, config, storeDuty.isReader());
     sendDigest(now);
     updateReadiness(now);
     if (stopping) {
@@ -69,6 +69,41 @@
     }
 }
 
+void RelayKernel::Impl::takeList(Instant now)
+{
+    const bool afterOutage = listedAt.count() != 0 && now - listedAt > OutageTime;
+    listedAt = now;
+    known.endpointsRevision = list.revision();
+    endpoints.onList(now, list.entries(), afterOutage);
+    const std::uint64_t hash = list.hash();
+    if (hash != known.endpointsHash) {
+        known.endpointsHash = hash;
+        peers.expedite();
+    }
+    updateReadiness(now);
+}
+
+void RelayKernel::Impl::answer(Instant now, const wire::FreshnessQuestion &question)
+{
+    const std::string address = peers.addressOf(question.instance);
+    auto answer = storeDuty.answerTo(question, now, known);
+    if (answer && !address.empty()) {
+        answer->changes = list.since(question.endpointsRevision);
+        driver.sendAnswer(address, *answer);
+    }
+}
+
+void RelayKernel::Impl::onFreshness(Instant now, const wire::FreshnessAnswer &answer)
+{
+    if (answer.changes && storeDuty.isAnswerToMe(answer) && list.apply(*answer.changes, answer.endpointsRevision)) {
+        takeList(now);
+    }
+    const Instant listedBefore = known.endpointsAt;
+    storeDuty.onAnswer(answer, now, known);
+    listedAt = known.endpointsAt > listedBefore ? now : listedAt;
+    updateReadiness(now);
+}
+
 void RelayKernel::Impl::updateReadiness(Instant now)
 {
     const bool should = !stopping && endpoints.hasList() && configIsCurrent(now, oldestForReadiness());
@@ -97,24 +132,6 @@
     }
 }
 
-namespace {
-
-/// The same for lists with the same content, in any order.
-std::uint64_t hashOfList(const std::vector<EndpointEntry> &entries)
-{
-    std::uint64_t sum = entries.size() + 1;
-    for (const EndpointEntry &entry : entries) {
-        std::uint64_t hash = base::hashOf(entry.address, base::hashOf(entry.id));
-        hash = base::mixBits(hash ^ entry.incarnation);
-        hash = base::mixBits(hash ^ (entry.draining ? 1U : 0U));
-        hash = base::mixBits(hash ^ (static_cast<std::uint64_t>(entry.layers.first) << 32U | entry.layers.end));
-        sum += base::mixBits(hash ^ entry.modelVersion);
-    }
-    return sum;
-}
-
-} // namespace
-
 RelayKernel::RelayKernel(RelaySettings settings, RelayDriver &driver)
     : impl_(std::make_unique<Impl>(std::move(settings), driver))
 {
@@ -160,18 +177,12 @@
     impl.updateReadiness(now);
 }
 
-void RelayKernel::onEndpoints(Instant now, const std::vector<EndpointEntry> &entries)
+void RelayKernel::onEndpoints(Instant now, const std::vector<EndpointEntry> &entries, std::uint64_t revision)
 {
-    const bool afterOutage = impl_->listedAt.count() != 0 && now - impl_->listedAt > OutageTime;
-    impl_->listedAt = now;
-    impl_->endpoints.onList(now, entries, afterOutage);
-    const std::uint64_t hash = hashOfList(entries);
-    if (hash != impl_->known.endpointsHash) {
-        impl_->known.endpointsHash = hash;
-        impl_->peers.expedite();
+    if (impl_->list.replace(entries, revision)) {
+        impl_->known.endpointsAt = now;
+        impl_->takeList(now);
     }
-    impl_->known.endpointsAt = now;
-    impl_->updateReadiness(now);
 }
 
 void RelayKernel::onInstances(Instant, const std::vector<InstanceEntry> &instances)
@@ -185,16 +196,9 @@
     if (const auto *digest = std::get_if<wire::RelayDigest>(&message)) {
         impl_->onDigest(now, *digest);
     } else if (const auto *question = std::get_if<wire::FreshnessQuestion>(&message)) {
-        const std::string address = impl_->peers.addressOf(question->instance);
-        const auto answer = impl_->storeDuty.answerTo(*question, now, impl_->known);
-        if (answer && !address.empty()) {
-            impl_->driver.sendAnswer(address, *answer);
-        }
+        impl_->answer(now, *question);
     } else if (const auto *answer = std::get_if<wire::FreshnessAnswer>(&message)) {
-        const Instant listedBefore = impl_->known.endpointsAt;
-        impl_->storeDuty.onAnswer(*answer, now, impl_->known);
-        impl_->listedAt = impl_->known.endpointsAt > listedBefore ? now : impl_->listedAt;
-        impl_->updateReadiness(now);
+        impl_->onFreshness(now, *answer);
     }
 }
 
--- a/libs/relay/src/StoreDuty.cpp
+++ b/libs/relay/src/StoreDuty.cpp
@@ -13,8 +13,12 @@
 /// the endpoints, old.
 constexpr Ms OldestConfig{1800};
 constexpr Ms OldestEndpoints{2600};
-/// Readings on the word of others are this far apart at least.
+/// Readings and questions on the word of others are this far apart at least.
 constexpr Ms RefreshPeriod{250};
+/// Changes that another instance has named and not told after this time are read from the store.
+constexpr Ms NewsTime{350};
+/// An instance that has heard of no other is taken to be alone after this time.
+constexpr Ms LonelyTime{2000};
 
 } // namespace
 
@@ -26,21 +30,37 @@
 
 void StoreDuty::tick(Instant now, const std::string &own, const Knowledge &known)
 {
-    const std::vector<std::string> readers = peers_.firstInstances(own, Readers, now);
-    const bool isReader = readers.empty() || std::find(readers.begin(), readers.end(), own) != readers.end();
-    const bool isOld = now - known.configAt > OldestConfig || now - known.endpointsAt > OldestEndpoints;
-    const bool shouldFollow = isReader || isOld;
+    startedAt_ = startedAt_.count() == 0 ? now : startedAt_;
+    const bool isOld = isBehind(now, known);
+    const std::vector<std::string> readers = peers_.firstInstances(own, isOld, Readers, now);
+    const bool isFirst = std::find(readers.begin(), readers.end(), own) != readers.end();
+    isReader_ = isFirst || (peers_.isAlone(now) && now >= startedAt_ + LonelyTime);
+    const bool shouldFollow = isFirst || readers.empty() || isOld;
     if (shouldFollow != follows_) {
         follows_ = shouldFollow;
         driver_.followStore(follows_);
     }
-    if (isReader || now < nextQuestion_) {
+    if (newsRevision_ > known.endpointsRevision && now >= newsAt_ + NewsTime) {
+        newsAt_ = now;
+        refreshEndpoints(now);
+    }
+    if (isFirst || readers.empty() || now < nextQuestion_) {
         return;
     }
+    ask(readers[nextNumber_ % readers.size()], own, now, known);
+}
+
+bool StoreDuty::isBehind(Instant now, const Knowledge &known)
+{
+    return now - known.configAt > OldestConfig || now - known.endpointsAt > OldestEndpoints;
+}
+
+void StoreDuty::ask(const std::string &instance, const std::string &own, Instant now, const Knowledge &known)
+{
     nextQuestion_ = now + QuestionPeriod;
     const std::uint64_t number = nextNumber_++;
     askedAt_[number % askedAt_.size()] = now;
-    driver_.sendQuestion(peers_.addressOf(readers[number % readers.size()]), {own, number});
+    driver_.sendQuestion(peers_.addressOf(instance), {own, number, known.endpointsRevision});
 }
 
 std::optional<wire::FreshnessAnswer> StoreDuty::answerTo(const wire::FreshnessQuestion &question, Instant now, const Knowledge &known) const
@@ -52,36 +72,56 @@
     const auto ageMs = [&](Instant at) {
         return static_cast<std::uint64_t>(std::chrono::ceil<Ms>(now - at).count());
     };
-    return wire::FreshnessAnswer{question.number, known.configVersion, ageMs(known.configAt), known.endpointsHash, ageMs(known.endpointsAt)};
+    return wire::FreshnessAnswer{
+        question.number, known.configVersion, ageMs(known.configAt), known.endpointsHash, ageMs(known.endpointsAt), known.endpointsRevision, std::nullopt};
+}
+
+bool StoreDuty::isAnswerToMe(const wire::FreshnessAnswer &answer) const
+{
+    return answer.number < nextNumber_ && answer.number + askedAt_.size() >= nextNumber_;
 }
 
 void StoreDuty::onAnswer(const wire::FreshnessAnswer &answer, Instant now, Knowledge &known)
 {
-    const bool isKnown = answer.number < nextNumber_ && answer.number + askedAt_.size() >= nextNumber_;
-    if (!isKnown) {
+    if (!isAnswerToMe(answer)) {
         return;
     }
     const Instant askedAt = askedAt_[answer.number % askedAt_.size()];
     if (answer.configVersion == known.configVersion) {
         known.configAt = std::max(known.configAt, askedAt - Instant(Ms(answer.configAgeMs)));
     }
+    if (answer.configVersion > known.configVersion) {
+        driver_.refreshConfig();
+    }
     if (answer.endpointsHash == known.endpointsHash) {
         known.endpointsAt = std::max(known.endpointsAt, askedAt - Instant(Ms(answer.endpointsAgeMs)));
+    } else if (answer.endpointsRevision >= known.endpointsRevision) {
+        refreshEndpoints(now); // The changes did not lead to the same list, or were not told.
     }
-    refresh(answer.configVersion > known.configVersion, answer.endpointsHash != known.endpointsHash, now);
 }
 
-void StoreDuty::onNews(std::uint64_t configVersion, std::uint64_t endpointsHash, Instant now, const Knowledge &known)
+void StoreDuty::onNews(const wire::RelayDigest &digest, const std::string &own, Instant now, const Knowledge &known)
 {
-    refresh(configVersion > known.configVersion, endpointsHash != 0 && endpointsHash != known.endpointsHash, now);
+    if (digest.configVersion > known.configVersion) {
+        driver_.refreshConfig();
+    }
+    // A revision that names no other content is no news.
+    if (digest.endpointsHash == 0 || digest.endpointsHash == known.endpointsHash || digest.endpointsRevision <= known.endpointsRevision) {
+        return;
+    }
+    if (newsRevision_ <= known.endpointsRevision) {
+        newsAt_ = now;
+    }
+    newsRevision_ = std::max(newsRevision_, digest.endpointsRevision);
+    if (now >= askedForNewsAt_ + RefreshPeriod) {
+        askedForNewsAt_ = now;
+        ask(digest.instance, own, now, known);
+    }
 }
 
-void StoreDuty::refresh(bool config, bool endpoints, Instant now)
+void StoreDuty::refreshEndpoints(Instant now)
 {
-    if (config) {
-        driver_.refreshConfig();
-    }
-    if (endpoints && now >= refreshedAt_ + RefreshPeriod) {
+    if (now >= refreshedAt_ + RefreshPeriod) {
         refreshedAt_ = now;
         driver_.refreshEndpoints();
     }
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -50,11 +50,8 @@
         return startPlain(now, call);
     }
     const auto [holders, indices] = candidates(now, call);
-    const placement::PathRequest request{static_cast<double>(call.promptTokens),
-                                         static_cast<double>(call.answerTokens),
-                                         endpoints.zoneNumber(settings.zone),
-                                         {},
-                                         std::nullopt};
+    const placement::PathRequest request{
+        static_cast<double>(call.promptTokens), static_cast<double>(call.answerTokens), endpoints.zoneNumber(settings.zone), {}, std::nullopt};
     const placement::Path path = placement::choosePath(*call.service->engine, holders, request);
     if (path.stages.empty()) {
         if (call.sendings > 0 && now - call.lastDelivery < ResumeWithin && call.mayHaveRun) {
@@ -174,8 +171,7 @@
     if (now - attempt.progressAt < MoveAfterSilence) {
         return std::nullopt;
     }
-    const auto found =
-        std::find_if(attempt.stages.begin(), attempt.stages.end(), [&](EndpointIndex stage) { return isLost(stage); });
+    const auto found = std::find_if(attempt.stages.begin(), attempt.stages.end(), [&](EndpointIndex stage) { return isLost(stage); });
     return found == attempt.stages.end() ? std::nullopt : std::optional(*found);
 }
 
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "details/CrashGuard.h"
+#include "details/EndpointList.h"
 #include "details/EndpointRegistry.h"
 #include "details/PeerLoads.h"
 #include "details/PlannerDuty.h"
@@ -152,6 +153,10 @@
     void moveStreams(Instant now);
 
     void tick(Instant now);
+    /// The list of endpoints has become younger, or has changed.
+    void takeList(Instant now);
+    void answer(Instant now, const wire::FreshnessQuestion &question);
+    void onFreshness(Instant now, const wire::FreshnessAnswer &answer);
     void updateReadiness(Instant now);
     void continueStopping(Instant now);
     void checkSuspects(Instant now);
@@ -160,6 +165,7 @@
     RelaySettings settings;
     RelayDriver &driver;
     EndpointRegistry endpoints;
+    EndpointList list;
     PeerLoads peers;
     PlannerDuty planner;
     StoreDuty storeDuty;
--- a/libs/relay/src/details/PeerLoads.h
+++ b/libs/relay/src/details/PeerLoads.h
@@ -38,8 +38,12 @@
     /// Load of all instances on an endpoint.
     LoadEstimate loadOn(EndpointIndex index, Instant now) const;
 
-    /// The instances, this one included, that come first in an order that all agree on; empty if no other has been heard of lately.
-    std::vector<std::string> firstInstances(const std::string &own, std::size_t count, Instant now) const;
+    /// Of the instances whose knowledge isn't old, those that come first in an order that all agree on. This one is among them unless it is
+    /// behind. Empty if no other has been heard of lately.
+    std::vector<std::string> firstInstances(const std::string &own, bool isBehind, std::size_t count, Instant now) const;
+
+    /// No other instance has been heard of lately.
+    bool isAlone(Instant now) const;
 
     /// Mesh address of an instance; empty if it isn't listed.
     std::string addressOf(const std::string &instance) const;
--- a/libs/relay/src/details/PlannerDuty.h
+++ b/libs/relay/src/details/PlannerDuty.h
@@ -16,8 +16,9 @@
 
     void configure(const RelaySettings &settings);
 
-    /// Renews or takes the lease, and sends what is due.
-    void tick(Instant now, const FleetConfigPtr &config);
+    /// Renews the lease, or takes it if this instance is one of those that may, and sends what is due. Few may, so that the writes at the end
+    /// of a lease don't grow with the fleet.
+    void tick(Instant now, const FleetConfigPtr &config, bool mayTakeLease);
     void onLeaseRead(Instant now, std::uint64_t revision, const LeaseRecord &record);
     void onLeaseWritten(Instant now, Instant sentAt, std::uint64_t revision);
     void onOrderAnswer(Instant now, EndpointIndex index, OrderOutcome outcome);
@@ -37,7 +38,7 @@
         bool accepted = false;
     };
 
-    void keepLease(Instant now);
+    void keepLease(Instant now, bool mayTakeLease);
     void write(const LeaseRecord &record, std::uint64_t expectedRevision);
     void settlePending(Instant now);
     void orderLayers(Instant now, const Service &service);
--- a/libs/relay/src/details/StoreDuty.h
+++ b/libs/relay/src/details/StoreDuty.h
@@ -21,6 +21,7 @@
         std::uint64_t configVersion = 0;
         Instant configAt{0};
         std::uint64_t endpointsHash = 0;
+        std::uint64_t endpointsRevision = 0;
         Instant endpointsAt{0};
     };
 
@@ -32,15 +33,34 @@
     /// Takes an answer: `known` becomes younger where the other's knowledge is the same.
     void onAnswer(const wire::FreshnessAnswer &answer, Instant now, Knowledge &known);
 
+    /// Whether the answer is to a late question of this instance.
+    bool isAnswerToMe(const wire::FreshnessAnswer &answer) const;
+
+    /// The knowledge is too old to rely on.
+    static bool isBehind(Instant now, const Knowledge &known);
+
     /// Another instance's digest names what it knows.
-    void onNews(std::uint64_t configVersion, std::uint64_t endpointsHash, Instant now, const Knowledge &known);
+    void onNews(const wire::RelayDigest &digest, const std::string &own, Instant now, const Knowledge &known);
+
+    /// One of the instances that read the store for all, as far as this one can tell.
+    bool isReader() const
+    {
+        return isReader_;
+    }
 
 private:
-    void refresh(bool config, bool endpoints, Instant now);
+    void ask(const std::string &instance, const std::string &own, Instant now, const Knowledge &known);
+    void refreshEndpoints(Instant now);
 
     const PeerLoads &peers_;
     RelayDriver &driver_;
     bool follows_ = true;
+    bool isReader_ = false;
+    Instant startedAt_{0};
+    /// The latest revision of the list of endpoints that another has named, and since when it is waited for.
+    std::uint64_t newsRevision_ = 0;
+    Instant newsAt_{0};
+    Instant askedForNewsAt_{0};
     Instant nextQuestion_{0};
     Instant refreshedAt_{0};
     std::uint64_t nextNumber_ = 1;
--- a/libs/relay/tests/AdmissionTests.cpp
+++ b/libs/relay/tests/AdmissionTests.cpp
@@ -107,7 +107,7 @@
     CHECK(!driver.ready);
     fresh.onConfig(bed.now, bed.now, RelayBed::config(1));
     CHECK(!driver.ready);
-    fresh.onEndpoints(bed.now, bed.entries);
+    fresh.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
     CHECK(driver.ready);
 }
 
@@ -208,14 +208,14 @@
 {
     CHECK(isUsedWithin(5, "desk-a"));
     list("desk-a", true);
-    bed.kernel.onEndpoints(bed.now, bed.entries);
+    bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
     CHECK(!isUsedWithin(20, "desk-a"));
 }
 
 TEST(AnEndpoint, isGoneOnceTheListLacksIt)
 {
     std::erase_if(bed.entries, [](const EndpointEntry &entry) { return entry.id == "desk-a"; });
-    bed.kernel.onEndpoints(bed.now, bed.entries);
+    bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
     CHECK(!isUsedWithin(20, "desk-a"));
 }
 
@@ -226,7 +226,7 @@
     bed.pass(Ms(3000), false);
     bed.entries.clear();
     bed.kernel.onConfig(bed.now, bed.now, nullptr);
-    bed.kernel.onEndpoints(bed.now, bed.entries);
+    bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
     CHECK(isUsedWithin(5, "desk-a"));
     bed.pass(Ms(2500));
     const std::size_t before = bed.driver.sent.size();
--- a/libs/relay/tests/DetourTests.cpp
+++ b/libs/relay/tests/DetourTests.cpp
@@ -106,7 +106,7 @@
 TEST(ADetour, isTriedOverAnotherHolderIfOneHasNoRoom)
 {
     bed.entries.push_back(RelayBed::engineEntry("high-c", "zone-c", {RelayBed::HalfLayers, 80}));
-    bed.kernel.onEndpoints(bed.now, bed.entries);
+    bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
     startStream(2);
     const AttemptId run = bed.lastAttempt();
     loseUpperStage();
@@ -147,7 +147,7 @@
     for (EndpointEntry &entry : bed.entries) {
         entry.draining = entry.layers.first == RelayBed::HalfLayers && entry.address != lost;
     }
-    bed.kernel.onEndpoints(bed.now, bed.entries);
+    bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
     loseUpperStage();
     CHECK(bed.driver.detours.empty());
 }
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -145,7 +145,7 @@
         : kernel(settings(), driver)
     {
         kernel.onConfig(now, now, config(1));
-        kernel.onEndpoints(now, entries);
+        kernel.onEndpoints(now, entries, ++storeRevision);
         kernel.onInstances(now, {{"one", "10.0.0.1:7000"}, {"two", "10.0.0.2:7000"}});
         kernel.onTick(now);
     }
@@ -253,7 +253,7 @@
             now += Step;
             if (storeAnswers) {
                 kernel.onConfig(now, now, nullptr);
-                kernel.onEndpoints(now, entries);
+                kernel.onEndpoints(now, entries, ++storeRevision);
             }
             kernel.onTick(now);
         }
@@ -273,6 +273,7 @@
         deskEntry("desk-b", "zone-b"),
         deskEntry("desk-c", "zone-c"),
     };
+    std::uint64_t storeRevision = 0;
     relay::Instant now{std::chrono::seconds(100)};
     FakeDriver driver;
     relay::RelayKernel kernel;
--- a/libs/relay/tests/PlannerTests.cpp
+++ b/libs/relay/tests/PlannerTests.cpp
@@ -12,6 +12,7 @@
     std::unique_ptr<RelayKernel> kernel;
     Instant now{std::chrono::seconds(100)};
     std::vector<EndpointEntry> entries;
+    std::uint64_t storeRevision = 0;
 
     void setup() override
     {
@@ -22,7 +23,9 @@
             entries.push_back(RelayBed::engineEntry(id, "zone-a", {}));
         }
         kernel->onConfig(now, now, RelayBed::config(1));
-        kernel->onEndpoints(now, entries);
+        kernel->onEndpoints(now, entries, ++storeRevision);
+        // An instance that hears of no other takes itself to be alone after a while.
+        pass(Ms(2100), false);
     }
 
     void pass(Ms time, bool renews = true)
@@ -32,7 +35,7 @@
             const std::size_t writes = driver.leaseWrites.size();
             now += Step;
             kernel->onConfig(now, now, nullptr);
-            kernel->onEndpoints(now, entries);
+            kernel->onEndpoints(now, entries, ++storeRevision);
             kernel->onTick(now);
             if (renews && driver.leaseWrites.size() > writes) {
                 kernel->onLeaseWritten(now, now, ++revision);
@@ -113,7 +116,7 @@
     const std::size_t before = driver.orders.size();
     entries.push_back(RelayBed::engineEntry("five", "zone-a", {}));
     now += std::chrono::seconds(4);
-    kernel->onEndpoints(now, entries);
+    kernel->onEndpoints(now, entries, ++storeRevision);
     kernel->onTick(now);
     CHECK(!kernel->isPlanner(now));
     LONGS_EQUAL(before, driver.orders.size());
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -136,7 +136,7 @@
 TEST(AStream, thatMovedFromALostFirstStageMayMoveOnceMore)
 {
     bed.entries.push_back(RelayBed::engineEntry("low-c", "zone-c", {0, RelayBed::HalfLayers}));
-    bed.kernel.onEndpoints(bed.now, bed.entries);
+    bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
     startStream(2);
     const std::string first = bed.driver.sent.back().endpoint;
     bed.pass(Ms(300));
@@ -263,7 +263,7 @@
     for (EndpointEntry &entry : bed.entries) {
         entry.draining = entry.layers.first == RelayBed::HalfLayers;
     }
-    bed.kernel.onEndpoints(bed.now, bed.entries);
+    bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
     bed.call("/stream/x");
     CHECK(bed.driver.sent.empty());
     CHECK(base::errorAnswer(bed.driver.rejected.back().rejection.kind).ran == base::Ran::No);
--- a/libs/relayhost/include/relayhost/StoreFollower.h
+++ b/libs/relayhost/include/relayhost/StoreFollower.h
@@ -11,7 +11,8 @@
 struct StoreHandlers {
     /// The configuration is as of the time at which the read was sent; null if it is the one reported last.
     std::function<void(relay::Instant sentAt, relay::FleetConfigPtr)> onConfig;
-    std::function<void(std::vector<relay::EndpointEntry>)> onEndpoints;
+    /// The whole list, with all changes up to the revision.
+    std::function<void(std::vector<relay::EndpointEntry>, std::uint64_t revision)> onEndpoints;
     std::function<void(const LeaseRead &)> onLease;
     /// Revision 0: not written, or unknown.
     std::function<void(relay::Instant sentAt, std::uint64_t revision)> onLeaseWritten;
@@ -67,6 +68,7 @@
     std::uint64_t revision_ = 0;
     relay::Instant listedAt_{0};
     std::size_t damaged_ = 0;
+    int instancesReads_ = 0;
     bool reachable_ = false;
     bool follows_ = true;
     /// Nothing is under way or planned for the configuration, or for the endpoints.
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -94,8 +94,8 @@
         }
         kernel_.onConfig(now(), sentAt, config);
     };
-    handlers.onEndpoints = [this](const std::vector<relay::EndpointEntry> &entries) {
-        kernel_.onEndpoints(now(), entries);
+    handlers.onEndpoints = [this](const std::vector<relay::EndpointEntry> &entries, std::uint64_t revision) {
+        kernel_.onEndpoints(now(), entries, revision);
     };
     handlers.onLease = [this](const LeaseRead &lease) {
         kernel_.onLeaseRead(now(), lease.first, lease.second);
--- a/libs/relayhost/src/StoreFollower.cpp
+++ b/libs/relayhost/src/StoreFollower.cpp
@@ -13,12 +13,15 @@
 /// A watch of the endpoints ends after this time even if nothing has changed: its answer shows that the store still reaches this instance.
 constexpr relay::Ms WatchTime{1900};
 /// From one watch to the next; changes that come together are taken together.
-constexpr relay::Ms LeastWatchPeriod{100};
+constexpr relay::Ms LeastWatchPeriod{250};
 /// The whole list is read again after this time, whatever the watches have shown.
 constexpr relay::Ms WholeListPeriod{10000};
 constexpr relay::Ms RetryPeriod{150};
 constexpr relay::Ms EnterPeriod{1000};
 constexpr relay::Ms InstancesPeriod{2500};
+/// The same while instances that start together enter themselves.
+constexpr relay::Ms FirstInstancesPeriod{500};
+constexpr int FirstInstancesReads = 3;
 
 } // namespace
 
@@ -132,7 +135,7 @@
     for (const auto &[id, entry] : endpoints_) {
         entries.push_back(entry);
     }
-    handlers_.onEndpoints(std::move(entries));
+    handlers_.onEndpoints(std::move(entries), revision_);
 }
 
 void StoreFollower::watchEndpoints()
@@ -181,7 +184,9 @@
             handlers_.onInstances(*instances);
         }
     });
-    at(base::readSuspendClock() + InstancesPeriod, [this]() { listInstances(); });
+    ++instancesReads_;
+    const relay::Ms period = instancesReads_ <= FirstInstancesReads ? FirstInstancesPeriod : InstancesPeriod;
+    at(base::readSuspendClock() + period, [this]() { listInstances(); });
 }
 
 void StoreFollower::readLease()
--- a/libs/relayhost/tests/StoreFollowerTests.cpp
+++ b/libs/relayhost/tests/StoreFollowerTests.cpp
@@ -65,6 +65,7 @@
     FakeClient *client = nullptr;
     std::unique_ptr<StoreFollower> follower;
     std::vector<std::vector<relay::EndpointEntry>> reported;
+    std::vector<std::uint64_t> revisions;
     std::vector<relay::Instant> configSentAt;
     std::vector<bool> reachable;
 
@@ -74,8 +75,9 @@
         handlers.onConfig = [this](relay::Instant sentAt, const relay::FleetConfigPtr &) {
             configSentAt.push_back(sentAt);
         };
-        handlers.onEndpoints = [this](std::vector<relay::EndpointEntry> entries) {
+        handlers.onEndpoints = [this](std::vector<relay::EndpointEntry> entries, std::uint64_t revision) {
             reported.push_back(std::move(entries));
+            revisions.push_back(revision);
         };
         handlers.onLease = [](const LeaseRead &) {
         };
@@ -111,6 +113,8 @@
     client->watches.at(0)(EndpointChanges{{{"a", std::nullopt}, {"c", entry("c")}, {"d", entry("d")}}, 44});
     LONGS_EQUAL(3, reported.at(1).size());
     STRCMP_EQUAL("b", reported.at(1).at(0).id.c_str());
+    LONGS_EQUAL(40, revisions.at(0));
+    LONGS_EQUAL(44, revisions.at(1));
     loop.run();
     LONGS_EQUAL(44, client->watchedFrom.at(1));
 }
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -3,6 +3,7 @@
 #include "base/Result.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -44,12 +45,42 @@
     /// What a reader of the store has read last; 0 from instances that don't read it.
     std::uint64_t configVersion = 0;
     std::uint64_t endpointsHash = 0;
+    /// Revision of the store up to which it knows the list of endpoints.
+    std::uint64_t endpointsRevision = 0;
+    /// What it knows of the store is old, so that others don't rely on it.
+    bool isBehind = false;
 };
 
-/// Asks an instance how old its knowledge of the store is.
+/// An endpoint as the store lists it.
+struct EndpointRecord {
+    std::string id;
+    std::string service;
+    std::string address;
+    std::string zone;
+    std::uint64_t incarnation = 0;
+    bool draining = false;
+    std::uint32_t slots = 1;
+    std::string accelerator;
+    std::uint32_t firstLayer = 0;
+    std::uint32_t endLayer = 0;
+    std::uint64_t modelVersion = 0;
+
+    friend bool operator==(const EndpointRecord &, const EndpointRecord &) = default;
+};
+
+/// What has changed in the list of endpoints: the entries as they are now, and the ids of those that are gone.
+struct EndpointListChanges {
+    std::vector<EndpointRecord> changed;
+    std::vector<std::string> removed;
+
+    friend bool operator==(const EndpointListChanges &, const EndpointListChanges &) = default;
+};
+
+/// Asks an instance how old its knowledge of the store is, and what has changed in the list of endpoints since a revision.
 struct FreshnessQuestion {
     std::string instance;
     std::uint64_t number = 0;
+    std::uint64_t endpointsRevision = 0;
 };
 
 /// What an instance knows of the store, and how old that was when it answered.
@@ -59,6 +90,9 @@
     std::uint64_t configAgeMs = 0;
     std::uint64_t endpointsHash = 0;
     std::uint64_t endpointsAgeMs = 0;
+    std::uint64_t endpointsRevision = 0;
+    /// Since the asker's revision; none if that is too long ago to tell.
+    std::optional<EndpointListChanges> changes = std::nullopt;
 };
 
 /// A message between relaying instances.
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -27,6 +27,8 @@
 {
     out.set_config_version(digest.configVersion);
     out.set_endpoints_hash(digest.endpointsHash);
+    out.set_endpoints_revision(digest.endpointsRevision);
+    out.set_behind(digest.isBehind);
     out.set_instance(digest.instance);
     out.set_leaving(digest.leaving);
     for (const EndpointLoad &load : digest.loads) {
@@ -54,7 +56,7 @@
     if (!isWhole || in.instance().empty()) {
         return std::nullopt;
     }
-    RelayDigest digest{in.instance(), in.leaving(), {}, {}, {}, {}, in.config_version(), in.endpoints_hash()};
+    RelayDigest digest{in.instance(), in.leaving(), {}, {}, {}, {}, in.config_version(), in.endpoints_hash(), in.endpoints_revision(), in.behind()};
     digest.loads.reserve(static_cast<std::size_t>(in.endpoint_size()));
     for (int i = 0; i < in.endpoint_size(); ++i) {
         digest.loads.push_back({in.endpoint(i), in.open_requests(i), in.context(i) * TokensPerUnit});
@@ -71,14 +73,64 @@
     return digest;
 }
 
+void fill(trefoilport::pb::EndpointListChanges &out, const EndpointListChanges &changes)
+{
+    for (const EndpointRecord &record : changes.changed) {
+        auto &filled = *out.add_changed();
+        filled.set_id(record.id);
+        filled.set_service(record.service);
+        filled.set_address(record.address);
+        filled.set_zone(record.zone);
+        filled.set_incarnation(record.incarnation);
+        filled.set_draining(record.draining);
+        filled.set_slots(record.slots);
+        filled.set_accelerator(record.accelerator);
+        filled.set_first_layer(record.firstLayer);
+        filled.set_end_layer(record.endLayer);
+        filled.set_model_version(record.modelVersion);
+    }
+    for (const std::string &id : changes.removed) {
+        out.add_removed(id);
+    }
+}
+
+EndpointListChanges toChanges(const trefoilport::pb::EndpointListChanges &in)
+{
+    EndpointListChanges changes;
+    for (const auto &record : in.changed()) {
+        changes.changed.push_back({record.id(),
+                                   record.service(),
+                                   record.address(),
+                                   record.zone(),
+                                   record.incarnation(),
+                                   record.draining(),
+                                   record.slots(),
+                                   record.accelerator(),
+                                   record.first_layer(),
+                                   record.end_layer(),
+                                   record.model_version()});
+    }
+    changes.removed.assign(in.removed().begin(), in.removed().end());
+    return changes;
+}
+
+FreshnessAnswer toAnswer(const trefoilport::pb::FreshnessAnswer &in)
+{
+    FreshnessAnswer answer{
+        in.number(), in.config_version(), in.config_age_ms(), in.endpoints_hash(), in.endpoints_age_ms(), in.endpoints_revision(), std::nullopt};
+    if (in.has_changes()) {
+        answer.changes = toChanges(in.changes());
+    }
+    return answer;
+}
+
 std::optional<RelayMessage> toMessage(const trefoilport::pb::RelayMessage &in)
 {
     if (in.has_question() && !in.question().instance().empty()) {
-        return FreshnessQuestion{in.question().instance(), in.question().number()};
+        return FreshnessQuestion{in.question().instance(), in.question().number(), in.question().endpoints_revision()};
     }
     if (in.has_answer()) {
-        const auto &answer = in.answer();
-        return FreshnessAnswer{answer.number(), answer.config_version(), answer.config_age_ms(), answer.endpoints_hash(), answer.endpoints_age_ms()};
+        return toAnswer(in.answer());
     }
     if (in.has_digest()) {
         if (auto digest = toDigest(in.digest())) {
@@ -100,6 +152,7 @@
     {
         out.mutable_question()->set_instance(question.instance);
         out.mutable_question()->set_number(question.number);
+        out.mutable_question()->set_endpoints_revision(question.endpointsRevision);
     }
     void operator()(const FreshnessAnswer &answer) const
     {
@@ -109,6 +162,10 @@
         filled.set_config_age_ms(answer.configAgeMs);
         filled.set_endpoints_hash(answer.endpointsHash);
         filled.set_endpoints_age_ms(answer.endpointsAgeMs);
+        filled.set_endpoints_revision(answer.endpointsRevision);
+        if (answer.changes) {
+            fill(*filled.mutable_changes(), *answer.changes);
+        }
     }
 };
 
