Seeded schedules of a whole fleet of relay kernels in virtual time

Ruled out: the fleet of the other kernel's tests (another driver, other endpoints); real processes (a schedule takes a minute, here 50 ms). Change: VirtualFleet plays five kernels, the store, eight engines and more, three plain endpoints and callers over a network that delays and cuts; messages between instances go as bytes. Three to ten faults of fourteen kinds in 20 s: crashes that show and that don't, leaving, joining, kills, suspensions, cuts from all or from the store alone, outages of the store, new configurations with a key taken away, late orders, lost answers. Checked all the while: an end for each call, and one only; answers to their own callers; nothing non-repeatable twice; "not run" is true; events in order and whole; paths over all layers without an endpoint twice; runs within the route's limit; repeats within the window; no work for who is listed as leaving; no key after its bound; one holder of the lease; no order over an endpoint's memory; all served after the end of the faults, and no load counted for what is over. Faults found, all of the virtual fleet itself: the end of a stream overtook its last event, callers who left were counted as not served, an instance was started twice.

--- /dev/null
+++ b/libs/relay/tests/VirtualFleet.cpp
@@ -0,0 +1,343 @@
+#include "VirtualFleet.h"
+
+#include "VirtualInstance.h"
+
+#include <algorithm>
+
+using relay::Instant;
+using relay::Ms;
+
+namespace {
+
+constexpr std::size_t InstanceCount = 5;
+constexpr std::size_t EngineCount = 8;
+constexpr std::size_t DeskCount = 3;
+/// Engines that may be lost for good: what is left can hold the model twice.
+constexpr std::size_t MostEnginesLost = 3;
+constexpr Ms CalmStart{8000};
+constexpr Ms FaultTime{20000};
+constexpr Ms HealTime{17000};
+constexpr Ms CalmEnd{4000};
+/// After the last call, for what is still open.
+constexpr Ms LastAnswers{12000};
+constexpr std::uint64_t LeastFaults = 3;
+constexpr std::uint64_t MoreFaults = 8;
+constexpr Ms Heartbeat{1200};
+constexpr int LapseHeartbeats = 3;
+constexpr double LeastServedAtEnd = 0.95;
+
+} // namespace
+
+VirtualFleet::VirtualFleet(std::uint64_t seed)
+    : random_(seed)
+{
+    store_.config = makeConfig();
+    const auto addEndpoint = [this](const std::string &id, const std::string &service, std::size_t number) {
+        auto endpoint = std::make_unique<Endpoint>();
+        endpoint->entry.id = id;
+        endpoint->entry.service = service;
+        endpoint->entry.address = id + ":1";
+        endpoint->entry.zone = number % 2 == 0 ? "zone-a" : "zone-b";
+        endpoint->entry.incarnation = 1;
+        endpoint->entry.slots = service == "desk" ? 6 : 100;
+        endpoint->entry.accelerator = service == "desk" ? "" : "gpu";
+        endpoints_.push_back(std::move(endpoint));
+        heartbeat(endpoints_.size() - 1);
+    };
+    for (std::size_t i = 0; i < EngineCount; ++i) {
+        addEndpoint("engine-" + std::to_string(i), "model", i);
+    }
+    for (std::size_t i = 0; i < DeskCount; ++i) {
+        addEndpoint("desk-" + std::to_string(i), "desk", i);
+    }
+    for (std::size_t i = 0; i < InstanceCount; ++i) {
+        instances_.push_back(std::make_unique<Instance>());
+        instances_.back()->node = "instance-" + std::to_string(i);
+        instances_.back()->zone = i % 2 == 0 ? "zone-a" : "zone-b";
+        instances_.back()->driver = std::make_unique<Driver>(*this, i);
+        time_.after(Ms(draw(300)), [this, i]() { startInstance(i); });
+    }
+}
+
+VirtualFleet::~VirtualFleet() = default;
+
+void VirtualFleet::play()
+{
+    const Instant start = time_.now();
+    calmFrom_ = start + CalmStart + FaultTime + HealTime;
+    time_.after(CalmStart, [this]() {
+        sendCall();
+        planFaults();
+    });
+    time_.after(CalmStart + FaultTime, [this]() { heal(); });
+    time_.runUntil(calmFrom_ + CalmEnd + LastAnswers);
+    checkEnd();
+}
+
+relay::FleetConfigPtr VirtualFleet::makeConfig() const
+{
+    auto config = std::make_shared<relay::FleetConfig>();
+    placement::EngineProfile engine;
+    engine.layers = 80;
+    engine.layerMb = 1000;
+    engine.kvTokenBytes = 80000;
+    engine.stepMs = 1;
+    engine.readTokensPerMs = 100;
+    engine.loadSeconds = 4;
+    engine.loadsAtOnce = 4;
+    engine.usualPromptTokens = 500;
+    engine.usualAnswerTokens = 100;
+    engine.kinds = {{"gpu", 50000, 1, 1}};
+    config->version = configVersion_;
+    config->hasTeams = true;
+    for (const char *key : {"key-a", "key-b", "key-c"}) {
+        if (!removedKeys_.contains(key)) {
+            config->teamOfKey[key] = {std::string("team of ") + key, std::nullopt};
+        }
+    }
+    config->services = {{"model", "/health", 100, engine}, {"desk", "/health", 100, std::nullopt}};
+    const auto route = [&](const char *name, const char *prefix, relay::RequestKind kind, Ms timeout, std::uint32_t attempts, const char *service) {
+        relay::Route entry;
+        entry.name = name;
+        entry.host = "api.example";
+        entry.pathPrefix = prefix;
+        entry.kind = kind;
+        entry.timeout = timeout;
+        entry.targetLatency = Ms(150);
+        entry.maxAttempts = attempts;
+        entry.isResumable = kind == relay::RequestKind::Stream;
+        entry.services = {{service, 1}};
+        config->routes.push_back(entry);
+    };
+    route("stream", "/stream/", relay::RequestKind::Stream, Ms(10000), 2, "model");
+    route("book", "/book/", relay::RequestKind::OnceOnly, Ms(1200), 1, "desk");
+    route("read", "/read/", relay::RequestKind::Idempotent, Ms(1200), 2, "desk");
+    return config;
+}
+
+void VirtualFleet::planFaults()
+{
+    const std::uint64_t faults = LeastFaults + draw(MoreFaults);
+    for (std::uint64_t i = 0; i < faults; ++i) {
+        time_.after(Ms(draw(static_cast<std::uint64_t>(FaultTime.count()))), [this]() { injectFault(); });
+    }
+}
+
+void VirtualFleet::injectFault()
+{
+    ++totals_.faults;
+    const std::size_t instance = draw(InstanceCount);
+    Endpoint &engine = *endpoints_[draw(EngineCount)];
+    Endpoint &desk = *endpoints_[EngineCount + draw(DeskCount)];
+    const Ms time(500 + draw(5000));
+    switch (draw(14)) {
+    case 0:
+        return crash(engine, draw(2) == 0);
+    case 1:
+        return crash(desk, draw(2) == 0);
+    case 2:
+        return drain(engine);
+    case 3:
+        return drain(desk);
+    case 4:
+        return addEngine();
+    case 5:
+        killInstance(instance);
+        return time_.after(Ms(200 + draw(1500)), [this, instance]() { startInstance(instance); });
+    case 6:
+        return freezeInstance(instance, time);
+    case 7:
+        return cut(instances_[instance]->node, time, true);
+    case 8:
+        return cut(instances_[instance]->node, time, false);
+    case 9:
+        store_.down = true;
+        store_.unstableUntil = std::max(store_.unstableUntil, time_.now() + time);
+        return time_.after(time, [this]() { store_.down = time_.now() < store_.unstableUntil; });
+    case 10:
+    case 11:
+        return changeConfig();
+    case 12:
+        engine.ordersLate = true;
+        return time_.after(time, [&engine]() { engine.ordersLate = false; });
+    default:
+        desk.losesAnswers = true;
+        return time_.after(time, [&desk]() { desk.losesAnswers = false; });
+    }
+}
+
+void VirtualFleet::crash(Endpoint &endpoint, bool dark)
+{
+    if (!endpoint.alive) {
+        return;
+    }
+    endpoint.alive = false;
+    endpoint.dark = dark;
+    cutAt_[endpoint.entry.id] = time_.now();
+    for (const auto &entry : endpoint.runs) {
+        const Run run = entry.second;
+        if (!dark) {
+            time_.after(Ms(0), [this, run]() {
+                inInstance(run.instance, run.life, [this, run]() {
+                    instances_[run.instance]->kernel->onFailure(time_.now(), run.attempt, relay::AttemptFailure::Broken);
+                });
+            });
+        }
+    }
+    endpoint.runs.clear();
+    const bool isEngine = !endpoint.entry.accelerator.empty();
+    if (isEngine && enginesLost_ < MostEnginesLost && draw(3) == 0) {
+        ++enginesLost_;
+        return;
+    }
+    time_.after(Ms(800 + draw(4000)), [this, &endpoint]() { restart(endpoint); });
+}
+
+void VirtualFleet::restart(Endpoint &endpoint)
+{
+    endpoint.alive = true;
+    endpoint.dark = false;
+    endpoint.loading = false;
+    endpoint.ordersLate = false;
+    endpoint.losesAnswers = false;
+    endpoint.fence = 0;
+    endpoint.orderCount = 0;
+    ++endpoint.entry.incarnation;
+    endpoint.entry.draining = false;
+    endpoint.drainingSince = Instant{0};
+    endpoint.entry.layers = {};
+    cutAt_[endpoint.entry.id] = time_.now();
+}
+
+void VirtualFleet::drain(Endpoint &endpoint)
+{
+    if (!endpoint.alive || endpoint.entry.draining || store_.down) {
+        return;
+    }
+    endpoint.entry.draining = true;
+    endpoint.drainingSince = time_.now();
+    store_.endpoints[endpoint.entry.id] = endpoint.entry;
+    ++store_.revision;
+    const std::uint64_t incarnation = endpoint.entry.incarnation;
+    time_.after(Ms(3500), [this, &endpoint, incarnation]() {
+        if (endpoint.alive && endpoint.entry.incarnation == incarnation) {
+            crash(endpoint, false);
+        }
+    });
+}
+
+void VirtualFleet::addEngine()
+{
+    auto endpoint = std::make_unique<Endpoint>();
+    endpoint->entry = endpoints_.front()->entry;
+    endpoint->entry.id = "added-" + std::to_string(enginesAdded_++);
+    endpoint->entry.address = endpoint->entry.id + ":1";
+    endpoint->entry.incarnation = 1;
+    endpoint->entry.draining = false;
+    endpoint->entry.layers = {};
+    endpoints_.push_back(std::move(endpoint));
+    heartbeat(endpoints_.size() - 1);
+}
+
+void VirtualFleet::changeConfig()
+{
+    if (store_.down) {
+        return;
+    }
+    configVersion_ += 1 + draw(3);
+    if (draw(2) == 0 && !removedKeys_.contains("key-c")) {
+        removedKeys_["key-c"] = time_.now();
+    }
+    store_.config = makeConfig();
+    ++store_.revision;
+}
+
+void VirtualFleet::heal()
+{
+    store_.down = false;
+    cutOff_.clear();
+    cutFromStore_.clear();
+    for (const auto &endpoint : endpoints_) {
+        endpoint->ordersLate = false;
+        endpoint->losesAnswers = false;
+    }
+}
+
+bool VirtualFleet::reaches(const std::string &a, const std::string &b) const
+{
+    const bool isStoreCut = (a == "store" && cutFromStore_.contains(b)) || (b == "store" && cutFromStore_.contains(a));
+    const bool isStoreDown = store_.down && (a == "store" || b == "store");
+    return !isStoreCut && !isStoreDown && !cutOff_.contains(a) && !cutOff_.contains(b);
+}
+
+void VirtualFleet::cut(const std::string &node, Ms time, bool onlyFromStore)
+{
+    std::set<std::string> &nodes = onlyFromStore ? cutFromStore_ : cutOff_;
+    nodes.insert(node);
+    cutAt_[node] = time_.now() + time;
+    time_.after(time, [&nodes, node]() { nodes.erase(node); });
+}
+
+bool VirtualFleet::wasCutSince(const std::string &node, Instant since) const
+{
+    const auto found = cutAt_.find(node);
+    return found != cutAt_.end() && found->second >= since;
+}
+
+Ms VirtualFleet::delay()
+{
+    return Ms(1 + draw(3));
+}
+
+void VirtualFleet::heartbeat(std::size_t index)
+{
+    Endpoint &endpoint = *endpoints_[index];
+    if (endpoint.alive && !store_.down) {
+        const auto found = store_.endpoints.find(endpoint.entry.id);
+        const bool isSame = found != store_.endpoints.end() && found->second.incarnation == endpoint.entry.incarnation
+            && found->second.draining == endpoint.entry.draining && found->second.layers == endpoint.entry.layers;
+        if (!isSame) {
+            store_.endpoints[endpoint.entry.id] = endpoint.entry;
+            ++store_.revision;
+        }
+        endpoint.listedUntil = time_.now() + Heartbeat * LapseHeartbeats;
+    } else if (time_.now() > endpoint.listedUntil && store_.endpoints.erase(endpoint.entry.id) > 0) {
+        ++store_.revision;
+    }
+    time_.after(Heartbeat, [this, index]() { heartbeat(index); });
+}
+
+void VirtualFleet::checkEnd()
+{
+    for (const auto &caller : callers_) {
+        checkCaller(*caller);
+    }
+    checkRetries();
+    for (const auto &instance : instances_) {
+        if (!instance->alive) {
+            violate(instance->node + " is not back");
+            continue;
+        }
+        if (instance->kernel->openCalls() > 0) {
+            violate(instance->node + " holds " + std::to_string(instance->kernel->openCalls()) + " calls that are over");
+        }
+        for (const relay::EndpointView &view : instance->kernel->endpoints()) {
+            if (view.openRequests != 0 || view.contextTokens > 0.5 || view.contextTokens < -0.5) {
+                violate(instance->node + " counts " + std::to_string(view.openRequests) + " requests on " + view.id + " that are over");
+            }
+        }
+    }
+    if (totals_.lateServed < LeastServedAtEnd * totals_.lateCalls) {
+        violate("served " + std::to_string(totals_.lateServed) + " of " + std::to_string(totals_.lateCalls) + " calls after all faults");
+    }
+}
+
+void VirtualFleet::violate(const std::string &text)
+{
+    violations_.push_back(std::to_string(time_.now() / Ms(1)) + " ms: " + text);
+}
+
+std::uint64_t VirtualFleet::draw(std::uint64_t below)
+{
+    return random_() % below;
+}
--- /dev/null
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -0,0 +1,416 @@
+#include "VirtualInstance.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+
+using relay::Instant;
+using relay::Ms;
+
+namespace {
+
+constexpr Ms TickPeriod{50};
+constexpr Ms ConfigPeriod{1200};
+constexpr Ms ListPeriod{700};
+constexpr Ms InstancesPeriod{2500};
+constexpr Ms RetryPeriod{150};
+constexpr Ms StoreTimeout{900};
+constexpr Ms EndpointTimeout{350};
+constexpr Ms OrderTimeout{700};
+
+} // namespace
+
+void VirtualFleet::startInstance(std::size_t index)
+{
+    Instance &instance = *instances_[index];
+    if (instance.alive) {
+        return;
+    }
+    relay::RelaySettings settings;
+    settings.node = instance.node;
+    settings.instance = instance.node + "/" + std::to_string(++instance.life);
+    settings.zone = instance.zone;
+    settings.seed = random_();
+    instance.kernel = std::make_unique<relay::RelayKernel>(settings, *instance.driver);
+    instance.alive = true;
+    instance.ready = false;
+    instance.stopping = false;
+    instance.follows = true;
+    instance.configVersion = 0;
+    instance.startedAt = time_.now();
+    instance.troubledAt = time_.now();
+    instance.answers.clear();
+    if (!store_.down) {
+        store_.instances[instance.node] = {instance.node, instance.node + ":7000"};
+    }
+    readConfig(index);
+    listEndpoints(index);
+    listInstances(index, instance.life);
+    tickInstance(index, instance.life);
+}
+
+void VirtualFleet::killInstance(std::size_t index)
+{
+    Instance &instance = *instances_[index];
+    if (!instance.alive) {
+        return;
+    }
+    ++instance.life;
+    instance.alive = false;
+    instance.kernel.reset();
+    for (const auto &endpoint : endpoints_) {
+        std::erase_if(endpoint->runs, [&](const auto &entry) { return entry.second.instance == index; });
+    }
+    for (const auto &caller : callers_) {
+        caller->ended = caller->ended || caller->instance == index;
+    }
+    std::erase_if(openCallers_, [&](const auto &entry) { return entry.first.first == index; });
+}
+
+void VirtualFleet::freezeInstance(std::size_t index, Ms time)
+{
+    Instance &instance = *instances_[index];
+    instance.frozenUntil = std::max(instance.frozenUntil, time_.now() + time);
+    instance.troubledAt = instance.frozenUntil;
+    cutAt_[instance.node] = instance.frozenUntil;
+}
+
+void VirtualFleet::inInstance(std::size_t index, std::uint64_t life, std::function<void()> task)
+{
+    Instance &instance = *instances_[index];
+    if (!instance.alive || instance.life != life) {
+        return;
+    }
+    if (time_.now() < instance.frozenUntil) {
+        const Ms wait = std::chrono::ceil<Ms>(instance.frozenUntil - time_.now());
+        return time_.after(wait, [this, index, life, task = std::move(task)]() { inInstance(index, life, task); });
+    }
+    task();
+}
+
+void VirtualFleet::tickInstance(std::size_t index, std::uint64_t life)
+{
+    inInstance(index, life, [this, index, life]() {
+        instances_[index]->kernel->onTick(time_.now());
+        checkPlanners();
+        time_.after(TickPeriod, [this, index, life]() { tickInstance(index, life); });
+    });
+}
+
+void VirtualFleet::checkPlanners()
+{
+    const auto holds = [this](const auto &instance) {
+        return instance->alive && instance->kernel->isPlanner(time_.now());
+    };
+    if (std::count_if(instances_.begin(), instances_.end(), holds) > 1) {
+        violate("two instances hold the planner's lease");
+    }
+}
+
+void VirtualFleet::readConfig(std::size_t index)
+{
+    Instance &instance = *instances_[index];
+    instance.configRests = false;
+    const Instant sentAt = time_.now();
+    ask<relay::FleetConfigPtr>(
+        index,
+        "store",
+        StoreTimeout,
+        [this]() { return std::optional(store_.config); },
+        [this, index, sentAt](const auto &config) {
+            Instance &self = *instances_[index];
+            if (!config) {
+                const std::uint64_t life = self.life;
+                return time_.after(RetryPeriod, [this, index, life]() { inInstance(index, life, [this, index]() { readConfig(index); }); });
+            }
+            const bool isNew = (*config)->version != self.configVersion;
+            self.configVersion = (*config)->version;
+            self.kernel->onConfig(time_.now(), sentAt, isNew ? *config : nullptr);
+            self.configRests = !self.follows;
+            if (self.follows) {
+                const std::uint64_t life = self.life;
+                time_.after(ConfigPeriod, [this, index, life]() { inInstance(index, life, [this, index]() { readConfig(index); }); });
+            }
+        });
+}
+
+void VirtualFleet::listEndpoints(std::size_t index)
+{
+    using Listing = std::pair<std::vector<relay::EndpointEntry>, std::uint64_t>;
+    Instance &instance = *instances_[index];
+    instance.endpointsRest = false;
+    const auto serve = [this]() {
+        Listing listing;
+        for (const auto &[id, entry] : store_.endpoints) {
+            listing.first.push_back(entry);
+        }
+        listing.second = store_.revision;
+        return std::optional(listing);
+    };
+    ask<Listing>(index, "store", StoreTimeout, serve, [this, index](const std::optional<Listing> &listing) {
+        Instance &self = *instances_[index];
+        const std::uint64_t life = self.life;
+        if (listing) {
+            self.kernel->onEndpoints(time_.now(), listing->first, listing->second);
+        }
+        self.endpointsRest = listing && !self.follows;
+        if (!self.endpointsRest) {
+            const Ms wait = listing ? ListPeriod : RetryPeriod;
+            time_.after(wait, [this, index, life]() { inInstance(index, life, [this, index]() { listEndpoints(index); }); });
+        }
+    });
+}
+
+void VirtualFleet::listInstances(std::size_t index, std::uint64_t life)
+{
+    using Listing = std::vector<relay::InstanceEntry>;
+    inInstance(index, life, [this, index, life]() {
+        const auto serve = [this]() {
+            Listing listing;
+            for (const auto &[id, entry] : store_.instances) {
+                listing.push_back(entry);
+            }
+            return std::optional(listing);
+        };
+        ask<Listing>(index, "store", StoreTimeout, serve, [this, index](const std::optional<Listing> &listing) {
+            if (listing) {
+                instances_[index]->kernel->onInstances(time_.now(), *listing);
+            }
+        });
+        time_.after(InstancesPeriod, [this, index, life]() { listInstances(index, life); });
+    });
+}
+
+VirtualFleet::Instance &VirtualFleet::Driver::self()
+{
+    return *fleet_.instances_[index_];
+}
+
+void VirtualFleet::Driver::send(relay::Dispatch dispatch)
+{
+    fleet_.arrive(index_, dispatch);
+}
+
+void VirtualFleet::Driver::cancel(relay::AttemptId attempt)
+{
+    const std::uint64_t life = self().life;
+    const std::string node = self().node;
+    fleet_.time_.after(fleet_.delay(), [this, attempt, life, node]() {
+        for (const auto &endpoint : fleet_.endpoints_) {
+            std::erase_if(endpoint->runs, [&](const auto &entry) {
+                return entry.second.instance == index_ && entry.second.life == life && entry.second.attempt == attempt
+                    && fleet_.reaches(node, endpoint->entry.id);
+            });
+        }
+    });
+}
+
+void VirtualFleet::Driver::reject(relay::CallId call, const relay::Rejection &rejection)
+{
+    if (Caller *caller = fleet_.callerOf(index_, call)) {
+        caller->saidNotRun = base::errorAnswer(rejection.kind).ran == base::Ran::No;
+        ++fleet_.totals_.refused;
+        fleet_.endCall(*caller, false);
+    }
+}
+
+void VirtualFleet::Driver::forward(relay::CallId call, relay::AttemptId attempt)
+{
+    Caller *caller = fleet_.callerOf(index_, call);
+    const auto answer = self().answers.find(attempt);
+    if (caller == nullptr || answer == self().answers.end()) {
+        return fleet_.violate("an answer without a call, or a call without an answer");
+    }
+    if (answer->second.first != caller->requestId) {
+        fleet_.violate(caller->requestId + " got the answer of " + answer->second.first);
+    }
+    fleet_.endCall(*caller, answer->second.second == 200);
+}
+
+void VirtualFleet::Driver::beginStream(relay::CallId, relay::AttemptId)
+{
+}
+
+void VirtualFleet::Driver::endStream(relay::CallId call)
+{
+    if (Caller *caller = fleet_.callerOf(index_, call)) {
+        if (caller->delivered != caller->events) {
+            fleet_.violate(caller->requestId + " ended as whole after event " + std::to_string(caller->delivered) + " of " + std::to_string(caller->events));
+        }
+        fleet_.endCall(*caller, true);
+    }
+}
+
+void VirtualFleet::Driver::breakStream(relay::CallId call)
+{
+    if (Caller *caller = fleet_.callerOf(index_, call)) {
+        ++fleet_.totals_.broken;
+        fleet_.endCall(*caller, false);
+    }
+}
+
+void VirtualFleet::Driver::readReport(const std::string &endpoint, const std::string &)
+{
+    fleet_.ask<relay::EndpointReport>(
+        index_,
+        endpoint,
+        EndpointTimeout,
+        [this, endpoint]() { return fleet_.reportOf(endpoint); },
+        [this, endpoint](const auto &report) { self().kernel->onReport(fleet_.time_.now(), endpoint, report); });
+}
+
+void VirtualFleet::Driver::sendOrder(const relay::PlaceOrder &order)
+{
+    const auto serve = [this, order]() -> std::optional<relay::OrderOutcome> {
+        const Endpoint *endpoint = fleet_.endpointNamed(order.endpoint);
+        if (endpoint == nullptr || !endpoint->alive) {
+            return std::nullopt;
+        }
+        if (endpoint->ordersLate) {
+            fleet_.time_.after(Ms(1000 + fleet_.draw(3000)), [this, order]() { fleet_.takeOrder(order); });
+            return std::nullopt;
+        }
+        return fleet_.takeOrder(order);
+    };
+    fleet_.ask<relay::OrderOutcome>(index_, order.endpoint, OrderTimeout, serve, [this, order](const auto &outcome) {
+        self().kernel->onOrderAnswer(fleet_.time_.now(), order.endpoint, outcome.value_or(relay::OrderOutcome::NoAnswer));
+    });
+}
+
+void VirtualFleet::Driver::sendDetour(const relay::Detour &detour)
+{
+    using Answer = std::pair<relay::OrderOutcome, std::string>;
+    ++fleet_.totals_.detours;
+    const auto serve = [this, detour]() -> std::optional<Answer> {
+        const Endpoint *endpoint = fleet_.endpointNamed(detour.endpoint);
+        if (endpoint == nullptr || !endpoint->alive) {
+            return std::nullopt;
+        }
+        Answer answer;
+        answer.first = fleet_.takeDetour(detour, answer.second);
+        return answer;
+    };
+    fleet_.ask<Answer>(index_, detour.endpoint, EndpointTimeout, serve, [this, detour](const std::optional<Answer> &answer) {
+        const auto outcome = answer ? answer->first : relay::OrderOutcome::NoAnswer;
+        self().kernel->onDetourAnswer(fleet_.time_.now(), detour.attempt, outcome, answer ? answer->second : "");
+    });
+}
+
+void VirtualFleet::Driver::readLease()
+{
+    using Answer = std::pair<std::uint64_t, relay::LeaseRecord>;
+    fleet_.ask<Answer>(
+        index_,
+        "store",
+        StoreTimeout,
+        [this]() {
+            return std::optional(Answer{fleet_.store_.leaseRevision, fleet_.store_.lease});
+        },
+        [this](const std::optional<Answer> &lease) {
+            if (lease) {
+                self().kernel->onLeaseRead(fleet_.time_.now(), lease->first, lease->second);
+            }
+        });
+}
+
+void VirtualFleet::Driver::writeLease(const relay::LeaseRecord &record, std::uint64_t expectedRevision)
+{
+    const Instant sentAt = fleet_.time_.now();
+    const auto serve = [this, record, expectedRevision]() {
+        Store &store = fleet_.store_;
+        if (store.leaseRevision != expectedRevision) {
+            return std::optional<std::uint64_t>(0);
+        }
+        store.lease = record;
+        store.leaseRevision = ++store.revision;
+        return std::optional(store.leaseRevision);
+    };
+    fleet_.ask<std::uint64_t>(index_, "store", StoreTimeout, serve, [this, sentAt](const auto &revision) {
+        self().kernel->onLeaseWritten(fleet_.time_.now(), sentAt, revision.value_or(0));
+    });
+}
+
+void VirtualFleet::Driver::sendMessage(const std::string &address, const wire::RelayMessage &message)
+{
+    // As bytes, so that only what the protocol carries arrives.
+    const std::string bytes = wire::encode(message);
+    const std::string from = self().node;
+    for (std::size_t other = 0; other < fleet_.instances_.size(); ++other) {
+        const Instance &receiver = *fleet_.instances_[other];
+        if (receiver.node + ":7000" != address) {
+            continue;
+        }
+        const std::uint64_t life = receiver.life;
+        fleet_.time_.after(fleet_.delay(), [this, other, life, from, bytes]() {
+            if (!fleet_.reaches(from, fleet_.instances_[other]->node)) {
+                return;
+            }
+            fleet_.inInstance(other, life, [this, other, bytes]() {
+                const auto decoded = wire::decodeRelayMessage(bytes);
+                fleet_.instances_[other]->kernel->onPeerMessage(fleet_.time_.now(), base::valueOf(decoded));
+            });
+        });
+    }
+}
+
+void VirtualFleet::Driver::sendDigest(const std::vector<std::string> &addresses, const wire::RelayDigest &digest)
+{
+    for (const std::string &address : addresses) {
+        sendMessage(address, digest);
+    }
+}
+
+void VirtualFleet::Driver::sendQuestion(const std::string &address, const wire::FreshnessQuestion &question)
+{
+    sendMessage(address, question);
+}
+
+void VirtualFleet::Driver::sendAnswer(const std::string &address, const wire::FreshnessAnswer &answer)
+{
+    sendMessage(address, answer);
+}
+
+void VirtualFleet::Driver::followStore(bool follow)
+{
+    self().follows = follow;
+    if (follow) {
+        refreshConfig();
+        refreshEndpoints();
+    }
+}
+
+void VirtualFleet::Driver::refreshConfig()
+{
+    if (self().configRests) {
+        fleet_.readConfig(index_);
+    }
+}
+
+void VirtualFleet::Driver::refreshEndpoints()
+{
+    if (self().endpointsRest) {
+        fleet_.listEndpoints(index_);
+    }
+}
+
+void VirtualFleet::Driver::setReady(bool ready)
+{
+    self().ready = ready;
+}
+
+void VirtualFleet::Driver::closeConnections()
+{
+}
+
+void VirtualFleet::Driver::exit()
+{
+}
+
+void VirtualFleet::Driver::record(const relay::Decision &decision)
+{
+    static const bool isTraced = std::getenv("TREFOIL_TRACE") != nullptr;
+    if (isTraced) {
+        std::cout << fleet_.time_.now() / Ms(1) << " ms  " << self().node << "  " << decision.event << "  " << decision.requestId << "  " << decision.subject
+                  << "  " << decision.detail << "\n";
+    }
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -31,7 +31,7 @@
         echo "$name: does not compile"
         tail -5 "$work/log"
         missed=$((missed + 1))
-    elif timeout 120 "build/tests/$program" >"$work/log" 2>&1; then
+    elif timeout 240 "build/tests/$program" ${group:+-g "$group"} >"$work/log" 2>&1; then
         echo "$name: NOT noticed"
         missed=$((missed + 1))
     else
@@ -52,6 +52,12 @@
     break_it relayTests "relay-$1" "libs/relay/src/$2" "$3"
 }
 
+# fleet NAME FILE SED-EXPRESSION: the same kernel, noticed by schedules of a whole fleet alone
+fleet() {
+    local group=AFleetUnderFaults
+    break_it relayTests "fleet-$1" "libs/relay/src/$2" "$3"
+}
+
 mutant ambiguous-write-counts-as-granted ClaimLedger.cpp 's/case StoreStatus::Ambiguous:/case StoreStatus::Ambiguous: bucket.version = done.version; bucket.cached = bucket.proposed; bucket.cacheValid = wasWriting; finishWrite(bucket, actions); break; case StoreStatus::NotFound:/; s/^    case StoreStatus::NotFound:$//'
 mutant foreign-claim-is-taken-over ClaimLedger.cpp 's/if (found->nonce != op.claim.nonce) {/if (false) {/'
 mutant no-release ClaimLedger.cpp 's/    op.decided = !op.everWritten;/    op.decided = true;/'
@@ -104,6 +110,28 @@
 relay held-layers-are-ordered PlannerDuty.cpp 's/waiting->second.range : state.entry.layers;/waiting->second.range : placement::LayerRange{};/'
 relay stop-takes-streams Admission.cpp 's/if (stopping \&\& now - stopAt > RefuseAfter) {/if (false) {/'
 relay stop-cuts-requests RelayKernel.cpp 's/if (!exited \&\& calls.empty() \&\& elapsed/if (!exited \&\& elapsed/'
+relay detour-over-the-first-stage StreamCalls.cpp 's/    if (!isFirst) {/    if (true) {/'
+relay detour-takes-a-stage-twice Detours.cpp 's/others.holders\[i\].usable = .*;/others.holders[i].usable = true;/'
+relay detour-keeps-the-stage-at-fault Detours.cpp 's/ || stage == fault;/;/'
+relay detour-without-end Detours.cpp 's/constexpr int MostDetours = 3;/constexpr int MostDetours = 1000;/'
+relay detour-leaves-its-load Calls.cpp 's/        --state.openRequests;/        (void)0;/'
+relay older-list-is-taken EndpointList.cpp 's/if (revision < revision_) {/if (false) {/'
+relay removal-is-not-told EndpointList.cpp 's/if (removed.removedAt > revision) {/if (false) {/'
+relay changes-of-before-are-guessed EndpointList.cpp 's/ || revision < knownSince_//'
+relay older-list-is-news StoreDuty.cpp 's/ || digest.endpointsRevision <= known.endpointsRevision//'
+relay untold-changes-are-forgotten StoreDuty.cpp 's/if (newsRevision_ > known.endpointsRevision \&\&/if (false \&\&/'
+relay cut-off-reader-is-asked PeerLoads.cpp 's/ \&\& !peer.digest.isBehind//'
+fleet unsafe-is-sent-again Calls.cpp 's/RequestKind::OnceOnly ? !call.mayHaveRun :/RequestKind::OnceOnly ? true :/'
+fleet broken-has-not-run Calls.cpp 's/^        call->mayHaveRun = true;/        (void)0;/'
+fleet old-configuration-for-keys Admission.cpp 's/if (!configIsCurrent(now, oldestForKeys())) {/if (false) {/'
+fleet older-configuration-is-kept-young StoreDuty.cpp 's/if (answer.configVersion == known.configVersion) {/if (true) {/'
+fleet lease-outlives-a-pause PlannerDuty.cpp 's/    return now < validUntil_ \&\& /    return validUntil_.count() != 0 \&\& /'
+fleet draining-gets-work EndpointRegistry.cpp 's/ \&\& !state.entry.draining//'
+fleet event-twice StreamCalls.cpp 's/if (eventId <= call->lastEvent \&\& call->lastEvent != 0) {/if (false) {/; s/    if (!isNext) {/    if (false) {/'
+fleet resumes-from-the-start StreamCalls.cpp 's/    dispatch.lastEventId = call.lastEventId;/    (void)0;/'
+fleet detour-leaves-its-load Calls.cpp 's/        --state.openRequests;/        (void)0;/'
+fleet detour-takes-a-stage-twice Detours.cpp 's/others.holders\[i\].usable = .*;/others.holders[i].usable = true;/'
+fleet removal-is-not-told EndpointList.cpp 's/if (removed.removedAt > revision) {/if (false) {/'
 break_it placementTests placement-layer-is-left-out libs/placement/src/PathChooser.cpp 's/const bool covers = holder.usable \&\& holder.held.first <= layer \&\& /const bool covers = holder.usable \&\& /'
 break_it placementTests placement-full-holder-is-used libs/placement/src/PathChooser.cpp 's/    if (fill > 1) {/    if (false) {/; s/        if (fill > 1) {/        if (false) {/'
 break_it placementTests placement-range-over-memory libs/placement/src/EngineProfile.cpp 's/const double freeMb = kind.memoryMb - .*;/const double freeMb = kind.memoryMb;/'
