--- a/libs/relay/tests/DetourTests.cpp
+++ b/libs/relay/tests/DetourTests.cpp
@@ -161,6 +161,25 @@
     LONGS_EQUAL(2, bed.driver.sent.size());
 }
 
+/// The pattern: the only other holder of the lost layers already runs other layers of the same path.
+TEST(ADetour, usesNoEndpointTwice)
+{
+    bed.entries = {RelayBed::engineEntry("low", "zone-a", {0, 40}),
+                   RelayBed::engineEntry("middle", "zone-a", {40, 60}),
+                   RelayBed::engineEntry("high", "zone-a", {40, 80})};
+    bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
+    EndpointReport slow;
+    slow.incarnation = 1;
+    slow.layers = {40, 80};
+    slow.slowness = 8;
+    bed.kernel.onReport(bed.now, "high", slow);
+    startStream(2);
+    LONGS_EQUAL(3, bed.driver.sent.back().hops.size());
+    bed.pass(Ms(300));
+    reportStall("middle:1");
+    CHECK(bed.driver.detours.empty());
+}
+
 TEST(ADetour, endsWithItsCall)
 {
     const CallId call = startStream(2);
--- a/libs/relay/tests/StoreDutyTests.cpp
+++ b/libs/relay/tests/StoreDutyTests.cpp
@@ -151,6 +151,16 @@
     LONGS_EQUAL(0, bed.driver.endpointRefreshes);
 }
 
+/// The pattern: the answer to an earlier reading of the list arrives after a later one.
+TEST(AnInstanceThatDoesNotReadTheStore, doesNotGoBackToAnOlderList)
+{
+    const std::vector<EndpointEntry> before = bed.entries;
+    bed.entries.front().draining = true;
+    bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
+    bed.kernel.onEndpoints(bed.now, before, bed.storeRevision - 1);
+    STRCMP_EQUAL("draining", stateOf("low-a").c_str());
+}
+
 TEST(AnInstanceThatDoesNotReadTheStore, tellsOthersWhatChangedSinceTheirRevision)
 {
     const std::uint64_t theirs = bed.storeRevision;
