Schedules: a key is taken away while an instance is cut off from the store

Cause: the mutant that honours keys under an old configuration was not noticed by 40 schedules: a cut and the removal of a key met too seldom. Change: one kind of fault does both. Ruled out: more schedules in each test run (time), a longer run for this mutant alone. Before: not noticed.

--- a/libs/relay/tests/VirtualFleet.cpp
+++ b/libs/relay/tests/VirtualFleet.cpp
@@ -22,6 +22,7 @@
 constexpr Ms LastAnswers{12000};
 constexpr std::uint64_t LeastFaults = 3;
 constexpr std::uint64_t MoreFaults = 8;
+constexpr Ms LongCut{9500};
 constexpr Ms Heartbeat{1200};
 constexpr int LapseHeartbeats = 3;
 constexpr double LeastServedAtEnd = 0.95;
@@ -155,8 +156,11 @@
         store_.unstableUntil = std::max(store_.unstableUntil, time_.now() + time);
         return time_.after(time, [this]() { store_.down = time_.now() < store_.unstableUntil; });
     case 10:
+        return changeConfig(draw(2) == 0);
     case 11:
-        return changeConfig();
+        // A key is taken away while an instance can't see it.
+        cut(instances_[instance]->node, LongCut, true);
+        return changeConfig(true);
     case 12:
         engine.ordersLate = true;
         return time_.after(time, [&engine]() { engine.ordersLate = false; });
@@ -239,14 +243,14 @@
     heartbeat(endpoints_.size() - 1);
 }
 
-void VirtualFleet::changeConfig()
+void VirtualFleet::changeConfig(bool takesKeyAway)
 {
     if (store_.down) {
         return;
     }
     configVersion_ += 1 + draw(3);
-    if (draw(2) == 0 && !removedKeys_.contains("key-c")) {
-        removedKeys_["key-c"] = time_.now();
+    if (takesKeyAway) {
+        removedKeys_.try_emplace("key-c", time_.now());
     }
     store_.config = makeConfig();
     ++store_.revision;
--- a/libs/relay/tests/VirtualFleet.h
+++ b/libs/relay/tests/VirtualFleet.h
@@ -122,7 +122,7 @@
     void restart(Endpoint &endpoint);
     void drain(Endpoint &endpoint);
     void addEngine();
-    void changeConfig();
+    void changeConfig(bool takesKeyAway);
     void heal();
     void checkEnd();
     relay::FleetConfigPtr makeConfig() const;
