A signal no longer ends the mesh's thread, and with it the process

A signal (stop, settings changed) that is handled in the mesh's thread interrupts its poll; cppzmq reports that as an exception, which nobody caught. Ruled out: signals blocked in that thread alone (a process that is stopped and continued interrupts calls as well). Change: an interrupted poll, receive or wake-up is made again; other errors still end the process. Test: goesOnAfterASignal ended the test program before.

--- a/libs/mesh/src/Mesh.cpp
+++ b/libs/mesh/src/Mesh.cpp
@@ -21,6 +21,14 @@
 constexpr std::size_t KeyBytes = 41;
 constexpr std::int64_t MaxMessageBytes = 4 * 1024 * 1024;
 
+/// A signal has interrupted the call; nothing is lost by going on.
+void passOverInterruption(const zmq::error_t &error)
+{
+    if (error.num() != EINTR) {
+        throw error;
+    }
+}
+
 struct Outgoing {
     std::string address;
     std::string bytes;
@@ -92,7 +100,7 @@
                 const auto sent = peer(item.address).send(zmq::buffer(item.bytes), zmq::send_flags::dontwait);
                 bytesSent += sent ? item.bytes.size() : 0;
             } catch (const zmq::error_t &) {
-                peers.erase(item.address); // An address that can't be parsed or connected; the message counts as lost.
+                peers.erase(item.address); // A signal, or an address that can't be parsed or connected; the message counts as lost.
             }
         }
     }
@@ -150,18 +158,26 @@
 void Mesh::send(const std::string &address, std::string bytes)
 {
     impl_->outgoing.push({address, std::move(bytes)});
-    impl_->wakeSender.send(zmq::message_t(), zmq::send_flags::dontwait);
+    try {
+        impl_->wakeSender.send(zmq::message_t(), zmq::send_flags::dontwait);
+    } catch (const zmq::error_t &error) {
+        passOverInterruption(error); // The mesh's thread looks by itself at the end of its poll.
+    }
 }
 
 void Mesh::run()
 {
     std::vector<zmq::pollitem_t> items = {{impl_->inbox.handle(), 0, ZMQ_POLLIN, 0}, {impl_->wakeReceiver.handle(), 0, ZMQ_POLLIN, 0}};
     while (!impl_->stopped) {
-        zmq::poll(items, PollTime);
-        zmq::message_t wake;
-        while (impl_->wakeReceiver.recv(wake, zmq::recv_flags::dontwait)) { }
-        impl_->sendQueued();
-        impl_->receiveAll();
+        try {
+            zmq::poll(items, PollTime);
+            zmq::message_t wake;
+            while (impl_->wakeReceiver.recv(wake, zmq::recv_flags::dontwait)) { }
+            impl_->sendQueued();
+            impl_->receiveAll();
+        } catch (const zmq::error_t &error) {
+            passOverInterruption(error);
+        }
     }
 }
 
--- a/libs/mesh/tests/MeshTests.cpp
+++ b/libs/mesh/tests/MeshTests.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <thread>
 
 namespace {
@@ -48,3 +49,32 @@
     CHECK(!arrives({}, mesh::makeKeys(), std::chrono::milliseconds(500)));
     CHECK(!arrives(mesh::makeKeys(), mesh::makeKeys(), std::chrono::milliseconds(500)));
 }
+
+/// The pattern: the process is told to stop or to read its settings anew, and the signal is handled in the mesh's thread.
+TEST(TheMesh, goesOnAfterASignal)
+{
+    struct sigaction action {
+    };
+    struct sigaction before {
+    };
+    action.sa_handler = [](int) {
+    };
+    sigaction(SIGUSR1, &action, &before);
+    std::atomic<bool> arrived{false};
+    mesh::Mesh mesh("127.0.0.1:0", {}, 64, [&](const std::string &) { arrived = true; });
+    std::thread running([&]() { mesh.run(); });
+    constexpr int Signals = 100;
+    for (int i = 0; i < Signals; ++i) {
+        pthread_kill(running.native_handle(), SIGUSR1);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!arrived && std::chrono::steady_clock::now() < end) {
+        mesh.send(mesh.address(), "hello");
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    mesh.stop();
+    running.join();
+    sigaction(SIGUSR1, &before, nullptr);
+    CHECK(arrived);
+}
