Signal handlers are set before the settings are read

The handlers were set after the settings and the log. Ruled out: handlers in main() (which platform's signals mean what is for runInstance() to say). Change: they are set first. A signal before main() still ends the process; no program can help that.

--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -229,6 +229,11 @@
 
 int runInstance(const Dialect &dialect, const StoreFactory &makeStore, const std::string &settingsPath)
 {
+    // First of all: a signal that comes while the process starts must not end it.
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGTERM, [](int) { stopRequested = true; });
+    std::signal(SIGINT, [](int) { stopRequested = true; });
+    std::signal(SIGHUP, [](int) { reloadRequested = true; });
     auto parsed = dialect.parseSettings(readFile(settingsPath));
     if (!base::isOk(parsed)) {
         std::cerr << "trefoilportd: " << settingsPath << ": " << base::errorOf(parsed).detail << "\n";
@@ -238,10 +243,6 @@
     settings.relay.instance = processName(settings.node);
     settings.relay.seed = std::hash<std::string>{}(settings.relay.instance);
     record::setUpJsonLog(settings.node, settings.zone);
-    std::signal(SIGPIPE, SIG_IGN);
-    std::signal(SIGTERM, [](int) { stopRequested = true; });
-    std::signal(SIGINT, [](int) { stopRequested = true; });
-    std::signal(SIGHUP, [](int) { reloadRequested = true; });
     int code = 0;
     try {
         RelayHost host(dialect, makeStore, std::move(settings), settingsPath);
