A crash counts once against a request, and an answer clears it

Callers that ask for the same thing share a fingerprint; each of them that was under way at a crash counted as a strike, on each instance, so that one crash of one endpoint barred a healthy request for two minutes, and each further crash for two more. On the users' platform such an answer is an error of the router's own. Ruled out: a shorter time of the bar (a request that does crash endpoints comes back); fingerprints with the caller's request id (repeats have new ones). Change: a strike names the crash (endpoint and incarnation), here and in digests, and counts once. A request that is answered, or has its first event, loses its strikes and suspicions. Tests: three in PlainCallTests (failing before: five requests at one crash; one crash told by three instances; answered between crashes).

--- a/libs/relay/src/CrashGuard.cpp
+++ b/libs/relay/src/CrashGuard.cpp
@@ -1,12 +1,16 @@
 #include "details/CrashGuard.h"
 
+#include "base/Hash.h"
+
+#include <algorithm>
+
 namespace relay {
 
 namespace {
 
 /// A crashed endpoint is known as such within this time: it is silent, or listed with a new incarnation.
 constexpr Ms ConfirmTime{6000};
-constexpr int MostStrikes = 3;
+constexpr std::size_t MostStrikes = 3;
 /// Strikes are forgotten after this time without another.
 constexpr Ms StrikeLife{120000};
 /// Bounds the memory that a flood of broken requests can take.
@@ -22,35 +26,45 @@
     suspicions_.push_back({fingerprint, endpoint, endpoints_.at(endpoint).entry.incarnation, now});
 }
 
-std::vector<std::uint64_t> CrashGuard::tick(Instant now)
+void CrashGuard::onServed(std::uint64_t fingerprint)
+{
+    strikes_.erase(fingerprint);
+    std::erase_if(suspicions_, [&](const Suspicion &suspicion) { return suspicion.fingerprint == fingerprint; });
+}
+
+std::vector<wire::CrashStrike> CrashGuard::tick(Instant now)
 {
-    std::vector<std::uint64_t> confirmed;
+    std::vector<wire::CrashStrike> confirmed;
     std::erase_if(suspicions_, [&](const Suspicion &suspicion) {
         const EndpointState &state = endpoints_.at(suspicion.endpoint);
         const bool hasCrashed = state.entry.incarnation > suspicion.incarnation || state.suspectUntil.count() != 0;
         if (hasCrashed) {
-            confirmed.push_back(suspicion.fingerprint);
+            confirmed.push_back({suspicion.fingerprint, base::mixBits(base::hashOf(state.entry.id) ^ suspicion.incarnation)});
         }
         return hasCrashed || now >= suspicion.brokenAt + ConfirmTime;
     });
-    for (const std::uint64_t fingerprint : confirmed) {
-        onStrike(fingerprint, now);
-    }
+    std::erase_if(confirmed, [&](const wire::CrashStrike &strike) { return !onStrike(strike, now); });
     std::erase_if(strikes_, [&](const auto &entry) { return now >= entry.second.lastAt + StrikeLife; });
     return confirmed;
 }
 
-void CrashGuard::onStrike(std::uint64_t fingerprint, Instant now)
+bool CrashGuard::onStrike(const wire::CrashStrike &strike, Instant now)
 {
-    Strikes &strikes = strikes_[fingerprint];
-    ++strikes.count;
+    Strikes &strikes = strikes_[strike.fingerprint];
+    if (std::find(strikes.crashes.begin(), strikes.crashes.end(), strike.crash) != strikes.crashes.end()) {
+        return false;
+    }
+    if (strikes.crashes.size() < MostStrikes) {
+        strikes.crashes.push_back(strike.crash);
+    }
     strikes.lastAt = now;
+    return true;
 }
 
 bool CrashGuard::isBarred(std::uint64_t fingerprint, Instant now) const
 {
     const auto found = strikes_.find(fingerprint);
-    return found != strikes_.end() && found->second.count >= MostStrikes && now < found->second.lastAt + StrikeLife;
+    return found != strikes_.end() && found->second.crashes.size() >= MostStrikes && now < found->second.lastAt + StrikeLife;
 }
 
 } // namespace relay
--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -50,10 +50,10 @@
 
 void RelayKernel::Impl::checkCrashes(Instant now)
 {
-    for (const std::uint64_t fingerprint : crashes.tick(now)) {
-        untoldStrikes.push_back(fingerprint);
+    for (const wire::CrashStrike &strike : crashes.tick(now)) {
+        untoldStrikes.push_back(strike);
         peers.expedite();
-        driver.record({"crash_strike", "", std::to_string(fingerprint), "an endpoint crashed on this request"});
+        driver.record({"crash_strike", "", std::to_string(strike.fingerprint), "an endpoint crashed on this request"});
     }
 }
 
@@ -95,8 +95,8 @@
         }
     }
     storeDuty.onNews(digest, settings.node, now, known);
-    for (const std::uint64_t fingerprint : digest.strikes) {
-        crashes.onStrike(fingerprint, now);
+    for (const wire::CrashStrike &strike : digest.strikes) {
+        crashes.onStrike(strike, now);
     }
     for (const wire::SlowEndpoint &slow : digest.slow) {
         const auto index = endpoints.findHash(slow.endpoint);
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -88,6 +88,7 @@
     const bool isSuccess = head.status < FirstFailureStatus && head.genuine;
     if (isSuccess) {
         endpoints.onPlainAnswer(endpoint, latency, now);
+        crashes.onServed(call.fingerprint);
     } else {
         endpoints.onPlainFailure(endpoint, now);
     }
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -244,6 +244,7 @@
         for (const EndpointIndex stage : state.stages) {
             impl_->endpoints.onAccepted(stage);
         }
+        impl_->crashes.onServed(call->fingerprint);
     }
     state.hasEvents = true;
     impl_->settleUnread(state);
--- a/libs/relay/src/details/CrashGuard.h
+++ b/libs/relay/src/details/CrashGuard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "details/EndpointRegistry.h"
+#include "wire/RelayDigest.h"
 
 #include <deque>
 #include <unordered_map>
@@ -10,7 +11,8 @@
 /// Finds requests that crash the endpoints that run them, by the fingerprint that all repeats of a request share.
 ///
 /// A broken attempt alone proves nothing. It counts as a crash once its endpoint turns out to have restarted or fallen silent within
-/// moments. Strikes of all instances count together.
+/// moments. Strikes of all instances count together, once for each crash. A request that is answered is none that crashes endpoints, even if
+/// it was under way at several crashes.
 class CrashGuard
 {
 public:
@@ -22,11 +24,14 @@
     /// An attempt of such a request has broken off at an endpoint.
     void onBroken(std::uint64_t fingerprint, EndpointIndex endpoint, Instant now);
 
-    /// Confirms or drops what waits for confirmation; returns the fingerprints with a new strike, for the other instances.
-    std::vector<std::uint64_t> tick(Instant now);
+    /// An endpoint has run such a request to its answer, or to the first event of one.
+    void onServed(std::uint64_t fingerprint);
 
-    /// Another instance has seen a crash.
-    void onStrike(std::uint64_t fingerprint, Instant now);
+    /// Confirms or drops what waits for confirmation; returns the new strikes, for the other instances.
+    std::vector<wire::CrashStrike> tick(Instant now);
+
+    /// Another instance has seen a crash. False if this crash was known.
+    bool onStrike(const wire::CrashStrike &strike, Instant now);
 
     /// True if the request has crashed too many endpoints lately and must not reach another one.
     bool isBarred(std::uint64_t fingerprint, Instant now) const;
@@ -40,7 +45,7 @@
         Instant brokenAt{0};
     };
     struct Strikes {
-        int count = 0;
+        std::vector<std::uint64_t> crashes;
         Instant lastAt{0};
     };
 
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -172,7 +172,7 @@
     RetryWindow retries;
     CrashGuard crashes;
     /// Strikes that the next digest tells the others.
-    std::vector<std::uint64_t> untoldStrikes;
+    std::vector<wire::CrashStrike> untoldStrikes;
     RelayCounters counters;
 
     FleetConfigPtr config;
--- a/libs/relay/tests/PlainCallTests.cpp
+++ b/libs/relay/tests/PlainCallTests.cpp
@@ -181,13 +181,56 @@
     bed.pass(Ms(700));
     std::size_t told = 0;
     for (const wire::RelayDigest &digest : bed.driver.digests) {
-        told += static_cast<std::size_t>(std::count(digest.strikes.begin(), digest.strikes.end(), Fatal));
+        told += static_cast<std::size_t>(
+            std::count_if(digest.strikes.begin(), digest.strikes.end(), [](const wire::CrashStrike &strike) { return strike.fingerprint == Fatal; }));
     }
     LONGS_EQUAL(1, told);
-    bed.kernel.onPeerMessage(bed.now, wire::RelayDigest{"two", false, {}, {}, {}, {Fatal, Fatal}, 0, 0});
+    bed.kernel.onPeerMessage(bed.now, wire::RelayDigest{"two", false, {}, {}, {}, {{Fatal, 1}, {Fatal, 2}}, 0, 0});
     CHECK(!crashesOne());
 }
 
+/// The pattern: many callers ask for the same thing, and one endpoint crashes while it works on several of these requests.
+TEST(ARequestThatCrashesEndpoints, isNotOneThatOnlyRanOftenAtOneCrash)
+{
+    for (EndpointEntry &entry : bed.entries) {
+        entry.draining = entry.id == "desk-b" || entry.id == "desk-c";
+    }
+    bed.pass(Ms(100));
+    std::vector<AttemptId> open;
+    for (int i = 0; i < 5; ++i) {
+        bed.call("/book/seat", "key-a", Ms(1000), Fatal);
+        open.push_back(bed.lastAttempt());
+    }
+    for (const AttemptId attempt : open) {
+        bed.kernel.onFailure(bed.now, attempt, AttemptFailure::Broken);
+    }
+    for (EndpointEntry &entry : bed.entries) {
+        entry.incarnation += entry.id == "desk-a" ? 1 : 0;
+    }
+    bed.pass(Ms(200));
+    CHECK(crashesOne());
+}
+
+TEST(ARequestThatCrashesEndpoints, isCountedOnceForACrashThatOthersSawToo)
+{
+    for (const char *peer : {"two", "three", "four"}) {
+        bed.kernel.onPeerMessage(bed.now, wire::RelayDigest{peer, false, {}, {}, {}, {{Fatal, 1}}, 0, 0});
+    }
+    CHECK(crashesOne());
+}
+
+/// The pattern: a request that is asked for again and again is under way at each of a day's crashes, and is answered in between.
+TEST(ARequestThatCrashesEndpoints, isNotOneThatAnEndpointAnswers)
+{
+    for (int i = 0; i < 4; ++i) {
+        CHECK(crashesOne());
+        bed.call("/book/seat", "key-a", Ms(1000), Fatal);
+        bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {200, false, true, ""});
+        bed.pass(Ms(200));
+    }
+    CHECK(crashesOne());
+}
+
 TEST(ARequestThatCrashesEndpoints, isNotTakenForOneBecauseConnectionsBreak)
 {
     for (int i = 0; i < 10; ++i) {
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -33,6 +33,15 @@
     double slowness = 1;
 };
 
+/// A request that has crashed an endpoint.
+struct CrashStrike {
+    std::uint64_t fingerprint = 0;
+    /// Stands for the endpoint and its incarnation: the same for all who saw the crash.
+    std::uint64_t crash = 0;
+
+    friend bool operator==(const CrashStrike &, const CrashStrike &) = default;
+};
+
 /// What an instance tells the others of the requests that it relays.
 struct RelayDigest {
     std::string instance;
@@ -40,8 +49,8 @@
     std::vector<EndpointLoad> loads;
     std::vector<SilentEndpoint> silent;
     std::vector<SlowEndpoint> slow;
-    /// Fingerprints of requests, once for each endpoint that they have crashed since the last digest.
-    std::vector<std::uint64_t> strikes;
+    /// Since the last digest.
+    std::vector<CrashStrike> strikes;
     /// What a reader of the store has read last; 0 from instances that don't read it.
     std::uint64_t configVersion = 0;
     std::uint64_t endpointsHash = 0;
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -44,15 +44,16 @@
         out.add_slow(slow.endpoint);
         out.add_slowness_tenths(static_cast<std::uint32_t>(slow.slowness * Tenths));
     }
-    for (const std::uint64_t strike : digest.strikes) {
-        out.add_strike(strike);
+    for (const CrashStrike &strike : digest.strikes) {
+        out.add_strike(strike.fingerprint);
+        out.add_strike_crash(strike.crash);
     }
 }
 
 std::optional<RelayDigest> toDigest(const trefoilport::pb::RelayDigest &in)
 {
     const bool isWhole = in.open_requests_size() == in.endpoint_size() && in.context_size() == in.endpoint_size()
-        && in.silent_incarnation_size() == in.silent_size() && in.slowness_tenths_size() == in.slow_size();
+        && in.silent_incarnation_size() == in.silent_size() && in.slowness_tenths_size() == in.slow_size() && in.strike_crash_size() == in.strike_size();
     if (!isWhole || in.instance().empty()) {
         return std::nullopt;
     }
@@ -69,7 +70,9 @@
     for (int i = 0; i < in.slow_size(); ++i) {
         digest.slow.push_back({in.slow(i), in.slowness_tenths(i) / Tenths});
     }
-    digest.strikes.assign(in.strike().begin(), in.strike().end());
+    for (int i = 0; i < in.strike_size(); ++i) {
+        digest.strikes.push_back({in.strike(i), in.strike_crash(i)});
+    }
     return digest;
 }
 
--- a/libs/wire/tests/CodecTests.cpp
+++ b/libs/wire/tests/CodecTests.cpp
@@ -51,7 +51,7 @@
     gossip.members.push_back({"a", 1, 2, 3, 4, 5, 6, true, false, false, "127.0.0.1:1", "z"});
     gossip.strikes.push_back({9, "a", 2, 1000});
     const std::string goodEnvelope = wire::encode(wire::PeerEnvelope{"a", 1, gossip});
-    const std::string goodDigest = wire::encode(wire::RelayDigest{"a", false, {{1, 2, 512}}, {{3, 4}}, {{5, 2}}, {6}, 7, 8});
+    const std::string goodDigest = wire::encode(wire::RelayDigest{"a", false, {{1, 2, 512}}, {{3, 4}}, {{5, 2}}, {{6, 1}}, 7, 8});
     base::Random random(20261204);
     for (int round = 0; round < 20000; ++round) {
         std::string bad = round % 2 == 0 ? goodEnvelope : goodDigest;
@@ -69,7 +69,7 @@
 
 TEST_GROUP(ARelayDigest)
 {
-    const wire::RelayDigest digest{"one", true, {{7, 3, 1024}, {9, 1, 0}}, {{4, 17}}, {{5, 2.5}}, {11, 11}, 8, 99};
+    const wire::RelayDigest digest{"one", true, {{7, 3, 1024}, {9, 1, 0}}, {{4, 17}}, {{5, 2.5}}, {{11, 1}, {11, 2}}, 8, 99};
 };
 
 TEST(ARelayDigest, comesBackAsItWas)
@@ -85,6 +85,7 @@
     LONGS_EQUAL(17, value.silent[0].incarnation);
     DOUBLES_EQUAL(2.5, value.slow[0].slowness, 0.01);
     LONGS_EQUAL(2, value.strikes.size());
+    CHECK(value.strikes == digest.strikes);
 }
 
 /// 33 endpoints under load, sent to 8 others every 600 ms, must stay under the 4 KB a second that a node may use for control.
