A stream that has begun waits for room instead of using up its sendings

Ruled out: more sendings at once (refusals count as repeats and hold up others); waiting for new requests too (they are told at once when to return). A refusal keeps an endpoint from all work for a while already; it is no longer left out for the rest of that stream's life. Test: thatHasBegunWaitsForRoom... in StreamCallTests, failing before.

--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -136,7 +136,9 @@
 
 bool RelayKernel::Impl::mayRepeat(Instant now, Call &call)
 {
-    constexpr std::uint32_t MostSendings = 5;
+    // Streams that have begun have more to lose.
+    constexpr std::uint32_t FirstSendings = 5;
+    constexpr std::uint32_t ResumedSendings = 8;
     if (crashes.isBarred(call.fingerprint, now)) {
         return false;
     }
@@ -144,7 +146,8 @@
         return true;
     }
     const bool mayRunAgain = call.route->kind == RequestKind::OnceOnly ? !call.mayHaveRun : call.runs < call.route->maxAttempts;
-    return mayRunAgain && call.sendings < MostSendings && retries.take(call.service->name, now);
+    const std::uint32_t most = call.mayHaveRun && call.route->kind == RequestKind::Stream ? ResumedSendings : FirstSendings;
+    return mayRunAgain && call.sendings < most && retries.take(call.service->name, now);
 }
 
 AttemptId RelayKernel::Impl::startAttempt(Instant now, Call &call, Attempt attempt)
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -107,7 +107,6 @@
     driver.record({"attempt_refused", call.requestId, endpoints.at(atFault).entry.id, "status " + std::to_string(head.status)});
     --call.runs;
     dropAttempt(attempt);
-    exclude(call, atFault);
     if (head.status == MisdirectedStatus) {
         endpoints.forgetLayers(atFault);
     } else {
@@ -115,6 +114,11 @@
     }
     askReport(now, atFault);
     if (mayRepeat(now, call)) {
+        // A stream that has begun can't be refused any more. Room comes back within moments, while its caller waits for the next event.
+        if (call.mayHaveRun && call.refusals++ > 0) {
+            call.nextLook = now + ResumePeriod * call.refusals;
+            return;
+        }
         return startStream(now, call);
     }
     fail(now, call, base::ErrorKind::Overloaded, "the path's endpoints refused the request without running it");
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -66,6 +66,8 @@
     /// Sendings after which the request may have run, but for those that ended with their endpoint.
     std::uint32_t runs = 0;
     std::uint32_t sendings = 0;
+    /// Refusals since it may have run.
+    std::uint32_t refusals = 0;
     /// True once a sending may have run.
     bool mayHaveRun = false;
     /// Endpoints that have failed this call.
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -289,3 +289,26 @@
     CHECK(bed.driver.wasCancelled(bed.driver.sent.back().attempt));
     LONGS_EQUAL(0, bed.kernel.openCalls());
 }
+
+/// The pattern: a busy stage is lost, and for some tenths of a second the other holders of its layers are full of the streams that it had.
+TEST(AStream, thatHasBegunWaitsForRoomInsteadOfUsingUpItsSendings)
+{
+    const CallId call = startStream(3);
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    const Instant brokenAt = bed.now;
+    AttemptId refused = 0;
+    while (bed.now < brokenAt + Ms(500)) {
+        if (bed.lastAttempt() != refused) {
+            refused = bed.lastAttempt();
+            bed.kernel.onAnswer(bed.now, refused, {503, true, false, upperStage()});
+        }
+        bed.pass(Ms(50));
+    }
+    CHECK(bed.driver.broken.empty());
+    CHECK(bed.driver.sent.size() <= 8);
+    bed.pass(Ms(1000));
+    CHECK(bed.lastAttempt() != refused);
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 4));
+    bed.kernel.onStreamEnd(bed.now, bed.lastAttempt());
+    LONGS_EQUAL(call, bed.driver.ended.back());
+}
