A fault soak: real instances before stand-ins of the users' platform

Ruled out: a clock that jumps (nothing on the machine shifts the clock of one process without a preloaded library); proxies between the instances' own connections (the platform's entries name addresses that the instance itself gives; stops and kills cover their loss).

--- a/build.sh
+++ b/build.sh
@@ -62,6 +62,7 @@
 format) sources | xargs clang-format -i ;;
 generate) protoc --proto_path=libs/wire/src --cpp_out=libs/wire/src/generated Records.proto ;;
 demo) compile && shift && exec bash scripts/demo.sh "$build" "$@" ;;
+soak) compile && shift && exec bash scripts/soak.sh "$build" "$@" ;;
 mutants) install_packages && shift && bash scripts/mutants.sh "$@" ;;
 bench) compile && shift && exec bash scripts/bench.sh "$build" "$@" ;;
 *)
@@ -72,6 +73,7 @@
 ./build.sh check            formatter and linter
 ./build.sh demo [--keep]    starts a small fleet, uses it and stops it; --keep leaves it up
 ./build.sh bench NAME       throughput, overload, recovery, overhead or control
+./build.sh soak [SEEDS]     real instances under faults from outside; seeds as 7 or 1-50
 ./build.sh mutants          breaks the kernel on purpose and requires its tests to notice
 ./build.sh format           formats the sources in place
 ./build.sh generate         makes the committed protobuf code anew
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# The soak: real instances behind links that fail, before stand-ins of the users' platform, under signals, restarts and outages from a seed.
+# soak.sh BUILD [SEED | FIRST-LAST]...; 1-50 unless told. AT_ONCE seeds run together, with three instances each.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+build=$1
+shift
+at_once=${AT_ONCE:-12}
+seconds=${SECONDS_OF_FAULTS:-20}
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+export build seconds work
+
+run_seed() {
+    if "$build/platform/trefoilSoak" --daemon "$build/programs/trefoilportd/trefoilportd" --seed "$1" --seconds "$seconds" >"$work/$1" 2>&1; then
+        tail -1 "$work/$1"
+        touch "$work/$1.passed"
+    else
+        echo "FAILED seed $1"
+        cat "$work/$1"
+    fi
+}
+export -f run_seed
+
+for seeds in "${@:-1-50}"; do
+    seq "${seeds%-*}" "${seeds#*-}"
+done >"$work/seeds"
+xargs -P "$at_once" -I{} bash -c 'run_seed {}' <"$work/seeds"
+passed=$(find "$work" -name '*.passed' | wc -l)
+echo "$passed of $(wc -l <"$work/seeds") seeds passed"
+[ "$passed" -eq "$(wc -l <"$work/seeds")" ]
