explain shows what became of the endpoints when none could take a request

Cause: the story of a request that was refused with "no path over all layers has room" was that one line: the loss of the endpoint that had held the layers, 0.8 s before, was on no path of the request. Change: if a request was refused for want of endpoints without a sending, the story takes lines about any endpoint. The search for a request's scope and the choice of lines are functions of their own. Test: showsWhatBecameOfTheEndpointsWhenNoneCouldTakeIt, failing before.

--- a/libs/timeline/src/RequestStory.cpp
+++ b/libs/timeline/src/RequestStory.cpp
@@ -63,6 +63,53 @@
     }
 }
 
+/// What the own lines of a request say of where and when to look for others.
+struct Scope {
+    std::set<std::string> instances;
+    std::set<std::string> endpoints;
+    /// It was refused since no endpoint could take it: what became of any of them matters.
+    bool anyEndpoint = false;
+    std::string first;
+    std::string last;
+};
+
+Scope scopeOf(const std::vector<LogLine> &log, std::string_view request)
+{
+    Scope scope;
+    for (const LogLine &line : log) {
+        if (line.request != request) {
+            continue;
+        }
+        scope.instances.insert(line.instance);
+        if (line.event == "sent") {
+            scope.endpoints.insert(line.subject);
+        }
+        collectEndpoints(line.detail, scope.endpoints);
+        scope.anyEndpoint = scope.anyEndpoint || line.subject == "no_endpoint" || line.subject == "overloaded";
+        scope.first = scope.first.empty() ? line.time : std::min(scope.first, line.time);
+        scope.last = std::max(scope.last, line.time);
+    }
+    scope.anyEndpoint = scope.anyEndpoint && scope.endpoints.empty();
+    return scope;
+}
+
+bool isMeanwhile(const Scope &scope, const LogLine &line)
+{
+    return line.time <= scope.last && milliseconds(line.time) >= milliseconds(scope.first) - BackgroundMs;
+}
+
+/// A line that isn't the request's own tells of what it depended on.
+bool bearsOn(const Scope &scope, const LogLine &line)
+{
+    if (!isMeanwhile(scope, line)) {
+        return false;
+    }
+    if (isOneOf(EndpointEvents, line.event)) {
+        return scope.anyEndpoint || scope.endpoints.contains(line.subject);
+    }
+    return isOneOf(InstanceEvents, line.event) && scope.instances.contains(line.instance);
+}
+
 Ending endingOf(std::string_view event)
 {
     if (event == "answered") {
@@ -152,43 +199,22 @@
 
 RequestStory explainRequest(const std::vector<LogLine> &log, std::string_view request)
 {
+    const Scope scope = scopeOf(log, request);
     RequestStory story;
-    std::set<std::string> instances;
-    std::set<std::string> endpoints;
-    std::string first;
-    std::string last;
-    for (const LogLine &line : log) {
-        if (line.request != request) {
-            continue;
-        }
-        instances.insert(line.instance);
-        if (line.event == "sent") {
-            endpoints.insert(line.subject);
-            collectEndpoints(line.detail, endpoints);
-        }
-        first = first.empty() ? line.time : std::min(first, line.time);
-        last = std::max(last, line.time);
-    }
-    const std::int64_t begin = milliseconds(first) - BackgroundMs;
-    for (const LogLine &line : log) {
-        const bool isMeanwhile = line.time <= last && milliseconds(line.time) >= begin;
-        const bool isOfInstance = instances.contains(line.instance);
-        const bool isBackground =
-            isMeanwhile && ((isOneOf(EndpointEvents, line.event) && endpoints.contains(line.subject)) || (isOneOf(InstanceEvents, line.event) && isOfInstance));
-        if (line.request == request || (isBackground && line.request.empty()) || (isBackground && line.event == "endpoint_silent")) {
-            story.lines.push_back(line);
-        }
-        story.leftOut += isMeanwhile && isOfInstance && !line.request.empty() ? line.leftOut : 0;
-    }
-    std::stable_sort(story.lines.begin(), story.lines.end(), [](const LogLine &a, const LogLine &b) { return a.time < b.time; });
     const LogLine *end = nullptr;
-    for (const LogLine &line : story.lines) {
-        if (line.request == request) {
+    for (const LogLine &line : log) {
+        const bool isOwn = line.request == request;
+        if (isOwn) {
             const Ending ending = endingOf(line.event);
             end = ending != Ending::Missing ? &line : end;
             story.ending = ending != Ending::Missing || end == nullptr ? ending : story.ending;
         }
+        if (isOwn || bearsOn(scope, line)) {
+            story.lines.push_back(line);
+        }
+        story.leftOut += isMeanwhile(scope, line) && scope.instances.contains(line.instance) && !line.request.empty() ? line.leftOut : 0;
     }
+    std::stable_sort(story.lines.begin(), story.lines.end(), [](const LogLine &a, const LogLine &b) { return a.time < b.time; });
     story.cause = causeOf(story, end);
     return story;
 }
--- a/libs/timeline/tests/RequestStoryTests.cpp
+++ b/libs/timeline/tests/RequestStoryTests.cpp
@@ -76,6 +76,19 @@
     STRCMP_CONTAINS("store_lost at 07:55:28,000", story.cause.c_str());
 }
 
+TEST(AStoryOfARequest, showsWhatBecameOfTheEndpointsWhenNoneCouldTakeIt)
+{
+    const auto story = timeline::explainRequest(
+        {
+            line("29,000", "front-2", "endpoint_silent", "", "a", "no answer to a question for its state"),
+            line("30,000", "front-3", "order_place", "", "b", "layers 30-40, fence 1, orders so far 0"),
+            line("31,000", "front-1", "rejected", "r1", "no_endpoint", "no path over all layers has room"),
+        },
+        "r1");
+    LONGS_EQUAL(3, story.lines.size());
+    STRCMP_CONTAINS("endpoint_silent at 07:55:29,000 a", story.cause.c_str());
+}
+
 TEST(AStoryOfARequest, leavesOutWhatHappenedLongBefore)
 {
     const auto story = timeline::explainRequest(
