--- a/libs/timeline/src/RequestStory.cpp
+++ b/libs/timeline/src/RequestStory.cpp
@@ -81,10 +81,10 @@
             continue;
         }
         scope.instances.insert(line.instance);
-        if (line.event == "sent") {
+        if (line.event == "sent" || line.event == "stream_detoured") {
             scope.endpoints.insert(line.subject);
+            collectEndpoints(line.detail, scope.endpoints);
         }
-        collectEndpoints(line.detail, scope.endpoints);
         scope.anyEndpoint = scope.anyEndpoint || line.subject == "no_endpoint" || line.subject == "overloaded";
         scope.first = scope.first.empty() ? line.time : std::min(scope.first, line.time);
         scope.last = std::max(scope.last, line.time);
