A detour is not tried again at a first stage that is lost meanwhile; a refusal names the layer

Cause: found by reading the diff. While the order to the first stage is under way, that stage may be found silent. If the order then has no answer, the kernel sought a way round it too, and read the stage before the first one: undefined behaviour. Ruled out: that it is unreachable (silent streams are moved at once, but not within 75 ms of their last progress, which a detour resets). Change: no detour if the first stage must go; the endpoints that may stand in are chosen in a function of their own. A refusal for want of a path says which layer no usable endpoint holds, or that there is no room. Test: isNotTriedAgainAtAFirstStageThatIsLostMeanwhile, failing before; the refusal's text in isRefusedAtOnceWithATimeToReturnWhenALayerIsMissing. All tests of relay, placement, timeline and mesh, with 60 schedules, under the address and undefined-behaviour sanitizers: no report.

--- a/libs/relay/src/Detours.cpp
+++ b/libs/relay/src/Detours.cpp
@@ -16,34 +16,39 @@
     return endpoints.at(stage).suspectUntil.count() != 0;
 }
 
+Candidates RelayKernel::Impl::standIns(Instant now, const Call &call, const Attempt &attempt) const
+{
+    Candidates others = candidates(now, call);
+    for (std::size_t i = 0; i < others.indices.size(); ++i) {
+        // An endpoint may stand in a path only once.
+        others.holders[i].usable = std::find(attempt.stages.begin(), attempt.stages.end(), others.indices[i]) == attempt.stages.end();
+    }
+    return others;
+}
+
 bool RelayKernel::Impl::detour(Instant now, Call &call, AttemptId id, std::optional<EndpointIndex> fault)
 {
     Attempt &attempt = attempts.at(id);
-    if (attempt.detours >= MostDetours) {
-        return false;
-    }
     const auto mustGo = [&](EndpointIndex stage) {
         return isLost(stage) || stage == fault;
     };
-    Candidates others = candidates(now, call);
-    for (std::size_t i = 0; i < others.indices.size(); ++i) {
-        // An endpoint may stand in a path only once.
-        others.holders[i].usable = std::find(attempt.stages.begin(), attempt.stages.end(), others.indices[i]) == attempt.stages.end();
+    if (attempt.detours >= MostDetours || mustGo(attempt.stages.front())) {
+        return false;
     }
+    Candidates others = standIns(now, call, attempt);
     std::vector<EndpointIndex> stages;
     std::vector<placement::LayerRange> layers;
-    for (std::size_t i = 0; i < attempt.stages.size();) {
-        std::size_t end = i;
-        while (end < attempt.stages.size() && mustGo(attempt.stages[end])) {
-            ++end;
-        }
-        if (end == i) {
+    for (std::size_t i = 0; i < attempt.stages.size(); ++i) {
+        if (!mustGo(attempt.stages[i])) {
             stages.push_back(attempt.stages[i]);
             layers.push_back(attempt.layers[i]);
-            ++i;
             continue;
         }
-        const placement::Path way = wayRound(call, attempt, i, end, others);
+        const std::size_t first = i;
+        while (i + 1 < attempt.stages.size() && mustGo(attempt.stages[i + 1])) {
+            ++i;
+        }
+        const placement::Path way = wayRound(call, attempt, first, i + 1, others);
         if (way.stages.empty()) {
             return false;
         }
@@ -52,7 +57,6 @@
             layers.push_back(stage.layers);
             others.holders[stage.holder].usable = false;
         }
-        i = end;
     }
     ++attempt.detours;
     attempt.detourPending = true;
@@ -104,7 +108,7 @@
         exclude(call, *fault);
         endpoints.avoid(*fault, now);
     }
-    const bool canTryAgain = outcome == OrderOutcome::NoAnswer || (outcome == OrderOutcome::Refused && fault && *fault != attempt.stages.front());
+    const bool canTryAgain = outcome == OrderOutcome::NoAnswer || (outcome == OrderOutcome::Refused && fault);
     if (canTryAgain && detour(now, call, id, fault)) {
         return;
     }
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -23,6 +23,21 @@
 constexpr double FirstTokenFactor = 3.0;
 constexpr int MisdirectedStatus = 421;
 
+/// Why there is no path: the first layer that no candidate holds, or that none that does has room.
+std::string whyNoPath(const std::vector<placement::Holder> &holders, std::uint32_t layers)
+{
+    std::uint32_t covered = 0;
+    for (bool grows = true; grows && covered < layers;) {
+        std::uint32_t next = covered;
+        for (const placement::Holder &holder : holders) {
+            next = holder.held.first <= covered ? std::max(next, holder.held.end) : next;
+        }
+        grows = next > covered;
+        covered = next;
+    }
+    return covered < layers ? "no usable endpoint holds layer " + std::to_string(covered) : "no path over all layers has room";
+}
+
 } // namespace
 
 Candidates RelayKernel::Impl::candidates(Instant now, const Call &call) const
@@ -58,7 +73,7 @@
             call.nextLook = now + ResumePeriod; // A path may be back before the caller leaves.
             return;
         }
-        return fail(now, call, base::ErrorKind::NoEndpoint, "no path over all layers has room");
+        return fail(now, call, base::ErrorKind::NoEndpoint, whyNoPath(holders, call.service->engine->layers));
     }
     Attempt attempt;
     Dispatch dispatch;
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -146,7 +146,9 @@
     void tellDetour(const Call &call, AttemptId attempt);
     /// Gives a run up and goes on with a new one.
     void runAnew(Instant now, Call &call, AttemptId attempt, const std::string &reason);
-    /// A way over other endpoints for the lost stages [first, end) of an attempt.
+    /// Endpoints that may take the place of stages of the attempt.
+    Candidates standIns(Instant now, const Call &call, const Attempt &attempt) const;
+    /// A way over other endpoints for the lost stages [first, end) of an attempt; first is above 0.
     placement::Path wayRound(const Call &call, const Attempt &attempt, std::size_t first, std::size_t end, const Candidates &others) const;
     void onDetourAnswer(Instant now, Call &call, AttemptId attempt, OrderOutcome outcome, const std::string &faultAddress);
     /// A stage that can't go on.
--- a/libs/relay/tests/DetourTests.cpp
+++ b/libs/relay/tests/DetourTests.cpp
@@ -161,6 +161,23 @@
     LONGS_EQUAL(2, bed.driver.sent.size());
 }
 
+/// The pattern: the first stage is lost as well, in the moments that the order to it takes.
+TEST(ADetour, isNotTriedAgainAtAFirstStageThatIsLostMeanwhile)
+{
+    bed.entries.push_back(RelayBed::engineEntry("high-c", "zone-c", {RelayBed::HalfLayers, 80}));
+    bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
+    startStream(2);
+    const AttemptId run = bed.lastAttempt();
+    const std::string first = bed.driver.sent.back().endpoint;
+    loseUpperStage();
+    bed.now += Ms(10);
+    bed.kernel.onReport(bed.now, first, std::nullopt);
+    bed.kernel.onDetourAnswer(bed.now, run, OrderOutcome::NoAnswer, "");
+    LONGS_EQUAL(1, bed.driver.detours.size());
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(bed.driver.sent.back().endpoint != first);
+}
+
 /// The pattern: the only other holder of the lost layers already runs other layers of the same path.
 TEST(ADetour, usesNoEndpointTwice)
 {
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -268,6 +268,7 @@
     CHECK(bed.driver.sent.empty());
     CHECK(base::errorAnswer(bed.driver.rejected.back().rejection.kind).ran == base::Ran::No);
     CHECK(bed.driver.rejected.back().rejection.retryAfter.count() > 0);
+    STRCMP_EQUAL("no usable endpoint holds layer 40", bed.driver.rejected.back().rejection.detail.c_str());
 }
 
 TEST(AStream, isAskedForLayersAnewWhenAnEndpointDoesNotHoldItsPart)
