--- a/libs/relay/tests/DetourTests.cpp
+++ b/libs/relay/tests/DetourTests.cpp
@@ -9,20 +9,6 @@
 {
     RelayBed bed;
 
-    CallId startStream(int events)
-    {
-        const CallId call = bed.call("/stream/x");
-        for (int id = 1; id <= events; ++id) {
-            CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), static_cast<std::uint64_t>(id)));
-        }
-        return call;
-    }
-
-    std::string upperStage() const
-    {
-        return bed.driver.sent.back().hops.back().address;
-    }
-
     /// The first stage says that requests stall on that address.
     void reportStall(const std::string &address)
     {
@@ -36,7 +22,7 @@
     void loseUpperStage()
     {
         bed.pass(Ms(300));
-        reportStall(upperStage());
+        reportStall(bed.upperStage());
     }
 
     std::uint32_t loadOf(const std::string &address) const
@@ -49,7 +35,7 @@
 
 TEST(ADetour, keepsTheRunAndItsFirstStage)
 {
-    startStream(2);
+    bed.startStream(2);
     const Dispatch run = bed.driver.sent.back();
     loseUpperStage();
     LONGS_EQUAL(1, bed.driver.detours.size());
@@ -64,7 +50,7 @@
 
 TEST(ADetour, runsEveryLayerOnceAndInOrder)
 {
-    startStream(2);
+    bed.startStream(2);
     loseUpperStage();
     std::uint32_t layer = 0;
     for (const Hop &hop : bed.driver.detours.back().hops) {
@@ -76,7 +62,7 @@
 
 TEST(ADetour, goesOnWithTheNextEventAndCountsAsNoRun)
 {
-    const CallId call = startStream(2);
+    const CallId call = bed.startStream(2);
     const AttemptId run = bed.lastAttempt();
     loseUpperStage();
     bed.kernel.onDetourAnswer(bed.now, run, OrderOutcome::Accepted, "");
@@ -91,8 +77,8 @@
 
 TEST(ADetour, takesTheLoadFromTheLostStageToTheNewOne)
 {
-    startStream(2);
-    const std::string lost = upperStage();
+    bed.startStream(2);
+    const std::string lost = bed.upperStage();
     loseUpperStage();
     LONGS_EQUAL(0, loadOf(lost));
     LONGS_EQUAL(1, loadOf(bed.driver.detours.back().hops.back().address));
@@ -107,7 +93,7 @@
 {
     bed.entries.push_back(RelayBed::engineEntry("high-c", "zone-c", {RelayBed::HalfLayers, 80}));
     bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
-    startStream(2);
+    bed.startStream(2);
     const AttemptId run = bed.lastAttempt();
     loseUpperStage();
     const std::string full = bed.driver.detours.back().hops.back().address;
@@ -119,7 +105,7 @@
 
 TEST(ADetour, isFollowedByANewRunIfTheFirstStageKnowsTheRequestNoMore)
 {
-    startStream(2);
+    bed.startStream(2);
     const AttemptId run = bed.lastAttempt();
     loseUpperStage();
     bed.kernel.onDetourAnswer(bed.now, run, OrderOutcome::Refused, "");
@@ -130,7 +116,7 @@
 
 TEST(ADetour, isFollowedByANewRunIfItsOrderHasNoAnswer)
 {
-    startStream(2);
+    bed.startStream(2);
     loseUpperStage();
     for (int i = 0; i < 4 && bed.driver.sent.size() == 1; ++i) {
         bed.kernel.onDetourAnswer(bed.now, bed.driver.sent.front().attempt, OrderOutcome::NoAnswer, "");
@@ -142,8 +128,8 @@
 /// The pattern: the only other holders of the lost layers are lost as well.
 TEST(ADetour, isNotTakenWithoutAnotherHolder)
 {
-    startStream(2);
-    const std::string lost = upperStage();
+    bed.startStream(2);
+    const std::string lost = bed.upperStage();
     for (EndpointEntry &entry : bed.entries) {
         entry.draining = entry.layers.first == RelayBed::HalfLayers && entry.address != lost;
     }
@@ -154,7 +140,7 @@
 
 TEST(ADetour, isNotTakenRoundTheFirstStage)
 {
-    startStream(2);
+    bed.startStream(2);
     bed.pass(Ms(300));
     bed.kernel.onReport(bed.now, bed.driver.sent.back().endpoint, std::nullopt);
     CHECK(bed.driver.detours.empty());
@@ -166,7 +152,7 @@
 {
     bed.entries.push_back(RelayBed::engineEntry("high-c", "zone-c", {RelayBed::HalfLayers, 80}));
     bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
-    startStream(2);
+    bed.startStream(2);
     const AttemptId run = bed.lastAttempt();
     const std::string first = bed.driver.sent.back().endpoint;
     loseUpperStage();
@@ -190,7 +176,7 @@
     slow.layers = {40, 80};
     slow.slowness = 8;
     bed.kernel.onReport(bed.now, "high", slow);
-    startStream(2);
+    bed.startStream(2);
     LONGS_EQUAL(3, bed.driver.sent.back().hops.size());
     bed.pass(Ms(300));
     reportStall("middle:1");
@@ -199,7 +185,7 @@
 
 TEST(ADetour, endsWithItsCall)
 {
-    const CallId call = startStream(2);
+    const CallId call = bed.startStream(2);
     const AttemptId run = bed.lastAttempt();
     loseUpperStage();
     bed.kernel.onCallerGone(bed.now, call);
@@ -214,7 +200,7 @@
     auto config = std::make_shared<FleetConfig>(*RelayBed::config(2));
     config->routes.front().isResumable = false;
     bed.kernel.onConfig(bed.now, bed.now, config);
-    startStream(2);
+    bed.startStream(2);
     loseUpperStage();
     LONGS_EQUAL(1, bed.driver.detours.size());
     bed.kernel.onDetourAnswer(bed.now, bed.lastAttempt(), OrderOutcome::Refused, "");
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -3,6 +3,7 @@
 #include "relay/RelayKernel.h"
 
 #include <algorithm>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -245,6 +246,24 @@
         return lastCall;
     }
 
+    /// A stream that has had so many events. Throws if one of them isn't passed on, which fails the test.
+    relay::CallId startStream(int events)
+    {
+        const relay::CallId stream = call("/stream/x");
+        for (int id = 1; id <= events; ++id) {
+            if (!kernel.onEvent(now, lastAttempt(), static_cast<std::uint64_t>(id))) {
+                throw std::logic_error("an event of the stream was not passed on");
+            }
+        }
+        return stream;
+    }
+
+    /// The stage of the last path that holds the upper layers.
+    std::string upperStage() const
+    {
+        return driver.sent.back().hops.back().address;
+    }
+
     /// Lets time pass in small steps; the store answers all the while if it is said to.
     void pass(relay::Ms time, bool storeAnswers = true)
     {
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -8,21 +8,6 @@
 {
     RelayBed bed;
 
-    CallId startStream(int events)
-    {
-        const CallId call = bed.call("/stream/x");
-        for (int id = 1; id <= events; ++id) {
-            CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), static_cast<std::uint64_t>(id)));
-        }
-        return call;
-    }
-
-    /// The stage of the last path that holds the upper half.
-    std::string upperStage() const
-    {
-        return bed.driver.sent.back().hops.back().address;
-    }
-
     EndpointReport reportOf(const std::string &stalledOn) const
     {
         EndpointReport report;
@@ -37,7 +22,7 @@
 
 TEST(AStream, passesThroughEveryLayerOnceInsideOneZone)
 {
-    startStream(0);
+    bed.startStream(0);
     const Dispatch &dispatch = bed.driver.sent.back();
     LONGS_EQUAL(2, dispatch.hops.size());
     LONGS_EQUAL(0, dispatch.hops[0].layers.first);
@@ -49,7 +34,7 @@
 
 TEST(AStream, beginsWithItsFirstEventAndEndsWithItsLast)
 {
-    const CallId call = startStream(3);
+    const CallId call = bed.startStream(3);
     LONGS_EQUAL(1, bed.driver.begun.size());
     bed.kernel.onStreamEnd(bed.now, bed.lastAttempt());
     LONGS_EQUAL(call, bed.driver.ended.back());
@@ -58,7 +43,7 @@
 
 TEST(AStream, goesOnAfterTheLastEventWhenItsRunBreaks)
 {
-    const CallId call = startStream(3);
+    const CallId call = bed.startStream(3);
     bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
     LONGS_EQUAL(2, bed.driver.sent.size());
     STRCMP_EQUAL("3", bed.driver.sent.back().lastEventId.c_str());
@@ -71,7 +56,7 @@
 
 TEST(AStream, isBrokenOffVisiblyWhenAnEventIsMissing)
 {
-    const CallId call = startStream(3);
+    const CallId call = bed.startStream(3);
     CHECK(!bed.kernel.onEvent(bed.now, bed.lastAttempt(), 5));
     LONGS_EQUAL(call, bed.driver.broken.back());
     CHECK(bed.driver.ended.empty());
@@ -79,7 +64,7 @@
 
 TEST(AStream, isBrokenOffVisiblyWhenNoSendingIsLeft)
 {
-    const CallId call = startStream(3);
+    const CallId call = bed.startStream(3);
     bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
     CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 4));
     bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
@@ -104,8 +89,8 @@
 
 TEST(AStream, goesRoundAStageOfItsPathThatIsSilent)
 {
-    startStream(2);
-    const std::string silent = upperStage();
+    bed.startStream(2);
+    const std::string silent = bed.upperStage();
     const std::string first = bed.driver.sent.back().endpoint;
     bed.pass(Ms(300));
     STRCMP_EQUAL(first.c_str(), bed.driver.reportsAsked.front().c_str());
@@ -119,8 +104,8 @@
 /// The pattern: a stage falls silent just after an event of one of its streams, and is known to be silent before that stream is late.
 TEST(AStream, goesRoundItEvenIfItWasFoundSilentThroughAnother)
 {
-    startStream(2);
-    const std::string silent = upperStage();
+    bed.startStream(2);
+    const std::string silent = bed.upperStage();
     const std::string first = bed.driver.sent.back().endpoint;
     const AttemptId early = bed.lastAttempt();
     bed.pass(Ms(300));
@@ -137,7 +122,7 @@
 {
     bed.entries.push_back(RelayBed::engineEntry("low-c", "zone-c", {0, RelayBed::HalfLayers}));
     bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
-    startStream(2);
+    bed.startStream(2);
     const std::string first = bed.driver.sent.back().endpoint;
     bed.pass(Ms(300));
     bed.kernel.onReport(bed.now, first, std::nullopt);
@@ -149,10 +134,10 @@
 /// The pattern: later stages are lost twice in one stream's life, with no way round. Its first stages live, so that both runs count.
 TEST(AStream, thatLostALaterStageHasUsedUpARun)
 {
-    const CallId call = startStream(2);
+    const CallId call = bed.startStream(2);
     const std::string first = bed.driver.sent.back().endpoint;
     bed.pass(Ms(300));
-    bed.kernel.onReport(bed.now, first, reportOf(upperStage()));
+    bed.kernel.onReport(bed.now, first, reportOf(bed.upperStage()));
     bed.kernel.onDetourAnswer(bed.now, bed.lastAttempt(), OrderOutcome::Refused, "");
     LONGS_EQUAL(2, bed.driver.sent.size());
     CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
@@ -163,7 +148,7 @@
 
 TEST(AStream, movesWhenTheFirstStageDoesNotAnswerAQuestion)
 {
-    startStream(2);
+    bed.startStream(2);
     const std::string first = bed.driver.sent.back().endpoint;
     bed.pass(Ms(300));
     bed.kernel.onReport(bed.now, first, std::nullopt);
@@ -174,8 +159,8 @@
 /// The pattern: an endpoint becomes many times slower without falling silent, and all that passes through it is late.
 TEST(AStream, keepsAwayFromAStageThatSaysThatItIsSlow)
 {
-    startStream(2);
-    const std::string slow = upperStage();
+    bed.startStream(2);
+    const std::string slow = bed.upperStage();
     const std::string id = slow.substr(0, slow.find(':'));
     bed.pass(Ms(300));
     CHECK(std::find(bed.driver.reportsAsked.begin(), bed.driver.reportsAsked.end(), id) != bed.driver.reportsAsked.end());
@@ -185,28 +170,28 @@
     report.slowness = 12;
     bed.kernel.onReport(bed.now, id, report);
     bed.call("/stream/x");
-    CHECK(upperStage() != slow);
+    CHECK(bed.upperStage() != slow);
 }
 
 TEST(AStream, keepsAwayFromAStageThatAnotherInstanceFoundSlowOrSilent)
 {
-    startStream(0);
-    const std::string other = upperStage();
+    bed.startStream(0);
+    const std::string other = bed.upperStage();
     const std::string id = other.substr(0, other.find(':'));
     bed.kernel.onPeerMessage(bed.now, wire::RelayDigest{"two", false, {}, {}, {{wire::endpointHash(id), 12}}, {}, 0, 0});
     bed.call("/stream/x");
-    CHECK(upperStage() != other);
-    const std::string next = upperStage();
+    CHECK(bed.upperStage() != other);
+    const std::string next = bed.upperStage();
     bed.kernel.onPeerMessage(bed.now, wire::RelayDigest{"two", false, {}, {{wire::endpointHash(next.substr(0, next.find(':'))), 1}}, {}, {}, 0, 0});
     bed.call("/stream/x");
-    CHECK(upperStage() == other);
+    CHECK(bed.upperStage() == other);
 }
 
 /// The pattern: an instance that is cut off takes all endpoints for silent and says so.
 TEST(AStream, doesNotMoveOnTheWordOfAnotherInstanceAlone)
 {
-    startStream(2);
-    const std::string stage = upperStage();
+    bed.startStream(2);
+    const std::string stage = bed.upperStage();
     const std::string id = stage.substr(0, stage.find(':'));
     bed.pass(Ms(100));
     bed.kernel.onPeerMessage(bed.now, wire::RelayDigest{"two", false, {}, {{wire::endpointHash(id), 1}}, {}, {}, 0, 0});
@@ -217,12 +202,12 @@
     report.layers = {RelayBed::HalfLayers, 80};
     bed.kernel.onReport(bed.now, id, report);
     bed.call("/stream/x");
-    CHECK(upperStage() == stage);
+    CHECK(bed.upperStage() == stage);
 }
 
 TEST(AStream, isLeftAloneWhileItMakesProgress)
 {
-    startStream(2);
+    bed.startStream(2);
     for (std::uint64_t id = 3; id < 20; ++id) {
         bed.pass(Ms(100));
         CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), id));
@@ -233,11 +218,11 @@
 
 TEST(AStream, triesAnotherPathWhenAStageRefuses)
 {
-    startStream(0);
-    const std::string full = upperStage();
+    bed.startStream(0);
+    const std::string full = bed.upperStage();
     bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {503, true, false, full});
     LONGS_EQUAL(2, bed.driver.sent.size());
-    CHECK(upperStage() != full);
+    CHECK(bed.upperStage() != full);
 }
 
 /// The pattern: an endpoint leaves while the store is away, so that the list goes on naming it, and refuses every request.
@@ -246,7 +231,7 @@
     int refusals = 0;
     for (int i = 0; i < 100; ++i) {
         bed.call("/stream/x");
-        while (upperStage() == "high-a:1") {
+        while (bed.upperStage() == "high-a:1") {
             ++refusals;
             bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {503, true, false, "high-a:1"});
         }
@@ -273,8 +258,8 @@
 
 TEST(AStream, isAskedForLayersAnewWhenAnEndpointDoesNotHoldItsPart)
 {
-    startStream(0);
-    const std::string misdirected = upperStage();
+    bed.startStream(0);
+    const std::string misdirected = bed.upperStage();
     const std::string id = misdirected.substr(0, misdirected.find(':'));
     bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {421, true, false, misdirected});
     CHECK(std::find(bed.driver.reportsAsked.begin(), bed.driver.reportsAsked.end(), id) != bed.driver.reportsAsked.end());
@@ -285,7 +270,7 @@
 
 TEST(AStream, endsItsRunWhenItsCallerLeaves)
 {
-    const CallId call = startStream(2);
+    const CallId call = bed.startStream(2);
     bed.kernel.onCallerGone(bed.now, call);
     CHECK(bed.driver.wasCancelled(bed.driver.sent.back().attempt));
     LONGS_EQUAL(0, bed.kernel.openCalls());
@@ -294,14 +279,14 @@
 /// The pattern: a busy stage is lost, and for some tenths of a second the other holders of its layers are full of the streams that it had.
 TEST(AStream, thatHasBegunWaitsForRoomInsteadOfUsingUpItsSendings)
 {
-    const CallId call = startStream(3);
+    const CallId call = bed.startStream(3);
     bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
     const Instant brokenAt = bed.now;
     AttemptId refused = 0;
     while (bed.now < brokenAt + Ms(500)) {
         if (bed.lastAttempt() != refused) {
             refused = bed.lastAttempt();
-            bed.kernel.onAnswer(bed.now, refused, {503, true, false, upperStage()});
+            bed.kernel.onAnswer(bed.now, refused, {503, true, false, bed.upperStage()});
         }
         bed.pass(Ms(50));
     }
