A run whose first stage is lost while a detour is under way doesn't count

Cause: seen while reading the change: after a failed detour the new run was counted as the second one even if the first stage, at which runs are counted, had been lost meanwhile. Ruled out: counting at the driver (the kernel knows that the stage is lost). Change: such a stream leaves its first stage as any other does. Test: isNotTriedAgainAtAFirstStageThatIsLostMeanwhile goes on to a third run; failing before (2 sendings), 3 after.

--- a/libs/relay/src/Detours.cpp
+++ b/libs/relay/src/Detours.cpp
@@ -105,9 +105,14 @@
     if (canTryAgain && detour(now, call, id, fault)) {
         return;
     }
-    if (call.route->isResumable) {
-        runAnew(now, call, id, "the way round a lost stage was refused");
+    if (!call.route->isResumable) {
+        return; // The endpoints may still go on with it.
     }
+    const EndpointIndex first = attempt.stages.front();
+    if (isLost(first)) {
+        return moveStream(now, call, id, first);
+    }
+    runAnew(now, call, id, "the way round a lost stage was refused");
 }
 
 } // namespace relay
--- a/libs/relay/tests/DetourTests.cpp
+++ b/libs/relay/tests/DetourTests.cpp
@@ -151,6 +151,7 @@
 TEST(ADetour, isNotTriedAgainAtAFirstStageThatIsLostMeanwhile)
 {
     bed.entries.push_back(RelayBed::engineEntry("high-c", "zone-c", {RelayBed::HalfLayers, 80}));
+    bed.entries.push_back(RelayBed::engineEntry("low-c", "zone-c", {0, RelayBed::HalfLayers}));
     bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
     bed.startStream(2);
     const AttemptId run = bed.lastAttempt();
@@ -162,6 +163,10 @@
     LONGS_EQUAL(1, bed.driver.detours.size());
     LONGS_EQUAL(2, bed.driver.sent.size());
     CHECK(bed.driver.sent.back().endpoint != first);
+    // The run ended with its endpoint: it doesn't count against the route's limit of two.
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    LONGS_EQUAL(3, bed.driver.sent.size());
 }
 
 /// The pattern: the only other holder of the lost layers already runs other layers of the same path.
