Two tests that the detours had blinded see again

Cause: all mutants of the relay path run on the final code show two that nobody noticed any more: a later stage's loss gives its run back, and another instance's word of silence is believed. Since a detour is no new sending, a test that counts sendings says nothing of it; and the refused detour in the other test takes another way through the code than a loss without a way round. Change: no detours where nothing may move; a loss of a later stage without a way round, and what it leaves of the route's runs.

--- a/libs/relay/tests/DetourTests.cpp
+++ b/libs/relay/tests/DetourTests.cpp
@@ -173,6 +173,7 @@
 TEST(ADetour, usesNoEndpointTwice)
 {
     bed.entries = {RelayBed::engineEntry("low", "zone-a", {0, 40}),
+                   RelayBed::engineEntry("low-b", "zone-b", {0, 40}),
                    RelayBed::engineEntry("middle", "zone-a", {40, 60}),
                    RelayBed::engineEntry("high", "zone-a", {40, 80})};
     bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
@@ -181,11 +182,17 @@
     slow.layers = {40, 80};
     slow.slowness = 8;
     bed.kernel.onReport(bed.now, "high", slow);
-    bed.startStream(2);
+    const CallId call = bed.startStream(2);
     LONGS_EQUAL(3, bed.driver.sent.back().hops.size());
     bed.pass(Ms(300));
     reportStall("middle:1");
     CHECK(bed.driver.detours.empty());
+    // It runs anew instead. Its first stage lives, so that the first run counts against the route's limit of two.
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    LONGS_EQUAL(call, bed.driver.broken.back());
 }
 
 TEST(ADetour, endsWithItsCall)
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -196,6 +196,7 @@
     bed.pass(Ms(100));
     bed.kernel.onPeerMessage(bed.now, wire::RelayDigest{"two", false, {}, {{wire::endpointHash(id), 1}}, {}, {}, 0, 0});
     LONGS_EQUAL(1, bed.driver.sent.size());
+    CHECK(bed.driver.detours.empty());
     STRCMP_EQUAL(id.c_str(), bed.driver.reportsAsked.back().c_str());
     EndpointReport report;
     report.incarnation = 1;
@@ -214,6 +215,7 @@
     }
     CHECK(bed.driver.reportsAsked.empty());
     LONGS_EQUAL(1, bed.driver.sent.size());
+    CHECK(bed.driver.detours.empty());
 }
 
 TEST(AStream, triesAnotherPathWhenAStageRefuses)
