The test of a stream that waits for room has as many holders as the case that it is named after

Cause: the mutant that tries a refused stream again at once was not noticed: with two holders their own pauses held it up. The trace had seven. Change: nine holders.

--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -281,6 +281,10 @@
 /// The pattern: a busy stage is lost, and for some tenths of a second the other holders of its layers are full of the streams that it had.
 TEST(AStream, thatHasBegunWaitsForRoomInsteadOfUsingUpItsSendings)
 {
+    for (const char *id : {"high-c", "high-d", "high-e", "high-f", "high-g", "high-h", "high-i"}) {
+        bed.entries.push_back(RelayBed::engineEntry(id, "zone-c", {RelayBed::HalfLayers, 80}));
+    }
+    bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
     const CallId call = bed.startStream(3);
     bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
     const Instant brokenAt = bed.now;
