--- a/libs/base/include/base/BoundedRing.h
+++ b/libs/base/include/base/BoundedRing.h
@@ -52,6 +52,12 @@
         return overflow_.empty();
     }
 
+    /// Returns true if items wait in the overflow list. Producer thread only.
+    bool hasOverflow() const
+    {
+        return !overflow_.empty();
+    }
+
     /// Takes the first item of the ring. Returns false, and leaves `item` unchanged, if the ring is empty. Consumer thread only.
     bool pop(T &item)
     {
--- a/libs/mesh/include/mesh/Mesh.h
+++ b/libs/mesh/include/mesh/Mesh.h
@@ -17,7 +17,7 @@
 /// Sends and receives messages between instances over ZeroMQ. Messages may be lost or arrive in another order; the protocol above must send
 /// again whatever has to arrive.
 ///
-/// Call send() from one thread only, and run() from one thread, which may be another. The handler is called in the thread of run().
+/// Call send() and flush() from one thread only, and run() from one thread, which may be another. The handler is called in the thread of run().
 class Mesh
 {
 public:
@@ -25,7 +25,7 @@
     using Handler = std::function<void(std::string bytes)>;
 
     /// Binds to `address`, "IP:port", where port 0 means any free port. Throws std::runtime_error if that fails. `ringItems` is the number of
-    /// messages that the ring between send() and run() holds; further ones wait outside it until a later send().
+    /// messages that the ring between send() and run() holds; further ones wait outside it until a later send() or flush().
     Mesh(const std::string &address, MeshKeys keys, std::size_t ringItems, Handler handler);
     ~Mesh();
 
@@ -36,6 +36,9 @@
     /// the peer, for example because the peer is slow or unreachable.
     void send(const std::string &address, std::string bytes);
 
+    /// Hands over messages that found no room in the ring between send() and run(). Call it regularly in the thread of send().
+    void flush();
+
     /// Sends and receives messages until stop() is called.
     void run();
 
--- a/libs/mesh/src/Mesh.cpp
+++ b/libs/mesh/src/Mesh.cpp
@@ -1,11 +1,11 @@
 #include "mesh/Mesh.h"
 
 #include "base/BoundedRing.h"
+#include "details/ConnectionTable.h"
 
 #include <zmq.hpp>
 
 #include <atomic>
-#include <map>
 #include <stdexcept>
 #include <vector>
 
@@ -15,8 +15,11 @@
 
 /// Messages that wait to be sent to one peer before further ones are dropped.
 constexpr int MaxQueuedMessagesPerPeer = 64;
-/// Open connections to peers. To open another one, the least recently used one is closed.
-constexpr std::size_t MaxPeerConnections = 128;
+/// Limits of the connections to peers. Peers that get regular messages get them within the timeout.
+constexpr std::size_t MaxPeerConnections = 512;
+constexpr std::chrono::milliseconds IdleTimeout{10000};
+/// Idle connections are closed once in this period.
+constexpr std::chrono::milliseconds IdleCheckPeriod{1000};
 /// Longest wait for messages in run(); bounds the delay of stop() and of a message whose wake-up was lost.
 constexpr std::chrono::milliseconds PollTimeout{100};
 /// Size of a key in Z85 encoding: 40 characters and the terminating zero.
@@ -38,16 +41,11 @@
     std::string bytes;
 };
 
-/// The connection to a peer.
-struct Peer {
-    zmq::socket_t socket;
-    /// Value of `useCount` when the connection was last used.
-    std::uint64_t lastUse = 0;
-};
-
 } // namespace
 
 struct Mesh::Impl {
+    using Connections = ConnectionTable<zmq::socket_t>;
+
     Impl(MeshKeys meshKeys, std::size_t ringItems, Handler meshHandler)
         : keys(std::move(meshKeys))
         , handler(std::move(meshHandler))
@@ -69,50 +67,56 @@
         socket.set(zmq::sockopt::maxmsgsize, MaxMessageBytes);
     }
 
-    /// Returns the socket to a peer; connects it first if there is none. In an encrypted mesh each connection uses a client key pair of its own.
-    zmq::socket_t &socketFor(const std::string &address)
+    /// Connects a socket to a peer. In an encrypted mesh each connection uses a client key pair of its own.
+    zmq::socket_t connect(const std::string &peerAddress)
     {
-        auto found = peers.find(address);
-        if (found == peers.end()) {
-            if (peers.size() >= MaxPeerConnections) {
-                closeLeastRecentlyUsed();
-            }
-            zmq::socket_t socket(context, zmq::socket_type::push);
-            setSocketOptions(socket);
-            if (!keys.publicKey.empty()) {
-                const MeshKeys own = makeKeys();
-                socket.set(zmq::sockopt::curve_serverkey, keys.publicKey);
-                socket.set(zmq::sockopt::curve_publickey, own.publicKey);
-                socket.set(zmq::sockopt::curve_secretkey, own.secretKey);
-            }
-            socket.connect("tcp://" + address);
-            found = peers.emplace(address, Peer{std::move(socket), 0}).first;
+        zmq::socket_t socket(context, zmq::socket_type::push);
+        setSocketOptions(socket);
+        if (!keys.publicKey.empty()) {
+            const MeshKeys own = makeKeys();
+            socket.set(zmq::sockopt::curve_serverkey, keys.publicKey);
+            socket.set(zmq::sockopt::curve_publickey, own.publicKey);
+            socket.set(zmq::sockopt::curve_secretkey, own.secretKey);
         }
-        found->second.lastUse = ++useCount;
-        return found->second.socket;
+        socket.connect("tcp://" + peerAddress);
+        return socket;
     }
 
-    void closeLeastRecentlyUsed()
+    /// Sends a message to a peer. It is lost if there is no room for another connection, or too many messages wait for the peer.
+    void sendTo(const std::string &peerAddress, const std::string &bytes, Connections::Time now)
     {
-        auto leastRecentlyUsed = peers.begin();
-        for (auto it = peers.begin(); it != peers.end(); ++it) {
-            leastRecentlyUsed = it->second.lastUse < leastRecentlyUsed->second.lastUse ? it : leastRecentlyUsed;
+        zmq::socket_t *socket = connections.use(peerAddress, now, [&]() { return connect(peerAddress); });
+        if (socket != nullptr && socket->send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+            bytesSent += bytes.size();
         }
-        peers.erase(leastRecentlyUsed);
     }
 
     /// Hands all queued messages to ZeroMQ.
     void sendQueued()
     {
+        const Connections::Time now = std::chrono::steady_clock::now();
         Outgoing item;
         while (outgoing.pop(item)) {
             try {
-                const auto sent = socketFor(item.address).send(zmq::buffer(item.bytes), zmq::send_flags::dontwait);
-                bytesSent += sent ? item.bytes.size() : 0;
+                sendTo(item.address, item.bytes, now);
             } catch (const zmq::error_t &) {
-                peers.erase(item.address); // Interrupted by a signal, or the address can't be parsed or connected to: the message is lost.
+                connections.close(item.address); // Interrupted by a signal, or the address can't be parsed or connected to: the message is lost.
             }
         }
+        if (now >= idleCheckedAt + IdleCheckPeriod) {
+            idleCheckedAt = now;
+            connections.closeIdle(now);
+        }
+    }
+
+    /// Makes run() send what is queued.
+    void wake()
+    {
+        try {
+            wakeSender.send(zmq::message_t(), zmq::send_flags::dontwait);
+        } catch (const zmq::error_t &error) {
+            rethrowUnlessInterrupted(error); // The thread of run() sends the message when its poll times out.
+        }
     }
 
     /// Passes all received messages to the handler.
@@ -133,10 +137,9 @@
     zmq::socket_t wakeReceiver;
     zmq::socket_t wakeSender;
     base::BoundedRing<Outgoing> outgoing;
-    /// The connections to peers by mesh address.
-    std::map<std::string, Peer> peers;
-    /// Uses of peer connections so far, to order them by last use.
-    std::uint64_t useCount = 0;
+    Connections connections{MaxPeerConnections, IdleTimeout};
+    /// When idle connections were last closed.
+    Connections::Time idleCheckedAt{};
     std::string address;
     std::atomic<bool> stopped{false};
     std::atomic<std::uint64_t> bytesSent{0};
@@ -172,10 +175,14 @@
 void Mesh::send(const std::string &address, std::string bytes)
 {
     impl_->outgoing.push({address, std::move(bytes)});
-    try {
-        impl_->wakeSender.send(zmq::message_t(), zmq::send_flags::dontwait);
-    } catch (const zmq::error_t &error) {
-        rethrowUnlessInterrupted(error); // The thread of run() sends the message when its poll times out.
+    impl_->wake();
+}
+
+void Mesh::flush()
+{
+    if (impl_->outgoing.hasOverflow()) {
+        impl_->outgoing.flush();
+        impl_->wake();
     }
 }
 
--- a/libs/mesh/tests/MeshTests.cpp
+++ b/libs/mesh/tests/MeshTests.cpp
@@ -44,6 +44,30 @@
     CHECK(isDelivered(keys, keys, std::chrono::seconds(20)));
 }
 
+/// More messages than the ring holds are sent at once, as by an aggregator to the instances of its zone, and none afterwards.
+TEST(TheMesh, deliversABurstThatIsLargerThanItsRing)
+{
+    constexpr int Messages = 40;
+    std::atomic<int> received{0};
+    mesh::Mesh receiver("127.0.0.1:0", {}, 64, [&](const std::string &) { ++received; });
+    mesh::Mesh sender("127.0.0.1:0", {}, 4, [](const std::string &) {});
+    for (int i = 0; i < Messages; ++i) {
+        sender.send(receiver.address(), "hello");
+    }
+    std::thread receiverThread([&]() { receiver.run(); });
+    std::thread senderThread([&]() { sender.run(); });
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (received < Messages && std::chrono::steady_clock::now() < deadline) {
+        sender.flush();
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    receiver.stop();
+    sender.stop();
+    receiverThread.join();
+    senderThread.join();
+    LONGS_EQUAL(Messages, received);
+}
+
 TEST(TheMesh, rejectsMessagesFromAPeerWithoutTheKeys)
 {
     CHECK(!isDelivered({}, mesh::makeKeys(), std::chrono::milliseconds(500)));
--- a/libs/relay/include/relay/Endpoint.h
+++ b/libs/relay/include/relay/Endpoint.h
@@ -36,6 +36,8 @@
     std::string id;
     /// IP:port at which it receives messages from the other instances.
     std::string meshAddress;
+    /// Its availability zone; empty if the entry doesn't state it.
+    std::string zone = {};
 };
 
 /// A request that makes no progress at the reporting endpoint because it waits for another endpoint of its pipeline.
--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -16,6 +16,8 @@
     /// Unique id of this process; a restart under the same name gets another one.
     std::string instance;
     std::string zone;
+    /// IP:port at which it receives messages from the other instances.
+    std::string meshAddress;
     /// No instance may accept an API key for longer than this after the key was revoked.
     Ms maxRevocationDelay{5000};
     /// The platform kills the process this long after its request to stop.
--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -16,7 +16,8 @@
 constexpr Ms RefuseAfter{2500};
 /// Maximum age of a configuration that proves that a key or a route doesn't exist. With an older one the answer is "unconfirmed".
 constexpr Ms MaxConclusiveAge{1800};
-/// Retry delays of rejected callers are spread evenly over [MinRetryAfter, MinRetryAfter + RetryAfterJitterMs).
+/// Retry delays of rejected callers are spread evenly over [MinRetryAfter, MinRetryAfter + RetryAfterJitterMs), later and over more time while there is no
+/// room.
 constexpr Ms MinRetryAfter{250};
 constexpr std::uint64_t RetryAfterJitterMs = 700;
 /// A retry delay is at most the time that the caller still has, divided by this.
@@ -50,13 +51,14 @@
     return Ms(static_cast<std::int64_t>(ReadinessRatio * static_cast<double>(settings.maxRevocationDelay.count())));
 }
 
-void RelayKernel::Impl::reject(CallId call, const std::string &requestId, Ms timeLeft, base::ErrorKind kind, const std::string &detail)
+void RelayKernel::Impl::reject(CallId call, const std::string &requestId, Ms timeLeft, base::ErrorKind kind, const std::string &detail, Ms busyFor)
 {
     ++counters.rejected;
     Rejection rejection{kind, detail, Ms{0}};
     if (base::errorAnswer(kind).retriable) {
         const Ms maxRetryAfter = std::max(Ms{0}, timeLeft / RetryAfterDivisor);
-        rejection.retryAfter = std::min(maxRetryAfter, MinRetryAfter + Ms(nextRandom() % RetryAfterJitterMs));
+        const std::uint64_t jitterMs = RetryAfterJitterMs + static_cast<std::uint64_t>(busyFor.count());
+        rejection.retryAfter = std::min(maxRetryAfter, MinRetryAfter + busyFor + Ms(nextRandom() % jitterMs));
     }
     driver.reject(call, rejection);
     driver.record({"rejected", requestId, std::string(base::nameOf(kind)), detail});
--- a/libs/relay/src/Detours.cpp
+++ b/libs/relay/src/Detours.cpp
@@ -16,7 +16,7 @@
     return endpoints.at(stage).silentCheckAt.count() != 0;
 }
 
-Candidates RelayKernel::Impl::replacementCandidates(Instant now, const Call &call, const Attempt &attempt) const
+Candidates RelayKernel::Impl::replacementCandidates(Instant now, const Call &call, const Attempt &attempt)
 {
     Candidates replacements = candidates(now, call);
     for (std::size_t i = 0; i < replacements.indices.size(); ++i) {
--- /dev/null
+++ b/libs/relay/src/DigestRoutes.cpp
@@ -0,0 +1,292 @@
+#include "details/DigestRoutes.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+
+namespace relay {
+
+namespace {
+
+/// In a fleet with more other instances than this, digests go through aggregators. The traffic of one instance grows with the number of those it exchanges
+/// digests with, and may take 4 KB/s.
+constexpr std::size_t MaxFullMeshPeers = 24;
+/// Number of aggregators that an instance uses at the same time: one may fail without a gap in what the others know.
+constexpr std::size_t AggregatorsInUse = 2;
+/// An aggregator that has not answered for this time is left out.
+constexpr Ms AnswerTimeout{1500};
+/// An aggregator that was left out is tried again after this time.
+constexpr Ms AvoidPeriod{8000};
+/// An instance counts as a user of this one for this time after its last digest.
+constexpr Ms UseLifetime{2000};
+/// An instance that isn't listed is forgotten this long after its last digest.
+constexpr Ms NodeLifetime{8000};
+
+std::uint64_t orderOf(const std::string &instance)
+{
+    return base::mixBits(base::hashOf(instance));
+}
+
+} // namespace
+
+void DigestRoutes::configure(const RelaySettings &settings)
+{
+    ownId_ = settings.node;
+    ownZone_ = settings.zone;
+    ownOrder_ = orderOf(ownId_);
+}
+
+void DigestRoutes::onInstances(const std::vector<InstanceEntry> &instances)
+{
+    listedInstances_ = static_cast<std::uint32_t>(instances.size());
+    for (auto &[id, node] : nodes_) {
+        node.isListed = false;
+    }
+    for (const InstanceEntry &instance : instances) {
+        if (instance.id == ownId_) {
+            continue;
+        }
+        Node &node = nodes_[instance.id];
+        node.isListed = true;
+        node.order = orderOf(instance.id);
+        // What an instance says of itself is newer than the list.
+        if (node.heardAt.count() == 0) {
+            node.meshAddress = instance.meshAddress;
+            node.zone = instance.zone;
+        }
+    }
+}
+
+void DigestRoutes::onDigest(const wire::RelayDigest &digest, Instant now)
+{
+    if (digest.instance == ownId_) {
+        return;
+    }
+    const auto [found, isNew] = nodes_.try_emplace(digest.instance);
+    Node &node = found->second;
+    node.order = orderOf(digest.instance);
+    if (!digest.meshAddress.empty()) {
+        node.meshAddress = digest.meshAddress;
+        node.zone = digest.zone;
+    }
+    node.isStale = digest.isStale;
+    node.heardAt = now;
+    node.awaitedSince = Instant{0};
+    node.avoidedUntil = digest.leaving ? now + AvoidPeriod : Instant{0};
+    node.zoneSumAt = digest.scope == wire::DigestScope::Zone ? now : node.zoneSumAt;
+    for (const wire::Aggregator &aggregator : digest.aggregators) {
+        addAggregator(aggregator, digest.zone);
+    }
+    if (digest.toAggregator) {
+        node.usedAt = digest.leaving ? Instant{0} : now;
+        node.requestsFleetLoads = digest.requestsFleetLoads;
+    }
+}
+
+void DigestRoutes::addAggregator(const wire::Aggregator &aggregator, const std::string &zone)
+{
+    if (aggregator.instance == ownId_ || nodes_.contains(aggregator.instance)) {
+        return;
+    }
+    Node &node = nodes_[aggregator.instance];
+    node.meshAddress = aggregator.meshAddress;
+    node.zone = zone;
+    node.order = orderOf(aggregator.instance);
+    // It counts as listed until the next list shows whether it is.
+    node.isListed = true;
+}
+
+bool DigestRoutes::isFullMesh() const
+{
+    return nodes_.size() <= MaxFullMeshPeers;
+}
+
+bool DigestRoutes::isAggregator(Instant now) const
+{
+    if (isFullMesh()) {
+        return false;
+    }
+    bool isOnlyOne = true;
+    for (const auto &[id, node] : nodes_) {
+        if (node.usedAt.count() != 0 && now < node.usedAt + UseLifetime) {
+            return true;
+        }
+        isOnlyOne = isOnlyOne && node.zone != ownZone_;
+    }
+    return isOnlyOne;
+}
+
+bool DigestRoutes::isLive(const Node &node, Instant now)
+{
+    return node.heardAt.count() != 0 && now < node.heardAt + AnswerTimeout;
+}
+
+void DigestRoutes::forget(Instant now)
+{
+    std::erase_if(nodes_, [&](const auto &entry) { return !entry.second.isListed && now >= entry.second.heardAt + NodeLifetime; });
+}
+
+void DigestRoutes::update(Instant now)
+{
+    aggregatorsByZone_.clear();
+    forget(now);
+    if (isFullMesh()) {
+        return;
+    }
+    // Only an aggregator sends to those of other zones. Others would take their silence for a failure.
+    const bool needsOtherZones = isAggregator(now);
+    std::map<std::string, std::vector<NodeMap::value_type *>> instancesByZone;
+    for (auto &entry : nodes_) {
+        if (needsOtherZones || entry.second.zone == ownZone_) {
+            instancesByZone[entry.second.zone].push_back(&entry);
+        }
+    }
+    for (auto &[zone, instances] : instancesByZone) {
+        std::sort(instances.begin(), instances.end(), [](const auto *a, const auto *b) { return a->second.order < b->second.order; });
+        aggregatorsByZone_[zone] = choose(instances, zone == ownZone_ ? std::optional(ownOrder_) : std::nullopt, now);
+    }
+}
+
+DigestRoutes::Aggregators DigestRoutes::choose(const std::vector<NodeMap::value_type *> &instances, std::optional<std::uint64_t> ownOrder, Instant now)
+{
+    Aggregators chosen;
+    std::size_t live = 0;
+    std::size_t awaited = 0;
+    for (NodeMap::value_type *instance : instances) {
+        Node &node = instance->second;
+        if (ownOrder && *ownOrder < node.order) {
+            ownOrder.reset();
+            ++live;
+        }
+        if (live >= AggregatorsInUse) {
+            break;
+        }
+        if (now < node.avoidedUntil) {
+            continue;
+        }
+        if (isLive(node, now)) {
+            ++live;
+            chosen.push_back(instance);
+            continue;
+        }
+        if (node.awaitedSince.count() != 0 && now >= node.awaitedSince + AnswerTimeout) {
+            node.avoidedUntil = now + AvoidPeriod;
+            node.awaitedSince = Instant{0};
+        } else if (awaited < AggregatorsInUse) {
+            ++awaited;
+            node.awaitedSince = node.awaitedSince.count() == 0 ? now : node.awaitedSince;
+            chosen.push_back(instance);
+        }
+    }
+    return chosen;
+}
+
+DigestRoutes::Aggregators DigestRoutes::ownAggregators(Instant now) const
+{
+    const auto found = aggregatorsByZone_.find(ownZone_);
+    Aggregators aggregators = found == aggregatorsByZone_.end() ? Aggregators{} : found->second;
+    std::stable_partition(aggregators.begin(), aggregators.end(), [&](const auto *entry) { return isLive(entry->second, now); });
+    return aggregators;
+}
+
+std::vector<std::string> DigestRoutes::allAddresses() const
+{
+    std::vector<std::string> addresses;
+    addresses.reserve(nodes_.size());
+    for (const auto &[id, node] : nodes_) {
+        addresses.push_back(node.meshAddress);
+    }
+    std::erase(addresses, "");
+    return addresses;
+}
+
+std::string DigestRoutes::primaryAggregator(Instant now) const
+{
+    const Aggregators aggregators = ownAggregators(now);
+    return aggregators.empty() ? "" : aggregators.front()->second.meshAddress;
+}
+
+std::vector<std::string> DigestRoutes::secondaryAggregators(Instant now) const
+{
+    const Aggregators aggregators = ownAggregators(now);
+    std::vector<std::string> addresses;
+    for (std::size_t i = 1; i < aggregators.size(); ++i) {
+        addresses.push_back(aggregators[i]->second.meshAddress);
+    }
+    return addresses;
+}
+
+std::vector<wire::Aggregator> DigestRoutes::knownAggregators(Instant now) const
+{
+    std::vector<wire::Aggregator> known;
+    for (const auto *aggregator : ownAggregators(now)) {
+        known.push_back({aggregator->first, aggregator->second.meshAddress});
+    }
+    return known;
+}
+
+std::vector<std::string> DigestRoutes::otherZones(Instant now) const
+{
+    std::vector<std::string> addresses;
+    for (const auto &[zone, aggregators] : aggregatorsByZone_) {
+        for (const auto *aggregator : aggregators) {
+            if (zone != ownZone_) {
+                addresses.push_back(aggregator->second.meshAddress);
+            }
+        }
+    }
+    // Aggregators that use this one for its zone want its sum, also where this instance would choose others.
+    for (const auto &[id, node] : nodes_) {
+        const bool isAggregator = node.zoneSumAt.count() != 0 && now < node.zoneSumAt + AnswerTimeout;
+        if (isAggregator && node.zone != ownZone_ && std::find(addresses.begin(), addresses.end(), node.meshAddress) == addresses.end()) {
+            addresses.push_back(node.meshAddress);
+        }
+    }
+    return addresses;
+}
+
+std::vector<std::string> DigestRoutes::users(bool requestFleetLoads, Instant now) const
+{
+    const Aggregators aggregators = ownAggregators(now);
+    std::vector<std::string> addresses;
+    for (const auto &entry : nodes_) {
+        const Node &node = entry.second;
+        const bool isUser = node.usedAt.count() != 0 && now < node.usedAt + UseLifetime;
+        // Aggregators that this instance uses itself get its digest anyway.
+        const bool getsDigest = !requestFleetLoads && std::find(aggregators.begin(), aggregators.end(), &entry) != aggregators.end();
+        if (isUser && node.requestsFleetLoads == requestFleetLoads && !getsDigest) {
+            addresses.push_back(node.meshAddress);
+        }
+    }
+    return addresses;
+}
+
+std::vector<std::string> DigestRoutes::freshAggregators(Instant now) const
+{
+    std::vector<std::string> ids;
+    for (const auto *aggregator : ownAggregators(now)) {
+        if (isLive(aggregator->second, now) && !aggregator->second.isStale) {
+            ids.push_back(aggregator->first);
+        }
+    }
+    return ids;
+}
+
+std::vector<std::string> DigestRoutes::freshAggregatorsElsewhere(Instant now) const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, node] : nodes_) {
+        if (node.zoneSumAt.count() != 0 && now < node.zoneSumAt + AnswerTimeout && !node.isStale) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+std::string DigestRoutes::addressOf(const std::string &instance) const
+{
+    const auto found = nodes_.find(instance);
+    return found == nodes_.end() ? "" : found->second.meshAddress;
+}
+
+} // namespace relay
--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -8,12 +8,16 @@
 
 /// A slow endpoint's report is requested again once it is older than this, by whichever instance comes first: its digest informs the others.
 constexpr Ms SlowReportPeriod{1000};
+/// Pause of an endpoint while a report is awaited.
+constexpr Ms ReportPause{350};
 /// For this time after an endpoint's own report, what other instances' digests say of the endpoint is ignored.
 constexpr Ms OwnReportLifetime{500};
 /// An endpoint counts as slow from this multiple of the expected time.
 constexpr double MinSlowdown = 1.3;
 /// A digest names the endpoint list only if the list was known to be current no longer ago than this.
 constexpr Ms UpdateLifetime{1000};
+/// An endpoint that an aggregator reports as silent gets no new work for this time, which is longer than the interval between two digests.
+constexpr Ms VerifiedSilencePause{900};
 
 } // namespace
 
@@ -58,15 +62,19 @@
     }
 }
 
-void RelayKernel::Impl::sendDigest(Instant now)
+void RelayKernel::Impl::sendDigests(Instant now)
 {
-    if (auto digest = peers.dueDigest(now, settings.node, stopping)) {
-        digest->crashReports.swap(unsentCrashReports);
-        digest->configVersion = known.configVersion;
-        digest->endpointsHash = now - known.endpointsAt < UpdateLifetime ? known.endpointsHash : 0;
-        digest->endpointsRevision = known.endpointsRevision;
-        digest->isStale = StoreDuty::isStale(now, known);
-        driver.sendDigest(peers.addresses(), *digest);
+    std::vector<DueDigest> due = peers.dueDigests(now, stopping);
+    for (auto &[addresses, digest] : due) {
+        digest.crashReports = unsentCrashReports;
+        digest.configVersion = known.configVersion;
+        digest.endpointsHash = now - known.endpointsAt < UpdateLifetime ? known.endpointsHash : 0;
+        digest.endpointsRevision = known.endpointsRevision;
+        digest.isStale = StoreDuty::isStale(now, known);
+        driver.sendDigest(addresses, digest);
+    }
+    if (!due.empty()) {
+        unsentCrashReports.clear();
     }
 }
 
@@ -81,24 +89,16 @@
 void RelayKernel::Impl::onDigest(Instant now, const wire::RelayDigest &digest)
 {
     peers.onDigest(digest, now);
-    retries.setInstances(peers.instances());
+    retries.setInstances(peers.instances(now));
     for (const wire::SilentEndpoint &silent : digest.silent) {
-        const auto index = endpoints.findHash(silent.endpoint);
-        if (!index) {
-            continue;
-        }
-        const EndpointState &state = endpoints.at(*index);
-        const bool isUpdate = state.silentCheckAt.count() == 0 && state.entry.incarnation == silent.incarnation && now >= state.reportedAt + OwnReportLifetime;
-        if (state.listed && isUpdate) {
-            // The other instance itself may be cut off from the network, so the endpoint isn't marked as silent: it only gets no new work until its
-            // report can have arrived.
-            endpoints.pauseForReport(*index, now);
-            requestReport(now, *index);
-        }
+        onSilenceReported(now, digest, silent);
     }
-    storeDuty.onStoreUpdate(digest, settings.node, now, known);
+    storeDuty.onStoreUpdate(digest, now, known);
     for (const wire::CrashReport &crashReport : digest.crashReports) {
-        crashGuard.onCrashReport(crashReport, now);
+        if (crashGuard.onCrashReport(crashReport, now) && peers.isAggregator(now)) {
+            unsentCrashReports.push_back(crashReport);
+            peers.expedite();
+        }
     }
     for (const wire::SlowEndpoint &slow : digest.slow) {
         const auto index = endpoints.findHash(slow.endpoint);
@@ -109,6 +109,27 @@
     }
 }
 
+void RelayKernel::Impl::onSilenceReported(Instant now, const wire::RelayDigest &digest, const wire::SilentEndpoint &silent)
+{
+    const auto index = endpoints.findHash(silent.endpoint);
+    if (!index) {
+        return;
+    }
+    const EndpointState &state = endpoints.at(*index);
+    const bool isUpdate = state.silentCheckAt.count() == 0 && state.entry.incarnation == silent.incarnation && now >= state.reportedAt + OwnReportLifetime;
+    if (!state.listed || !isUpdate) {
+        return;
+    }
+    // In a large fleet the aggregators and the instances with requests there ask the endpoint. If all did, it would be flooded when it returns.
+    if (digest.scope == wire::DigestScope::Fleet && state.openRequests == 0) {
+        return endpoints.pause(*index, now, VerifiedSilencePause);
+    }
+    // The other instance itself may be cut off from the network, so the endpoint isn't marked as silent: it only gets no new work until its report
+    // can have arrived.
+    endpoints.pause(*index, now, ReportPause);
+    requestReport(now, *index);
+}
+
 void RelayKernel::onReport(Instant now, const std::string &endpoint, const std::optional<EndpointReport> &report)
 {
     const auto index = impl_->endpoints.find(endpoint);
--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -15,8 +15,6 @@
 constexpr Ms MaxReportInterval{1500};
 /// Longest time from a change at an endpoint to the list that shows it: a heartbeat, the store's lag and one read of the list.
 constexpr Ms MaxListLag{2700};
-/// Pause of an endpoint while a report is awaited.
-constexpr Ms ReportPause{350};
 /// The pause after refusals is this times 2 to the power of the number of refusals in a row, which is counted up to the maximum.
 constexpr Ms RefusalPauseUnit{75};
 constexpr int MaxRefusals = 5;
@@ -116,9 +114,9 @@
     state.pausedUntil = now + RefusalPauseUnit * (1 << state.refusals);
 }
 
-void EndpointRegistry::pauseForReport(EndpointIndex index, Instant now)
+void EndpointRegistry::pause(EndpointIndex index, Instant now, Ms duration)
 {
-    states_[index].pausedUntil = std::max(states_[index].pausedUntil, now + ReportPause);
+    states_[index].pausedUntil = std::max(states_[index].pausedUntil, now + duration);
 }
 
 void EndpointRegistry::onAccepted(EndpointIndex index)
--- a/libs/relay/src/PeerLoads.cpp
+++ b/libs/relay/src/PeerLoads.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Ms DigestPeriod{600};
+/// Minimum interval between two digests that updates expedite.
+constexpr Ms MinDigestInterval{100};
 /// An older digest no longer counts as recent: its loads and its sender's knowledge are not relied on.
 constexpr Ms DigestLifetime{2000};
 /// An instance that was last seen longer ago is forgotten and no longer counts among those that share limits.
@@ -17,8 +19,14 @@
 constexpr double MinReportedSlowdown = 1.3;
 /// How long after an endpoint's report a digest repeats its slowdown.
 constexpr Ms SlowdownLifetime{1200};
-/// Number of instances that is assumed until their list has been read.
-constexpr std::uint32_t AssumedInstances = 9;
+/// Number of instances that read the store for a fleet without aggregators, and that may take the planner's lease in any fleet.
+constexpr std::size_t ReaderCount = 3;
+
+/// Sorts ids in an order that all instances agree on and that doesn't follow the zones.
+void sortByHash(std::vector<std::string> &ids)
+{
+    std::sort(ids.begin(), ids.end(), [](const auto &a, const auto &b) { return base::mixBits(base::hashOf(a)) < base::mixBits(base::hashOf(b)); });
+}
 
 } // namespace
 
@@ -27,46 +35,150 @@
 {
 }
 
-void PeerLoads::onInstances(const std::vector<InstanceEntry> &instances, const std::string &ownId)
+void PeerLoads::configure(const RelaySettings &settings)
 {
-    listedInstances_ = static_cast<std::uint32_t>(instances.size());
-    addresses_.clear();
-    addressById_.clear();
-    for (const InstanceEntry &instance : instances) {
-        if (instance.id != ownId) {
-            addresses_.push_back(instance.meshAddress);
-            addressById_[instance.id] = instance.meshAddress;
-        }
-    }
+    ownId_ = settings.node;
+    ownZone_ = settings.zone;
+    ownMeshAddress_ = settings.meshAddress;
+    routes_.configure(settings);
+}
+
+void PeerLoads::onInstances(const std::vector<InstanceEntry> &instances)
+{
+    routes_.onInstances(instances);
 }
 
 void PeerLoads::onDigest(const wire::RelayDigest &digest, Instant now)
 {
+    routes_.onDigest(digest, now);
+    othersValidUntil_ = Instant{0};
     if (digest.leaving) {
         peers_.erase(digest.instance);
+        std::erase_if(zoneSums_, [&](const auto &entry) { return entry.second.sender == digest.instance; });
+        fleetSum_ = fleetSum_.sender == digest.instance ? Source{} : std::move(fleetSum_);
         return;
     }
-    peers_[digest.instance] = {digest, now};
+    Source source = sourceOf(digest, now);
+    if (digest.scope == wire::DigestScope::Instance) {
+        peers_[digest.instance] = std::move(source);
+    } else if (digest.scope == wire::DigestScope::Fleet) {
+        replaceSum(fleetSum_, std::move(source), now);
+    } else if (digest.zone != ownZone_) {
+        replaceSum(zoneSums_[digest.zone], std::move(source), now);
+    }
 }
 
-bool PeerLoads::isFresh(const Peer &peer, Instant now) const
+PeerLoads::Source PeerLoads::sourceOf(const wire::RelayDigest &digest, Instant now) const
 {
-    return now < peer.lastSeen + DigestLifetime;
+    Source source{digest.instance, digest.zone, {}, digest.countedInstances, digest.knownInstances, digest.isStale, now};
+    source.loads.reserve(digest.loads.size());
+    for (const wire::EndpointLoad &load : digest.loads) {
+        if (const auto index = endpoints_.findHash(load.endpoint)) {
+            source.loads.push_back({*index, load.openRequests, load.contextTokens, load.pendingPrefillTokens});
+        }
+    }
+    return source;
 }
 
-void PeerLoads::expedite()
+void PeerLoads::replaceSum(Source &known, Source received, Instant now)
+{
+    const bool isSameSender = known.sender == received.sender;
+    if (isSameSender || !isFresh(known, now) || received.countedInstances >= known.countedInstances) {
+        known = std::move(received);
+    }
+}
+
+bool PeerLoads::isFresh(const Source &source, Instant now)
+{
+    return source.lastSeen.count() != 0 && now < source.lastSeen + DigestLifetime;
+}
+
+bool PeerLoads::hasZoneSum(const std::string &zone, Instant now) const
+{
+    const auto found = zoneSums_.find(zone);
+    return found != zoneSums_.end() && isFresh(found->second, now);
+}
+
+void PeerLoads::add(Totals &totals, const std::vector<Load> &loads, std::int64_t sign)
+{
+    for (const Load &load : loads) {
+        if (load.endpoint >= totals.loads.size()) {
+            totals.loads.resize(load.endpoint + 1);
+        }
+        TotalLoad &total = totals.loads[load.endpoint];
+        total.openRequests += sign * static_cast<std::int64_t>(load.openRequests);
+        total.contextTokens += sign * static_cast<std::int64_t>(load.contextTokens);
+        total.pendingPrefillTokens += sign * static_cast<std::int64_t>(load.pendingPrefillTokens);
+    }
+}
+
+PeerLoads::Totals PeerLoads::sumOfOthers(wire::DigestScope scope, Instant now) const
+{
+    Totals totals;
+    const auto addSource = [&](const Source &source) {
+        totals.knownInstances += source.knownInstances;
+        if (isFresh(source, now)) {
+            totals.countedInstances += source.countedInstances;
+            add(totals, source.loads);
+        }
+    };
+    const bool isZone = scope == wire::DigestScope::Zone;
+    for (const auto &[id, peer] : peers_) {
+        const bool isCountedByZone = peer.zone != ownZone_ && (isZone || hasZoneSum(peer.zone, now));
+        if (!isCountedByZone) {
+            addSource(peer);
+        }
+    }
+    for (const auto &[zone, sum] : zoneSums_) {
+        if (!isZone) {
+            addSource(sum);
+        }
+    }
+    return totals;
+}
+
+const PeerLoads::Totals &PeerLoads::others(Instant now) const
 {
-    digestSentAt_ = Instant{0};
+    // Digests that have become too old change the sums at the latest after this time.
+    constexpr Ms MaxTotalsAge{100};
+    if (now < othersValidUntil_) {
+        return others_;
+    }
+    othersValidUntil_ = now + MaxTotalsAge;
+    others_ = sumOfOthers(wire::DigestScope::Fleet, now);
+    if (isFresh(fleetSum_, now) && fleetSum_.countedInstances > others_.countedInstances + 1) {
+        others_ = {};
+        others_.countedInstances = fleetSum_.countedInstances - 1;
+        others_.knownInstances = fleetSum_.knownInstances - 1;
+        add(others_, fleetSum_.loads);
+        add(others_, sentLoads_, -1);
+    }
+    return others_;
 }
 
-std::optional<wire::RelayDigest> PeerLoads::dueDigest(Instant now, const std::string &ownId, bool leaving)
+std::vector<PeerLoads::Load> PeerLoads::ownLoads() const
 {
-    if (now < digestSentAt_ + DigestPeriod || addresses_.empty()) {
-        return std::nullopt;
+    std::vector<Load> loads;
+    for (EndpointIndex i = 0; i < endpoints_.size(); ++i) {
+        const EndpointState &state = endpoints_.at(i);
+        if (state.openRequests > 0) {
+            loads.push_back({i,
+                             state.openRequests,
+                             static_cast<std::uint64_t>(std::max(0.0, state.contextTokens)),
+                             static_cast<std::uint64_t>(std::max(0.0, state.pendingPrefillTokens))});
+        }
     }
-    digestSentAt_ = now;
-    std::erase_if(peers_, [&](const auto &entry) { return now >= entry.second.lastSeen + PeerLifetime; });
-    wire::RelayDigest digest{ownId, leaving, {}, {}, {}, {}, 0, 0};
+    return loads;
+}
+
+wire::RelayDigest PeerLoads::makeDigest(wire::DigestScope scope, bool leaving, Instant now) const
+{
+    wire::RelayDigest digest;
+    digest.instance = ownId_;
+    digest.leaving = leaving;
+    digest.meshAddress = ownMeshAddress_;
+    digest.zone = ownZone_;
+    digest.scope = scope;
     for (EndpointIndex i = 0; i < endpoints_.size(); ++i) {
         const EndpointState &state = endpoints_.at(i);
         if (state.listed && state.silentCheckAt.count() != 0) {
@@ -74,72 +186,142 @@
         } else if (state.listed && state.slowdown >= MinReportedSlowdown && now < state.reportedAt + SlowdownLifetime) {
             digest.slow.push_back({wire::endpointHash(state.entry.id), state.slowdown});
         }
-        if (state.openRequests > 0) {
-            digest.loads.push_back({wire::endpointHash(state.entry.id), state.openRequests, static_cast<std::uint64_t>(std::max(0.0, state.contextTokens))});
+    }
+    Totals totals = scope == wire::DigestScope::Instance ? Totals{} : sumOfOthers(scope, now);
+    add(totals, sentLoads_);
+    digest.countedInstances = totals.countedInstances + 1;
+    digest.knownInstances = totals.knownInstances + 1;
+    const auto positive = [](std::int64_t count) {
+        return static_cast<std::uint64_t>(std::max<std::int64_t>(0, count));
+    };
+    for (EndpointIndex i = 0; i < totals.loads.size(); ++i) {
+        const TotalLoad &load = totals.loads[i];
+        if (load.openRequests > 0) {
+            digest.loads.push_back({wire::endpointHash(endpoints_.at(i).entry.id),
+                                    static_cast<std::uint32_t>(load.openRequests),
+                                    positive(load.contextTokens),
+                                    positive(load.pendingPrefillTokens)});
         }
     }
     return digest;
 }
 
+void PeerLoads::expedite()
+{
+    isExpedited_ = true;
+}
+
+std::vector<DueDigest> PeerLoads::dueDigests(Instant now, bool leaving)
+{
+    if (now < digestsSentAt_ + (isExpedited_ ? MinDigestInterval : DigestPeriod)) {
+        return {};
+    }
+    digestsSentAt_ = now;
+    isExpedited_ = false;
+    othersValidUntil_ = Instant{0};
+    for (auto *sources : {&peers_, &zoneSums_}) {
+        std::erase_if(*sources, [&](const auto &entry) { return now >= entry.second.lastSeen + PeerLifetime; });
+    }
+    routes_.update(now);
+    sentLoads_ = ownLoads();
+    std::vector<DueDigest> due;
+    const auto addDigest = [&](std::vector<std::string> addresses, wire::RelayDigest digest) {
+        if (!addresses.empty()) {
+            due.push_back({std::move(addresses), std::move(digest)});
+        }
+    };
+    wire::RelayDigest own = makeDigest(wire::DigestScope::Instance, leaving, now);
+    if (routes_.isFullMesh()) {
+        addDigest(routes_.allAddresses(), std::move(own));
+        return due;
+    }
+    const bool isAggregator = routes_.isAggregator(now);
+    if (isAggregator) {
+        wire::RelayDigest fleet = makeDigest(wire::DigestScope::Fleet, leaving, now);
+        fleet.aggregators = routes_.knownAggregators(now);
+        addDigest(routes_.users(true, now), std::move(fleet));
+        addDigest(routes_.users(false, now), own);
+        addDigest(routes_.otherZones(now), makeDigest(wire::DigestScope::Zone, leaving, now));
+    }
+    own.toAggregator = true;
+    addDigest(routes_.secondaryAggregators(now), own);
+    own.requestsFleetLoads = !isAggregator;
+    if (const std::string primary = routes_.primaryAggregator(now); !primary.empty()) {
+        addDigest({primary}, std::move(own));
+    }
+    return due;
+}
+
 LoadEstimate PeerLoads::loadOn(EndpointIndex index, Instant now) const
 {
     const EndpointState &state = endpoints_.at(index);
-    const std::uint32_t hash = wire::endpointHash(state.entry.id);
-    LoadEstimate sum{static_cast<double>(state.openRequests), state.contextTokens};
-    std::uint32_t countedInstances = 1;
-    for (const auto &[id, peer] : peers_) {
-        if (!isFresh(peer, now)) {
-            continue;
-        }
-        ++countedInstances;
-        const auto load = std::find_if(peer.digest.loads.begin(), peer.digest.loads.end(), [&](const auto &entry) { return entry.endpoint == hash; });
-        if (load != peer.digest.loads.end()) {
-            sum.openRequests += load->openRequests;
-            sum.contextTokens += static_cast<double>(load->contextTokens);
-        }
+    const Totals &sum = others(now);
+    LoadEstimate load{static_cast<double>(state.openRequests), state.contextTokens, state.pendingPrefillTokens};
+    if (index < sum.loads.size()) {
+        const TotalLoad &total = sum.loads[index];
+        load.openRequests += static_cast<double>(std::max<std::int64_t>(0, total.openRequests));
+        load.contextTokens += static_cast<double>(std::max<std::int64_t>(0, total.contextTokens));
+        load.pendingPrefillTokens += static_cast<double>(std::max<std::int64_t>(0, total.pendingPrefillTokens));
     }
-    const double scaleFactor = static_cast<double>(std::max(countedInstances, instances())) / countedInstances;
-    return {sum.openRequests * scaleFactor, sum.contextTokens * scaleFactor};
+    const std::uint32_t counted = sum.countedInstances + 1;
+    const double scaleFactor = static_cast<double>(std::max(counted, instances(now).value_or(1))) / counted;
+    return {load.openRequests * scaleFactor, load.contextTokens * scaleFactor, load.pendingPrefillTokens * scaleFactor};
 }
 
-std::vector<std::string> PeerLoads::firstInstances(const std::string &ownId, bool isStale, std::size_t count, Instant now) const
+std::vector<std::string> PeerLoads::readers(bool isStale, Instant now) const
 {
-    std::vector<std::string> candidates;
+    std::vector<std::string> ids;
+    if (!routes_.isFullMesh()) {
+        if (!routes_.isAggregator(now)) {
+            return routes_.freshAggregators(now);
+        }
+        return isStale ? routes_.freshAggregatorsElsewhere(now) : std::vector<std::string>{ownId_};
+    }
     for (const auto &[id, peer] : peers_) {
-        if (isFresh(peer, now) && !peer.digest.isStale && addressById_.contains(id)) {
-            candidates.push_back(id);
+        if (isFresh(peer, now) && !peer.isStale && !routes_.addressOf(id).empty()) {
+            ids.push_back(id);
         }
     }
-    if (candidates.empty()) {
-        return candidates;
+    if (ids.empty()) {
+        return ids;
     }
     if (!isStale) {
-        candidates.push_back(ownId);
+        ids.push_back(ownId_);
     }
-    // Ordered by hash, so that the first instances are not all of one zone.
-    std::sort(
-        candidates.begin(), candidates.end(), [](const auto &a, const auto &b) { return base::mixBits(base::hashOf(a)) < base::mixBits(base::hashOf(b)); });
-    candidates.resize(std::min(count, candidates.size()));
-    return candidates;
+    sortByHash(ids);
+    ids.resize(std::min(ReaderCount, ids.size()));
+    return ids;
 }
 
-bool PeerLoads::isAlone(Instant now) const
+bool PeerLoads::isPlannerCandidate(bool isStale, Instant now) const
 {
-    return std::none_of(peers_.begin(), peers_.end(), [&](const auto &entry) { return isFresh(entry.second, now); });
+    std::vector<std::string> ids = readers(isStale, now);
+    if (std::find(ids.begin(), ids.end(), ownId_) == ids.end()) {
+        return false;
+    }
+    if (routes_.isFullMesh()) {
+        return true;
+    }
+    for (const std::string &aggregator : routes_.freshAggregatorsElsewhere(now)) {
+        ids.push_back(aggregator);
+    }
+    sortByHash(ids);
+    ids.resize(std::min(ReaderCount, ids.size()));
+    return std::find(ids.begin(), ids.end(), ownId_) != ids.end();
 }
 
-std::string PeerLoads::addressOf(const std::string &instance) const
+bool PeerLoads::isAlone(Instant now) const
 {
-    const auto found = addressById_.find(instance);
-    return found == addressById_.end() ? "" : found->second;
+    return others(now).countedInstances == 0;
 }
 
-std::uint32_t PeerLoads::instances() const
+std::optional<std::uint32_t> PeerLoads::instances(Instant now) const
 {
-    if (!peers_.empty()) {
-        return static_cast<std::uint32_t>(peers_.size()) + 1;
+    const Totals &sum = others(now);
+    if (sum.knownInstances > 0) {
+        return sum.knownInstances + 1;
     }
-    return std::max(1U, listedInstances_ > 0 ? listedInstances_ : AssumedInstances);
+    return routes_.listedInstances() > 0 ? std::optional(routes_.listedInstances()) : std::nullopt;
 }
 
 } // namespace relay
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -27,10 +27,16 @@
     , planner(endpoints, peers, relayDriver)
     , storeDuty(peers, relayDriver)
     , crashGuard(endpoints)
+{
+    configure();
+}
+
+void RelayKernel::Impl::configure()
 {
     planner.configure(settings);
     retries.configure(settings);
-    retries.setInstances(peers.instances());
+    peers.configure(settings);
+    storeDuty.configure(settings);
 }
 
 std::uint64_t RelayKernel::Impl::nextRandom()
@@ -38,6 +44,12 @@
     return base::mixBits(settings.seed + ++randomCount);
 }
 
+double RelayKernel::Impl::nextFraction()
+{
+    constexpr std::uint64_t Steps = 1U << 20;
+    return static_cast<double>(nextRandom() % Steps) / Steps;
+}
+
 void RelayKernel::Impl::tick(Instant now)
 {
     failExpiredCalls(now);
@@ -60,9 +72,9 @@
     checkSilentEndpoints(now);
     checkSlowEndpoints(now);
     checkCrashes(now);
-    storeDuty.tick(now, settings.node, known);
-    planner.tick(now, config, storeDuty.isReader());
-    sendDigest(now);
+    storeDuty.tick(now, known);
+    planner.tick(now, config, storeDuty.mayTakeLease());
+    sendDigests(now);
     updateReadiness(now);
     if (stopping) {
         continueStopping(now);
@@ -85,7 +97,7 @@
 
 void RelayKernel::Impl::reply(Instant now, const wire::FreshnessRequest &request)
 {
-    const std::string address = peers.addressOf(request.instance);
+    const std::string address = request.meshAddress.empty() ? peers.addressOf(request.instance) : request.meshAddress;
     auto reply = storeDuty.replyTo(request, now, known);
     if (reply && !address.empty()) {
         reply->changes = list.changesSince(request.endpointsRevision);
@@ -147,8 +159,7 @@
 void RelayKernel::onSettings(const RelaySettings &settings)
 {
     impl_->settings = settings;
-    impl_->planner.configure(settings);
-    impl_->retries.configure(settings);
+    impl_->configure();
 }
 
 void RelayKernel::onStop(Instant now)
@@ -185,10 +196,10 @@
     }
 }
 
-void RelayKernel::onInstances(Instant, const std::vector<InstanceEntry> &instances)
+void RelayKernel::onInstances(Instant now, const std::vector<InstanceEntry> &instances)
 {
-    impl_->peers.onInstances(instances, impl_->settings.node);
-    impl_->retries.setInstances(impl_->peers.instances());
+    impl_->peers.onInstances(instances);
+    impl_->retries.setInstances(impl_->peers.instances(now));
 }
 
 void RelayKernel::onPeerMessage(Instant now, const wire::RelayMessage &message)
--- a/libs/relay/src/StoreDuty.cpp
+++ b/libs/relay/src/StoreDuty.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// Number of instances that read the store for all.
-constexpr std::size_t ReaderCount = 3;
 /// Interval between the freshness requests of an instance that isn't a reader.
 constexpr Ms RequestPeriod{400};
 /// An instance whose knowledge is older reads the store itself. The readers' own knowledge is as old as one read of the configuration, or one watch
@@ -18,7 +16,7 @@
 constexpr Ms RefreshPeriod{250};
 /// Changes that a digest has named and that have not arrived within this time are read from the store.
 constexpr Ms UpdateTimeout{350};
-/// An instance that sees no other one counts as a reader once this time has passed since its start.
+/// An instance that sees no other one may take the lease once this time has passed since its start.
 constexpr Ms AloneTimeout{2000};
 
 } // namespace
@@ -29,13 +27,19 @@
 {
 }
 
-void StoreDuty::tick(Instant now, const std::string &ownId, const Knowledge &known)
+void StoreDuty::configure(const RelaySettings &settings)
+{
+    ownId_ = settings.node;
+    ownMeshAddress_ = settings.meshAddress;
+}
+
+void StoreDuty::tick(Instant now, const Knowledge &known)
 {
     startedAt_ = startedAt_.count() == 0 ? now : startedAt_;
     const bool isOwnKnowledgeStale = isStale(now, known);
-    const std::vector<std::string> readers = peers_.firstInstances(ownId, isOwnKnowledgeStale, ReaderCount, now);
-    const bool isChosenReader = std::find(readers.begin(), readers.end(), ownId) != readers.end();
-    isReader_ = isChosenReader || (peers_.isAlone(now) && now >= startedAt_ + AloneTimeout);
+    const std::vector<std::string> readers = peers_.readers(isOwnKnowledgeStale, now);
+    const bool isChosenReader = std::find(readers.begin(), readers.end(), ownId_) != readers.end();
+    mayTakeLease_ = peers_.isPlannerCandidate(isOwnKnowledgeStale, now) || (peers_.isAlone(now) && now >= startedAt_ + AloneTimeout);
     const bool shouldFollow = isChosenReader || readers.empty() || isOwnKnowledgeStale;
     if (shouldFollow != followsStore_) {
         followsStore_ = shouldFollow;
@@ -48,7 +52,7 @@
     if (isChosenReader || readers.empty() || now < nextRequest_) {
         return;
     }
-    sendRequest(readers[nextRequestNumber_ % readers.size()], ownId, now, known);
+    sendRequest(readers[nextRequestNumber_ % readers.size()], now, known);
 }
 
 bool StoreDuty::isStale(Instant now, const Knowledge &known)
@@ -56,12 +60,12 @@
     return now - known.configAt > MaxConfigAge || now - known.endpointsAt > MaxEndpointsAge;
 }
 
-void StoreDuty::sendRequest(const std::string &instance, const std::string &ownId, Instant now, const Knowledge &known)
+void StoreDuty::sendRequest(const std::string &instance, Instant now, const Knowledge &known)
 {
     nextRequest_ = now + RequestPeriod;
     const std::uint64_t number = nextRequestNumber_++;
     requestedAt_[number % requestedAt_.size()] = now;
-    driver_.sendFreshnessRequest(peers_.addressOf(instance), {ownId, number, known.endpointsRevision});
+    driver_.sendFreshnessRequest(peers_.addressOf(instance), {ownId_, number, known.endpointsRevision, ownMeshAddress_});
 }
 
 std::optional<wire::FreshnessReply> StoreDuty::replyTo(const wire::FreshnessRequest &request, Instant now, const Knowledge &known) const
@@ -101,7 +105,7 @@
     }
 }
 
-void StoreDuty::onStoreUpdate(const wire::RelayDigest &digest, const std::string &ownId, Instant now, const Knowledge &known)
+void StoreDuty::onStoreUpdate(const wire::RelayDigest &digest, Instant now, const Knowledge &known)
 {
     if (digest.configVersion > known.configVersion) {
         driver_.refreshConfig();
@@ -116,7 +120,7 @@
     updateRevision_ = std::max(updateRevision_, digest.endpointsRevision);
     if (now >= updateRequestedAt_ + RefreshPeriod) {
         updateRequestedAt_ = now;
-        sendRequest(digest.instance, ownId, now, known);
+        sendRequest(digest.instance, now, known);
     }
 }
 
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -44,7 +44,7 @@
 
 } // namespace
 
-Candidates RelayKernel::Impl::candidates(Instant now, const Call &call) const
+Candidates RelayKernel::Impl::candidates(Instant now, const Call &call)
 {
     Candidates found;
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
@@ -57,7 +57,7 @@
         const LoadEstimate load = peers.loadOn(i, now);
         // What the other instances have dispatched since their last digests isn't known. After the loss of an endpoint each of them dispatches
         // about as much as this one, so that the pending prefill is multiplied by their number.
-        const double pendingPrefill = state.pendingPrefillTokens * peers.instances();
+        const double pendingPrefill = state.pendingPrefillTokens * peers.instances(now).value_or(1);
         found.holders.push_back({kind, state.zone, state.entry.layers, load.openRequests, load.contextTokens, pendingPrefill, state.slowdown, true, true});
         found.indices.push_back(i);
     }
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -22,7 +22,7 @@
     Instant silentCheckAt{0};
     /// How often in a row it was marked as silent without a report in between.
     int silenceCount = 0;
-    /// The endpoint gets no new work until this time, since it refused work without running it or a report is awaited.
+    /// The endpoint gets no new work until this time, since it refused work without running it, a report is awaited or others have found it silent.
     Instant pausedUntil{0};
     /// Refusals in a row, up to a maximum.
     int refusals = 0;
@@ -71,8 +71,8 @@
     /// capacity or since it is leaving.
     void pauseAfterRefusal(EndpointIndex index, Instant now);
 
-    /// Gives the endpoint no new work while a report is awaited.
-    void pauseForReport(EndpointIndex index, Instant now);
+    /// Gives the endpoint no new work for at least the given time.
+    void pause(EndpointIndex index, Instant now, Ms duration);
 
     /// Resets the number of refusals in a row, since the endpoint has accepted work.
     void onAccepted(EndpointIndex index);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -31,6 +31,8 @@
     double promptTokens = 0;
     /// Predicted time from its dispatch to the first token.
     double predictedFirstTokenMs = 0;
+    /// Predicted time between two events.
+    double predictedEventIntervalMs = 0;
     bool hasEvents = false;
     /// Detours that were sent to its first stage, and whether the last one is unanswered.
     int detours = 0;
@@ -94,13 +96,15 @@
 /// RelayKernel.
 struct RelayKernel::Impl {
     Impl(RelaySettings relaySettings, RelayDriver &relayDriver);
+    /// Passes the settings on to the parts.
+    void configure();
 
     // Admission.
     /// Admits a request and starts its first attempt, or rejects it.
     void admit(Instant now, const CallArrival &arrival);
     /// Answers a caller with an error. If a repeat can help, the answer states a retry delay that fits into `timeLeft`, the time until the
-    /// caller's deadline.
-    void reject(CallId call, const std::string &requestId, Ms timeLeft, base::ErrorKind kind, const std::string &detail);
+    /// caller's deadline. `busyFor` is the time for which the endpoints are expected to have no room; the callers are spread over as much time after it.
+    void reject(CallId call, const std::string &requestId, Ms timeLeft, base::ErrorKind kind, const std::string &detail, Ms busyFor = Ms(0));
     /// Returns true if there is a configuration that was confirmed as current no longer ago than the limit.
     bool configIsCurrent(Instant now, Ms limit) const;
     /// Returns the maximum age of the configuration at which API keys are accepted.
@@ -137,7 +141,8 @@
     Dispatch dispatchOf(Instant now, const Call &call, AttemptId attempt) const;
     /// Returns the pipeline of an attempt as it is sent to the first stage.
     std::vector<Hop> hopsOf(const Attempt &attempt) const;
-    /// Returns the pipeline of an attempt as it is written to the log, for example "path a=0-20 b=20-80".
+    /// Returns the pipeline of an attempt as it is written to the log, for example
+    /// "path a=0-20 b=20-80, 1 changes of zone".
     std::string pipelineText(const Attempt &attempt) const;
     /// Fails the calls whose deadline has passed.
     void failExpiredCalls(Instant now);
@@ -151,8 +156,10 @@
     void checkSlowEndpoints(Instant now);
     /// Logs newly confirmed crashes and queues them for the next digest.
     void checkCrashes(Instant now);
-    /// Sends this instance's digest to the others if it is due.
-    void sendDigest(Instant now);
+    /// Sends this instance's digests to the others if they are due.
+    void sendDigests(Instant now);
+    /// Asks an endpoint that another instance has marked as silent for its report, or gives it no new work for now.
+    void onSilenceReported(Instant now, const wire::RelayDigest &digest, const wire::SilentEndpoint &silent);
 
     // Calls to services without layers.
     /// Dispatches a call to the endpoint with the lowest estimated cost, or fails it if none is usable.
@@ -170,8 +177,10 @@
     /// Dispatches a call to the pipeline with the lowest cost; waits or fails the call if there is no pipeline. Calls startPlain() if the service has no
     /// layers.
     void startStream(Instant now, Call &call);
+    /// Rejects a stream that would wait that long for the prefill of others.
+    void rejectForLoad(Instant now, Call &call, double waitMs);
     /// Returns the usable layer holders of the call's service that aren't excluded for this call.
-    Candidates candidates(Instant now, const Call &call) const;
+    Candidates candidates(Instant now, const Call &call);
     /// Handles an answer that isn't a stream: a refusal or an error.
     void onStreamRefused(Instant now, Call &call, AttemptId attempt, const AnswerHead &head);
     /// Resumes or restarts a stream after a failed attempt, or fails the call.
@@ -192,7 +201,7 @@
     /// Aborts an attempt and starts a new one if the call may be retried, else fails the call.
     void replaceAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason);
     /// Returns the candidates of the call; those that are stages of the attempt already are marked as unusable.
-    Candidates replacementCandidates(Instant now, const Call &call, const Attempt &attempt) const;
+    Candidates replacementCandidates(Instant now, const Call &call, const Attempt &attempt);
     /// Returns a pipeline of other endpoints over the layers of the stages [first, end) of an attempt; `first` is above 0. It has no stages if there is
     /// none.
     placement::Pipeline chooseDetour(const Call &call, const Attempt &attempt, std::size_t first, std::size_t end, const Candidates &replacements) const;
@@ -220,6 +229,8 @@
     void checkSilentEndpoints(Instant now);
     /// Returns the next pseudo-random number, from the seed of the settings.
     std::uint64_t nextRandom();
+    /// Returns a pseudo-random number from [0, 1).
+    double nextFraction();
 
     RelaySettings settings;
     RelayDriver &driver;
--- a/libs/relay/src/details/PeerLoads.h
+++ b/libs/relay/src/details/PeerLoads.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "details/DigestRoutes.h"
 #include "details/EndpointRegistry.h"
 #include "wire/RelayDigest.h"
 
@@ -7,71 +8,133 @@
 
 namespace relay {
 
-/// Estimated load of an endpoint: its open requests and the total of their tokens of context.
+/// Estimated load of an endpoint: its open requests, the total of their tokens of context, and the prompt tokens of those that are in prefill.
 struct LoadEstimate {
     double openRequests = 0;
     double contextTokens = 0;
+    double pendingPrefillTokens = 0;
+};
+
+/// A digest that is due, with the mesh addresses of its receivers.
+struct DueDigest {
+    std::vector<std::string> addresses;
+    wire::RelayDigest digest;
 };
 
 /// The other instances and the load that they put on the endpoints, as known from their digests.
 ///
 /// Digests may be lost: an instance without a recent digest is assumed to put the mean load of this instance and those with a recent digest on each
-/// endpoint.
+/// endpoint. The loads are summed when digests arrive, so that a look-up costs the same in a fleet of any size.
 class PeerLoads
 {
 public:
     explicit PeerLoads(EndpointRegistry &endpoints);
 
+    /// Takes the settings. Called at the start and whenever they change.
+    void configure(const RelaySettings &settings);
     /// Takes the platform's list of instances, which includes this one.
-    void onInstances(const std::vector<InstanceEntry> &instances, const std::string &ownId);
+    void onInstances(const std::vector<InstanceEntry> &instances);
     /// Takes a digest of another instance; one that is leaving is forgotten.
     void onDigest(const wire::RelayDigest &digest, Instant now);
 
-    /// Returns this instance's digest if one is due and there are others to send it to. The fields about crashes and the store are left to the
-    /// caller. Also forgets instances whose digests have been missing for long.
-    std::optional<wire::RelayDigest> dueDigest(Instant now, const std::string &ownId, bool leaving);
-    /// Makes the next digest due at once, for an update that the others need without delay.
+    /// Returns this instance's digests if they are due. The fields about crashes and the store are left to the caller. Also forgets instances whose
+    /// digests have been missing for long.
+    std::vector<DueDigest> dueDigests(Instant now, bool leaving);
+    /// Makes the next digests due soon, for an update that the others need without delay.
     void expedite();
-    /// Returns the mesh addresses of the other instances.
-    const std::vector<std::string> &addresses() const
-    {
-        return addresses_;
-    }
 
     /// Estimates the load that all instances together put on an endpoint.
     LoadEstimate loadOn(EndpointIndex index, Instant now) const;
 
-    /// Returns the first `count` ids of instances that are not stale, in an order that all instances agree on. This instance is considered unless
-    /// it is stale itself. Empty if no other instance that is not stale has been seen lately.
-    std::vector<std::string> firstInstances(const std::string &ownId, bool isStale, std::size_t count, Instant now) const;
+    /// Returns the ids of the instances that read the store for this one, in an order that all instances agree on. This instance is among them if it is
+    /// a reader itself. `isStale` tells that its own knowledge is stale. Empty if no instance that isn't stale has been seen lately.
+    std::vector<std::string> readers(bool isStale, Instant now) const;
+    /// Returns true if this instance is one of the few that may take the planner's lease, as far as digests tell.
+    bool isPlannerCandidate(bool isStale, Instant now) const;
 
+    /// Returns true if this instance sums digests for others, so that it verifies what they say of endpoints.
+    bool isAggregator(Instant now) const
+    {
+        return routes_.isAggregator(now);
+    }
     /// Returns true if no other instance has been seen lately.
     bool isAlone(Instant now) const;
+    /// Returns the mesh address of another instance; empty if it is unknown.
+    std::string addressOf(const std::string &instance) const
+    {
+        return routes_.addressOf(instance);
+    }
 
-    /// Returns the mesh address of another instance; empty if it isn't listed.
-    std::string addressOf(const std::string &instance) const;
-
-    /// Returns the number of instances that share fleet-wide limits, this one included: those known by digests, else the listed ones, else an
-    /// assumed number. At least 1.
-    std::uint32_t instances() const;
+    /// Returns the number of instances that share fleet-wide limits, this one included: those known by digests, else the listed ones; none before the
+    /// first list.
+    std::optional<std::uint32_t> instances(Instant now) const;
 
 private:
-    /// Another instance with its last digest.
-    struct Peer {
-        wire::RelayDigest digest;
+    /// The load on one endpoint.
+    struct Load {
+        EndpointIndex endpoint = 0;
+        std::uint32_t openRequests = 0;
+        std::uint64_t contextTokens = 0;
+        std::uint64_t pendingPrefillTokens = 0;
+    };
+    /// The last digest of an instance, or of an aggregator for a zone or the fleet.
+    struct Source {
+        std::string sender;
+        std::string zone;
+        std::vector<Load> loads;
+        std::uint32_t countedInstances = 0;
+        std::uint32_t knownInstances = 0;
+        bool isStale = false;
         Instant lastSeen{0};
     };
+    /// The sum of the loads on one endpoint.
+    struct TotalLoad {
+        std::int64_t openRequests = 0;
+        std::int64_t contextTokens = 0;
+        std::int64_t pendingPrefillTokens = 0;
+    };
+    /// Sums of loads, by endpoint.
+    struct Totals {
+        std::vector<TotalLoad> loads;
+        std::uint32_t countedInstances = 0;
+        std::uint32_t knownInstances = 0;
+    };
 
-    /// Returns true if the peer's digest is recent enough to rely on.
-    bool isFresh(const Peer &peer, Instant now) const;
+    /// Returns true if the digest is recent enough to rely on.
+    static bool isFresh(const Source &source, Instant now);
+    /// Returns true if the sum of the zone, which isn't this instance's, is known from an aggregator.
+    bool hasZoneSum(const std::string &zone, Instant now) const;
+    Source sourceOf(const wire::RelayDigest &digest, Instant now) const;
+    /// Replaces the sum of a zone or the fleet, unless the known one is as recent and counts more instances.
+    static void replaceSum(Source &known, Source received, Instant now);
+    /// Adds the loads of a source, or subtracts them if `sign` is -1.
+    static void add(Totals &totals, const std::vector<Load> &loads, std::int64_t sign = 1);
+    /// Returns the sum of the other instances whose digests count within the scope, without this instance.
+    Totals sumOfOthers(wire::DigestScope scope, Instant now) const;
+    /// Returns the loads of all other instances: from the own sum, or from an aggregator's if that counts more instances. Computed again only after a
+    /// change.
+    const Totals &others(Instant now) const;
+    /// Returns the loads of this instance.
+    std::vector<Load> ownLoads() const;
+    /// Creates a digest with the loads of the scope.
+    wire::RelayDigest makeDigest(wire::DigestScope scope, bool leaving, Instant now) const;
 
     EndpointRegistry &endpoints_;
-    std::vector<std::string> addresses_;
-    std::map<std::string, std::string> addressById_;
-    std::map<std::string, Peer> peers_;
-    /// Number of listed instances; 0 before the first list.
-    std::uint32_t listedInstances_ = 0;
-    Instant digestSentAt_{0};
+    DigestRoutes routes_;
+    std::string ownId_;
+    std::string ownZone_;
+    std::string ownMeshAddress_;
+    /// The last digests of other instances by id, the sums of other zones by zone, and the sum of the fleet.
+    std::map<std::string, Source> peers_;
+    std::map<std::string, Source> zoneSums_;
+    Source fleetSum_;
+    /// Loads in this instance's last digest, which the sum of the fleet contains.
+    std::vector<Load> sentLoads_;
+    Instant digestsSentAt_{0};
+    bool isExpedited_ = false;
+    /// Result of others(), valid until then unless a digest arrives before.
+    mutable Totals others_;
+    mutable Instant othersValidUntil_{0};
 };
 
 } // namespace relay
--- a/libs/relay/src/details/RetryWindow.h
+++ b/libs/relay/src/details/RetryWindow.h
@@ -3,6 +3,7 @@
 #include "relay/RelayKernel.h"
 
 #include <deque>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -21,8 +22,8 @@
         window_ = settings.retryWindow;
     }
 
-    /// Sets the number of instances that share the reserve, at least 1.
-    void setInstances(std::uint32_t instances)
+    /// Sets the number of instances that share the reserve, at least 1. While it is unknown, nothing of the reserve is used.
+    void setInstances(std::optional<std::uint32_t> instances)
     {
         instances_ = instances;
     }
@@ -38,7 +39,8 @@
     bool tryAcquire(const std::string &service, Instant now)
     {
         Counts &counts = countsOf(service, now);
-        const double allowed = ratio_ * static_cast<double>(counts.requests.size()) + reserve_ / instances_;
+        const double ownReserve = instances_ ? reserve_ / *instances_ : 0;
+        const double allowed = ratio_ * static_cast<double>(counts.requests.size()) + ownReserve;
         if (static_cast<double>(counts.retries.size()) + 1 > allowed) {
             return false;
         }
@@ -70,7 +72,7 @@
 
     double ratio_ = 0;
     double reserve_ = 0;
-    std::uint32_t instances_ = 1;
+    std::optional<std::uint32_t> instances_;
     Instant window_{0};
     /// Counts by name of the service.
     std::unordered_map<std::string, Counts> services_;
--- a/libs/relay/src/details/StoreDuty.h
+++ b/libs/relay/src/details/StoreDuty.h
@@ -9,14 +9,17 @@
 /// Decides whether this instance reads the store itself or relies on instances that do, so that the number of calls to the store doesn't grow with
 /// the fleet.
 ///
-/// A few instances, the readers, read the store. The others regularly send a freshness request to one of them, and the reply states the age of
-/// the reader's knowledge. The age is counted from the time at which the request was sent, so that no delay makes knowledge look younger than it
-/// is. An instance whose knowledge becomes stale without a usable reply reads the store itself.
+/// A few instances, the readers, read the store; in a large fleet they are the aggregators of PeerLoads. The others regularly send a freshness request to one
+/// of them, and the reply states the age of the reader's knowledge. The age is counted from the time at which the request was sent, so that no delay makes
+/// knowledge look younger than it is. An instance whose knowledge becomes stale without a usable reply reads the store itself.
 class StoreDuty
 {
 public:
     StoreDuty(const PeerLoads &peers, RelayDriver &driver);
 
+    /// Takes the settings. Called at the start and whenever they change.
+    void configure(const RelaySettings &settings);
+
     /// What this instance knows of the store, and the times at which that was current.
     struct Knowledge {
         /// Version of the configuration; 0 before the first one.
@@ -28,8 +31,8 @@
         Instant endpointsAt{0};
     };
 
-    /// Starts or stops the reads of the store and sends the freshness request that is due. `ownId` is the id of this instance.
-    void tick(Instant now, const std::string &ownId, const Knowledge &known);
+    /// Starts or stops the reads of the store and sends the freshness request that is due.
+    void tick(Instant now, const Knowledge &known);
 
     /// Returns the reply to another instance's request, without the changes of the endpoint list; nothing if this instance has no configuration or
     /// no list yet.
@@ -46,25 +49,27 @@
     static bool isStale(Instant now, const Knowledge &known);
 
     /// Compares the knowledge that another instance's digest names with `known`, and requests what is newer.
-    void onStoreUpdate(const wire::RelayDigest &digest, const std::string &ownId, Instant now, const Knowledge &known);
+    void onStoreUpdate(const wire::RelayDigest &digest, Instant now, const Knowledge &known);
 
-    /// Returns true if this instance is one of the readers, as far as it can tell.
-    bool isReader() const
+    /// Returns true if this instance is one of the few that may take the planner's lease, as far as it can tell.
+    bool mayTakeLease() const
     {
-        return isReader_;
+        return mayTakeLease_;
     }
 
 private:
     /// Sends a freshness request to an instance.
-    void sendRequest(const std::string &instance, const std::string &ownId, Instant now, const Knowledge &known);
+    void sendRequest(const std::string &instance, Instant now, const Knowledge &known);
     /// Reads the list of endpoints from the store, unless it was read moments ago.
     void refreshEndpoints(Instant now);
 
     const PeerLoads &peers_;
     RelayDriver &driver_;
+    std::string ownId_;
+    std::string ownMeshAddress_;
     /// This instance reads the store continuously.
     bool followsStore_ = true;
-    bool isReader_ = false;
+    bool mayTakeLease_ = false;
     Instant startedAt_{0};
     /// The latest revision of the endpoint list that a digest has named, and since when it is awaited.
     std::uint64_t updateRevision_ = 0;
--- a/libs/relay/tests/VirtualInstance.cpp
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -32,6 +32,7 @@
     settings.node = instance.node;
     settings.instance = instance.node + "/" + std::to_string(++instance.generation);
     settings.zone = instance.zone;
+    settings.meshAddress = instance.node + ":7000";
     settings.seed = random_();
     instance.kernel = std::make_unique<relay::RelayKernel>(settings, *instance.driver);
     instance.alive = true;
@@ -43,7 +44,7 @@
     instance.interruptedAt = time_.now();
     instance.answers.clear();
     if (!store_.down) {
-        store_.instances[instance.node] = {instance.node, instance.node + ":7000"};
+        store_.instances[instance.node] = {instance.node, instance.node + ":7000", instance.zone};
     }
     readConfig(index);
     listEndpoints(index);
--- a/libs/relayhost/include/relayhost/StoreFollower.h
+++ b/libs/relayhost/include/relayhost/StoreFollower.h
@@ -80,8 +80,8 @@
     relay::Instant listedAt_{0};
     /// Number of malformed entries in the last full list.
     std::size_t damaged_ = 0;
-    /// Number of reads of the list of instances since the start.
-    int instancesReadCount_ = 0;
+    /// Interval to the next read of the list of instances.
+    relay::Ms instancesPeriod_;
     bool reachable_ = false;
     bool follows_ = true;
     /// No read of the configuration is in progress or scheduled.
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -159,7 +159,7 @@
             "",
             settings_.relay.instance,
             "listening for callers on " + net::toString(settings_.callers) + ", store at " + net::toString(settings_.store)});
-    store_.start({settings_.node, net::toString(settings_.mesh)});
+    store_.start({settings_.node, net::toString(settings_.mesh), settings_.zone});
     tick();
     meshThread_ = std::thread([this]() { mesh_.run(); });
     loop_.run();
@@ -178,6 +178,7 @@
         rereadSettings();
     }
     kernel_.onTick(now());
+    mesh_.flush();
     loop_.after(kernel_.openCalls() > 0 ? BusyTickPeriod : IdleTickPeriod, [this]() { tick(); });
 }
 
--- a/libs/relayhost/src/StoreFollower.cpp
+++ b/libs/relayhost/src/StoreFollower.cpp
@@ -20,11 +20,10 @@
 constexpr relay::Ms RetryPeriod{150};
 /// Delay before a failed registration of this instance is repeated.
 constexpr relay::Ms RegisterRetryPeriod{1000};
-/// Period between reads of the list of instances.
-constexpr relay::Ms InstancesPeriod{2500};
-/// Period of the first InitialInstancesReads reads, during which instances that were started together register themselves.
-constexpr relay::Ms InitialInstancesPeriod{500};
-constexpr int InitialInstancesReads = 3;
+/// Interval between the first two reads of the list of instances, during which instances that were started together register themselves. Each further
+/// interval is twice as long, up to the maximum: instances learn of later ones from their digests.
+constexpr relay::Ms MinInstancesPeriod{500};
+constexpr relay::Ms MaxInstancesPeriod{16000};
 
 } // namespace
 
@@ -32,6 +31,7 @@
     : loop_(loop)
     , client_(std::move(client))
     , handlers_(std::move(handlers))
+    , instancesPeriod_(MinInstancesPeriod)
 {
 }
 
@@ -187,9 +187,8 @@
             handlers_.onInstances(*instances);
         }
     });
-    ++instancesReadCount_;
-    const relay::Ms period = instancesReadCount_ <= InitialInstancesReads ? InitialInstancesPeriod : InstancesPeriod;
-    runAt(base::readBootTimeClock() + period, [this]() { listInstances(); });
+    runAt(base::readBootTimeClock() + instancesPeriod_, [this]() { listInstances(); });
+    instancesPeriod_ = std::min(2 * instancesPeriod_, MaxInstancesPeriod);
 }
 
 void StoreFollower::readLease()
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -18,6 +18,8 @@
     std::uint32_t openRequests = 0;
     /// Sum of the context tokens of these requests; encoding rounds it to the nearest multiple of 256.
     std::uint64_t contextTokens = 0;
+    /// Prompt tokens of those whose prefill isn't known to have ended; rounded likewise.
+    std::uint64_t pendingPrefillTokens = 0;
 };
 
 /// An endpoint that is marked as silent, in one of its incarnations.
@@ -45,13 +47,30 @@
     friend bool operator==(const CrashReport &, const CrashReport &) = default;
 };
 
-/// The message in which an instance periodically reports to the others the requests that it relays and the state of endpoints.
+/// An instance that sums the digests of its availability zone.
+struct Aggregator {
+    /// Id of the instance, and IP:port at which it receives messages.
+    std::string instance;
+    std::string meshAddress;
+};
+
+/// Whose requests the loads of a digest count.
+enum class DigestScope : std::uint8_t {
+    /// Those of the sending instance.
+    Instance,
+    /// Those of all instances in the sender's availability zone.
+    Zone,
+    /// Those of all instances.
+    Fleet,
+};
+
+/// The message in which an instance periodically reports to others the requests that it or a group of instances relays, and the state of endpoints.
 struct RelayDigest {
     /// Id of the sending instance.
     std::string instance;
     /// The sending instance is shutting down.
     bool leaving = false;
-    /// Endpoints on which the sender has open requests.
+    /// Endpoints on which the instances within the scope have open requests.
     std::vector<EndpointLoad> loads;
     /// Endpoints that the sender has marked as silent.
     std::vector<SilentEndpoint> silent;
@@ -67,6 +86,19 @@
     std::uint64_t endpointsRevision = 0;
     /// The sender's knowledge of the store is stale; other instances don't rely on it.
     bool isStale = false;
+    /// IP:port at which the sender receives messages, and its availability zone; empty if the sender is of a version that doesn't state them.
+    std::string meshAddress = {};
+    std::string zone = {};
+    DigestScope scope = DigestScope::Instance;
+    /// Number of instances whose loads are counted, and number of instances that have lately been seen within the scope. The first is lower while digests are
+    /// missing.
+    std::uint32_t countedInstances = 1;
+    std::uint32_t knownInstances = 1;
+    /// The sender uses the receiver as an aggregator, and whether it asks for digests with the loads of the whole fleet.
+    bool toAggregator = false;
+    bool requestsFleetLoads = false;
+    /// Other aggregators of the sender's zone that the sender uses. Instances that were there before them learn of them in this way.
+    std::vector<Aggregator> aggregators = {};
 };
 
 /// An entry of the store's list of endpoints.
@@ -112,6 +144,8 @@
     std::uint64_t number = 0;
     /// Revision of the store up to which the requesting instance knows the list of endpoints.
     std::uint64_t endpointsRevision = 0;
+    /// IP:port at which the requesting instance receives the reply; empty if it is of a version that doesn't state it.
+    std::string meshAddress = {};
 };
 
 /// Reply to FreshnessRequest: what an instance knows of the store, and how old this knowledge was when it replied. Ages are in milliseconds, rounded up.
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -3,6 +3,7 @@
 #include "Records.pb.h"
 #include "base/Hash.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace wire {
@@ -26,6 +27,11 @@
 
 namespace {
 
+std::uint32_t toContextUnits(std::uint64_t tokens)
+{
+    return static_cast<std::uint32_t>((tokens + TokensPerContextUnit / 2) / TokensPerContextUnit);
+}
+
 void fill(trefoilport::pb::RelayDigest &out, const RelayDigest &digest)
 {
     out.set_config_version(digest.configVersion);
@@ -37,7 +43,8 @@
     for (const EndpointLoad &load : digest.loads) {
         out.add_endpoint(load.endpoint);
         out.add_open_requests(load.openRequests);
-        out.add_context(static_cast<std::uint32_t>((load.contextTokens + TokensPerContextUnit / 2) / TokensPerContextUnit));
+        out.add_context(toContextUnits(load.contextTokens));
+        out.add_pending_prefill(toContextUnits(load.pendingPrefillTokens));
     }
     for (const SilentEndpoint &silent : digest.silent) {
         out.add_silent(silent.endpoint);
@@ -51,19 +58,49 @@
         out.add_strike(crashReport.fingerprint);
         out.add_strike_crash(crashReport.crash);
     }
+    out.set_mesh_address(digest.meshAddress);
+    out.set_zone(digest.zone);
+    out.set_scope(static_cast<std::uint32_t>(digest.scope));
+    out.set_counted_instances(digest.countedInstances);
+    out.set_known_instances(digest.knownInstances);
+    out.set_to_aggregator(digest.toAggregator);
+    out.set_requests_fleet_loads(digest.requestsFleetLoads);
+    for (const Aggregator &aggregator : digest.aggregators) {
+        out.add_aggregator(aggregator.instance);
+        out.add_aggregator_address(aggregator.meshAddress);
+    }
+}
+
+/// Copies the fields that describe whose loads the digest counts. Versions before 0.4.0 don't send them: their digests count the sender's own requests.
+void readScope(const trefoilport::pb::RelayDigest &in, RelayDigest &digest)
+{
+    digest.meshAddress = in.mesh_address();
+    digest.zone = in.zone();
+    digest.scope = static_cast<DigestScope>(in.scope());
+    digest.countedInstances = std::max(1U, in.counted_instances());
+    digest.knownInstances = std::max(digest.countedInstances, in.known_instances());
+    digest.toAggregator = in.to_aggregator();
+    digest.requestsFleetLoads = in.requests_fleet_loads();
+    for (int i = 0; i < in.aggregator_size(); ++i) {
+        digest.aggregators.push_back({in.aggregator(i), in.aggregator_address(i)});
+    }
 }
 
 std::optional<RelayDigest> toDigest(const trefoilport::pb::RelayDigest &in)
 {
     const bool listSizesMatch = in.open_requests_size() == in.endpoint_size() && in.context_size() == in.endpoint_size()
-        && in.silent_incarnation_size() == in.silent_size() && in.slowness_tenths_size() == in.slow_size() && in.strike_crash_size() == in.strike_size();
-    if (!listSizesMatch || in.instance().empty()) {
+        && in.silent_incarnation_size() == in.silent_size() && in.slowness_tenths_size() == in.slow_size() && in.strike_crash_size() == in.strike_size()
+        && in.aggregator_address_size() == in.aggregator_size();
+    const bool isScopeKnown = in.scope() <= static_cast<std::uint32_t>(DigestScope::Fleet);
+    if (!listSizesMatch || !isScopeKnown || in.instance().empty()) {
         return std::nullopt;
     }
     RelayDigest digest{in.instance(), in.leaving(), {}, {}, {}, {}, in.config_version(), in.endpoints_hash(), in.endpoints_revision(), in.behind()};
+    readScope(in, digest);
     digest.loads.reserve(static_cast<std::size_t>(in.endpoint_size()));
     for (int i = 0; i < in.endpoint_size(); ++i) {
-        digest.loads.push_back({in.endpoint(i), in.open_requests(i), in.context(i) * TokensPerContextUnit});
+        const std::uint64_t pendingPrefill = i < in.pending_prefill_size() ? in.pending_prefill(i) : 0;
+        digest.loads.push_back({in.endpoint(i), in.open_requests(i), in.context(i) * TokensPerContextUnit, pendingPrefill * TokensPerContextUnit});
     }
     digest.silent.reserve(static_cast<std::size_t>(in.silent_size()));
     for (int i = 0; i < in.silent_size(); ++i) {
@@ -133,7 +170,7 @@
 std::optional<RelayMessage> toMessage(const trefoilport::pb::RelayMessage &in)
 {
     if (in.has_question() && !in.question().instance().empty()) {
-        return FreshnessRequest{in.question().instance(), in.question().number(), in.question().endpoints_revision()};
+        return FreshnessRequest{in.question().instance(), in.question().number(), in.question().endpoints_revision(), in.question().mesh_address()};
     }
     if (in.has_answer()) {
         return toFreshnessReply(in.answer());
@@ -159,6 +196,7 @@
         out.mutable_question()->set_instance(request.instance);
         out.mutable_question()->set_number(request.number);
         out.mutable_question()->set_endpoints_revision(request.endpointsRevision);
+        out.mutable_question()->set_mesh_address(request.meshAddress);
     }
     void operator()(const FreshnessReply &reply) const
     {
--- a/programs/trefoilportd/MeshDuty.cpp
+++ b/programs/trefoilportd/MeshDuty.cpp
@@ -59,6 +59,7 @@
     std::thread receiveThread([this]() { mesh_.run(); });
     while (!stopped_) {
         sendQueued();
+        mesh_.flush();
         sendWakeup_.waitFor(SendPollInterval);
     }
     mesh_.stop();
