Spread over endpoints that look equal, and rejection by predicted wait

Change: costs of endpoints are multiplied by random factors that grow with the number of instances. Digests carry the prompt tokens in prefill, so that the wait for the prefill of others is predicted from the whole fleet; a new stream that would wait longer than its target latency is rejected at once with a time to return. The first event needs the steps of one pass, and prompts are read between the steps of others. When a stream is checked after a gap follows from the predicted interval between its events, and when it is given up from the callers' patience (both were fitted to one site). The log names the changes of zone of a pipeline.

--- a/libs/placement/include/placement/EngineProfile.h
+++ b/libs/placement/include/placement/EngineProfile.h
@@ -36,8 +36,11 @@
     double prefillTokensPerMs = 1;
     /// Attention time of the prefill for each million pairs of a prompt token and an earlier one.
     double prefillMsPerMillionPairs = 0;
-    /// Decoding steps in one pass of an engine. No prediction in this library uses it.
+    /// Decoding steps in one pass of an engine that has requests in decoding. An event of a stream holds the tokens of one pass.
     std::uint32_t stepsPerPass = 1;
+    /// Prompt tokens that an engine reads beside one decoding step at most, so that a long prefill doesn't hold up the requests in decoding; 0 means any
+    /// number.
+    std::uint32_t prefillTokensPerStep = 0;
     /// Size of the activations that a stage sends to the next one for each token, in bytes.
     double activationBytes = 0;
     /// Bandwidth of the link of one endpoint, and of the link between two availability zones; 0 means that transfers over that link take no time.
@@ -91,6 +94,11 @@
 /// Predicts the duration of the prefill over some of the layers, in ms.
 double prefillMs(const EngineProfile &profile, const AcceleratorKind &kind, std::uint32_t layers, double promptTokens);
 
+/// Predicts the duration of the prefill on an engine that has other requests in decoding: between two pieces of the prompt it executes a step for them.
+/// `sequences` and `contextTokens` are those of the requests in decoding.
+double interleavedPrefillMs(
+    const EngineProfile &profile, const AcceleratorKind &kind, std::uint32_t layers, double promptTokens, double sequences, double contextTokens);
+
 /// Predicts how long the activations of the given number of tokens take to the next stage, in ms, without EngineProfile::zoneDelayMs.
 double transferMs(const EngineProfile &profile, double tokens, bool otherZone);
 
--- a/libs/placement/include/placement/PipelineChooser.h
+++ b/libs/placement/include/placement/PipelineChooser.h
@@ -16,10 +16,15 @@
     /// Number of requests that pass through it, and the total of their tokens of context.
     double sequences = 0;
     double contextTokens = 0;
-    /// Prompt tokens of requests sent to it whose prefill has not ended.
+    /// Prompt tokens of requests sent to it whose prefill has not ended, as far as known. Waiting times are predicted from them.
     double pendingPrefillTokens = 0;
+    /// Further prompt tokens that others may have sent to it since. They make it less attractive, so that not all choose the same holder.
+    double uncertainPrefillTokens = 0;
     /// Time that its work takes, as a multiple of the time that its profile predicts; 1 is as expected.
     double slowdown = 1;
+    /// Multiple of its times that counts when pipelines are compared; predictions don't contain it. Random factors keep requesters that have the same
+    /// knowledge from all choosing the same holder.
+    double costFactor = 1;
     /// False if it may not be a stage.
     bool usable = true;
     /// False if it may only serve as a later stage.
@@ -54,6 +59,8 @@
     /// Time until the first token, and time for each token.
     double firstTokenMs = 0;
     double tokenMs = 0;
+    /// Part of the time until the first token that the request waits for the prefill of others.
+    double waitMs = 0;
 };
 
 /// Returns the pipeline with the lowest cost over holders that are usable and have memory for the request's context. The cost is the predicted
--- a/libs/placement/src/EngineProfile.cpp
+++ b/libs/placement/src/EngineProfile.cpp
@@ -45,6 +45,17 @@
     return kind.prefillFactor * wholeModelMs * layerFraction(profile, layers);
 }
 
+double interleavedPrefillMs(
+    const EngineProfile &profile, const AcceleratorKind &kind, std::uint32_t layers, double promptTokens, double sequences, double contextTokens)
+{
+    const double ownMs = prefillMs(profile, kind, layers, promptTokens);
+    if (profile.prefillTokensPerStep == 0) {
+        return ownMs;
+    }
+    const double steps = promptTokens / profile.prefillTokensPerStep * std::min(1.0, sequences);
+    return ownMs + steps * stepMs(profile, kind, layers, sequences, contextTokens);
+}
+
 double transferMs(const EngineProfile &profile, double tokens, bool otherZone)
 {
     const double megabits = tokens * profile.activationBytes * BitsPerByte / BytesPerMb;
--- a/libs/placement/src/PipelineChooser.cpp
+++ b/libs/placement/src/PipelineChooser.cpp
@@ -22,10 +22,15 @@
 constexpr double StageOverheadMs = 0.2;
 constexpr double UnreachableCost = std::numeric_limits<double>::infinity();
 
-/// Predicted times of one stage, until the first token and for each token.
+/// Predicted times of one stage.
 struct StageCost {
+    /// Time until the first token without waiting, and for each token.
     double firstMs = 0;
     double tokenMs = 0;
+    /// Time for the prefill of requests that came before.
+    double waitMs = 0;
+    /// Time that requests which others may have sent meanwhile would add.
+    double uncertainMs = 0;
 };
 
 /// The cheapest sequence of stages found that ends at one layer boundary with its last stage in one zone. Nodes are indexed by
@@ -35,6 +40,8 @@
     double cost = UnreachableCost;
     double firstMs = 0;
     double tokenMs = 0;
+    /// The longest wait of a stage. Requests that wait for each other at one stage follow each other through the later ones without waiting again.
+    double waitMs = 0;
     /// Holder and layers of the last stage.
     std::uint32_t holder = 0;
     LayerRange layers;
@@ -104,13 +111,19 @@
         const double neededTokens = request_.promptTokens + request_.answerTokens;
         const double fill = capacityTokens > 0 ? (holder.contextTokens + neededTokens) / capacityTokens : UnreachableCost;
         if (fill > 1) {
-            return {UnreachableCost, UnreachableCost};
+            return {UnreachableCost, UnreachableCost, 0, 0};
         }
         const double fillFactor = fill > FillPenaltyThreshold ? 1 + FillPenaltySlope * (fill - FillPenaltyThreshold) : 1;
         const double tokenStepMs = stepMs(profile_, kind, layers, holder.sequences + 1, holder.contextTokens + neededTokens);
         const double factor = WaitFactor * holder.slowdown * fillFactor;
-        const double promptMs = prefillMs(profile_, kind, layers, request_.promptTokens) + prefillMs(profile_, kind, layers, 1) * holder.pendingPrefillTokens;
-        return {factor * (promptMs + tokenStepMs), factor * tokenStepMs + StageOverheadMs};
+        const auto promptMs = [&](double tokens) {
+            return interleavedPrefillMs(profile_, kind, layers, tokens, holder.sequences, holder.contextTokens);
+        };
+        const double promptTokenMs = promptMs(1);
+        const double waitMs = factor * promptTokenMs * holder.pendingPrefillTokens;
+        const double uncertainMs = factor * promptTokenMs * holder.uncertainPrefillTokens;
+        const double firstPassMs = profile_.stepsPerPass * tokenStepMs;
+        return {factor * (promptMs(request_.promptTokens) + firstPassMs), factor * tokenStepMs + StageOverheadMs, waitMs, uncertainMs};
     }
 
     /// Tries every holder of the boundary's layer as the next stage after the node.
@@ -138,10 +151,19 @@
         stage.firstMs += transferMs(profile_, request_.promptTokens, crossesZone) + (crossesZone ? profile_.zoneDelayMs : 0);
         stage.tokenMs += perToken;
         const double zoneLinkMs = crossesZone ? transferMs(profile_, request_.promptTokens + request_.answerTokens, true) : 0;
-        const double cost = nodes_[from].cost + stage.firstMs + stage.tokenMs * request_.answerTokens + ZoneLinkWeight * zoneLinkMs;
+        const double timeMs = holders_[index].costFactor * (stage.firstMs + stage.waitMs + stage.uncertainMs + stage.tokenMs * request_.answerTokens);
+        const double cost = nodes_[from].cost + timeMs + ZoneLinkWeight * zoneLinkMs;
         Node &to = nodes_[boundaryIndex(layers.end) * zones_ + holders_[index].zone];
         if (cost < to.cost) {
-            to = {cost, nodes_[from].firstMs + stage.firstMs, nodes_[from].tokenMs + stage.tokenMs, index, layers, from, nodes_[from].stages + 1};
+            const Node &before = nodes_[from];
+            to = {cost,
+                  before.firstMs + stage.firstMs,
+                  before.tokenMs + stage.tokenMs,
+                  std::max(before.waitMs, stage.waitMs),
+                  index,
+                  layers,
+                  from,
+                  before.stages + 1};
         }
     }
 
@@ -167,8 +189,9 @@
         if (nodes_[last].cost == UnreachableCost) {
             return pipeline;
         }
-        pipeline.firstTokenMs = nodes_[last].firstMs;
+        pipeline.firstTokenMs = nodes_[last].firstMs + nodes_[last].waitMs;
         pipeline.tokenMs = nodes_[last].tokenMs;
+        pipeline.waitMs = nodes_[last].waitMs;
         for (std::size_t node = last; nodes_[node].stages > 0; node = nodes_[node].previous) {
             pipeline.stages.push_back({nodes_[node].holder, nodes_[node].layers});
         }
--- a/libs/placement/tests/PlacementTests.cpp
+++ b/libs/placement/tests/PlacementTests.cpp
@@ -76,7 +76,7 @@
     std::vector<LayerHolder> holders;
     holders.reserve(endpoints.size());
     for (const PlannerEndpoint &endpoint : endpoints) {
-        holders.push_back({endpoint.kind, endpoint.zone, endpoint.held, 0, 0, 0, 1, true, true});
+        holders.push_back({endpoint.kind, endpoint.zone, endpoint.held, 0, 0, 0, 0, 1, 1, true, true});
     }
     return holders;
 }
--- a/libs/relay/include/relay/FleetConfig.h
+++ b/libs/relay/include/relay/FleetConfig.h
@@ -46,6 +46,8 @@
     Ms targetLatency{0};
     /// Longest interval between two events of a stream that callers expect.
     Ms targetEventInterval{0};
+    /// Time without an event after which callers abandon a stream, also before its first event.
+    Ms callerPatience{2000};
     /// Priority of its requests unless the team has one; 0 is the highest.
     int priority = 0;
     /// Maximum number of attempts of one request that may run. Attempts that certainly didn't run, and attempts of a stream whose first stage fell
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -196,10 +196,12 @@
 std::string RelayKernel::Impl::pipelineText(const Attempt &attempt) const
 {
     std::string text = "path";
+    std::uint32_t crossings = 0;
     for (std::size_t i = 0; i < attempt.layers.size(); ++i) {
         text += " " + endpoints.at(attempt.stages[i]).entry.id + "=" + std::to_string(attempt.layers[i].first) + "-" + std::to_string(attempt.layers[i].end);
+        crossings += i > 0 && endpoints.at(attempt.stages[i]).zone != endpoints.at(attempt.stages[i - 1]).zone ? 1 : 0;
     }
-    return text;
+    return text + ", " + std::to_string(crossings) + " changes of zone";
 }
 
 void RelayKernel::Impl::failExpiredCalls(Instant now)
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -1,13 +1,15 @@
 #include "details/KernelImpl.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace relay {
 
 namespace {
 
-/// A stream is checked once it has had no event for this time.
+/// A stream is checked once it has had no event for this time, or for a multiple of the predicted interval between its events if that is longer.
 constexpr Ms CheckAfterEventGap{150};
+constexpr double MaxEventIntervalRatio = 2.0;
 /// Before its first event, an attempt is checked after this time at the earliest.
 constexpr Ms CheckAfterDispatch{350};
 /// Time between two checks of a stream without progress.
@@ -18,8 +20,8 @@
 constexpr Ms SilentStageTimeout{75};
 /// A stream that has had events but none for this time is moved if its first stage makes progress with other streams meanwhile.
 constexpr Ms StalledStreamTimeout{1200};
-/// Callers leave after about two seconds without an event, so a stream that can't be resumed within this time is failed.
-constexpr Ms ResumeTimeout{1900};
+/// A stream that can't be resumed is failed this long before its caller would abandon it.
+constexpr Ms AbandonMargin{100};
 /// Time between two attempts to resume a stream.
 constexpr Ms ResumePeriod{50};
 /// An attempt without an event is checked only after this multiple of the predicted time to the first token.
@@ -27,6 +29,29 @@
 /// Status of an endpoint that doesn't hold the layers that the pipeline expects of it.
 constexpr int MisdirectedStatus = 421;
 
+/// A new stream is rejected if it would wait longer for the prefill of others than this multiple of the time in which its first event is expected: it
+/// would be late, and so would those that come after it.
+constexpr double MaxWaitRatio = 1.0;
+
+/// Costs of endpoints are multiplied by random factors of up to one more than this, less in a small fleet. Until the next digest, all instances see the
+/// same endpoints as the best ones, and the more instances there are, the more requests would go there.
+constexpr double MaxCostSpread = 1.5;
+
+/// Returns the longest time that a new stream may wait for the prefill of others.
+double maxAdmittedWaitMs(const Route &route)
+{
+    return route.targetLatency.count() > 0 ? MaxWaitRatio * static_cast<double>(route.targetLatency.count()) : HUGE_VAL;
+}
+
+/// Returns the time without an event after which an attempt is checked.
+Instant eventTimeout(const Attempt &attempt)
+{
+    const Ms minimum = attempt.hasEvents ? CheckAfterEventGap : CheckAfterDispatch;
+    const double predictedMs =
+        attempt.hasEvents ? MaxEventIntervalRatio * attempt.predictedEventIntervalMs : MaxFirstTokenRatio * attempt.predictedFirstTokenMs;
+    return std::max(minimum, Ms(static_cast<std::int64_t>(predictedMs)));
+}
+
 /// Returns why there is no pipeline over layers [0, `layers`): the first layer that no candidate holds, or else a lack of memory.
 std::string noPipelineReason(const std::vector<placement::LayerHolder> &holders, std::uint32_t layers)
 {
@@ -47,6 +72,8 @@
 Candidates RelayKernel::Impl::candidates(Instant now, const Call &call)
 {
     Candidates found;
+    const std::uint32_t instances = peers.instances(now).value_or(1);
+    const double spread = MaxCostSpread * (1 - 1.0 / instances);
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         const EndpointState &state = endpoints.at(i);
         const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
@@ -56,9 +83,20 @@
         const std::uint32_t kind = placement::kindIndex(*call.service->engine, state.entry.accelerator);
         const LoadEstimate load = peers.loadOn(i, now);
         // What the other instances have dispatched since their last digests isn't known. After the loss of an endpoint each of them dispatches
-        // about as much as this one, so that the pending prefill is multiplied by their number.
-        const double pendingPrefill = state.pendingPrefillTokens * peers.instances(now).value_or(1);
-        found.holders.push_back({kind, state.zone, state.entry.layers, load.openRequests, load.contextTokens, pendingPrefill, state.slowdown, true, true});
+        // about as much as this one, so that the own pending prefill is multiplied by their number.
+        const double possiblePrefill = state.pendingPrefillTokens * instances;
+        const double uncertainPrefill = std::max(0.0, possiblePrefill - load.pendingPrefillTokens);
+        found.holders.push_back({kind,
+                                 state.zone,
+                                 state.entry.layers,
+                                 load.openRequests,
+                                 load.contextTokens,
+                                 load.pendingPrefillTokens,
+                                 uncertainPrefill,
+                                 state.slowdown,
+                                 1 + spread * nextFraction(),
+                                 true,
+                                 true});
         found.indices.push_back(i);
     }
     return found;
@@ -74,12 +112,16 @@
         static_cast<double>(call.promptTokens), static_cast<double>(call.answerTokens), endpoints.zoneNumber(settings.zone), {}, std::nullopt};
     const placement::Pipeline pipeline = placement::choosePipeline(*call.service->engine, holders, request);
     if (pipeline.stages.empty()) {
-        if (call.attemptCount > 0 && now - call.lastDeliveredAt < ResumeTimeout && call.mayHaveRun) {
+        if (call.attemptCount > 0 && now - call.lastDeliveredAt < call.route->callerPatience - AbandonMargin && call.mayHaveRun) {
             call.nextCheckAt = now + ResumePeriod; // There may be a pipeline again before the caller leaves.
             return;
         }
         return fail(now, call, base::ErrorKind::NoEndpoint, noPipelineReason(holders, call.service->engine->layers));
     }
+    const double maxWaitMs = maxAdmittedWaitMs(*call.route);
+    if (call.attemptCount == 0 && call.lastEvent == 0 && pipeline.waitMs > maxWaitMs) {
+        return rejectForLoad(now, call, pipeline.waitMs);
+    }
     Attempt attempt;
     for (const placement::PipelineStage &stage : pipeline.stages) {
         attempt.stages.push_back(indices[stage.holder]);
@@ -88,6 +130,7 @@
     attempt.contextTokens = call.promptTokens + call.answerTokens;
     attempt.promptTokens = call.promptTokens;
     attempt.predictedFirstTokenMs = pipeline.firstTokenMs;
+    attempt.predictedEventIntervalMs = pipeline.tokenMs * call.service->engine->stepsPerPass;
     const AttemptId id = startAttempt(now, call, std::move(attempt));
     Dispatch dispatch = dispatchOf(now, call, id);
     dispatch.lastEventId = call.lastEventId;
@@ -99,6 +142,19 @@
     driver.send(std::move(dispatch));
 }
 
+void RelayKernel::Impl::rejectForLoad(Instant now, Call &call, double waitMs)
+{
+    const CallId id = call.id;
+    const Ms wait(static_cast<std::int64_t>(waitMs));
+    reject(id,
+           call.requestId,
+           std::chrono::duration_cast<Ms>(call.callerDeadline - now),
+           base::ErrorKind::Overloaded,
+           "predicted wait " + std::to_string(wait.count()) + " ms",
+           wait);
+    close(id);
+}
+
 void RelayKernel::Impl::onStreamRefused(Instant now, Call &call, AttemptId attempt, const AnswerHead &head)
 {
     const EndpointIndex first = attempts.at(attempt).stages.front();
@@ -157,9 +213,7 @@
         return bypassStage(now, call, id, *silent);
     }
     const Instant silence = now - attempt.lastProgressAt;
-    const Instant firstEventTimeout =
-        std::max(Instant(CheckAfterDispatch), Instant(Ms(static_cast<std::int64_t>(MaxFirstTokenRatio * attempt.predictedFirstTokenMs))));
-    if (silence < (attempt.hasEvents ? Instant(CheckAfterEventGap) : firstEventTimeout)) {
+    if (silence < eventTimeout(attempt)) {
         return;
     }
     call.nextCheckAt = now + CheckPeriod;
--- /dev/null
+++ b/libs/relay/tests/SharedKnowledgeTests.cpp
@@ -0,0 +1,153 @@
+#include "FakeDriver.h"
+
+#include <map>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace relay;
+
+namespace {
+
+constexpr std::uint32_t Layers = 80;
+
+wire::RelayDigest digestOf(const std::string &instance)
+{
+    wire::RelayDigest digest;
+    digest.instance = instance;
+    digest.countedInstances = 1;
+    return digest;
+}
+
+} // namespace
+
+/// The instances of one zone learn of the load of the endpoints from the same digests. Until the next ones, a burst reaches them all.
+TEST_GROUP(InstancesWithTheSameKnowledge)
+{
+    static constexpr int InstanceCount = 40;
+    static constexpr int HoldersPerHalf = 10;
+
+    /// Sends one request through each of the instances and returns how many of them pass through each endpoint as the first stage.
+    std::map<std::string, int> sendThroughAll()
+    {
+        std::map<std::string, int> requests;
+        for (int i = 0; i < InstanceCount; ++i) {
+            FakeDriver driver;
+            RelaySettings settings = RelayTestBed::settings();
+            settings.seed = static_cast<std::uint64_t>(i);
+            RelayKernel kernel(settings, driver);
+            const Instant now{std::chrono::seconds(100)};
+            kernel.onConfig(now, now, RelayTestBed::config(1));
+            kernel.onEndpoints(now, equalHolders(), 1);
+            for (int peer = 0; peer < InstanceCount - 1; ++peer) {
+                kernel.onPeerMessage(now, digestOf("peer-" + std::to_string(peer)));
+            }
+            CallArrival arrival;
+            arrival.call = 1;
+            arrival.requestId = "request";
+            arrival.host = "api.example";
+            arrival.path = "/stream/x";
+            arrival.keySha256 = "key-a";
+            arrival.timeLimit = Ms(20000);
+            arrival.promptTokens = 500;
+            arrival.answerTokens = 100;
+            kernel.onCall(now, arrival);
+            ++requests[driver.sent.back().endpoint];
+        }
+        return requests;
+    }
+
+    static std::vector<EndpointEntry> equalHolders()
+    {
+        std::vector<EndpointEntry> entries;
+        for (int i = 0; i < HoldersPerHalf; ++i) {
+            entries.push_back(RelayTestBed::engineEntry("low-" + std::to_string(i), "zone-a", {0, RelayTestBed::HalfLayers}));
+            entries.push_back(RelayTestBed::engineEntry("high-" + std::to_string(i), "zone-a", {RelayTestBed::HalfLayers, Layers}));
+        }
+        return entries;
+    }
+};
+
+/// If each instance took the endpoint that looks best, all would take the same one.
+TEST(InstancesWithTheSameKnowledge, spreadABurstOverEqualEndpoints)
+{
+    const std::map<std::string, int> requests = sendThroughAll();
+    CHECK(requests.size() >= HoldersPerHalf - 2);
+    for (const auto &[endpoint, count] : requests) {
+        CHECK(count <= 3 * InstanceCount / HoldersPerHalf);
+    }
+}
+
+/// The other instances report prompts that wait on all endpoints, more than callers can wait for.
+TEST_GROUP(AnInstanceThatPredictsALongWait)
+{
+    RelayTestBed bed;
+
+    /// Takes a digest by which that many prompt tokens wait on each endpoint.
+    void reportPendingPrefill(std::uint64_t tokens)
+    {
+        wire::RelayDigest digest = digestOf("two");
+        for (const EndpointEntry &entry : bed.entries) {
+            if (!entry.layers.empty()) {
+                digest.loads.push_back({wire::endpointHash(entry.id), 1, 0, tokens});
+            }
+        }
+        bed.kernel.onPeerMessage(bed.now, digest);
+    }
+};
+
+TEST(AnInstanceThatPredictsALongWait, rejectsANewStreamAtOnceWithTheTimeToReturn)
+{
+    constexpr std::uint64_t WaitingTokens = 200000;
+    reportPendingPrefill(WaitingTokens);
+    bed.call("/stream/x");
+    LONGS_EQUAL(0, bed.driver.sent.size());
+    LONGS_EQUAL(1, bed.driver.rejected.size());
+    const Rejection rejection = bed.driver.rejected.back().rejection;
+    CHECK(rejection.kind == base::ErrorKind::Overloaded);
+    CHECK(base::errorAnswer(rejection.kind).ran == base::HasRun::No);
+    // Half of the model reads 200 prompt tokens a millisecond, and waits are predicted half as long again: 1,500 ms.
+    CHECK(rejection.retryAfter >= Ms(1500));
+    CHECK(rejection.retryAfter <= Ms(4000));
+    // Once the load is gone the caller is served.
+    reportPendingPrefill(0);
+    bed.call("/stream/x");
+    LONGS_EQUAL(1, bed.driver.sent.size());
+}
+
+/// What counts is the time that others take, so that long prompts are not rejected more often than short ones.
+TEST(AnInstanceThatPredictsALongWait, treatsPromptsOfAllSizesAlike)
+{
+    const auto isAdmitted = [&](std::uint64_t waitingTokens, std::uint32_t promptTokens) {
+        const std::size_t before = bed.driver.sent.size();
+        reportPendingPrefill(waitingTokens);
+        CallArrival arrival;
+        arrival.call = ++bed.lastCall;
+        arrival.requestId = "request-" + std::to_string(bed.lastCall);
+        arrival.host = "api.example";
+        arrival.path = "/stream/x";
+        arrival.keySha256 = "key-a";
+        arrival.timeLimit = Ms(20000);
+        arrival.promptTokens = promptTokens;
+        arrival.answerTokens = 100;
+        arrival.fingerprint = bed.lastCall;
+        bed.kernel.onCall(bed.now, arrival);
+        return bed.driver.sent.size() > before;
+    };
+    constexpr std::uint32_t ShortPrompt = 50;
+    constexpr std::uint32_t LongPrompt = 40000;
+    CHECK(isAdmitted(10000, ShortPrompt));
+    CHECK(!isAdmitted(100000, ShortPrompt));
+    RelayTestBed other;
+    CHECK(isAdmitted(10000, LongPrompt));
+    CHECK(!isAdmitted(100000, LongPrompt));
+}
+
+TEST(AnInstanceThatPredictsALongWait, goesOnWithStreamsThatHaveBegun)
+{
+    const CallId stream = bed.startStream(3);
+    reportPendingPrefill(200000);
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    LONGS_EQUAL(stream, bed.driver.sent.back().call);
+    LONGS_EQUAL(0, bed.driver.rejected.size());
+}
