Failing endpoints are avoided by streams; the list of endpoints comes from other instances

Instances now count recent answers and failures of endpoints, tell each other, let failures raise an endpoint's cost, and retry such streams as their route permits.

While it refused calls for 8 s, each of 195 instances repeated three reads every 150 ms; each restart read five pages of endpoints. Instances that aren't readers now start to read within a time that grows with the fleet, three aggregators read for all, a new instance gets the list from another one, and an entry in the list of instances that is right isn't written again.

Cause 3: every instance asked each slow endpoint for its report every second. Aggregators do now.

--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -154,8 +154,10 @@
     virtual void sendFreshnessRequest(const std::string &address, const wire::FreshnessRequest &request) = 0;
     /// Sends the reply to a freshness request; it may be lost.
     virtual void sendFreshnessReply(const std::string &address, const wire::FreshnessReply &reply) = 0;
-    /// Starts or stops reading the store continuously. Before the first call it is read.
-    virtual void followStore(bool follow) = 0;
+    /// Starts reading the store continuously, at a random time within `spread`, and repeats failed reads in a period of the same order.
+    virtual void followStore(Ms spread) = 0;
+    /// Stops reading the store continuously. So it is at the start, when only the configuration and the list of instances are read.
+    virtual void unfollowStore() = 0;
     /// Reads the configuration from the store once, without delay.
     virtual void refreshConfig() = 0;
     /// Reads the list of endpoints from the store once, without delay.
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -242,6 +242,7 @@
         call->mayHaveRun = true;
     }
     if (call->route->kind == RequestKind::Stream) {
+        impl_->endpoints.at(first).recent.onAnswer(true, now);
         if (failure == AttemptFailure::NotSent) {
             impl_->endpoints.setSilent(first, now);
         } else {
--- a/libs/relay/src/DigestRoutes.cpp
+++ b/libs/relay/src/DigestRoutes.cpp
@@ -272,6 +272,25 @@
     return ids;
 }
 
+std::vector<std::string> DigestRoutes::chosenAggregators(Instant now) const
+{
+    std::vector<std::string> ids;
+    for (const auto *aggregator : ownAggregators(now)) {
+        ids.push_back(aggregator->first);
+    }
+    return ids;
+}
+
+std::vector<std::string> DigestRoutes::allInstances() const
+{
+    std::vector<std::string> ids;
+    ids.reserve(nodes_.size());
+    for (const auto &[id, node] : nodes_) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
 std::vector<std::string> DigestRoutes::freshAggregatorsElsewhere(Instant now) const
 {
     std::vector<std::string> ids;
--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Minimum interval between two requests for the report of a silent endpoint, by verifiers and by the instances that they inform.
+constexpr Ms MinReportPeriod{120};
+constexpr Ms UserReportPeriod{4000};
 /// A slow endpoint's report is requested again once it is older than this, by whichever instance comes first: its digest informs the others.
 constexpr Ms SlowReportPeriod{1000};
 /// Pause of an endpoint while a report is awaited.
@@ -35,16 +38,20 @@
 
 void RelayKernel::Impl::checkSilentEndpoints(Instant now)
 {
+    const bool isVerifier = peers.isVerifier(now);
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         EndpointState &state = endpoints.at(i);
         if (state.listed && state.silentCheckAt.count() != 0 && now >= state.silentCheckAt) {
-            requestReport(now, i);
+            requestReport(now, i, isVerifier ? MinReportPeriod : UserReportPeriod);
         }
     }
 }
 
 void RelayKernel::Impl::checkSlowEndpoints(Instant now)
 {
+    if (!peers.isVerifier(now)) {
+        return;
+    }
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         const EndpointState &state = endpoints.at(i);
         if (state.listed && state.slowdown >= MinSlowdown && now >= state.reportedAt + SlowReportPeriod) {
@@ -93,6 +100,9 @@
     for (const wire::SilentEndpoint &silent : digest.silent) {
         onSilenceReported(now, digest, silent);
     }
+    if (digest.scope == wire::DigestScope::Fleet) {
+        recheckSilentEndpoints(now, digest);
+    }
     storeDuty.onStoreUpdate(digest, now, known);
     for (const wire::CrashReport &crashReport : digest.crashReports) {
         if (crashGuard.onCrashReport(crashReport, now) && peers.isAggregator(now)) {
@@ -109,6 +119,21 @@
     }
 }
 
+void RelayKernel::Impl::recheckSilentEndpoints(Instant now, const wire::RelayDigest &digest)
+{
+    for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
+        const EndpointState &state = endpoints.at(i);
+        if (!state.listed || state.silentCheckAt.count() == 0 || now < state.silentCheckAt) {
+            continue;
+        }
+        const std::uint32_t hash = wire::endpointHash(state.entry.id);
+        const bool isStillSilent = std::any_of(digest.silent.begin(), digest.silent.end(), [&](const auto &silent) { return silent.endpoint == hash; });
+        if (!isStillSilent) {
+            requestReport(now, i);
+        }
+    }
+}
+
 void RelayKernel::Impl::onSilenceReported(Instant now, const wire::RelayDigest &digest, const wire::SilentEndpoint &silent)
 {
     const auto index = endpoints.findHash(silent.endpoint);
--- a/libs/relay/src/EndpointList.cpp
+++ b/libs/relay/src/EndpointList.cpp
@@ -73,9 +73,12 @@
 
 bool EndpointList::apply(const wire::EndpointListChanges &changes, std::uint64_t revision)
 {
-    if (revision <= revision_ || revision_ == 0) {
+    if (revision <= revision_) {
         return false;
     }
+    if (revision_ == 0) {
+        knownSince_ = revision;
+    }
     for (const wire::EndpointRecord &record : changes.changed) {
         put(record, revision);
     }
@@ -109,7 +112,8 @@
 
 std::optional<wire::EndpointListChanges> EndpointList::changesSince(std::uint64_t revision) const
 {
-    if (revision_ == 0 || revision < knownSince_) {
+    const bool isWholeList = revision == 0;
+    if (revision_ == 0 || (revision < knownSince_ && !isWholeList)) {
         return std::nullopt;
     }
     wire::EndpointListChanges changes;
--- a/libs/relay/src/PeerLoads.cpp
+++ b/libs/relay/src/PeerLoads.cpp
@@ -19,7 +19,9 @@
 constexpr double MinReportedSlowdown = 1.3;
 /// How long after an endpoint's report a digest repeats its slowdown.
 constexpr Ms SlowdownLifetime{1200};
-/// Number of instances that read the store for a fleet without aggregators, and that may take the planner's lease in any fleet.
+/// Number of recent failures from which on a digest names an endpoint as failing.
+constexpr double MinReportedFailures = 0.25;
+/// Number of instances that read the store for all, and that may take the planner's lease.
 constexpr std::size_t ReaderCount = 3;
 
 /// Sorts ids in an order that all instances agree on and that doesn't follow the zones.
@@ -45,6 +47,9 @@
 
 void PeerLoads::onInstances(const std::vector<InstanceEntry> &instances)
 {
+    if (routes_.listedInstances() == 0) {
+        expedite(); // The others have not heard of this instance yet.
+    }
     routes_.onInstances(instances);
 }
 
@@ -74,7 +79,12 @@
     source.loads.reserve(digest.loads.size());
     for (const wire::EndpointLoad &load : digest.loads) {
         if (const auto index = endpoints_.findHash(load.endpoint)) {
-            source.loads.push_back({*index, load.openRequests, load.contextTokens, load.pendingPrefillTokens});
+            source.loads.push_back({*index, load.openRequests, load.contextTokens, load.pendingPrefillTokens, 0, 0});
+        }
+    }
+    for (const wire::FailingEndpoint &failing : digest.failing) {
+        if (const auto index = endpoints_.findHash(failing.endpoint)) {
+            source.loads.push_back({*index, 0, 0, 0, failing.answers, failing.failures});
         }
     }
     return source;
@@ -109,6 +119,8 @@
         total.openRequests += sign * static_cast<std::int64_t>(load.openRequests);
         total.contextTokens += sign * static_cast<std::int64_t>(load.contextTokens);
         total.pendingPrefillTokens += sign * static_cast<std::int64_t>(load.pendingPrefillTokens);
+        total.answers += static_cast<double>(sign) * load.answers;
+        total.failures += static_cast<double>(sign) * load.failures;
     }
 }
 
@@ -156,16 +168,20 @@
     return others_;
 }
 
-std::vector<PeerLoads::Load> PeerLoads::ownLoads() const
+std::vector<PeerLoads::Load> PeerLoads::ownLoads(Instant now) const
 {
     std::vector<Load> loads;
     for (EndpointIndex i = 0; i < endpoints_.size(); ++i) {
         const EndpointState &state = endpoints_.at(i);
-        if (state.openRequests > 0) {
+        const double failures = state.recent.failures(now);
+        const bool hasFailed = failures >= MinReportedFailures;
+        if (state.openRequests > 0 || hasFailed) {
             loads.push_back({i,
                              state.openRequests,
                              static_cast<std::uint64_t>(std::max(0.0, state.contextTokens)),
-                             static_cast<std::uint64_t>(std::max(0.0, state.pendingPrefillTokens))});
+                             static_cast<std::uint64_t>(std::max(0.0, state.pendingPrefillTokens)),
+                             hasFailed ? state.recent.answers(now) : 0,
+                             hasFailed ? failures : 0});
         }
     }
     return loads;
@@ -202,6 +218,9 @@
                                     positive(load.contextTokens),
                                     positive(load.pendingPrefillTokens)});
         }
+        if (load.failures >= MinReportedFailures) {
+            digest.failing.push_back({wire::endpointHash(endpoints_.at(i).entry.id), load.answers, load.failures});
+        }
     }
     return digest;
 }
@@ -223,7 +242,7 @@
         std::erase_if(*sources, [&](const auto &entry) { return now >= entry.second.lastSeen + PeerLifetime; });
     }
     routes_.update(now);
-    sentLoads_ = ownLoads();
+    sentLoads_ = ownLoads(now);
     std::vector<DueDigest> due;
     const auto addDigest = [&](std::vector<std::string> addresses, wire::RelayDigest digest) {
         if (!addresses.empty()) {
@@ -256,30 +275,41 @@
 {
     const EndpointState &state = endpoints_.at(index);
     const Totals &sum = others(now);
-    LoadEstimate load{static_cast<double>(state.openRequests), state.contextTokens, state.pendingPrefillTokens};
+    LoadEstimate load{
+        static_cast<double>(state.openRequests), state.contextTokens, state.pendingPrefillTokens, state.recent.answers(now), state.recent.failures(now)};
     if (index < sum.loads.size()) {
         const TotalLoad &total = sum.loads[index];
         load.openRequests += static_cast<double>(std::max<std::int64_t>(0, total.openRequests));
         load.contextTokens += static_cast<double>(std::max<std::int64_t>(0, total.contextTokens));
         load.pendingPrefillTokens += static_cast<double>(std::max<std::int64_t>(0, total.pendingPrefillTokens));
+        load.answers += std::max(0.0, total.answers);
+        load.failures += std::max(0.0, total.failures);
     }
     const std::uint32_t counted = sum.countedInstances + 1;
     const double scaleFactor = static_cast<double>(std::max(counted, instances(now).value_or(1))) / counted;
-    return {load.openRequests * scaleFactor, load.contextTokens * scaleFactor, load.pendingPrefillTokens * scaleFactor};
+    load.openRequests *= scaleFactor;
+    load.contextTokens *= scaleFactor;
+    load.pendingPrefillTokens *= scaleFactor;
+    return load;
 }
 
 std::vector<std::string> PeerLoads::readers(bool isStale, Instant now) const
 {
     std::vector<std::string> ids;
     if (!routes_.isFullMesh()) {
+        ids = routes_.freshAggregators(now);
         if (!routes_.isAggregator(now)) {
-            return routes_.freshAggregators(now);
+            return ids;
         }
-        return isStale ? routes_.freshAggregatorsElsewhere(now) : std::vector<std::string>{ownId_};
+        const std::vector<std::string> elsewhere = routes_.freshAggregatorsElsewhere(now);
+        ids.insert(ids.end(), elsewhere.begin(), elsewhere.end());
     }
-    for (const auto &[id, peer] : peers_) {
-        if (isFresh(peer, now) && !peer.isStale && !routes_.addressOf(id).empty()) {
-            ids.push_back(id);
+    // If all aggregators are cut off from the store, another instance of the zone may not be.
+    if (ids.empty()) {
+        for (const auto &[id, peer] : peers_) {
+            if (isFresh(peer, now) && !peer.isStale && !routes_.addressOf(id).empty()) {
+                ids.push_back(id);
+            }
         }
     }
     if (ids.empty()) {
@@ -293,21 +323,26 @@
     return ids;
 }
 
-bool PeerLoads::isPlannerCandidate(bool isStale, Instant now) const
+std::vector<std::string> PeerLoads::joinCandidates(Instant now) const
 {
-    std::vector<std::string> ids = readers(isStale, now);
-    if (std::find(ids.begin(), ids.end(), ownId_) == ids.end()) {
-        return false;
-    }
-    if (routes_.isFullMesh()) {
-        return true;
+    if (!routes_.isFullMesh()) {
+        return routes_.chosenAggregators(now);
     }
-    for (const std::string &aggregator : routes_.freshAggregatorsElsewhere(now)) {
-        ids.push_back(aggregator);
+    std::vector<std::string> ids = routes_.allInstances();
+    if (ids.empty()) {
+        return ids;
     }
+    ids.push_back(ownId_);
     sortByHash(ids);
     ids.resize(std::min(ReaderCount, ids.size()));
-    return std::find(ids.begin(), ids.end(), ownId_) != ids.end();
+    return ids;
+}
+
+bool PeerLoads::isPlannerCandidate(bool isStale, Instant now) const
+{
+    const std::vector<std::string> ids = readers(isStale, now);
+    const bool isReader = std::find(ids.begin(), ids.end(), ownId_) != ids.end();
+    return isReader && (routes_.isFullMesh() || routes_.isAggregator(now));
 }
 
 bool PeerLoads::isAlone(Instant now) const
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -200,6 +200,10 @@
 {
     impl_->peers.onInstances(instances);
     impl_->retries.setInstances(impl_->peers.instances(now));
+    if (!impl_->endpoints.hasList()) {
+        impl_->sendDigests(now);
+        impl_->storeDuty.tick(now, impl_->known);
+    }
 }
 
 void RelayKernel::onPeerMessage(Instant now, const wire::RelayMessage &message)
--- a/libs/relay/src/StoreDuty.cpp
+++ b/libs/relay/src/StoreDuty.cpp
@@ -16,6 +16,14 @@
 constexpr Ms RefreshPeriod{250};
 /// Changes that a digest has named and that have not arrived within this time are read from the store.
 constexpr Ms UpdateTimeout{350};
+/// A new instance requests the list of endpoints from others in this period. It reads the list itself if none has sent it within the timeout, since
+/// a mass start would else bring as many reads as there are instances.
+constexpr Ms JoinRequestPeriod{150};
+constexpr Ms JoinTimeout{1000};
+/// Instances that aren't readers and whose readers have failed start to read the store within this time, so that the store gets calls at a rate that
+/// doesn't grow with the fleet.
+constexpr Ms FollowSpreadPerInstance{20};
+constexpr Ms MaxFollowSpread{2000};
 /// An instance that sees no other one may take the lease once this time has passed since its start.
 constexpr Ms AloneTimeout{2000};
 
@@ -40,11 +48,10 @@
     const std::vector<std::string> readers = peers_.readers(isOwnKnowledgeStale, now);
     const bool isChosenReader = std::find(readers.begin(), readers.end(), ownId_) != readers.end();
     mayTakeLease_ = peers_.isPlannerCandidate(isOwnKnowledgeStale, now) || (peers_.isAlone(now) && now >= startedAt_ + AloneTimeout);
-    const bool shouldFollow = isChosenReader || readers.empty() || isOwnKnowledgeStale;
-    if (shouldFollow != followsStore_) {
-        followsStore_ = shouldFollow;
-        driver_.followStore(followsStore_);
+    if (known.endpointsAt.count() == 0 && now < startedAt_ + JoinTimeout && !isChosenReader && !(readers.empty() && peers_.isAggregator(now))) {
+        return join(now, known);
     }
+    follow(isChosenReader || readers.empty() || isOwnKnowledgeStale, isChosenReader, now);
     if (updateRevision_ > known.endpointsRevision && now >= updateAwaitedSince_ + UpdateTimeout) {
         updateAwaitedSince_ = now;
         refreshEndpoints(now);
@@ -55,6 +62,31 @@
     sendRequest(readers[nextRequestNumber_ % readers.size()], now, known);
 }
 
+void StoreDuty::join(Instant now, const Knowledge &known)
+{
+    const std::vector<std::string> candidates = peers_.joinCandidates(now);
+    const bool isCandidate = std::find(candidates.begin(), candidates.end(), ownId_) != candidates.end();
+    if (isCandidate) {
+        follow(true, true, now);
+    } else if (!isCandidate && !candidates.empty() && now >= nextRequest_) {
+        sendRequest(candidates[nextRequestNumber_ % candidates.size()], now, known);
+        nextRequest_ = now + JoinRequestPeriod;
+    }
+}
+
+void StoreDuty::follow(bool shouldFollow, bool isReader, Instant now)
+{
+    if (shouldFollow == followsStore_) {
+        return;
+    }
+    followsStore_ = shouldFollow;
+    if (!shouldFollow) {
+        return driver_.unfollowStore();
+    }
+    const Ms spread = std::min(MaxFollowSpread, FollowSpreadPerInstance * peers_.instances(now).value_or(1));
+    driver_.followStore(isReader ? Ms(0) : spread);
+}
+
 bool StoreDuty::isStale(Instant now, const Knowledge &known)
 {
     return now - known.configAt > MaxConfigAge || now - known.endpointsAt > MaxEndpointsAge;
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -37,6 +37,13 @@
 /// same endpoints as the best ones, and the more instances there are, the more requests would go there.
 constexpr double MaxCostSpread = 1.5;
 
+/// Multiple of its cost that is added for an endpoint whose requests all fail. One that fails at once has little load and would attract all requests.
+constexpr double FailureCost = 20.0;
+/// Good answers that are assumed of every endpoint, so that a single failure among few answers counts little.
+constexpr double AssumedGoodAnswers = 2.0;
+/// Statuses from this one on count as failures of the endpoint.
+constexpr int FirstFailureStatus = 500;
+
 /// Returns the longest time that a new stream may wait for the prefill of others.
 double maxAdmittedWaitMs(const Route &route)
 {
@@ -85,6 +92,7 @@
         // What the other instances have dispatched since their last digests isn't known. After the loss of an endpoint each of them dispatches
         // about as much as this one, so that the own pending prefill is multiplied by their number.
         const double possiblePrefill = state.pendingPrefillTokens * instances;
+        const double failureRatio = load.failures / (load.answers + AssumedGoodAnswers);
         const double uncertainPrefill = std::max(0.0, possiblePrefill - load.pendingPrefillTokens);
         found.holders.push_back({kind,
                                  state.zone,
@@ -94,7 +102,7 @@
                                  load.pendingPrefillTokens,
                                  uncertainPrefill,
                                  state.slowdown,
-                                 1 + spread * nextFraction(),
+                                 (1 + spread * nextFraction()) * (1 + FailureCost * failureRatio),
                                  true,
                                  true});
         found.indices.push_back(i);
@@ -159,13 +167,7 @@
 {
     const EndpointIndex first = attempts.at(attempt).stages.front();
     if (!head.notRun) {
-        call.mayHaveRun = true;
-        if (head.verified && !call.streamBegun) {
-            return forward(call, attempt, head.status);
-        }
-        dropAttempt(attempt);
-        exclude(call, first);
-        return retryStreamOrFail(now, call, "the endpoint answered with status " + std::to_string(head.status));
+        return onStreamFailed(now, call, attempt, head);
     }
     const EndpointIndex atFault = head.faultAddress.empty() ? first : endpoints.findAddress(head.faultAddress).value_or(first);
     driver.record({"attempt_refused", call.requestId, endpoints.at(atFault).entry.id, "status " + std::to_string(head.status)});
@@ -189,6 +191,26 @@
     fail(now, call, base::ErrorKind::Overloaded, "the path's endpoints refused the request without running it");
 }
 
+void RelayKernel::Impl::onStreamFailed(Instant now, Call &call, AttemptId attempt, const AnswerHead &head)
+{
+    const EndpointIndex first = attempts.at(attempt).stages.front();
+    const bool hasFailed = !head.verified || head.status >= FirstFailureStatus;
+    call.mayHaveRun = true;
+    endpoints.at(first).recent.onAnswer(hasFailed, now);
+    exclude(call, first);
+    const bool canRetry = hasFailed && call.route->isResumable && call.runs < call.route->maxAttempts;
+    if (head.verified && !call.streamBegun && !(canRetry && mayRetry(now, call))) {
+        return forward(call, attempt, head.status);
+    }
+    const std::string detail = "the endpoint answered with status " + std::to_string(head.status);
+    driver.record({"attempt_failed", call.requestId, endpoints.at(first).entry.id, detail});
+    dropAttempt(attempt);
+    if (head.verified && !call.streamBegun) {
+        return startStream(now, call); // The retry has been granted.
+    }
+    retryStreamOrFail(now, call, detail);
+}
+
 void RelayKernel::Impl::retryStreamOrFail(Instant now, Call &call, const std::string &detail)
 {
     const bool canContinue = !call.mayHaveRun || call.route->isResumable;
@@ -307,6 +329,7 @@
     Attempt &openAttempt = impl_->attempts.at(attempt);
     openAttempt.lastProgressAt = now;
     if (!openAttempt.hasEvents) {
+        impl_->endpoints.at(openAttempt.stages.front()).recent.onAnswer(false, now);
         for (const EndpointIndex stage : openAttempt.stages) {
             impl_->endpoints.onAccepted(stage);
         }
--- a/libs/relay/src/details/DigestRoutes.h
+++ b/libs/relay/src/details/DigestRoutes.h
@@ -47,6 +47,10 @@
 
     /// Returns the ids of the aggregators of this instance's zone that have lately answered and whose knowledge of the store isn't stale.
     std::vector<std::string> freshAggregators(Instant now) const;
+    /// Returns the ids of the aggregators of this instance's zone that it uses, also of those that have not answered yet.
+    std::vector<std::string> chosenAggregators(Instant now) const;
+    /// Returns the ids of all other instances.
+    std::vector<std::string> allInstances() const;
     /// Returns the ids of other aggregators that have lately sent the sum of their zone and whose knowledge of the store isn't stale.
     std::vector<std::string> freshAggregatorsElsewhere(Instant now) const;
 
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "relay/RelayKernel.h"
+#include "details/RecentFailures.h"
 
 #include <unordered_map>
 
@@ -45,6 +45,8 @@
     double pendingPrefillTokens = 0;
     /// When the last event arrived of any stream that it serves as the first stage.
     Instant lastEventAt{0};
+    /// Recent answers to requests of this instance.
+    RecentFailures recent;
     /// Smoothed latency of plain answers; 0 before the first one.
     double latencyMs = 0;
     /// Smoothed ratio of failed plain requests at the time of its last update; see failureRatioAt().
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -152,12 +152,14 @@
     void markSilent(Instant now, EndpointIndex index, const std::string &requestId, const std::string &evidence);
     /// Takes the loads, crash reports and endpoint states that another instance has sent.
     void onDigest(Instant now, const wire::RelayDigest &digest);
-    /// Requests the reports of slow endpoints, to see whether they still are slow.
+    /// Requests the reports of slow endpoints, to see whether they still are slow, if this instance is a verifier.
     void checkSlowEndpoints(Instant now);
     /// Logs newly confirmed crashes and queues them for the next digest.
     void checkCrashes(Instant now);
     /// Sends this instance's digests to the others if they are due.
     void sendDigests(Instant now);
+    /// Requests the reports of the endpoints that this instance has marked as silent and that answer the aggregators, as their digest tells.
+    void recheckSilentEndpoints(Instant now, const wire::RelayDigest &digest);
     /// Asks an endpoint that another instance has marked as silent for its report, or gives it no new work for now.
     void onSilenceReported(Instant now, const wire::RelayDigest &digest, const wire::SilentEndpoint &silent);
 
@@ -183,6 +185,8 @@
     Candidates candidates(Instant now, const Call &call);
     /// Handles an answer that isn't a stream: a refusal or an error.
     void onStreamRefused(Instant now, Call &call, AttemptId attempt, const AnswerHead &head);
+    /// Handles an answer that isn't a stream and may have run: retries the call if its route permits that, else forwards a verified answer.
+    void onStreamFailed(Instant now, Call &call, AttemptId attempt, const AnswerHead &head);
     /// Resumes or restarts a stream after a failed attempt, or fails the call.
     void retryStreamOrFail(Instant now, Call &call, const std::string &detail);
     /// Checks a stream for progress: requests reports of its stages and moves it if it is stalled.
--- a/libs/relay/src/details/PeerLoads.h
+++ b/libs/relay/src/details/PeerLoads.h
@@ -13,6 +13,9 @@
     double openRequests = 0;
     double contextTokens = 0;
     double pendingPrefillTokens = 0;
+    /// Recent answers to all instances, and failures among them, as far as digests name them.
+    double answers = 0;
+    double failures = 0;
 };
 
 /// A digest that is due, with the mesh addresses of its receivers.
@@ -49,14 +52,22 @@
     /// Returns the ids of the instances that read the store for this one, in an order that all instances agree on. This instance is among them if it is
     /// a reader itself. `isStale` tells that its own knowledge is stale. Empty if no instance that isn't stale has been seen lately.
     std::vector<std::string> readers(bool isStale, Instant now) const;
+    /// Returns the ids of instances that may know the list of endpoints before any digest has arrived, in an order that all instances agree on. This
+    /// instance is among them if it should read the list itself.
+    std::vector<std::string> joinCandidates(Instant now) const;
     /// Returns true if this instance is one of the few that may take the planner's lease, as far as digests tell.
     bool isPlannerCandidate(bool isStale, Instant now) const;
 
-    /// Returns true if this instance sums digests for others, so that it verifies what they say of endpoints.
+    /// Returns true if this instance sums digests for others.
     bool isAggregator(Instant now) const
     {
         return routes_.isAggregator(now);
     }
+    /// Returns true if this instance regularly asks silent and slow endpoints for their reports: an aggregator does that for those that use it.
+    bool isVerifier(Instant now) const
+    {
+        return routes_.isFullMesh() || routes_.isAggregator(now);
+    }
     /// Returns true if no other instance has been seen lately.
     bool isAlone(Instant now) const;
     /// Returns the mesh address of another instance; empty if it is unknown.
@@ -76,6 +87,8 @@
         std::uint32_t openRequests = 0;
         std::uint64_t contextTokens = 0;
         std::uint64_t pendingPrefillTokens = 0;
+        double answers = 0;
+        double failures = 0;
     };
     /// The last digest of an instance, or of an aggregator for a zone or the fleet.
     struct Source {
@@ -92,6 +105,8 @@
         std::int64_t openRequests = 0;
         std::int64_t contextTokens = 0;
         std::int64_t pendingPrefillTokens = 0;
+        double answers = 0;
+        double failures = 0;
     };
     /// Sums of loads, by endpoint.
     struct Totals {
@@ -115,7 +130,7 @@
     /// change.
     const Totals &others(Instant now) const;
     /// Returns the loads of this instance.
-    std::vector<Load> ownLoads() const;
+    std::vector<Load> ownLoads(Instant now) const;
     /// Creates a digest with the loads of the scope.
     wire::RelayDigest makeDigest(wire::DigestScope scope, bool leaving, Instant now) const;
 
--- a/libs/relay/src/details/StoreDuty.h
+++ b/libs/relay/src/details/StoreDuty.h
@@ -58,6 +58,10 @@
     }
 
 private:
+    /// Requests the list of endpoints from other instances, or starts to read the store if the others will request it from this one.
+    void join(Instant now, const Knowledge &known);
+    /// Starts or stops the reads of the store. They start at once if this instance is a reader.
+    void follow(bool shouldFollow, bool isReader, Instant now);
     /// Sends a freshness request to an instance.
     void sendRequest(const std::string &instance, Instant now, const Knowledge &known);
     /// Reads the list of endpoints from the store, unless it was read moments ago.
@@ -68,7 +72,7 @@
     std::string ownId_;
     std::string ownMeshAddress_;
     /// This instance reads the store continuously.
-    bool followsStore_ = true;
+    bool followsStore_ = false;
     bool mayTakeLease_ = false;
     Instant startedAt_{0};
     /// The latest revision of the endpoint list that a digest has named, and since when it is awaited.
--- a/libs/relay/tests/SharedKnowledgeTests.cpp
+++ b/libs/relay/tests/SharedKnowledgeTests.cpp
@@ -151,3 +151,61 @@
     LONGS_EQUAL(stream, bed.driver.sent.back().call);
     LONGS_EQUAL(0, bed.driver.rejected.size());
 }
+
+/// An endpoint answers every stream with an error at once. Without load, it looks better than all others.
+TEST_GROUP(AnEndpointThatFailsItsStreams)
+{
+    static constexpr int InternalError = 500;
+
+    RelayTestBed bed;
+
+    /// Answers the latest attempt with an error that bears the endpoint's mark.
+    void answerWithError()
+    {
+        AnswerHead head;
+        head.status = InternalError;
+        head.verified = true;
+        bed.kernel.onAnswer(bed.now, bed.lastAttempt(), head);
+    }
+};
+
+TEST(AnEndpointThatFailsItsStreams, hasItsStreamsRetriedElsewhere)
+{
+    const CallId stream = bed.call("/stream/x");
+    const std::string failing = bed.driver.sent.back().endpoint;
+    answerWithError();
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    LONGS_EQUAL(stream, bed.driver.sent.back().call);
+    CHECK(bed.driver.sent.back().endpoint != failing);
+    // The route permits two attempts, so the second error goes to the caller.
+    answerWithError();
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    LONGS_EQUAL(1, bed.driver.forwarded.size());
+}
+
+TEST(AnEndpointThatFailsItsStreams, getsHardlyAnyFurtherOnes)
+{
+    const std::string failing = "low-a";
+    int sentThere = 0;
+    constexpr int Streams = 40;
+    for (int i = 0; i < Streams; ++i) {
+        bed.call("/stream/x");
+        if (bed.driver.sent.back().endpoint == failing) {
+            ++sentThere;
+            answerWithError();
+        }
+        bed.kernel.onEvent(bed.now, bed.lastAttempt(), 1);
+        bed.kernel.onStreamEnd(bed.now, bed.lastAttempt());
+        bed.advance(Ms(50));
+    }
+    CHECK(sentThere <= 3);
+}
+
+TEST(AnEndpointThatFailsItsStreams, isAvoidedByInstancesThatOthersHaveTold)
+{
+    wire::RelayDigest digest = digestOf("two");
+    digest.failing.push_back({wire::endpointHash("low-a"), 10, 10});
+    bed.kernel.onPeerMessage(bed.now, digest);
+    bed.call("/stream/x");
+    STRCMP_EQUAL("low-b", bed.driver.sent.back().endpoint.c_str());
+}
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -41,7 +41,8 @@
     void sendDigest(const std::vector<std::string> &addresses, const wire::RelayDigest &digest) override;
     void sendFreshnessRequest(const std::string &address, const wire::FreshnessRequest &freshnessRequest) override;
     void sendFreshnessReply(const std::string &address, const wire::FreshnessReply &freshnessReply) override;
-    void followStore(bool follow) override;
+    void followStore(relay::Ms spread) override;
+    void unfollowStore() override;
     void refreshConfig() override;
     void refreshEndpoints() override;
     void setReady(bool ready) override;
--- a/libs/relayhost/include/relayhost/StoreFollower.h
+++ b/libs/relayhost/include/relayhost/StoreFollower.h
@@ -4,6 +4,7 @@
 #include "relayhost/StoreClient.h"
 
 #include <map>
+#include <random>
 
 namespace relayhost {
 
@@ -36,13 +37,16 @@
 public:
     StoreFollower(net::EventLoop &loop, std::unique_ptr<StoreClient> client, StoreHandlers handlers);
 
-    /// Registers this instance in the list of instances and starts reading. Call it once.
+    /// Registers this instance in the list of instances and reads the list and the configuration. Call it once.
     void start(const relay::InstanceEntry &own);
     /// Sets the address of the store for later operations.
     void setAddress(const net::Address &address);
 
-    /// Turns continuous reading on or off; it is on at first. When turned on, the configuration and the list of endpoints are read at once.
-    void follow(bool follow);
+    /// Turns continuous reading on; it is off at first. The configuration and the list of endpoints are read at a random time within `spread`, so that
+    /// instances which lose their readers together don't all call the store at once. Failed reads are repeated in a period of the same order.
+    void follow(relay::Ms spread);
+    /// Turns continuous reading off.
+    void unfollow();
     /// Reads the configuration at once if no read of it is in progress or scheduled.
     void refreshConfig();
     /// Reads the full list of endpoints at once if no read or watch of it is in progress or scheduled.
@@ -65,9 +69,13 @@
     void onListing(const std::optional<EndpointListing> &listing);
     void watchEndpoints();
     void onChanges(relay::Instant sentAt, const std::optional<EndpointChanges> &changes);
+    /// Returns when a failed read is repeated.
+    relay::Instant retryTime();
     void reportEndpoints();
-    void registerInstance();
+    /// Adds this instance to the list of instances, unless its entry is there.
+    void registerInstance(const std::vector<relay::InstanceEntry> &known);
     void listInstances();
+    void onInstances(const std::optional<std::vector<relay::InstanceEntry>> &instances);
 
     net::EventLoop &loop_;
     std::unique_ptr<StoreClient> client_;
@@ -82,12 +90,17 @@
     std::size_t damaged_ = 0;
     /// Interval to the next read of the list of instances.
     relay::Ms instancesPeriod_;
+    /// The store has an entry of this instance with its present address.
+    bool isRegistered_ = false;
+    /// Period in which failed reads are repeated, and the time over which the first reads are spread.
+    relay::Ms spread_{0};
+    std::minstd_rand random_;
     bool reachable_ = false;
-    bool follows_ = true;
+    bool follows_ = false;
     /// No read of the configuration is in progress or scheduled.
     bool configIdle_ = false;
     /// No read or watch of the endpoints is in progress or scheduled.
-    bool endpointsIdle_ = false;
+    bool endpointsIdle_ = true;
 };
 
 } // namespace relayhost
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -289,9 +289,14 @@
     mesh_.send(address, wire::encode(freshnessReply));
 }
 
-void RelayHost::followStore(bool follow)
+void RelayHost::followStore(relay::Ms spread)
 {
-    store_.follow(follow);
+    store_.follow(spread);
+}
+
+void RelayHost::unfollowStore()
+{
+    store_.unfollow();
 }
 
 void RelayHost::refreshConfig()
--- a/libs/relayhost/src/StoreFollower.cpp
+++ b/libs/relayhost/src/StoreFollower.cpp
@@ -9,16 +9,16 @@
 namespace {
 
 /// Period between reads of the configuration. A change is seen after this period and the time of one answer at the latest.
-constexpr relay::Ms ConfigPeriod{1200};
+constexpr relay::Ms ConfigPeriod{900};
 /// Without changes, a watch of the endpoints ends after this time: its empty answer shows that the connection to the store still works.
-constexpr relay::Ms WatchTimeout{1900};
+constexpr relay::Ms WatchTimeout{1700};
 /// Minimum period between the starts of two watches, so that changes in quick succession are handled together.
 constexpr relay::Ms MinWatchPeriod{250};
 /// The full list of endpoints is read again after this period, even if no watch has failed.
 constexpr relay::Ms FullListPeriod{10000};
-/// Delay before a failed read of the configuration or of the list of endpoints is repeated.
+/// Minimum mean delay before a failed read of the configuration or of the list of endpoints is repeated.
 constexpr relay::Ms RetryPeriod{150};
-/// Delay before a failed registration of this instance is repeated.
+/// Interval between reads of the list of instances until this instance is registered.
 constexpr relay::Ms RegisterRetryPeriod{1000};
 /// Interval between the first two reads of the list of instances, during which instances that were started together register themselves. Each further
 /// interval is twice as long, up to the maximum: instances learn of later ones from their digests.
@@ -32,16 +32,15 @@
     , client_(std::move(client))
     , handlers_(std::move(handlers))
     , instancesPeriod_(MinInstancesPeriod)
+    , random_(std::random_device{}())
 {
 }
 
 void StoreFollower::start(const relay::InstanceEntry &own)
 {
     own_ = own;
-    registerInstance();
     listInstances();
     readConfig();
-    listEndpoints();
 }
 
 void StoreFollower::setAddress(const net::Address &address)
@@ -49,13 +48,31 @@
     client_->setAddress(address);
 }
 
-void StoreFollower::follow(bool follow)
+void StoreFollower::follow(relay::Ms spread)
 {
-    follows_ = follow;
-    if (follow) {
-        refreshConfig();
-        refreshEndpoints();
+    follows_ = true;
+    spread_ = spread;
+    const auto start = [this]() {
+        if (follows_) {
+            refreshConfig();
+            refreshEndpoints();
+        }
+    };
+    if (spread.count() == 0) {
+        return start();
     }
+    runAt(base::readBootTimeClock() + relay::Ms(random_() % static_cast<std::uint64_t>(spread.count())), start);
+}
+
+void StoreFollower::unfollow()
+{
+    follows_ = false;
+}
+
+relay::Instant StoreFollower::retryTime()
+{
+    const relay::Ms half = std::max(RetryPeriod, spread_) / 2;
+    return base::readBootTimeClock() + half + relay::Ms(random_() % static_cast<std::uint64_t>(2 * half.count()));
 }
 
 void StoreFollower::refreshConfig()
@@ -96,7 +113,7 @@
 {
     markReachable(read.ok);
     if (!read.ok) {
-        return runAt(base::readBootTimeClock() + RetryPeriod, [this]() { readConfig(); });
+        return runAt(retryTime(), [this]() { readConfig(); });
     }
     handlers_.onConfig(sentAt, read.config);
     if (follows_) {
@@ -116,7 +133,7 @@
 {
     markReachable(listing.has_value());
     if (!listing) {
-        return runAt(base::readBootTimeClock() + RetryPeriod, [this]() { listEndpoints(); });
+        return runAt(retryTime(), [this]() { listEndpoints(); });
     }
     if (listing->damaged != damaged_) {
         damaged_ = listing->damaged;
@@ -171,26 +188,34 @@
     runAt(sentAt + MinWatchPeriod, [this]() { watchEndpoints(); });
 }
 
-void StoreFollower::registerInstance()
+void StoreFollower::listInstances()
 {
-    client_->registerInstance(own_, [this](bool registered) {
-        if (!registered) {
-            runAt(base::readBootTimeClock() + RegisterRetryPeriod, [this]() { registerInstance(); });
-        }
-    });
+    client_->listInstances([this](const std::optional<std::vector<relay::InstanceEntry>> &instances) { onInstances(instances); });
 }
 
-void StoreFollower::listInstances()
+void StoreFollower::onInstances(const std::optional<std::vector<relay::InstanceEntry>> &instances)
 {
-    client_->listInstances([this](const std::optional<std::vector<relay::InstanceEntry>> &instances) {
-        if (instances) {
-            handlers_.onInstances(*instances);
-        }
-    });
-    runAt(base::readBootTimeClock() + instancesPeriod_, [this]() { listInstances(); });
+    if (instances) {
+        registerInstance(*instances);
+        handlers_.onInstances(*instances);
+    }
+    const bool isFirst = instancesPeriod_ == MinInstancesPeriod;
+    const relay::Ms period = isRegistered_ || isFirst ? instancesPeriod_ : RegisterRetryPeriod;
+    runAt(base::readBootTimeClock() + period, [this]() { listInstances(); });
     instancesPeriod_ = std::min(2 * instancesPeriod_, MaxInstancesPeriod);
 }
 
+void StoreFollower::registerInstance(const std::vector<relay::InstanceEntry> &known)
+{
+    const bool isKnown = std::any_of(known.begin(), known.end(), [&](const relay::InstanceEntry &entry) {
+        return entry.id == own_.id && entry.meshAddress == own_.meshAddress && entry.zone == own_.zone;
+    });
+    isRegistered_ = isRegistered_ || isKnown;
+    if (!isRegistered_) {
+        client_->registerInstance(own_, [this](bool registered) { isRegistered_ = registered; });
+    }
+}
+
 void StoreFollower::readLease()
 {
     client_->readLease([this](const std::optional<LeaseReadResult> &lease) {
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -37,6 +37,15 @@
     double slowdown = 1;
 };
 
+/// Recent answers of an endpoint some of which were failures.
+struct FailingEndpoint {
+    /// endpointHash() of the endpoint's id.
+    std::uint32_t endpoint = 0;
+    /// Decayed numbers of answers and of failures among them; encoding rounds them to the nearest eighth.
+    double answers = 0;
+    double failures = 0;
+};
+
 /// Reports that a request crashed an endpoint.
 struct CrashReport {
     /// Hash that identifies the content of the request.
@@ -99,6 +108,8 @@
     bool requestsFleetLoads = false;
     /// Other aggregators of the sender's zone that the sender uses. Instances that were there before them learn of them in this way.
     std::vector<Aggregator> aggregators = {};
+    /// Endpoints that have lately failed requests of the instances within the scope.
+    std::vector<FailingEndpoint> failing = {};
 };
 
 /// An entry of the store's list of endpoints.
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -4,6 +4,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 namespace wire {
@@ -16,6 +17,8 @@
 constexpr unsigned HashHalfBits = 32;
 /// Digests carry slowdowns in tenths.
 constexpr double TenthsPerWhole = 10;
+/// Digests carry decayed counts in eighths.
+constexpr double EighthsPerWhole = 8;
 
 } // namespace
 
@@ -65,6 +68,11 @@
     out.set_known_instances(digest.knownInstances);
     out.set_to_aggregator(digest.toAggregator);
     out.set_requests_fleet_loads(digest.requestsFleetLoads);
+    for (const FailingEndpoint &failing : digest.failing) {
+        out.add_failing(failing.endpoint);
+        out.add_failing_answers(static_cast<std::uint32_t>(std::lround(failing.answers * EighthsPerWhole)));
+        out.add_failing_failures(static_cast<std::uint32_t>(std::lround(failing.failures * EighthsPerWhole)));
+    }
     for (const Aggregator &aggregator : digest.aggregators) {
         out.add_aggregator(aggregator.instance);
         out.add_aggregator_address(aggregator.meshAddress);
@@ -81,6 +89,9 @@
     digest.knownInstances = std::max(digest.countedInstances, in.known_instances());
     digest.toAggregator = in.to_aggregator();
     digest.requestsFleetLoads = in.requests_fleet_loads();
+    for (int i = 0; i < in.failing_size(); ++i) {
+        digest.failing.push_back({in.failing(i), in.failing_answers(i) / EighthsPerWhole, in.failing_failures(i) / EighthsPerWhole});
+    }
     for (int i = 0; i < in.aggregator_size(); ++i) {
         digest.aggregators.push_back({in.aggregator(i), in.aggregator_address(i)});
     }
@@ -90,7 +101,8 @@
 {
     const bool listSizesMatch = in.open_requests_size() == in.endpoint_size() && in.context_size() == in.endpoint_size()
         && in.silent_incarnation_size() == in.silent_size() && in.slowness_tenths_size() == in.slow_size() && in.strike_crash_size() == in.strike_size()
-        && in.aggregator_address_size() == in.aggregator_size();
+        && in.aggregator_address_size() == in.aggregator_size() && in.failing_answers_size() == in.failing_size()
+        && in.failing_failures_size() == in.failing_size();
     const bool isScopeKnown = in.scope() <= static_cast<std::uint32_t>(DigestScope::Fleet);
     if (!listSizesMatch || !isScopeKnown || in.instance().empty()) {
         return std::nullopt;
