Waits and the link between zones are predicted from the whole fleet

Change: a stage's wait is its backlog beyond what Little's law gives a stage that isn't saturated. Prompts on the link between zones are counted in digests and bound the streams that cross it; a detour or a further attempt that would come too late for its caller waits for a shorter way instead of delaying the others. New streams are rejected above half of their callers' patience. The random factors keep 1 for the best endpoint of each zone and range, so that they don't drive streams out of their zone.

--- a/libs/placement/include/placement/PipelineChooser.h
+++ b/libs/placement/include/placement/PipelineChooser.h
@@ -16,7 +16,7 @@
     /// Number of requests that pass through it, and the total of their tokens of context.
     double sequences = 0;
     double contextTokens = 0;
-    /// Prompt tokens of requests sent to it whose prefill has not ended, as far as known. Waiting times are predicted from them.
+    /// Prompt tokens of requests through it that have had no token yet, as far as known. Waiting times are predicted from them.
     double pendingPrefillTokens = 0;
     /// Further prompt tokens that others may have sent to it since. They make it less attractive, so that not all choose the same holder.
     double uncertainPrefillTokens = 0;
@@ -42,6 +42,8 @@
     LayerRange layers = {};
     /// Zone of the stage after the layers, if there is one.
     std::optional<std::uint32_t> nextZone = std::nullopt;
+    /// Prompt tokens of other requests that are under way over the link between zones, one after another.
+    double zoneLinkTokens = 0;
 };
 
 /// One stage of a pipeline.
@@ -59,7 +61,7 @@
     /// Time until the first token, and time for each token.
     double firstTokenMs = 0;
     double tokenMs = 0;
-    /// Part of the time until the first token that the request waits for the prefill of others.
+    /// Part of the time until the first token that the request waits for others, in prefill or on the link between zones.
     double waitMs = 0;
 };
 
--- a/libs/placement/src/PipelineChooser.cpp
+++ b/libs/placement/src/PipelineChooser.cpp
@@ -27,7 +27,7 @@
     /// Time until the first token without waiting, and for each token.
     double firstMs = 0;
     double tokenMs = 0;
-    /// Time for the prefill of requests that came before.
+    /// Time in the queue of requests that came before.
     double waitMs = 0;
     /// Time that requests which others may have sent meanwhile would add.
     double uncertainMs = 0;
@@ -40,7 +40,7 @@
     double cost = UnreachableCost;
     double firstMs = 0;
     double tokenMs = 0;
-    /// The longest wait of a stage. Requests that wait for each other at one stage follow each other through the later ones without waiting again.
+    /// The longest wait at a stage. Requests that wait for each other at one stage follow each other through the later ones without waiting again.
     double waitMs = 0;
     /// Holder and layers of the last stage.
     std::uint32_t holder = 0;
@@ -60,6 +60,7 @@
         , holders_(holders)
         , request_(request)
         , requestedLayers_(request.layers.empty() ? LayerRange{0, profile.layers} : request.layers)
+        , zoneLinkBacklogMs_(transferMs(profile, request.zoneLinkTokens, true) - transferMs(profile, request.zoneLinkTokens, false))
     {
         collectBoundaries();
         for (const LayerHolder &holder : holders) {
@@ -120,7 +121,11 @@
             return interleavedPrefillMs(profile_, kind, layers, tokens, holder.sequences, holder.contextTokens);
         };
         const double promptTokenMs = promptMs(1);
-        const double waitMs = factor * promptTokenMs * holder.pendingPrefillTokens;
+        const double backlogMs = holder.slowdown * promptTokenMs * holder.pendingPrefillTokens;
+        // A prompt counts in the backlog of all its stages until the first token. By Little's law, a stage that isn't saturated has the prompts of about
+        // one such time in its backlog although nobody waits there; only what is beyond that is a queue.
+        const double typicalFirstMs = holder.slowdown * promptMs(profile_.typicalPromptTokens) * profile_.layers / layers;
+        const double waitMs = std::max(0.0, backlogMs - typicalFirstMs);
         const double uncertainMs = factor * promptTokenMs * holder.uncertainPrefillTokens;
         const double firstPassMs = profile_.stepsPerPass * tokenStepMs;
         return {factor * (promptMs(request_.promptTokens) + firstPassMs), factor * tokenStepMs + StageOverheadMs, waitMs, uncertainMs};
@@ -151,19 +156,14 @@
         stage.firstMs += transferMs(profile_, request_.promptTokens, crossesZone) + (crossesZone ? profile_.zoneDelayMs : 0);
         stage.tokenMs += perToken;
         const double zoneLinkMs = crossesZone ? transferMs(profile_, request_.promptTokens + request_.answerTokens, true) : 0;
-        const double timeMs = holders_[index].costFactor * (stage.firstMs + stage.waitMs + stage.uncertainMs + stage.tokenMs * request_.answerTokens);
-        const double cost = nodes_[from].cost + timeMs + ZoneLinkWeight * zoneLinkMs;
+        stage.waitMs = crossesZone ? std::max(stage.waitMs, zoneLinkBacklogMs_) : stage.waitMs;
+        const Node &before = nodes_[from];
+        const double waitMs = std::max(before.waitMs, stage.waitMs);
+        const double timeMs = holders_[index].costFactor * (stage.firstMs + stage.uncertainMs + stage.tokenMs * request_.answerTokens);
+        const double cost = before.cost + timeMs + stage.waitMs + ZoneLinkWeight * zoneLinkMs;
         Node &to = nodes_[boundaryIndex(layers.end) * zones_ + holders_[index].zone];
         if (cost < to.cost) {
-            const Node &before = nodes_[from];
-            to = {cost,
-                  before.firstMs + stage.firstMs,
-                  before.tokenMs + stage.tokenMs,
-                  std::max(before.waitMs, stage.waitMs),
-                  index,
-                  layers,
-                  from,
-                  before.stages + 1};
+            to = {cost, before.firstMs + stage.firstMs, before.tokenMs + stage.tokenMs, waitMs, index, layers, from, before.stages + 1};
         }
     }
 
@@ -189,9 +189,9 @@
         if (nodes_[last].cost == UnreachableCost) {
             return pipeline;
         }
-        pipeline.firstTokenMs = nodes_[last].firstMs + nodes_[last].waitMs;
-        pipeline.tokenMs = nodes_[last].tokenMs;
         pipeline.waitMs = nodes_[last].waitMs;
+        pipeline.firstTokenMs = nodes_[last].firstMs + pipeline.waitMs;
+        pipeline.tokenMs = nodes_[last].tokenMs;
         for (std::size_t node = last; nodes_[node].stages > 0; node = nodes_[node].previous) {
             pipeline.stages.push_back({nodes_[node].holder, nodes_[node].layers});
         }
@@ -203,6 +203,8 @@
     const std::vector<LayerHolder> &holders_;
     const PipelineRequest &request_;
     const LayerRange requestedLayers_;
+    /// Time that the link between zones needs for what is under way.
+    const double zoneLinkBacklogMs_;
     std::vector<std::uint32_t> boundaries_;
     std::uint32_t zones_ = 1;
     std::vector<Node> nodes_;
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -38,6 +38,10 @@
         endpoints.at(stage).pendingPrefillTokens -= attempt.promptTokens;
     }
     attempt.pendingPrefillStages.clear();
+    for (const EndpointIndex stage : attempt.pendingLinkStages) {
+        endpoints.at(stage).pendingLinkTokens -= attempt.promptTokens;
+    }
+    attempt.pendingLinkStages.clear();
 }
 
 void RelayKernel::Impl::replaceStages(Attempt &attempt, std::vector<EndpointIndex> stages, std::vector<placement::LayerRange> layers)
@@ -55,11 +59,19 @@
         if (std::erase(attempt.pendingPrefillStages, stage) > 0) {
             state.pendingPrefillTokens -= attempt.promptTokens;
         }
+        if (std::erase(attempt.pendingLinkStages, stage) > 0) {
+            state.pendingLinkTokens -= attempt.promptTokens;
+        }
     }
-    for (const EndpointIndex stage : stages) {
+    for (std::size_t i = 0; i < stages.size(); ++i) {
+        const EndpointIndex stage = stages[i];
         if (contains(attempt.stages, stage)) {
             continue;
         }
+        if (i > 0 && endpoints.at(stages[i - 1]).zone != endpoints.at(stage).zone) {
+            endpoints.at(stage).pendingLinkTokens += attempt.promptTokens;
+            attempt.pendingLinkStages.push_back(stage);
+        }
         EndpointState &state = endpoints.at(stage);
         ++state.openRequests;
         state.contextTokens += attempt.contextTokens;
--- a/libs/relay/src/Detours.cpp
+++ b/libs/relay/src/Detours.cpp
@@ -49,7 +49,7 @@
             ++i;
         }
         const placement::Pipeline replacement = chooseDetour(call, attempt, first, i + 1, replacements);
-        if (replacement.stages.empty()) {
+        if (replacement.stages.empty() || replacement.waitMs > patienceLeftMs(now, call)) {
             return false;
         }
         for (const placement::PipelineStage &stage : replacement.stages) {
@@ -77,6 +77,7 @@
     if (end < attempt.stages.size()) {
         request.nextZone = endpoints.at(attempt.stages[end]).zone;
     }
+    request.zoneLinkTokens = replacements.linkTokens;
     return placement::choosePipeline(*call.service->engine, replacements.holders, request);
 }
 
--- a/libs/relay/src/PeerLoads.cpp
+++ b/libs/relay/src/PeerLoads.cpp
@@ -79,12 +79,12 @@
     source.loads.reserve(digest.loads.size());
     for (const wire::EndpointLoad &load : digest.loads) {
         if (const auto index = endpoints_.findHash(load.endpoint)) {
-            source.loads.push_back({*index, load.openRequests, load.contextTokens, load.pendingPrefillTokens, 0, 0});
+            source.loads.push_back({*index, load.openRequests, load.contextTokens, load.pendingPrefillTokens, load.pendingLinkTokens, 0, 0});
         }
     }
     for (const wire::FailingEndpoint &failing : digest.failing) {
         if (const auto index = endpoints_.findHash(failing.endpoint)) {
-            source.loads.push_back({*index, 0, 0, 0, failing.answers, failing.failures});
+            source.loads.push_back({*index, 0, 0, 0, 0, failing.answers, failing.failures});
         }
     }
     return source;
@@ -119,6 +119,7 @@
         total.openRequests += sign * static_cast<std::int64_t>(load.openRequests);
         total.contextTokens += sign * static_cast<std::int64_t>(load.contextTokens);
         total.pendingPrefillTokens += sign * static_cast<std::int64_t>(load.pendingPrefillTokens);
+        total.pendingLinkTokens += sign * static_cast<std::int64_t>(load.pendingLinkTokens);
         total.answers += static_cast<double>(sign) * load.answers;
         total.failures += static_cast<double>(sign) * load.failures;
     }
@@ -180,6 +181,7 @@
                              state.openRequests,
                              static_cast<std::uint64_t>(std::max(0.0, state.contextTokens)),
                              static_cast<std::uint64_t>(std::max(0.0, state.pendingPrefillTokens)),
+                             static_cast<std::uint64_t>(std::max(0.0, state.pendingLinkTokens)),
                              hasFailed ? state.recent.answers(now) : 0,
                              hasFailed ? failures : 0});
         }
@@ -216,7 +218,8 @@
             digest.loads.push_back({wire::endpointHash(endpoints_.at(i).entry.id),
                                     static_cast<std::uint32_t>(load.openRequests),
                                     positive(load.contextTokens),
-                                    positive(load.pendingPrefillTokens)});
+                                    positive(load.pendingPrefillTokens),
+                                    positive(load.pendingLinkTokens)});
         }
         if (load.failures >= MinReportedFailures) {
             digest.failing.push_back({wire::endpointHash(endpoints_.at(i).entry.id), load.answers, load.failures});
@@ -275,13 +278,18 @@
 {
     const EndpointState &state = endpoints_.at(index);
     const Totals &sum = others(now);
-    LoadEstimate load{
-        static_cast<double>(state.openRequests), state.contextTokens, state.pendingPrefillTokens, state.recent.answers(now), state.recent.failures(now)};
+    LoadEstimate load{static_cast<double>(state.openRequests),
+                      state.contextTokens,
+                      state.pendingPrefillTokens,
+                      state.pendingLinkTokens,
+                      state.recent.answers(now),
+                      state.recent.failures(now)};
     if (index < sum.loads.size()) {
         const TotalLoad &total = sum.loads[index];
         load.openRequests += static_cast<double>(std::max<std::int64_t>(0, total.openRequests));
         load.contextTokens += static_cast<double>(std::max<std::int64_t>(0, total.contextTokens));
         load.pendingPrefillTokens += static_cast<double>(std::max<std::int64_t>(0, total.pendingPrefillTokens));
+        load.pendingLinkTokens += static_cast<double>(std::max<std::int64_t>(0, total.pendingLinkTokens));
         load.answers += std::max(0.0, total.answers);
         load.failures += std::max(0.0, total.failures);
     }
@@ -290,6 +298,7 @@
     load.openRequests *= scaleFactor;
     load.contextTokens *= scaleFactor;
     load.pendingPrefillTokens *= scaleFactor;
+    load.pendingLinkTokens *= scaleFactor;
     return load;
 }
 
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
+#include <tuple>
 
 namespace relay {
 
@@ -29,9 +31,9 @@
 /// Status of an endpoint that doesn't hold the layers that the pipeline expects of it.
 constexpr int MisdirectedStatus = 421;
 
-/// A new stream is rejected if it would wait longer for the prefill of others than this multiple of the time in which its first event is expected: it
-/// would be late, and so would those that come after it.
-constexpr double MaxWaitRatio = 1.0;
+/// A new stream is rejected if it would wait for others longer than this part of its caller's patience: the caller might leave before the first event,
+/// and those that come after it would wait longer still.
+constexpr double MaxWaitRatio = 0.5;
 
 /// Costs of endpoints are multiplied by random factors of up to one more than this, less in a small fleet. Until the next digest, all instances see the
 /// same endpoints as the best ones, and the more instances there are, the more requests would go there.
@@ -44,10 +46,10 @@
 /// Statuses from this one on count as failures of the endpoint.
 constexpr int FirstFailureStatus = 500;
 
-/// Returns the longest time that a new stream may wait for the prefill of others.
+/// Returns the longest time that a new stream may wait for others.
 double maxAdmittedWaitMs(const Route &route)
 {
-    return route.targetLatency.count() > 0 ? MaxWaitRatio * static_cast<double>(route.targetLatency.count()) : HUGE_VAL;
+    return MaxWaitRatio * static_cast<double>(route.callerPatience.count());
 }
 
 /// Returns the time without an event after which an attempt is checked.
@@ -79,8 +81,8 @@
 Candidates RelayKernel::Impl::candidates(Instant now, const Call &call)
 {
     Candidates found;
+    double ownLinkTokens = 0;
     const std::uint32_t instances = peers.instances(now).value_or(1);
-    const double spread = MaxCostSpread * (1 - 1.0 / instances);
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         const EndpointState &state = endpoints.at(i);
         const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
@@ -102,29 +104,54 @@
                                  load.pendingPrefillTokens,
                                  uncertainPrefill,
                                  state.slowdown,
-                                 (1 + spread * nextFraction()) * (1 + FailureCost * failureRatio),
+                                 1 + FailureCost * failureRatio,
                                  true,
                                  true});
         found.indices.push_back(i);
+        ownLinkTokens += state.pendingLinkTokens;
+        found.linkTokens += load.pendingLinkTokens;
     }
+    found.linkTokens = std::max(found.linkTokens, ownLinkTokens * instances);
+    spreadCosts(found.holders, MaxCostSpread * (1 - 1.0 / instances));
     return found;
 }
 
+void RelayKernel::Impl::spreadCosts(std::vector<placement::LayerHolder> &holders, double spread)
+{
+    using Group = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
+    const auto groupOf = [](const placement::LayerHolder &holder) {
+        return Group{holder.zone, holder.held.first, holder.held.end};
+    };
+    std::vector<double> draws(holders.size());
+    std::map<Group, double> lowest;
+    for (std::size_t i = 0; i < holders.size(); ++i) {
+        draws[i] = nextFraction();
+        const auto [found, isNew] = lowest.try_emplace(groupOf(holders[i]), draws[i]);
+        found->second = std::min(found->second, draws[i]);
+    }
+    for (std::size_t i = 0; i < holders.size(); ++i) {
+        holders[i].costFactor *= 1 + spread * (draws[i] - lowest.at(groupOf(holders[i])));
+    }
+}
+
 void RelayKernel::Impl::startStream(Instant now, Call &call)
 {
     if (!call.service->engine) {
         return startPlain(now, call);
     }
-    const auto [holders, indices] = candidates(now, call);
+    const auto [holders, indices, linkTokens] = candidates(now, call);
     const placement::PipelineRequest request{
-        static_cast<double>(call.promptTokens), static_cast<double>(call.answerTokens), endpoints.zoneNumber(settings.zone), {}, std::nullopt};
+        static_cast<double>(call.promptTokens), static_cast<double>(call.answerTokens), endpoints.zoneNumber(settings.zone), {}, std::nullopt, linkTokens};
     const placement::Pipeline pipeline = placement::choosePipeline(*call.service->engine, holders, request);
-    if (pipeline.stages.empty()) {
+    // An attempt that comes too late for its caller would only delay the others.
+    const bool isTooLate = call.attemptCount > 0 && pipeline.waitMs > patienceLeftMs(now, call);
+    if (pipeline.stages.empty() || isTooLate) {
         if (call.attemptCount > 0 && now - call.lastDeliveredAt < call.route->callerPatience - AbandonMargin && call.mayHaveRun) {
-            call.nextCheckAt = now + ResumePeriod; // There may be a pipeline again before the caller leaves.
+            call.nextCheckAt = now + ResumePeriod; // There may be a pipeline in time before the caller leaves.
             return;
         }
-        return fail(now, call, base::ErrorKind::NoEndpoint, noPipelineReason(holders, call.service->engine->layers));
+        return isTooLate ? fail(now, call, base::ErrorKind::Overloaded, "the wait for another path is too long")
+                         : fail(now, call, base::ErrorKind::NoEndpoint, noPipelineReason(holders, call.service->engine->layers));
     }
     const double maxWaitMs = maxAdmittedWaitMs(*call.route);
     if (call.attemptCount == 0 && call.lastEvent == 0 && pipeline.waitMs > maxWaitMs) {
@@ -150,6 +177,12 @@
     driver.send(std::move(dispatch));
 }
 
+double RelayKernel::Impl::patienceLeftMs(Instant now, const Call &call)
+{
+    const Instant patience = call.route->callerPatience - (now - call.lastDeliveredAt);
+    return std::max(0.0, std::chrono::duration<double, std::milli>(patience).count());
+}
+
 void RelayKernel::Impl::rejectForLoad(Instant now, Call &call, double waitMs)
 {
     const CallId id = call.id;
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -43,6 +43,8 @@
     double contextTokens = 0;
     /// Prompt tokens of those requests whose prefill isn't known to have ended, since their answer has not begun.
     double pendingPrefillTokens = 0;
+    /// Prompt tokens of those requests that are under way to it over the link between two zones.
+    double pendingLinkTokens = 0;
     /// When the last event arrived of any stream that it serves as the first stage.
     Instant lastEventAt{0};
     /// Recent answers to requests of this instance.
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -22,6 +22,8 @@
     std::vector<placement::LayerRange> layers;
     /// Stages that are still in prefill: they have not read the prompt, or the tokens generated so far, yet.
     std::vector<EndpointIndex> pendingPrefillStages;
+    /// Those of them that receive the prompt from a stage in another zone.
+    std::vector<EndpointIndex> pendingLinkStages;
     Instant sentAt{0};
     /// Time of its last event or detour; of its dispatch if there was none.
     Instant lastProgressAt{0};
@@ -90,6 +92,8 @@
 struct Candidates {
     std::vector<placement::LayerHolder> holders;
     std::vector<EndpointIndex> indices;
+    /// Prompt tokens that all instances together may have under way over the link between zones.
+    double linkTokens = 0;
 };
 
 /// State of the kernel. Its functions are defined in several files: Admission, Calls, PlainCalls, StreamCalls, Detours, EndpointHealth and
@@ -179,10 +183,15 @@
     /// Dispatches a call to the pipeline with the lowest cost; waits or fails the call if there is no pipeline. Calls startPlain() if the service has no
     /// layers.
     void startStream(Instant now, Call &call);
+    /// Returns the time that is left until the caller abandons its stream for lack of events.
+    static double patienceLeftMs(Instant now, const Call &call);
     /// Rejects a stream that would wait that long for the prefill of others.
     void rejectForLoad(Instant now, Call &call, double waitMs);
     /// Returns the usable layer holders of the call's service that aren't excluded for this call.
     Candidates candidates(Instant now, const Call &call);
+    /// Multiplies the costs of endpoints by random factors. Among those of one zone that hold the same layers the lowest factor is 1, so that the factors
+    /// don't make a request leave its zone.
+    void spreadCosts(std::vector<placement::LayerHolder> &holders, double spread);
     /// Handles an answer that isn't a stream: a refusal or an error.
     void onStreamRefused(Instant now, Call &call, AttemptId attempt, const AnswerHead &head);
     /// Handles an answer that isn't a stream and may have run: retries the call if its route permits that, else forwards a verified answer.
--- a/libs/relay/src/details/PeerLoads.h
+++ b/libs/relay/src/details/PeerLoads.h
@@ -13,6 +13,8 @@
     double openRequests = 0;
     double contextTokens = 0;
     double pendingPrefillTokens = 0;
+    /// Prompt tokens that are under way to it over the link between two zones.
+    double pendingLinkTokens = 0;
     /// Recent answers to all instances, and failures among them, as far as digests name them.
     double answers = 0;
     double failures = 0;
@@ -87,6 +89,7 @@
         std::uint32_t openRequests = 0;
         std::uint64_t contextTokens = 0;
         std::uint64_t pendingPrefillTokens = 0;
+        std::uint64_t pendingLinkTokens = 0;
         double answers = 0;
         double failures = 0;
     };
@@ -105,6 +108,7 @@
         std::int64_t openRequests = 0;
         std::int64_t contextTokens = 0;
         std::int64_t pendingPrefillTokens = 0;
+        std::int64_t pendingLinkTokens = 0;
         double answers = 0;
         double failures = 0;
     };
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -20,6 +20,8 @@
     std::uint64_t contextTokens = 0;
     /// Prompt tokens of those whose prefill isn't known to have ended; rounded likewise.
     std::uint64_t pendingPrefillTokens = 0;
+    /// Prompt tokens that are under way to the endpoint over the link between two availability zones; rounded likewise.
+    std::uint64_t pendingLinkTokens = 0;
 };
 
 /// An endpoint that is marked as silent, in one of its incarnations.
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -48,6 +48,7 @@
         out.add_open_requests(load.openRequests);
         out.add_context(toContextUnits(load.contextTokens));
         out.add_pending_prefill(toContextUnits(load.pendingPrefillTokens));
+        out.add_pending_link(toContextUnits(load.pendingLinkTokens));
     }
     for (const SilentEndpoint &silent : digest.silent) {
         out.add_silent(silent.endpoint);
@@ -112,7 +113,12 @@
     digest.loads.reserve(static_cast<std::size_t>(in.endpoint_size()));
     for (int i = 0; i < in.endpoint_size(); ++i) {
         const std::uint64_t pendingPrefill = i < in.pending_prefill_size() ? in.pending_prefill(i) : 0;
-        digest.loads.push_back({in.endpoint(i), in.open_requests(i), in.context(i) * TokensPerContextUnit, pendingPrefill * TokensPerContextUnit});
+        const std::uint64_t pendingLink = i < in.pending_link_size() ? in.pending_link(i) : 0;
+        digest.loads.push_back({in.endpoint(i),
+                                in.open_requests(i),
+                                in.context(i) * TokensPerContextUnit,
+                                pendingPrefill * TokensPerContextUnit,
+                                pendingLink * TokensPerContextUnit});
     }
     digest.silent.reserve(static_cast<std::size_t>(in.silent_size()));
     for (int i = 0; i < in.silent_size(); ++i) {
