--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -1,9 +1,6 @@
 #include "details/KernelImpl.h"
 
 #include <algorithm>
-#include <cmath>
-#include <map>
-#include <tuple>
 
 namespace relay {
 
@@ -35,14 +32,6 @@
 /// and those that come after it would wait longer still.
 constexpr double MaxWaitRatio = 0.5;
 
-/// Costs of endpoints are multiplied by random factors of up to one more than this, less in a small fleet. Until the next digest, all instances see the
-/// same endpoints as the best ones, and the more instances there are, the more requests would go there.
-constexpr double MaxCostSpread = 1.5;
-
-/// Multiple of its cost that is added for an endpoint whose requests all fail. One that fails at once has little load and would attract all requests.
-constexpr double FailureCost = 20.0;
-/// Good answers that are assumed of every endpoint, so that a single failure among few answers counts little.
-constexpr double AssumedGoodAnswers = 2.0;
 /// Statuses from this one on count as failures of the endpoint.
 constexpr int FirstFailureStatus = 500;
 
@@ -78,62 +67,6 @@
 
 } // namespace
 
-Candidates RelayKernel::Impl::candidates(Instant now, const Call &call)
-{
-    Candidates found;
-    double ownLinkTokens = 0;
-    const std::uint32_t instances = peers.instances(now).value_or(1);
-    for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
-        const EndpointState &state = endpoints.at(i);
-        const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
-        if (state.entry.service != call.service->name || state.entry.layers.empty() || isExcluded || !endpoints.isUsable(i, now)) {
-            continue;
-        }
-        const std::uint32_t kind = placement::kindIndex(*call.service->engine, state.entry.accelerator);
-        const LoadEstimate load = peers.loadOn(i, now);
-        // What the other instances have dispatched since their last digests isn't known. After the loss of an endpoint each of them dispatches
-        // about as much as this one, so that the own pending prefill is multiplied by their number.
-        const double possiblePrefill = state.pendingPrefillTokens * instances;
-        const double failureRatio = load.failures / (load.answers + AssumedGoodAnswers);
-        const double uncertainPrefill = std::max(0.0, possiblePrefill - load.pendingPrefillTokens);
-        found.holders.push_back({kind,
-                                 state.zone,
-                                 state.entry.layers,
-                                 load.openRequests,
-                                 load.contextTokens,
-                                 load.pendingPrefillTokens,
-                                 uncertainPrefill,
-                                 state.slowdown,
-                                 1 + FailureCost * failureRatio,
-                                 true,
-                                 true});
-        found.indices.push_back(i);
-        ownLinkTokens += state.pendingLinkTokens;
-        found.linkTokens += load.pendingLinkTokens;
-    }
-    found.linkTokens = std::max(found.linkTokens, ownLinkTokens * instances);
-    spreadCosts(found.holders, MaxCostSpread * (1 - 1.0 / instances));
-    return found;
-}
-
-void RelayKernel::Impl::spreadCosts(std::vector<placement::LayerHolder> &holders, double spread)
-{
-    using Group = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
-    const auto groupOf = [](const placement::LayerHolder &holder) {
-        return Group{holder.zone, holder.held.first, holder.held.end};
-    };
-    std::vector<double> draws(holders.size());
-    std::map<Group, double> lowest;
-    for (std::size_t i = 0; i < holders.size(); ++i) {
-        draws[i] = nextFraction();
-        const auto [found, isNew] = lowest.try_emplace(groupOf(holders[i]), draws[i]);
-        found->second = std::min(found->second, draws[i]);
-    }
-    for (std::size_t i = 0; i < holders.size(); ++i) {
-        holders[i].costFactor *= 1 + spread * (draws[i] - lowest.at(groupOf(holders[i])));
-    }
-}
-
 void RelayKernel::Impl::startStream(Instant now, Call &call)
 {
     if (!call.service->engine) {
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -96,8 +96,8 @@
     double linkTokens = 0;
 };
 
-/// State of the kernel. Its functions are defined in several files: Admission, Calls, PlainCalls, StreamCalls, Detours, EndpointHealth and
-/// RelayKernel.
+/// State of the kernel. Its functions are defined in several files: Admission, Calls, PlainCalls, StreamCalls, Candidates, Detours, EndpointHealth
+/// and RelayKernel.
 struct RelayKernel::Impl {
     Impl(RelaySettings relaySettings, RelayDriver &relayDriver);
     /// Passes the settings on to the parts.
