--- a/libs/relay/src/Candidates.cpp
+++ b/libs/relay/src/Candidates.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <map>
-#include <tuple>
+#include <utility>
 
 namespace relay {
 
@@ -58,9 +58,10 @@
 
 void RelayKernel::Impl::spreadCosts(std::vector<placement::LayerHolder> &holders, double spread)
 {
-    using Group = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
+    // The zone and the first layer, so that holders of different kinds that can take the same place in a pipeline are spread over, too.
+    using Group = std::pair<std::uint32_t, std::uint32_t>;
     const auto groupOf = [](const placement::LayerHolder &holder) {
-        return Group{holder.zone, holder.held.first, holder.held.end};
+        return Group{holder.zone, holder.held.first};
     };
     std::vector<double> draws(holders.size());
     std::map<Group, double> lowest;
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -189,8 +189,8 @@
     void rejectForLoad(Instant now, Call &call, double waitMs);
     /// Returns the usable layer holders of the call's service that aren't excluded for this call.
     Candidates candidates(Instant now, const Call &call);
-    /// Multiplies the costs of endpoints by random factors. Among those of one zone that hold the same layers the lowest factor is 1, so that the factors
-    /// don't make a request leave its zone.
+    /// Multiplies the costs of endpoints by random factors. Among those of one zone whose layers begin at the same one the lowest factor is 1, so that the
+    /// factors don't make a request leave its zone.
     void spreadCosts(std::vector<placement::LayerHolder> &holders, double spread);
     /// Handles an answer that isn't a stream: a refusal or an error.
     void onStreamRefused(Instant now, Call &call, AttemptId attempt, const AnswerHead &head);
