A reply to an earlier process of the same instance is no reply to this one

Requests of every process were numbered from 1, so that a process that has just restarted could take a late reply to its predecessor for its own: its age counted from the wrong request (knowledge looked younger than it is, a withdrawn key could be accepted for as much longer), and, since new instances ask for the whole list, changes since a revision could pass for all entries. Each process begins with another number. The test failed first: the instance became ready with an empty list.

--- a/libs/relay/src/StoreDuty.cpp
+++ b/libs/relay/src/StoreDuty.cpp
@@ -1,5 +1,7 @@
 #include "details/StoreDuty.h"
 
+#include "base/Hash.h"
+
 #include <algorithm>
 
 namespace relay {
@@ -12,6 +14,8 @@
 /// of the endpoints, at most.
 constexpr Ms MaxConfigAge{1800};
 constexpr Ms MaxEndpointsAge{2600};
+/// The number of a process's first request is chosen between 1 and this.
+constexpr std::uint64_t MaxFirstRequestNumber = 1ULL << 48;
 /// Minimum interval between reads of the endpoint list, and between requests, that updates from other instances cause.
 constexpr Ms RefreshPeriod{250};
 /// Changes that a digest has named and that have not arrived within this time are read from the store.
@@ -39,6 +43,8 @@
 {
     ownId_ = settings.node;
     ownMeshAddress_ = settings.meshAddress;
+    // A reply to an earlier process of this instance must not be taken for one to this process, so that each process begins with another number.
+    nextRequestNumber_ = nextRequestNumber_ == 0 ? 1 + base::mixBits(settings.seed) % MaxFirstRequestNumber : nextRequestNumber_;
 }
 
 void StoreDuty::tick(Instant now, const Knowledge &known)
@@ -68,7 +74,7 @@
     const bool isCandidate = std::find(candidates.begin(), candidates.end(), ownId_) != candidates.end();
     if (isCandidate) {
         follow(true, true, now);
-    } else if (!isCandidate && !candidates.empty() && now >= nextRequest_) {
+    } else if (!candidates.empty() && now >= nextRequest_) {
         sendRequest(candidates[nextRequestNumber_ % candidates.size()], now, known);
         nextRequest_ = now + JoinRequestPeriod;
     }
--- a/libs/relay/src/details/StoreDuty.h
+++ b/libs/relay/src/details/StoreDuty.h
@@ -84,7 +84,8 @@
     Instant nextRequest_{0};
     /// When refreshEndpoints() last read the list of endpoints.
     Instant refreshedAt_{0};
-    std::uint64_t nextRequestNumber_ = 1;
+    /// 0 before the settings are known.
+    std::uint64_t nextRequestNumber_ = 0;
     /// When the latest requests were sent, by request number modulo the size.
     std::array<Instant, 16> requestedAt_{};
 };
--- a/libs/relay/tests/StoreDutyTests.cpp
+++ b/libs/relay/tests/StoreDutyTests.cpp
@@ -241,6 +241,24 @@
     LONGS_EQUAL(0, driver.endpointRefreshes);
 }
 
+/// The earlier process of the instance had requested the changes since a revision. They are not the whole list, and their age counts from another time.
+TEST(AnInstanceThatStarts, ignoresAReplyToItsEarlierProcess)
+{
+    FakeDriver earlierDriver;
+    RelaySettings settings = settingsOfNewInstance();
+    settings.seed = 8;
+    RelayKernel earlier(settings, earlierDriver);
+    earlier.onConfig(now, now, RelayTestBed::config(1));
+    earlier.onInstances(now, {{"new", "10.0.0.9:7000"}, {"aa", "1:1"}, {"ab", "1:2"}, {"ac", "1:3"}, {"ad", "1:4"}, {"ae", "1:5"}, {"af", "1:6"}});
+    CHECK(!earlierDriver.freshnessRequests.empty());
+    const std::uint64_t number = earlierDriver.freshnessRequests.back().second.number;
+    kernel.onPeerMessage(now, wire::FreshnessReply{number, 1, 0, 0, 0, 40, wire::EndpointListChanges{}});
+    kernel.onTick(now);
+    CHECK(!driver.ready);
+    LONGS_EQUAL(0, kernel.endpoints().size());
+    CHECK(number != driver.freshnessRequests.back().second.number);
+}
+
 TEST(AnInstanceThatStarts, readsTheListItselfIfNobodySendsIt)
 {
     for (Ms elapsed{0}; elapsed < Ms(1000); elapsed += Ms(50)) {
