--- a/libs/placement/tests/ZoneLinkTests.cpp
+++ b/libs/placement/tests/ZoneLinkTests.cpp
@@ -49,7 +49,7 @@
     DOUBLES_EQUAL(0, pipeline.waitMs, 0.01);
 }
 
-/// 20,000 prompts tokens of 40,000 bytes each take 640 ms on the link.
+/// 20,000 prompt tokens of 40,000 bytes each take 640 ms on the link.
 TEST(ABusyZoneLink, isPredictedAsAWaitWhereItMustBeCrossed)
 {
     holders[1].usable = false;
