Digests keep to their 4 KB/s: prompts in prefill only where there are some, the sender's address now and then

Prompts in prefill are now listed for the endpoints that have some, the counts of a scope only in sums, and in a small fleet one digest in four names the sender's address and zone. The bound is unchanged; the test now also has prompts in prefill on a quarter of the endpoints.

--- a/libs/relay/src/PeerLoads.cpp
+++ b/libs/relay/src/PeerLoads.cpp
@@ -21,6 +21,9 @@
 constexpr Ms SlowdownLifetime{1200};
 /// Number of recent failures from which on a digest names an endpoint as failing.
 constexpr double MinReportedFailures = 0.25;
+/// One of this many digests to all instances names the address and the zone of the sender: only those that have not read the sender's entry in the
+/// list of instances need them.
+constexpr std::uint64_t AddressPeriod = 4;
 /// Number of instances that read the store for all, and that may take the planner's lease.
 constexpr std::size_t ReaderCount = 3;
 
@@ -254,6 +257,10 @@
     };
     wire::RelayDigest own = makeDigest(wire::DigestScope::Instance, leaving, now);
     if (routes_.isFullMesh()) {
+        if (sentDigests_++ % AddressPeriod != 0) {
+            own.meshAddress.clear();
+            own.zone.clear();
+        }
         addDigest(routes_.allAddresses(), std::move(own));
         return due;
     }
--- a/libs/relay/src/details/PeerLoads.h
+++ b/libs/relay/src/details/PeerLoads.h
@@ -151,6 +151,8 @@
     std::vector<Load> sentLoads_;
     Instant digestsSentAt_{0};
     bool isExpedited_ = false;
+    /// Number of digests sent to all instances so far.
+    std::uint64_t sentDigests_ = 0;
     /// Result of others(), valid until then unless a digest arrives before.
     mutable Totals others_;
     mutable Instant othersValidUntil_{0};
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -47,8 +47,13 @@
         out.add_endpoint(load.endpoint);
         out.add_open_requests(load.openRequests);
         out.add_context(toContextUnits(load.contextTokens));
-        out.add_pending_prefill(toContextUnits(load.pendingPrefillTokens));
-        out.add_pending_link(toContextUnits(load.pendingLinkTokens));
+        const std::uint32_t pendingPrefill = toContextUnits(load.pendingPrefillTokens);
+        const std::uint32_t pendingLink = toContextUnits(load.pendingLinkTokens);
+        if (pendingPrefill > 0 || pendingLink > 0) {
+            out.add_pending_position(static_cast<std::uint32_t>(out.endpoint_size() - 1));
+            out.add_pending_prefill(pendingPrefill);
+            out.add_pending_link(pendingLink);
+        }
     }
     for (const SilentEndpoint &silent : digest.silent) {
         out.add_silent(silent.endpoint);
@@ -64,9 +69,11 @@
     }
     out.set_mesh_address(digest.meshAddress);
     out.set_zone(digest.zone);
-    out.set_scope(static_cast<std::uint32_t>(digest.scope));
-    out.set_counted_instances(digest.countedInstances);
-    out.set_known_instances(digest.knownInstances);
+    if (digest.scope != DigestScope::Instance) {
+        out.set_scope(static_cast<std::uint32_t>(digest.scope));
+        out.set_counted_instances(digest.countedInstances);
+        out.set_known_instances(digest.knownInstances);
+    }
     out.set_to_aggregator(digest.toAggregator);
     out.set_requests_fleet_loads(digest.requestsFleetLoads);
     for (const FailingEndpoint &failing : digest.failing) {
@@ -103,7 +110,8 @@
     const bool listSizesMatch = in.open_requests_size() == in.endpoint_size() && in.context_size() == in.endpoint_size()
         && in.silent_incarnation_size() == in.silent_size() && in.slowness_tenths_size() == in.slow_size() && in.strike_crash_size() == in.strike_size()
         && in.aggregator_address_size() == in.aggregator_size() && in.failing_answers_size() == in.failing_size()
-        && in.failing_failures_size() == in.failing_size();
+        && in.failing_failures_size() == in.failing_size() && in.pending_prefill_size() == in.pending_position_size()
+        && in.pending_link_size() == in.pending_position_size();
     const bool isScopeKnown = in.scope() <= static_cast<std::uint32_t>(DigestScope::Fleet);
     if (!listSizesMatch || !isScopeKnown || in.instance().empty()) {
         return std::nullopt;
@@ -112,13 +120,14 @@
     readScope(in, digest);
     digest.loads.reserve(static_cast<std::size_t>(in.endpoint_size()));
     for (int i = 0; i < in.endpoint_size(); ++i) {
-        const std::uint64_t pendingPrefill = i < in.pending_prefill_size() ? in.pending_prefill(i) : 0;
-        const std::uint64_t pendingLink = i < in.pending_link_size() ? in.pending_link(i) : 0;
-        digest.loads.push_back({in.endpoint(i),
-                                in.open_requests(i),
-                                in.context(i) * TokensPerContextUnit,
-                                pendingPrefill * TokensPerContextUnit,
-                                pendingLink * TokensPerContextUnit});
+        digest.loads.push_back({in.endpoint(i), in.open_requests(i), in.context(i) * TokensPerContextUnit, 0, 0});
+    }
+    for (int i = 0; i < in.pending_position_size(); ++i) {
+        if (in.pending_position(i) < digest.loads.size()) {
+            EndpointLoad &load = digest.loads[in.pending_position(i)];
+            load.pendingPrefillTokens = in.pending_prefill(i) * TokensPerContextUnit;
+            load.pendingLinkTokens = in.pending_link(i) * TokensPerContextUnit;
+        }
     }
     digest.silent.reserve(static_cast<std::size_t>(in.silent_size()));
     for (int i = 0; i < in.silent_size(); ++i) {
--- a/libs/wire/tests/CodecTests.cpp
+++ b/libs/wire/tests/CodecTests.cpp
@@ -97,6 +97,22 @@
         full.loads.push_back({0xf0000000U + i, 100, 100000});
     }
     CHECK(wire::encode(full).size() * 8 / 0.6 < 4096);
+    // Some endpoints are in prefill at any moment.
+    for (std::size_t i = 0; i < full.loads.size(); i += 4) {
+        full.loads[i].pendingPrefillTokens = 8000;
+    }
+    CHECK(wire::encode(full).size() * 8 / 0.6 < 4096);
+}
+
+TEST(ARelayDigest, carriesThePromptsInPrefillOfEachEndpoint)
+{
+    wire::RelayDigest sent{"one", false, {{7, 1, 0, 0, 0}, {8, 2, 512, 1024, 256}, {9, 1, 0, 0, 0}}, {}, {}, {}, 0, 0};
+    const auto received = std::get<wire::RelayDigest>(base::valueOf(wire::decodeRelayMessage(wire::encode(sent))));
+    LONGS_EQUAL(3, received.loads.size());
+    LONGS_EQUAL(0, received.loads[0].pendingPrefillTokens);
+    LONGS_EQUAL(1024, received.loads[1].pendingPrefillTokens);
+    LONGS_EQUAL(256, received.loads[1].pendingLinkTokens);
+    LONGS_EQUAL(0, received.loads[2].pendingLinkTokens);
 }
 
 TEST(ARelayDigest, isRefusedWhenItsListsDifferInLength)
