Process tests: a restarted process is no longer taken for its predecessor

Reproduced beside 14 busy processes (second of two runs) with a trace: 500 calls to 'http:///load'. start_process() looked for 'listening' in the output file of the killed process of the same name, found it, and read the address after the new process had truncated the file: the address of the restarted engine, which carried the stream, was empty. The file is now emptied before the start. The check and its numbers are unchanged.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -17,6 +17,8 @@
 start_process() {
     local name=$1
     shift
+    # The output of an earlier process of that name must not be taken for that of the new one.
+    : >"$work/$name.out"
     "$@" >"$work/$name.out" 2>"$work/$name.err" &
     pid[$name]=$!
     local tries=0
