Log what a suspect of a crash shares with other requests, and reports from other instances

New lines: crash_suspected (request, endpoint, fingerprint, last event, shared parts of the prompt) and crash_report_taken (crash, origin).

--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -55,6 +55,8 @@
     std::uint32_t answerTokens = 0;
     /// Hash of API key, request target (URL path and query) and body; the same for all repeats of a request.
     std::uint64_t fingerprint = 0;
+    /// Hashes of the ids of those parts of its prompt that other requests may share.
+    std::vector<std::uint64_t> sharedPromptParts;
 };
 
 /// What the kernel needs to know of an endpoint's answer.
--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -108,6 +108,7 @@
     call.id = arrival.call;
     call.requestId = arrival.requestId;
     call.fingerprint = arrival.fingerprint;
+    call.sharedPromptParts = arrival.sharedPromptParts;
     call.config = config;
     call.route = route;
     call.service = &*service;
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -137,11 +137,21 @@
     }
 }
 
+std::string RelayKernel::Impl::suspectText(const Call &call)
+{
+    std::string text = "fingerprint " + std::to_string(call.fingerprint) + ", last event " + std::to_string(call.lastEvent) + ", shared parts of the prompt";
+    for (const std::uint64_t part : call.sharedPromptParts) {
+        text += " " + std::to_string(part);
+    }
+    return text;
+}
+
 void RelayKernel::Impl::suspectCrash(Instant now, const Call &call, const Attempt &attempt, EndpointIndex endpoint)
 {
     // A request that crashes its endpoint does so when it begins to run. If it has had events, the endpoint crashed for another reason.
     const bool hadEvents = call.route->kind == RequestKind::Stream && attempt.hasEvents;
     if (!hadEvents) {
+        driver.record({"crash_suspected", call.requestId, endpoints.at(endpoint).entry.id, suspectText(call)});
         crashGuard.onBroken(call.fingerprint, endpoint, now);
     }
 }
--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -105,7 +105,12 @@
     }
     storeDuty.onStoreUpdate(digest, now, known);
     for (const wire::CrashReport &crashReport : digest.crashReports) {
-        if (crashGuard.onCrashReport(crashReport, now) && peers.isAggregator(now)) {
+        if (!crashGuard.onCrashReport(crashReport, now)) {
+            continue;
+        }
+        driver.record(
+            {"crash_report_taken", "", std::to_string(crashReport.fingerprint), "crash " + std::to_string(crashReport.crash) + ", from " + digest.instance});
+        if (peers.isAggregator(now)) {
             unsentCrashReports.push_back(crashReport);
             peers.expedite();
         }
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -46,6 +46,8 @@
     CallId id = 0;
     std::string requestId;
     std::uint64_t fingerprint = 0;
+    /// Hashes of the parts of its prompt that other requests may share.
+    std::vector<std::uint64_t> sharedPromptParts;
     /// The configuration at its arrival; keeps the route and the service alive.
     FleetConfigPtr config;
     const Route *route = nullptr;
@@ -139,6 +141,8 @@
     bool mayRetry(Instant now, Call &call);
     /// Reports an attempt that broke at an endpoint to the crash guard: the request may have crashed the endpoint.
     void suspectCrash(Instant now, const Call &call, const Attempt &attempt, EndpointIndex endpoint);
+    /// Returns what identifies a call as a possible cause of a crash, as it is written to the log.
+    static std::string suspectText(const Call &call);
     /// Registers an attempt, adds its load to its stages and counts it; returns its id. The caller dispatches it.
     AttemptId startAttempt(Instant now, Call &call, Attempt attempt);
     /// Returns what the driver must send for an attempt that has just started.
