Failing tests: a prompt part that crashes endpoints, and a sound request that one instance goes on rejecting

CrashFleet is a fleet of relay kernels that exchange their digests, before endpoints that crash on one part of a prompt.

--- /dev/null
+++ b/libs/relay/tests/CrashEvidenceTests.cpp
@@ -0,0 +1,79 @@
+#include "CrashFleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace relay;
+
+namespace {
+
+/// Time in which what one instance has learned must be in use at all others.
+constexpr Ms SpreadTime{3000};
+/// Requests with a fatal part that may still be sent after that time.
+constexpr std::size_t MaxLateRequests = 3;
+
+} // namespace
+
+/// Requests that share a prompt part on which endpoints crash, and nothing else that sound requests don't have, arrive at all instances.
+TEST_GROUP(APromptPartThatCrashesEndpoints)
+{
+    /// Parts of sound requests, a few of which are under way at any time.
+    static constexpr std::uint64_t SoundParts = 20;
+    std::uint64_t step = 0;
+
+    /// Sends a sound request through each instance in each step, and one with the fatal part through a changing instance in each twentieth.
+    void sendRequests(CrashFleet & fleet)
+    {
+        constexpr std::uint64_t FatalPeriod = 20;
+        ++step;
+        for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+            fleet.request(i, 100 + (step * 7 + i) % SoundParts);
+        }
+        if (step % FatalPeriod == 0) {
+            fleet.request((step / FatalPeriod) % fleet.instances.size(), CrashFleet::FatalPart);
+        }
+    }
+
+    std::size_t soundBegunSince(const CrashFleet &fleet, Instant since) const
+    {
+        std::size_t begun = 0;
+        for (std::uint64_t part = 100; part < 100 + SoundParts; ++part) {
+            begun += fleet.begunSince(part, since);
+        }
+        return begun;
+    }
+};
+
+/// Guards against requests that share only a prompt part crashing endpoints one after the other.
+TEST(APromptPartThatCrashesEndpoints, isRejectedEverywhereAfterFiveCrashes)
+{
+    CrashFleet fleet(3);
+    fleet.advance(Ms(30000), [&]() { sendRequests(fleet); });
+    CHECK(fleet.fatalCrash(1).has_value());
+    const auto fifth = fleet.fatalCrash(5);
+    if (fifth) {
+        CHECK(fleet.sentSince(CrashFleet::FatalPart, *fifth + SpreadTime) <= MaxLateRequests);
+    }
+}
+
+/// One kind of request that most callers send; its endpoints crash from outside now and then.
+TEST_GROUP(ASoundRequestThatWasThereAtCrashes)
+{
+    static constexpr std::uint64_t Fingerprint = 777;
+    static constexpr std::uint64_t SoundPart = 100;
+
+    static void sendEverywhere(CrashFleet & fleet)
+    {
+        for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+            fleet.request(i, SoundPart, Fingerprint);
+        }
+    }
+};
+
+/// Guards against an instance that goes on rejecting a kind of request which all others serve.
+TEST(ASoundRequestThatWasThereAtCrashes, isServedByAnInstanceThatHasThreeReportsOnceTheOthersServeIt)
+{
+    CrashFleet fleet(3);
+    fleet.report(0, Fingerprint, {1, 2, 3});
+    fleet.advance(Ms(10000), [&]() { sendEverywhere(fleet); });
+    LONGS_EQUAL(0, fleet.quarantinedSince(0, fleet.now - (Ms(10000) - SpreadTime)));
+}
--- /dev/null
+++ b/libs/relay/tests/CrashFleet.cpp
@@ -0,0 +1,261 @@
+#include "CrashFleet.h"
+
+#include <variant>
+
+using namespace relay;
+
+namespace {
+
+/// Endpoints that hold each half of the layers.
+constexpr int HoldersPerHalf = 8;
+/// Time from the dispatch of a request to its first event.
+constexpr Ms FirstEventDelay{75};
+constexpr Ms TimeLimit{20000};
+
+std::string nameOf(std::size_t instance)
+{
+    return "instance-" + std::to_string(instance);
+}
+
+} // namespace
+
+CrashFleet::CrashFleet(std::size_t instanceCount)
+{
+    for (int i = 0; i < HoldersPerHalf; ++i) {
+        endpoints.push_back({RelayTestBed::engineEntry("low-" + std::to_string(i), "zone-a", {0, RelayTestBed::HalfLayers})});
+        endpoints.push_back({RelayTestBed::engineEntry("high-" + std::to_string(i), "zone-a", {RelayTestBed::HalfLayers, 2 * RelayTestBed::HalfLayers})});
+    }
+    for (std::size_t i = 0; i < instanceCount; ++i) {
+        addInstance();
+    }
+}
+
+std::size_t CrashFleet::addInstance()
+{
+    instances.push_back(std::make_unique<Instance>());
+    join(*instances.back(), instances.size() - 1);
+    return instances.size() - 1;
+}
+
+void CrashFleet::restart(std::size_t instance)
+{
+    std::erase_if(runs_, [&](const Run &run) { return run.instance == instance; });
+    instances[instance] = std::make_unique<Instance>();
+    join(*instances[instance], instance);
+}
+
+void CrashFleet::join(Instance &instance, std::size_t number)
+{
+    RelaySettings settings = RelayTestBed::settings();
+    settings.node = nameOf(number);
+    settings.instance = nameOf(number) + "/" + std::to_string(++storeRevision_);
+    settings.meshAddress = nameOf(number) + ":1";
+    settings.seed = number + 1;
+    instance.kernel = std::make_unique<RelayKernel>(settings, instance.driver);
+    instance.kernel->onConfig(now, now, RelayTestBed::config(1));
+    instance.kernel->onEndpoints(now, listedEntries(), ++storeRevision_);
+    std::vector<InstanceEntry> entries;
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+        entries.push_back({nameOf(i), nameOf(i) + ":1", "zone-a"});
+    }
+    for (const auto &each : instances) {
+        if (each->kernel) {
+            each->kernel->onInstances(now, entries);
+        }
+    }
+}
+
+std::vector<EndpointEntry> CrashFleet::listedEntries() const
+{
+    std::vector<EndpointEntry> entries;
+    for (const Endpoint &endpoint : endpoints) {
+        entries.push_back(endpoint.entry);
+    }
+    return entries;
+}
+
+void CrashFleet::report(std::size_t instance, std::uint64_t fingerprint, const std::vector<std::uint64_t> &crashes)
+{
+    wire::RelayDigest digest;
+    digest.instance = "outside";
+    for (const std::uint64_t crash : crashes) {
+        digest.crashReports.push_back({fingerprint, crash});
+    }
+    instances[instance]->kernel->onPeerMessage(now, digest);
+}
+
+void CrashFleet::request(std::size_t instance, std::uint64_t secondPart, std::uint64_t fingerprint)
+{
+    CallArrival arrival;
+    arrival.call = ++lastCall_;
+    arrival.requestId = "request-" + std::to_string(lastCall_);
+    arrival.host = "api.example";
+    arrival.path = "/stream/x";
+    arrival.keySha256 = "key-a";
+    arrival.timeLimit = TimeLimit;
+    arrival.promptTokens = 200;
+    arrival.answerTokens = 50;
+    arrival.fingerprint = fingerprint != 0 ? fingerprint : 1'000'000 + lastCall_;
+    arrival.sharedPromptParts = {CommonPart, secondPart};
+    secondPartOfCall_[{instance, arrival.call}] = secondPart;
+    instances[instance]->kernel->onCall(now, arrival);
+}
+
+void CrashFleet::step()
+{
+    now += Step;
+    for (Endpoint &endpoint : endpoints) {
+        if (endpoint.downUntil.count() != 0 && now >= endpoint.downUntil) {
+            endpoint.downUntil = Instant{0};
+            ++endpoint.entry.incarnation;
+        }
+    }
+    deliverDigests();
+    answerReports();
+    beginRuns();
+    processDispatches();
+    ++storeRevision_;
+    for (const auto &instance : instances) {
+        instance->kernel->onConfig(now, now, nullptr);
+        instance->kernel->onEndpoints(now, listedEntries(), storeRevision_);
+        instance->kernel->onTick(now);
+    }
+    processDispatches();
+    collectRejections();
+}
+
+CrashFleet::Endpoint &CrashFleet::endpointOf(const std::string &id)
+{
+    return *std::find_if(endpoints.begin(), endpoints.end(), [&](const Endpoint &endpoint) { return endpoint.entry.id == id; });
+}
+
+void CrashFleet::deliverDigests()
+{
+    for (std::size_t from = 0; from < instances.size(); ++from) {
+        Instance &sender = *instances[from];
+        for (; sender.deliveredDigests < sender.driver.digests.size(); ++sender.deliveredDigests) {
+            auto message = wire::decodeRelayMessage(wire::encode(sender.driver.digests[sender.deliveredDigests]));
+            for (std::size_t to = 0; to < instances.size(); ++to) {
+                if (to != from && !sender.isCutOff && !instances[to]->isCutOff) {
+                    instances[to]->kernel->onPeerMessage(now, std::get<wire::RelayMessage>(message));
+                }
+            }
+        }
+    }
+}
+
+void CrashFleet::answerReports()
+{
+    for (const auto &instance : instances) {
+        for (; instance->answeredReports < instance->driver.reportRequests.size(); ++instance->answeredReports) {
+            const Endpoint &endpoint = endpointOf(instance->driver.reportRequests[instance->answeredReports]);
+            if (endpoint.downUntil.count() != 0) {
+                instance->kernel->onReport(now, endpoint.entry.id, std::nullopt);
+                continue;
+            }
+            EndpointReport report;
+            report.incarnation = endpoint.entry.incarnation;
+            report.layers = endpoint.entry.layers;
+            instance->kernel->onReport(now, endpoint.entry.id, report);
+        }
+    }
+}
+
+void CrashFleet::processDispatches()
+{
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+        Instance &instance = *instances[i];
+        for (; instance.processedDispatches < instance.driver.sent.size(); ++instance.processedDispatches) {
+            const Dispatch dispatch = instance.driver.sent[instance.processedDispatches];
+            if (endpointOf(dispatch.endpoint).downUntil.count() != 0) {
+                instance.kernel->onFailure(now, dispatch.attempt, AttemptFailure::NotSent);
+                continue;
+            }
+            sent_.push_back({now, secondPartOfCall_.at({i, dispatch.call})});
+            runs_.push_back({i, dispatch.attempt, dispatch.call, dispatch.endpoint, now + FirstEventDelay});
+        }
+    }
+}
+
+void CrashFleet::beginRuns()
+{
+    for (std::size_t i = 0; i < runs_.size();) {
+        const Run run = runs_[i];
+        if (instances[run.instance]->driver.wasCancelled(run.attempt)) {
+            runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(i));
+            continue;
+        }
+        if (now < run.firstEventAt) {
+            ++i;
+            continue;
+        }
+        const std::uint64_t secondPart = secondPartOfCall_.at({run.instance, run.call});
+        if (secondPart == FatalPart && ++fatalRuns_ % runsPerCrash == 0) {
+            fatalCrashes_.push_back(now);
+            crash(endpointOf(run.endpoint));
+            i = 0;
+            continue;
+        }
+        runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(i));
+        begun_.push_back({now, secondPart});
+        instances[run.instance]->kernel->onEvent(now, run.attempt, 1);
+        instances[run.instance]->kernel->onStreamEnd(now, run.attempt);
+    }
+}
+
+void CrashFleet::crash(std::size_t endpoint)
+{
+    crash(endpoints[endpoint]);
+}
+
+void CrashFleet::crash(Endpoint &endpoint)
+{
+    endpoint.downUntil = now + RestartTime;
+    std::vector<Run> lost;
+    std::erase_if(runs_, [&](const Run &run) {
+        const bool isLost = run.endpoint == endpoint.entry.id;
+        if (isLost) {
+            lost.push_back(run);
+        }
+        return isLost;
+    });
+    for (const Run &run : lost) {
+        instances[run.instance]->kernel->onFailure(now, run.attempt, AttemptFailure::Broken);
+    }
+}
+
+void CrashFleet::collectRejections()
+{
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+        Instance &instance = *instances[i];
+        for (; instance.processedRejections < instance.driver.rejected.size(); ++instance.processedRejections) {
+            const base::ErrorKind kind = instance.driver.rejected[instance.processedRejections].rejection.kind;
+            if (kind == base::ErrorKind::Quarantined) {
+                quarantined_.push_back({now, i});
+            }
+        }
+    }
+}
+
+std::size_t CrashFleet::sentSince(std::uint64_t secondPart, Instant since) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(sent_.begin(), sent_.end(), [&](const Observation &seen) { return seen.secondPart == secondPart && seen.at >= since; }));
+}
+
+std::size_t CrashFleet::begunSince(std::uint64_t secondPart, Instant since) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(begun_.begin(), begun_.end(), [&](const Observation &seen) { return seen.secondPart == secondPart && seen.at >= since; }));
+}
+
+std::size_t CrashFleet::quarantinedSince(std::size_t instance, Instant since) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(quarantined_.begin(), quarantined_.end(), [&](const Quarantined &entry) { return entry.instance == instance && entry.at >= since; }));
+}
+
+std::optional<Instant> CrashFleet::fatalCrash(std::size_t n) const
+{
+    return n <= fatalCrashes_.size() ? std::optional(fatalCrashes_[n - 1]) : std::nullopt;
+}
--- /dev/null
+++ b/libs/relay/tests/CrashFleet.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "FakeDriver.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+/// Several instances that exchange their digests, before engine endpoints that crash on one part of a prompt. Time passes in steps; messages take one step.
+class CrashFleet
+{
+public:
+    /// The part of a prompt on which endpoints crash when they begin to answer.
+    static constexpr std::uint64_t FatalPart = 666;
+    /// A part that all prompts share.
+    static constexpr std::uint64_t CommonPart = 1;
+    static constexpr relay::Ms Step{25};
+    /// Time from the crash of an endpoint to its return.
+    static constexpr relay::Ms RestartTime{2000};
+
+    /// An endpoint, its listed entry included.
+    struct Endpoint {
+        relay::EndpointEntry entry;
+        /// It is down until then; zero while it is up.
+        relay::Instant downUntil{0};
+        /// It crashes on the fatal part only in each n-th run; never if 0.
+        int fatalRuns = 0;
+    };
+    /// A request that one instance has sent to an endpoint.
+    struct Run {
+        std::size_t instance = 0;
+        relay::AttemptId attempt = 0;
+        relay::CallId call = 0;
+        std::string endpoint;
+        /// When its first event is due.
+        relay::Instant firstEventAt{0};
+    };
+    struct Instance {
+        FakeDriver driver;
+        std::unique_ptr<relay::RelayKernel> kernel;
+        /// Digests and dispatches of the driver that have been processed.
+        std::size_t deliveredDigests = 0;
+        std::size_t processedDispatches = 0;
+        std::size_t answeredReports = 0;
+        std::size_t processedRejections = 0;
+        /// No digest reaches it or leaves it.
+        bool isCutOff = false;
+    };
+
+    explicit CrashFleet(std::size_t instanceCount);
+
+    /// Starts another instance, which knows nothing yet, and returns its number.
+    std::size_t addInstance();
+    /// Replaces an instance by a new process of the same name.
+    void restart(std::size_t instance);
+    /// Sends a request through an instance. Its prompt begins with the common part. If `fingerprint` is 0, no other request has the same one.
+    void request(std::size_t instance, std::uint64_t secondPart, std::uint64_t fingerprint = 0);
+    /// Gives an instance reports of crashes by a fingerprint, as if they came from an instance outside the fleet.
+    void report(std::size_t instance, std::uint64_t fingerprint, const std::vector<std::uint64_t> &crashes);
+    /// Lets the time pass. `eachStep` is called once in each step.
+    template<typename EachStep>
+    void advance(relay::Ms duration, EachStep eachStep)
+    {
+        for (relay::Ms elapsed{0}; elapsed < duration; elapsed += Step) {
+            eachStep();
+            step();
+        }
+    }
+    void advance(relay::Ms duration)
+    {
+        advance(duration, []() {});
+    }
+    /// Crashes an endpoint from outside.
+    void crash(std::size_t endpoint);
+
+    /// Returns how many requests with that second part were sent to endpoints from that time on.
+    std::size_t sentSince(std::uint64_t secondPart, relay::Instant since) const;
+    /// Returns the time of the n-th crash by the fatal part, counted from 1; none if there were fewer.
+    std::optional<relay::Instant> fatalCrash(std::size_t n) const;
+    /// Returns how many requests with that second part have got their first event from that time on.
+    std::size_t begunSince(std::uint64_t secondPart, relay::Instant since) const;
+    /// Returns how many requests an instance has rejected as crashing since then.
+    std::size_t quarantinedSince(std::size_t instance, relay::Instant since) const;
+
+    relay::Instant now{std::chrono::seconds(100)};
+    std::vector<Endpoint> endpoints;
+    std::vector<std::unique_ptr<Instance>> instances;
+    /// The fatal part crashes an endpoint in one of this many runs.
+    int runsPerCrash = 1;
+
+private:
+    /// An event of the history, with the second part of its request.
+    struct Observation {
+        relay::Instant at{0};
+        std::uint64_t secondPart = 0;
+    };
+    struct Quarantined {
+        relay::Instant at{0};
+        std::size_t instance = 0;
+    };
+
+    void step();
+    void join(Instance &instance, std::size_t number);
+    Endpoint &endpointOf(const std::string &id);
+    void deliverDigests();
+    void processDispatches();
+    void answerReports();
+    void collectRejections();
+    void beginRuns();
+    void crash(Endpoint &endpoint);
+    std::vector<relay::EndpointEntry> listedEntries() const;
+
+    std::vector<Run> runs_;
+    std::map<std::pair<std::size_t, relay::CallId>, std::uint64_t> secondPartOfCall_;
+    std::vector<Observation> sent_;
+    std::vector<Observation> begun_;
+    std::vector<Quarantined> quarantined_;
+    std::vector<relay::Instant> fatalCrashes_;
+    relay::CallId lastCall_ = 0;
+    std::uint64_t storeRevision_ = 0;
+    int fatalRuns_ = 0;
+};
