What is known for and against a request as the cause of crashes is exchanged and merged

Cause: reports of crashes went to all instances, what acquits a request (an endpoint has begun to answer it) stayed in the instance that had seen it. Class: one-sided evidence; a verdict for a fixed time that nothing can end. The same holds for instances that start later or were cut off: a report was sent once, so they never learned of it.

Change: CrashEvidence is a set that only grows: suspicions (signature, crash) and refutations of single suspicions, so that order, repeats and clocks don't matter. Both travel in digests, aggregators pass on what is new to them, and what convicts is repeated every 2.4 s for those who missed it. An instance that knows better replies with the refutation. A crash that was inferred from silence is refuted if the endpoint reports again in the same incarnation. A conviction no longer lasts two minutes: one request is let through after 2 s, and each one that crashes its endpoint again makes the time to the next four times as long; instances take turns, so that a fleet sends about one. A crash that a signature with more crashes explains doesn't count against the others.

isQuarantinedForALimitedTimeWhateverIsReportedAgain expected a fixed time; its replacement is as strict about repeated reports (they prolong nothing and are forgotten) and checks the probes besides.

The test of the prompt part still fails: requests are judged by their whole content in this commit.

--- a/libs/base/include/base/ErrorKind.h
+++ b/libs/base/include/base/ErrorKind.h
@@ -24,6 +24,8 @@
     IdempotencyKeyMismatch,
     /// The request is refused because it has crashed endpoints before.
     Quarantined,
+    /// The request is refused because requests that share a part of its prompt have crashed endpoints. Another cause may show soon.
+    PromptPartQuarantined,
     /// The endpoints that ran the call crashed.
     EndpointsCrashed,
     Overloaded,
--- a/libs/base/src/ErrorKind.cpp
+++ b/libs/base/src/ErrorKind.cpp
@@ -17,6 +17,7 @@
     {ErrorKind::IdempotencyKeyRequired, "idempotency_key_required", 400, HasRun::No, false, 0},
     {ErrorKind::IdempotencyKeyMismatch, "idempotency_key_mismatch", 422, HasRun::No, false, 0},
     {ErrorKind::Quarantined, "request_quarantined", 422, HasRun::No, false, 0},
+    {ErrorKind::PromptPartQuarantined, "prompt_part_quarantined", 503, HasRun::No, true, 2},
     {ErrorKind::EndpointsCrashed, "endpoints_crashed", 502, HasRun::Unknown, false, 0},
     {ErrorKind::Overloaded, "overloaded", 503, HasRun::No, true, 1},
     {ErrorKind::TooManyCalls, "too_many_calls", 429, HasRun::No, true, 1},
--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -94,8 +94,14 @@
         }
         team = found->second;
     }
-    if (crashGuard.isQuarantined(arrival.fingerprint, now)) {
-        return refuse(base::ErrorKind::Quarantined, "this request has crashed the endpoints that ran it");
+    std::vector<std::uint64_t> signatures = {arrival.fingerprint};
+    const CrashGuard::Verdict verdict = crashGuard.judge(signatures, peers.instances(now).value_or(1), now);
+    if (verdict == CrashGuard::Verdict::RequestConvicted) {
+        return refuse(base::ErrorKind::Quarantined, "this request has crashed the endpoints that ran it; " + crashGuard.evidenceText(signatures, now));
+    }
+    if (verdict == CrashGuard::Verdict::PartConvicted) {
+        return refuse(base::ErrorKind::PromptPartQuarantined,
+                      "requests with a part of this prompt have crashed endpoints; " + crashGuard.evidenceText(signatures, now));
     }
     const std::string &serviceName = serviceOf(*route, base::hashOf(arrival.requestId));
     const auto service = std::find_if(config->services.begin(), config->services.end(), [&](const Service &entry) { return entry.name == serviceName; });
@@ -107,8 +113,8 @@
     Call &call = *owned;
     call.id = arrival.call;
     call.requestId = arrival.requestId;
-    call.fingerprint = arrival.fingerprint;
-    call.sharedPromptParts = arrival.sharedPromptParts;
+    call.signatures = std::move(signatures);
+    call.isProbe = verdict == CrashGuard::Verdict::Probe;
     call.config = config;
     call.route = route;
     call.service = &*service;
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -139,9 +139,9 @@
 
 std::string RelayKernel::Impl::suspectText(const Call &call)
 {
-    std::string text = "fingerprint " + std::to_string(call.fingerprint) + ", last event " + std::to_string(call.lastEvent) + ", shared parts of the prompt";
-    for (const std::uint64_t part : call.sharedPromptParts) {
-        text += " " + std::to_string(part);
+    std::string text = "last event " + std::to_string(call.lastEvent) + ", signatures";
+    for (const std::uint64_t signature : call.signatures) {
+        text += " " + std::to_string(signature);
     }
     return text;
 }
@@ -152,7 +152,7 @@
     const bool hadEvents = call.route->kind == RequestKind::Stream && attempt.hasEvents;
     if (!hadEvents) {
         driver.record({"crash_suspected", call.requestId, endpoints.at(endpoint).entry.id, suspectText(call)});
-        crashGuard.onBroken(call.fingerprint, endpoint, now);
+        crashGuard.onBroken(call.signatures, endpoint, now);
     }
 }
 
@@ -161,12 +161,12 @@
     // A stream that may have run gets more attempts, since failing it loses the answer so far.
     constexpr std::uint32_t MaxAttempts = 5;
     constexpr std::uint32_t MaxResumedStreamAttempts = 8;
-    if (crashGuard.isQuarantined(call.fingerprint, now)) {
-        return false;
-    }
     if (call.attemptCount == 0) {
         return true;
     }
+    if (call.lastEvent == 0 && (call.isProbe || crashGuard.isConvicted(call.signatures))) {
+        return false;
+    }
     const bool mayRunAgain = call.route->kind == RequestKind::AtMostOnce ? !call.mayHaveRun : call.runs < call.route->maxAttempts;
     const std::uint32_t attemptLimit = call.mayHaveRun && call.route->kind == RequestKind::Stream ? MaxResumedStreamAttempts : MaxAttempts;
     return mayRunAgain && call.attemptCount < attemptLimit && retries.tryAcquire(call.service->name, now);
@@ -184,6 +184,11 @@
     attempts.emplace(id, std::move(attempt));
     call.attempts.push_back(id);
     counters.retries += call.attemptCount > 0 ? 1 : 0;
+    if (call.isProbe && call.attemptCount == 0) {
+        crashGuard.onProbeSent(call.signatures, now);
+        peers.expedite();
+        driver.record({"crash_probe", call.requestId, endpoints.at(attempts.at(id).stages.front()).entry.id, crashGuard.evidenceText(call.signatures, now)});
+    }
     ++call.attemptCount;
     ++call.runs;
     ++counters.attempts;
--- a/libs/relay/src/CrashGuard.cpp
+++ b/libs/relay/src/CrashGuard.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace relay {
 
@@ -10,65 +11,214 @@
 
 /// A crashed endpoint is detected within this time: it is silent, or listed with a new incarnation.
 constexpr Ms ConfirmTimeout{6000};
-/// Crashes after which a request is quarantined.
-constexpr std::size_t QuarantineCrashes = 3;
-/// Crashes of one request that are told from each other. More of them don't prolong its quarantine.
-constexpr std::size_t MaxCrashIds = 32;
-/// The crash count of a request is dropped after this time without another crash.
-constexpr Ms CrashReportLifetime{120000};
+/// An endpoint that was taken for crashed, but lives, has reported within this time.
+constexpr Ms RefuteTimeout{20000};
 /// Limits the memory that a burst of broken attempts can take; the oldest are dropped first.
-constexpr std::size_t MaxSuspicions = 1024;
+constexpr std::size_t MaxBrokenAttempts = 1024;
+/// What convicts a signature is told again after this time.
+constexpr Ms RepeatPeriod{2400};
+/// Time in which a probe shows whether it crashes its endpoint and the others have heard of it.
+constexpr Ms ProbeTimeout{3000};
+/// Once a probe is due, the expected number of instances that may send it doubles in this time. The first one that gets such a request sends it.
+constexpr double TurnPeriodMs = 1000;
+/// A request with several convicted signatures tells little about each of them: it is probed only after this multiple of the interval.
+constexpr int AmbiguousProbeFactor = 3;
 
 } // namespace
 
-void CrashGuard::onBroken(std::uint64_t fingerprint, EndpointIndex endpoint, Instant now)
+void CrashGuard::configure(const RelaySettings &settings)
 {
-    if (suspicions_.size() >= MaxSuspicions) {
-        suspicions_.pop_front();
+    ownHash_ = base::hashOf(settings.node);
+}
+
+void CrashGuard::onBroken(Signatures signatures, EndpointIndex endpoint, Instant now)
+{
+    if (brokenAttempts_.size() >= MaxBrokenAttempts) {
+        brokenAttempts_.pop_front();
+    }
+    brokenAttempts_.push_back({{signatures.begin(), signatures.end()}, endpoint, endpoints_.at(endpoint).entry.incarnation, now});
+}
+
+void CrashGuard::onServed(Signatures signatures, Instant now)
+{
+    for (const std::uint64_t signature : signatures) {
+        served_.onServed(signature, now);
+        addRefutations(evidence_.refuteAll(signature));
     }
-    suspicions_.push_back({fingerprint, endpoint, endpoints_.at(endpoint).entry.incarnation, now});
 }
 
-void CrashGuard::onServed(std::uint64_t fingerprint)
+void CrashGuard::addRefutations(const std::vector<wire::CrashRefutation> &refutations)
 {
-    crashRecords_.erase(fingerprint);
-    std::erase_if(suspicions_, [&](const Suspicion &suspicion) { return suspicion.fingerprint == fingerprint; });
+    news_.refutations.insert(news_.refutations.end(), refutations.begin(), refutations.end());
 }
 
 std::vector<wire::CrashReport> CrashGuard::tick(Instant now)
 {
     std::vector<wire::CrashReport> confirmed;
-    std::erase_if(suspicions_, [&](const Suspicion &suspicion) {
-        const EndpointState &state = endpoints_.at(suspicion.endpoint);
-        const bool hasCrashed = state.entry.incarnation > suspicion.incarnation || state.silentCheckAt.count() != 0;
-        if (hasCrashed) {
-            confirmed.push_back({suspicion.fingerprint, base::mixBits(base::hashOf(state.entry.id) ^ suspicion.incarnation)});
+    std::erase_if(brokenAttempts_, [&](const BrokenAttempt &broken) {
+        const EndpointState &state = endpoints_.at(broken.endpoint);
+        const bool hasRestarted = state.entry.incarnation > broken.incarnation;
+        const bool hasCrashed = hasRestarted || state.silentCheckAt.count() != 0;
+        if (!hasCrashed) {
+            return now >= broken.brokenAt + ConfirmTimeout;
+        }
+        const std::uint64_t crash = base::mixBits(base::hashOf(state.entry.id) ^ broken.incarnation);
+        const bool isKnown = std::any_of(inferredCrashes_.begin(), inferredCrashes_.end(), [&](const InferredCrash &entry) { return entry.crash == crash; });
+        if (!hasRestarted && !isKnown) {
+            inferredCrashes_.push_back({crash, broken.endpoint, broken.incarnation, now});
         }
-        return hasCrashed || now >= suspicion.brokenAt + ConfirmTimeout;
+        for (const std::uint64_t signature : broken.signatures) {
+            if (suspect(signature, crash, broken.brokenAt, now)) {
+                confirmed.push_back({signature, crash, std::chrono::duration_cast<Ms>(now - broken.brokenAt)});
+            }
+        }
+        return true;
     });
-    std::erase_if(confirmed, [&](const wire::CrashReport &report) { return !onCrashReport(report, now); });
-    std::erase_if(crashRecords_, [&](const auto &entry) { return now >= entry.second.lastCrashAt + CrashReportLifetime; });
+    news_.reports.insert(news_.reports.end(), confirmed.begin(), confirmed.end());
+    refuteWrongCrashes(now);
+    evidence_.expire(now);
+    std::erase_if(probedAt_, [&](const auto &entry) { return now >= entry.second + ProbeTimeout; });
     return confirmed;
 }
 
-bool CrashGuard::onCrashReport(const wire::CrashReport &report, Instant now)
+void CrashGuard::refuteWrongCrashes(Instant now)
+{
+    std::erase_if(inferredCrashes_, [&](const InferredCrash &inferred) {
+        const EndpointState &state = endpoints_.at(inferred.endpoint);
+        const bool hasRestarted = state.entry.incarnation > inferred.incarnation;
+        const bool livesOn = !hasRestarted && state.silentCheckAt.count() == 0 && state.reportedAt > inferred.inferredAt;
+        if (livesOn) {
+            addRefutations(evidence_.refuteCrash(inferred.crash));
+        }
+        return hasRestarted || livesOn || now >= inferred.inferredAt + RefuteTimeout;
+    });
+}
+
+bool CrashGuard::suspect(std::uint64_t signature, std::uint64_t crash, Instant crashedAt, Instant now)
+{
+    if (!evidence_.add(signature, crash, crashedAt)) {
+        return false;
+    }
+    if (!served_.wasServedAfter(signature, crashedAt)) {
+        return true;
+    }
+    evidence_.refute(signature, crash, now);
+    news_.refutations.push_back({signature, crash});
+    return false;
+}
+
+bool CrashGuard::onReport(const wire::CrashReport &report, Instant now)
+{
+    // The sender doesn't know of the refutation.
+    if (evidence_.isRefuted(report.signature, report.crash)) {
+        news_.refutations.push_back({report.signature, report.crash});
+        return false;
+    }
+    return suspect(report.signature, report.crash, now - Instant(report.age), now);
+}
+
+bool CrashGuard::onRefutation(const wire::CrashRefutation &refutation, Instant now)
+{
+    return evidence_.refute(refutation.signature, refutation.crash, now);
+}
+
+bool CrashGuard::onProbe(std::uint64_t signature, Instant now)
+{
+    const bool isNew = !probedAt_.contains(signature);
+    probedAt_[signature] = now;
+    return isNew;
+}
+
+bool CrashGuard::isConvicted(Signatures signatures) const
+{
+    return std::any_of(signatures.begin(), signatures.end(), [&](std::uint64_t signature) { return evidence_.conviction(signature) != nullptr; });
+}
+
+CrashGuard::Verdict CrashGuard::judge(Signatures signatures, std::uint32_t instances, Instant now) const
 {
-    CrashRecord &record = crashRecords_[report.fingerprint];
-    if (std::find(record.crashIds.begin(), record.crashIds.end(), report.crash) != record.crashIds.end()) {
+    std::size_t convicted = 0;
+    for (const std::uint64_t signature : signatures) {
+        convicted += evidence_.conviction(signature) != nullptr ? 1 : 0;
+    }
+    if (convicted == 0) {
+        return Verdict::Pass;
+    }
+    bool mayProbeAll = true;
+    for (const std::uint64_t signature : signatures) {
+        if (const CrashEvidence::Conviction *conviction = evidence_.conviction(signature)) {
+            const Instant delay = probeInterval(*conviction) * (convicted == 1 ? 1 : AmbiguousProbeFactor);
+            mayProbeAll = mayProbeAll && mayProbe(signature, *conviction, instances, delay, now);
+        }
+    }
+    if (mayProbeAll) {
+        return Verdict::Probe;
+    }
+    return evidence_.conviction(signatures.front()) != nullptr ? Verdict::RequestConvicted : Verdict::PartConvicted;
+}
+
+bool CrashGuard::mayProbe(std::uint64_t signature, const CrashEvidence::Conviction &conviction, std::uint32_t instances, Instant delay, Instant now) const
+{
+    const Instant dueAt = conviction.lastCrashAt + delay;
+    if (now < dueAt || probedAt_.contains(signature)) {
         return false;
     }
-    if (record.crashIds.size() >= MaxCrashIds) {
-        return false; // A repeated report can't be told from a new one any more.
+    const double turns = std::chrono::duration<double, std::milli>(now - dueAt).count() / TurnPeriodMs;
+    const double share = std::exp2(turns) / std::max(1U, instances);
+    constexpr std::uint64_t Steps = 1U << 20;
+    const double place = static_cast<double>(base::mixBits(signature ^ ownHash_ ^ conviction.failedProbes) % Steps) / Steps;
+    return place < share;
+}
+
+void CrashGuard::onProbeSent(Signatures signatures, Instant now)
+{
+    for (const std::uint64_t signature : signatures) {
+        if (evidence_.conviction(signature) != nullptr) {
+            onProbe(signature, now);
+            news_.probes.push_back(signature);
+        }
+    }
+}
+
+bool CrashGuard::lift(std::uint64_t signature, Instant now)
+{
+    if (evidence_.conviction(signature) == nullptr) {
+        return false;
     }
-    record.crashIds.push_back(report.crash);
-    record.lastCrashAt = now;
+    served_.onServed(signature, now);
+    addRefutations(evidence_.refuteAll(signature));
     return true;
 }
 
-bool CrashGuard::isQuarantined(std::uint64_t fingerprint, Instant now) const
+void CrashGuard::addNews(const CrashNews &news)
 {
-    const auto found = crashRecords_.find(fingerprint);
-    return found != crashRecords_.end() && found->second.crashIds.size() >= QuarantineCrashes && now < found->second.lastCrashAt + CrashReportLifetime;
+    news_.reports.insert(news_.reports.end(), news.reports.begin(), news.reports.end());
+    news_.probes.insert(news_.probes.end(), news.probes.begin(), news.probes.end());
+    addRefutations(news.refutations);
+}
+
+std::string CrashGuard::evidenceText(Signatures signatures, Instant now) const
+{
+    std::string text;
+    for (const std::uint64_t signature : signatures) {
+        if (const CrashEvidence::Conviction *conviction = evidence_.conviction(signature)) {
+            text += (text.empty() ? "" : "; ") + std::string("signature ") + std::to_string(signature) + ", " + std::to_string(conviction->crashes)
+                + " crashes, the last " + std::to_string((now - conviction->lastCrashAt) / Ms(1)) + " ms ago, " + std::to_string(conviction->failedProbes)
+                + " failed probes";
+        }
+    }
+    return text;
+}
+
+CrashNews CrashGuard::takeNews(Instant now)
+{
+    CrashNews taken = std::exchange(news_, {});
+    if (now >= convictionsToldAt_ + RepeatPeriod) {
+        convictionsToldAt_ = now;
+        std::erase_if(taken.reports, [&](const wire::CrashReport &report) { return evidence_.conviction(report.signature) != nullptr; });
+        const std::vector<wire::CrashReport> convicting = evidence_.convictingReports(now);
+        taken.reports.insert(taken.reports.end(), convicting.begin(), convicting.end());
+    }
+    return taken;
 }
 
 } // namespace relay
--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -62,27 +62,37 @@
 
 void RelayKernel::Impl::checkCrashes(Instant now)
 {
-    for (const wire::CrashReport &crashReport : crashGuard.tick(now)) {
-        unsentCrashReports.push_back(crashReport);
+    for (const wire::CrashReport &report : crashGuard.tick(now)) {
+        driver.record(
+            {"crash_strike", "", std::to_string(report.signature), "crash " + std::to_string(report.crash) + ", an endpoint crashed on this request"});
+    }
+    if (crashGuard.hasNews()) {
         peers.expedite();
-        driver.record({"crash_strike", "", std::to_string(crashReport.fingerprint), "an endpoint crashed on this request"});
     }
 }
 
+void RelayKernel::Impl::onServed(Instant now, const Call &call)
+{
+    crashGuard.onServed(call.signatures, now);
+}
+
 void RelayKernel::Impl::sendDigests(Instant now)
 {
     std::vector<DueDigest> due = peers.dueDigests(now, stopping);
+    if (due.empty()) {
+        return;
+    }
+    const CrashNews news = crashGuard.takeNews(now);
     for (auto &[addresses, digest] : due) {
-        digest.crashReports = unsentCrashReports;
+        digest.crashReports = news.reports;
+        digest.crashRefutations = news.refutations;
+        digest.crashProbes = news.probes;
         digest.configVersion = known.configVersion;
         digest.endpointsHash = now - known.endpointsAt < UpdateLifetime ? known.endpointsHash : 0;
         digest.endpointsRevision = known.endpointsRevision;
         digest.isStale = StoreDuty::isStale(now, known);
         driver.sendDigest(addresses, digest);
     }
-    if (!due.empty()) {
-        unsentCrashReports.clear();
-    }
 }
 
 void RelayKernel::Impl::markSilent(Instant now, EndpointIndex index, const std::string &requestId, const std::string &evidence)
@@ -104,17 +114,7 @@
         recheckSilentEndpoints(now, digest);
     }
     storeDuty.onStoreUpdate(digest, now, known);
-    for (const wire::CrashReport &crashReport : digest.crashReports) {
-        if (!crashGuard.onCrashReport(crashReport, now)) {
-            continue;
-        }
-        driver.record(
-            {"crash_report_taken", "", std::to_string(crashReport.fingerprint), "crash " + std::to_string(crashReport.crash) + ", from " + digest.instance});
-        if (peers.isAggregator(now)) {
-            unsentCrashReports.push_back(crashReport);
-            peers.expedite();
-        }
-    }
+    onCrashNews(now, digest);
     for (const wire::SlowEndpoint &slow : digest.slow) {
         const auto index = endpoints.findHash(slow.endpoint);
         if (index && now >= endpoints.at(*index).reportedAt + OwnReportLifetime) {
@@ -124,6 +124,38 @@
     }
 }
 
+void RelayKernel::Impl::onCrashNews(Instant now, const wire::RelayDigest &digest)
+{
+    CrashNews fresh;
+    for (const wire::CrashReport &report : digest.crashReports) {
+        if (crashGuard.onReport(report, now)) {
+            fresh.reports.push_back(report);
+            driver.record({"crash_report_taken", "", std::to_string(report.signature), "crash " + std::to_string(report.crash) + ", from " + digest.instance});
+        }
+    }
+    for (const wire::CrashRefutation &refutation : digest.crashRefutations) {
+        if (crashGuard.onRefutation(refutation, now)) {
+            fresh.refutations.push_back(refutation);
+            driver.record({"crash_refutation_taken",
+                           "",
+                           std::to_string(refutation.signature),
+                           "crash " + std::to_string(refutation.crash) + ", from " + digest.instance});
+        }
+    }
+    for (const std::uint64_t signature : digest.crashProbes) {
+        if (crashGuard.onProbe(signature, now)) {
+            fresh.probes.push_back(signature);
+        }
+    }
+    // An aggregator passes on what is new to it.
+    if (peers.isAggregator(now)) {
+        crashGuard.addNews(fresh);
+    }
+    if (crashGuard.hasNews()) {
+        peers.expedite();
+    }
+}
+
 void RelayKernel::Impl::recheckSilentEndpoints(Instant now, const wire::RelayDigest &digest)
 {
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -84,7 +84,7 @@
     const bool isSuccess = head.status < FirstFailureStatus && head.verified;
     if (isSuccess) {
         endpoints.onPlainAnswer(endpoint, latency, now);
-        crashGuard.onServed(call.fingerprint);
+        onServed(now, call);
     } else {
         endpoints.onPlainFailure(endpoint, now);
     }
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -37,6 +37,7 @@
     retries.configure(settings);
     peers.configure(settings);
     storeDuty.configure(settings);
+    crashGuard.configure(settings);
 }
 
 std::uint64_t RelayKernel::Impl::nextRandom()
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -299,7 +299,7 @@
         for (const EndpointIndex stage : openAttempt.stages) {
             impl_->endpoints.onAccepted(stage);
         }
-        impl_->crashGuard.onServed(call->fingerprint);
+        impl_->onServed(now, *call);
     }
     openAttempt.hasEvents = true;
     impl_->clearPendingPrefill(openAttempt);
--- a/libs/relay/src/details/CrashGuard.h
+++ b/libs/relay/src/details/CrashGuard.h
@@ -1,62 +1,139 @@
 #pragma once
 
+#include "details/CrashEvidence.h"
 #include "details/EndpointRegistry.h"
-#include "wire/RelayDigest.h"
+#include "details/ServedSignatures.h"
 
 #include <deque>
-#include <unordered_map>
+#include <span>
 
 namespace relay {
 
-/// Detects requests that crash the endpoints that run them, by the fingerprint that all repeats of a request share.
+/// The signatures of a request, that of its whole content first.
+using Signatures = std::span<const std::uint64_t>;
+
+/// What an instance has to tell the others about crashes.
+struct CrashNews {
+    std::vector<wire::CrashReport> reports;
+    std::vector<wire::CrashRefutation> refutations;
+    /// Signatures of which a probe has been sent.
+    std::vector<std::uint64_t> probes;
+
+    bool isEmpty() const
+    {
+        return reports.empty() && refutations.empty() && probes.empty();
+    }
+};
+
+/// Detects what crashes the endpoints: a request that is repeated, or a prompt part that requests share.
+///
+/// A broken attempt alone proves nothing: it counts as a crash only if its endpoint restarts or falls silent shortly afterwards, and no longer if it
+/// turns out to have lived on. Each crash counts once, whichever instances report it. A request that begins to be answered proves that its signatures don't
+/// crash endpoints. Both kinds of evidence are exchanged by all instances (CrashEvidence).
 ///
-/// A broken attempt alone proves nothing: it counts as a crash only if its endpoint restarts or falls silent shortly afterwards. Instances
-/// exchange crash reports, and each crash counts once even if several instances report it. A request that has been answered doesn't crash
-/// endpoints, even if it was running during several crashes, so its count is cleared.
+/// Requests with a convicted signature are rejected, except for a probe now and then: if it is answered, the conviction ends.
 class CrashGuard
 {
 public:
+    /// May a request be sent?
+    enum class Verdict {
+        Pass,
+        /// It may be sent once, to see whether it still crashes its endpoint.
+        Probe,
+        /// Requests with the same content have crashed several endpoints.
+        RequestConvicted,
+        /// Requests that share a part of the prompt have crashed several endpoints.
+        PartConvicted,
+    };
+
     explicit CrashGuard(const EndpointRegistry &endpoints)
         : endpoints_(endpoints)
     {
     }
 
-    /// Records that the endpoint may have crashed on a request with this fingerprint: the attempt has lost its connection to the endpoint, or the endpoint
+    /// Takes the name of this instance, by which the instances take turns with probes.
+    void configure(const RelaySettings &settings);
+
+    /// Records that the endpoint may have crashed on a request with these signatures: the attempt has lost its connection to the endpoint, or the endpoint
     /// has fallen silent.
-    void onBroken(std::uint64_t fingerprint, EndpointIndex endpoint, Instant now);
+    void onBroken(Signatures signatures, EndpointIndex endpoint, Instant now);
 
-    /// Clears the crashes and the suspicions of a fingerprint, since an endpoint has answered such a request or has sent the first event of its stream.
-    void onServed(std::uint64_t fingerprint);
+    /// Refutes all that speaks against these signatures, since an endpoint has begun to answer such a request.
+    void onServed(Signatures signatures, Instant now);
 
-    /// Confirms or drops the broken attempts that wait for confirmation. Returns the new crash reports, to be sent to the other instances.
+    /// Confirms or drops the broken attempts that wait for confirmation; returns the confirmed crashes.
     std::vector<wire::CrashReport> tick(Instant now);
 
-    /// Counts a crash that this or another instance has seen. Returns false if the crash is counted already.
-    bool onCrashReport(const wire::CrashReport &report, Instant now);
+    /// Takes over a report of another instance. Returns false if it is known, or is refuted by what this instance knows.
+    bool onReport(const wire::CrashReport &report, Instant now);
+    /// Takes over a refutation of another instance. Returns false if it is known.
+    bool onRefutation(const wire::CrashRefutation &refutation, Instant now);
+    /// Takes over that another instance has sent a probe.
+    bool onProbe(std::uint64_t signature, Instant now);
 
-    /// Returns true if requests with this fingerprint have crashed several endpoints lately and must not be sent to another one.
-    bool isQuarantined(std::uint64_t fingerprint, Instant now) const;
+    /// Decides whether a new request may be sent. `instances` is the number of instances among which probes are spread.
+    Verdict judge(Signatures signatures, std::uint32_t instances, Instant now) const;
+    /// Returns true if one of the signatures is convicted.
+    bool isConvicted(Signatures signatures) const;
+    /// Records that a request was sent as a probe.
+    void onProbeSent(Signatures signatures, Instant now);
+    /// Ends a conviction on an operator's order. Returns false if there is none.
+    bool lift(std::uint64_t signature, Instant now);
+
+    /// Adds news of other instances, to pass them on.
+    void addNews(const CrashNews &news);
+    /// Returns what is known of the convicted ones among these signatures, for log lines and answers.
+    std::string evidenceText(Signatures signatures, Instant now) const;
+
+    /// Returns the news since the last call. Those that convict a signature are among them again after a while, for instances that have missed them.
+    CrashNews takeNews(Instant now);
+    /// Returns true if there are news that the others have not been told.
+    bool hasNews() const
+    {
+        return !news_.isEmpty();
+    }
+
+    const CrashEvidence &evidence() const
+    {
+        return evidence_;
+    }
 
 private:
     /// A broken attempt whose endpoint may have crashed, with the incarnation that the endpoint had then.
-    struct Suspicion {
-        std::uint64_t fingerprint = 0;
+    struct BrokenAttempt {
+        std::vector<std::uint64_t> signatures;
         EndpointIndex endpoint = 0;
         std::uint64_t incarnation = 0;
         Instant brokenAt{0};
     };
-    /// Crashes that one fingerprint has caused.
-    struct CrashRecord {
-        /// Values of CrashReport::crash, up to a maximum number.
-        std::vector<std::uint64_t> crashIds;
-        Instant lastCrashAt{0};
+    /// A crash that was inferred from an endpoint's silence.
+    struct InferredCrash {
+        std::uint64_t crash = 0;
+        EndpointIndex endpoint = 0;
+        std::uint64_t incarnation = 0;
+        Instant inferredAt{0};
     };
 
+    /// Adds a suspicion, unless a request with the signature has begun since the crash; returns true if it is new.
+    bool suspect(std::uint64_t signature, std::uint64_t crash, Instant crashedAt, Instant now);
+    /// Refutes the crashes of endpoints that have proved to be alive in the same incarnation.
+    void refuteWrongCrashes(Instant now);
+    /// Returns true if the time has come to probe a signature and this instance is one of those whose turn it is.
+    bool mayProbe(std::uint64_t signature, const CrashEvidence::Conviction &conviction, std::uint32_t instances, Instant delay, Instant now) const;
+    void addRefutations(const std::vector<wire::CrashRefutation> &refutations);
+
     const EndpointRegistry &endpoints_;
+    std::uint64_t ownHash_ = 0;
     /// Broken attempts that wait for confirmation, oldest first.
-    std::deque<Suspicion> suspicions_;
-    /// Crashes by the fingerprint of the requests that caused them.
-    std::unordered_map<std::uint64_t, CrashRecord> crashRecords_;
+    std::deque<BrokenAttempt> brokenAttempts_;
+    std::deque<InferredCrash> inferredCrashes_;
+    CrashEvidence evidence_;
+    ServedSignatures served_;
+    /// When a probe of a signature was last sent by any instance.
+    std::unordered_map<std::uint64_t, Instant> probedAt_;
+    CrashNews news_;
+    /// When the convicting reports were last among the news.
+    Instant convictionsToldAt_{0};
 };
 
 } // namespace relay
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -45,9 +45,10 @@
 struct Call {
     CallId id = 0;
     std::string requestId;
-    std::uint64_t fingerprint = 0;
-    /// Hashes of the parts of its prompt that other requests may share.
-    std::vector<std::uint64_t> sharedPromptParts;
+    /// Hashes of its whole content, which comes first, and of the parts of its prompt that other requests may share.
+    std::vector<std::uint64_t> signatures;
+    /// It was let through although requests like it are convicted of crashing endpoints, to see whether they still do.
+    bool isProbe = false;
     /// The configuration at its arrival; keeps the route and the service alive.
     FleetConfigPtr config;
     const Route *route = nullptr;
@@ -160,10 +161,14 @@
     void markSilent(Instant now, EndpointIndex index, const std::string &requestId, const std::string &evidence);
     /// Takes the loads, crash reports and endpoint states that another instance has sent.
     void onDigest(Instant now, const wire::RelayDigest &digest);
+    /// Refutes that the call crashes endpoints, since one has begun to answer it.
+    void onServed(Instant now, const Call &call);
     /// Requests the reports of slow endpoints, to see whether they still are slow, if this instance is a verifier.
     void checkSlowEndpoints(Instant now);
-    /// Logs newly confirmed crashes and queues them for the next digest.
+    /// Logs newly confirmed crashes and expedites the digest that reports them.
     void checkCrashes(Instant now);
+    /// Takes over what another instance knows for and against the causes of crashes.
+    void onCrashNews(Instant now, const wire::RelayDigest &digest);
     /// Sends this instance's digests to the others if they are due.
     void sendDigests(Instant now);
     /// Requests the reports of the endpoints that this instance has marked as silent and that answer the aggregators, as their digest tells.
@@ -258,8 +263,6 @@
     StoreDuty storeDuty;
     RetryWindow retries;
     CrashGuard crashGuard;
-    /// Crash reports for the next digest.
-    std::vector<wire::CrashReport> unsentCrashReports;
     RelayCounters counters;
 
     /// The configuration in use; null before the first.
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -2,6 +2,7 @@
 
 #include "base/Result.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -48,16 +49,26 @@
     double failures = 0;
 };
 
-/// Reports that a request crashed an endpoint.
+/// Reports that requests with a signature may have crashed an endpoint.
 struct CrashReport {
-    /// Hash that identifies the content of the request.
-    std::uint64_t fingerprint = 0;
+    /// Hash of what such requests have in common: the content of the whole request, or a part of its prompt.
+    std::uint64_t signature = 0;
     /// Identifies the crash by the endpoint and its incarnation, so all instances that saw the same crash report the same number.
     std::uint64_t crash = 0;
+    /// Time since the crash when the report was sent; encoding rounds it down to a tenth of a second. Zero if the sender doesn't state it.
+    std::chrono::milliseconds age{0};
 
     friend bool operator==(const CrashReport &, const CrashReport &) = default;
 };
 
+/// States that requests with a signature have not caused a crash.
+struct CrashRefutation {
+    std::uint64_t signature = 0;
+    std::uint64_t crash = 0;
+
+    friend bool operator==(const CrashRefutation &, const CrashRefutation &) = default;
+};
+
 /// An instance that sums the digests of its availability zone.
 struct Aggregator {
     /// Id of the instance, and IP:port at which it receives messages.
@@ -87,7 +98,7 @@
     std::vector<SilentEndpoint> silent;
     /// Endpoints that recently reported a slowdown.
     std::vector<SlowEndpoint> slow;
-    /// Crash reports since the last digest.
+    /// Crash reports since the last digest. Those that convict a signature are repeated from time to time.
     std::vector<CrashReport> crashReports;
     /// Version of the configuration that the sender knows; 0 if it knows none.
     std::uint64_t configVersion = 0;
@@ -112,6 +123,10 @@
     std::vector<Aggregator> aggregators = {};
     /// Endpoints that have lately failed requests of the instances within the scope.
     std::vector<FailingEndpoint> failing = {};
+    /// Refutations of crash reports since the last digest.
+    std::vector<CrashRefutation> crashRefutations = {};
+    /// Convicted signatures of which a probe was sent since the last digest.
+    std::vector<std::uint64_t> crashProbes = {};
 };
 
 /// An entry of the store's list of endpoints.
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -17,6 +17,8 @@
 constexpr unsigned HashHalfBits = 32;
 /// Digests carry slowdowns in tenths.
 constexpr double TenthsPerWhole = 10;
+/// Digests carry the ages of crashes in this unit.
+constexpr std::chrono::milliseconds CrashAgeUnit{100};
 /// Digests carry decayed counts in eighths.
 constexpr double EighthsPerWhole = 8;
 
@@ -64,8 +66,16 @@
         out.add_slowness_tenths(static_cast<std::uint32_t>(slow.slowdown * TenthsPerWhole));
     }
     for (const CrashReport &crashReport : digest.crashReports) {
-        out.add_strike(crashReport.fingerprint);
+        out.add_strike(crashReport.signature);
         out.add_strike_crash(crashReport.crash);
+        out.add_strike_age(static_cast<std::uint32_t>(crashReport.age / CrashAgeUnit));
+    }
+    for (const CrashRefutation &refutation : digest.crashRefutations) {
+        out.add_refuted(refutation.signature);
+        out.add_refuted_crash(refutation.crash);
+    }
+    for (const std::uint64_t signature : digest.crashProbes) {
+        out.add_probed(signature);
     }
     out.set_mesh_address(digest.meshAddress);
     out.set_zone(digest.zone);
@@ -105,10 +115,23 @@
     }
 }
 
+void readCrashEvidence(const trefoilport::pb::RelayDigest &in, RelayDigest &digest)
+{
+    for (int i = 0; i < in.strike_size(); ++i) {
+        const std::uint32_t ageUnits = in.strike_age_size() > 0 ? in.strike_age(i) : 0;
+        digest.crashReports.push_back({in.strike(i), in.strike_crash(i), ageUnits * CrashAgeUnit});
+    }
+    for (int i = 0; i < in.refuted_size(); ++i) {
+        digest.crashRefutations.push_back({in.refuted(i), in.refuted_crash(i)});
+    }
+    digest.crashProbes.assign(in.probed().begin(), in.probed().end());
+}
+
 std::optional<RelayDigest> toDigest(const trefoilport::pb::RelayDigest &in)
 {
     const bool listSizesMatch = in.open_requests_size() == in.endpoint_size() && in.context_size() == in.endpoint_size()
         && in.silent_incarnation_size() == in.silent_size() && in.slowness_tenths_size() == in.slow_size() && in.strike_crash_size() == in.strike_size()
+        && (in.strike_age_size() == 0 || in.strike_age_size() == in.strike_size()) && in.refuted_crash_size() == in.refuted_size()
         && in.aggregator_address_size() == in.aggregator_size() && in.failing_answers_size() == in.failing_size()
         && in.failing_failures_size() == in.failing_size() && in.pending_prefill_size() == in.pending_position_size()
         && in.pending_link_size() == in.pending_position_size();
@@ -137,9 +160,7 @@
     for (int i = 0; i < in.slow_size(); ++i) {
         digest.slow.push_back({in.slow(i), in.slowness_tenths(i) / TenthsPerWhole});
     }
-    for (int i = 0; i < in.strike_size(); ++i) {
-        digest.crashReports.push_back({in.strike(i), in.strike_crash(i)});
-    }
+    readCrashEvidence(in, digest);
     return digest;
 }
 
