A prompt part that requests share is a suspect of crashes like the whole request

What callers saw: for as long as requests with the fatal part came, endpoints crashed one after the other (34 to 41 in 22 s), and sound requests were rejected for lack of endpoints ("no path over all layers has room"). Cause: crashes were counted for the hash of key, target and body, and no two of these requests are alike. Evidence: two parts were among the suspects of 30 of 31 crashes, the next one of 12 at most. Class: evidence kept under too narrow a key.

Change: the ids of the shared parts are signatures beside the hash of the whole request.

--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -95,6 +95,7 @@
         team = found->second;
     }
     std::vector<std::uint64_t> signatures = {arrival.fingerprint};
+    signatures.insert(signatures.end(), arrival.sharedPromptParts.begin(), arrival.sharedPromptParts.end());
     const CrashGuard::Verdict verdict = crashGuard.judge(signatures, peers.instances(now).value_or(1), now);
     if (verdict == CrashGuard::Verdict::RequestConvicted) {
         return refuse(base::ErrorKind::Quarantined, "this request has crashed the endpoints that ran it; " + crashGuard.evidenceText(signatures, now));
