A stream that has begun is no suspect of a crash, on whichever endpoint it goes on

Cause: suspectCrash looked at the events of the attempt, not of the call. A request that crashes its endpoint does so at its first token, so that one with events can't be the cause. isNotBlamedOnStreamsThatHaveBegun failed before (one report) and passes.

--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -146,11 +146,11 @@
     return text;
 }
 
-void RelayKernel::Impl::suspectCrash(Instant now, const Call &call, const Attempt &attempt, EndpointIndex endpoint)
+void RelayKernel::Impl::suspectCrash(Instant now, const Call &call, EndpointIndex endpoint)
 {
-    // A request that crashes its endpoint does so when it begins to run. If it has had events, the endpoint crashed for another reason.
-    const bool hadEvents = call.route->kind == RequestKind::Stream && attempt.hasEvents;
-    if (!hadEvents) {
+    // A request that crashes its endpoint does so when it begins to run. If it has had events, also from another endpoint, this one crashed for another reason.
+    const bool hasBegun = call.route->kind == RequestKind::Stream && call.lastEvent > 0;
+    if (!hasBegun) {
         driver.record({"crash_suspected", call.requestId, endpoints.at(endpoint).entry.id, suspectText(call)});
         crashGuard.onBroken(call.signatures, endpoint, now);
     }
@@ -259,7 +259,7 @@
                                                      : " broke off");
     impl_->driver.record({"attempt_failed", call->requestId, impl_->endpoints.at(first).entry.id, detail});
     if (failure == AttemptFailure::Broken) {
-        impl_->suspectCrash(now, *call, impl_->attempts.at(attempt), first);
+        impl_->suspectCrash(now, *call, first);
     }
     impl_->dropAttempt(attempt);
     impl_->exclude(*call, first);
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -238,7 +238,7 @@
     if (!isFirst && openAttempt.detourPending) {
         return;
     }
-    suspectCrash(now, call, openAttempt, silent);
+    suspectCrash(now, call, silent);
     if (!isFirst && detour(now, call, attempt)) {
         return;
     }
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -141,7 +141,7 @@
     /// Returns true if a call may be dispatched now; each retry that it permits counts against the service's retry window.
     bool mayRetry(Instant now, Call &call);
     /// Reports an attempt that broke at an endpoint to the crash guard: the request may have crashed the endpoint.
-    void suspectCrash(Instant now, const Call &call, const Attempt &attempt, EndpointIndex endpoint);
+    void suspectCrash(Instant now, const Call &call, EndpointIndex endpoint);
     /// Returns what identifies a call as a possible cause of a crash, as it is written to the log.
     static std::string suspectText(const Call &call);
     /// Registers an attempt, adds its load to its stages and counts it; returns its id. The caller dispatches it.
--- a/libs/relay/tests/CrashEvidenceTests.cpp
+++ b/libs/relay/tests/CrashEvidenceTests.cpp
@@ -55,6 +55,28 @@
     }
 }
 
+/// Guards against streams that had begun, and move to another endpoint, being blamed for its crash.
+TEST(APromptPartThatCrashesEndpoints, isNotBlamedOnStreamsThatHaveBegun)
+{
+    RelayTestBed bed;
+    constexpr std::uint64_t Fingerprint = 5;
+    bed.call("/stream/x", "key-a", Ms(20000), Fingerprint);
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 1));
+    const std::string lost = bed.driver.sent.back().endpoint;
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    const std::string second = bed.driver.sent.back().endpoint;
+    CHECK(second != lost);
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    bed.kernel.onReport(bed.now, lost, std::nullopt);
+    bed.kernel.onReport(bed.now, second, std::nullopt);
+    bed.advance(Ms(1000));
+    std::size_t reported = 0;
+    for (const wire::RelayDigest &digest : bed.driver.digests) {
+        reported += digest.crashReports.size();
+    }
+    LONGS_EQUAL(0, reported);
+}
+
 /// One kind of request that most callers send; its endpoints crash from outside now and then.
 TEST_GROUP(ASoundRequestThatWasThereAtCrashes)
 {
