A retry that has waited is judged again before it is sent

Cause: a stream that waits for a pipeline was granted its retry once and not judged again. Class: a check and its use with a wait between them. isNotSentAgainByARetryThatHasWaited failed before (two sends) and passes.

--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -156,6 +156,11 @@
     }
 }
 
+bool RelayKernel::Impl::isBarred(const Call &call) const
+{
+    return call.attemptCount > 0 && call.lastEvent == 0 && (call.isProbe || crashGuard.isConvicted(call.signatures));
+}
+
 bool RelayKernel::Impl::mayRetry(Instant now, Call &call)
 {
     // A stream that may have run gets more attempts, since failing it loses the answer so far.
@@ -164,7 +169,7 @@
     if (call.attemptCount == 0) {
         return true;
     }
-    if (call.lastEvent == 0 && (call.isProbe || crashGuard.isConvicted(call.signatures))) {
+    if (isBarred(call)) {
         return false;
     }
     const bool mayRunAgain = call.route->kind == RequestKind::AtMostOnce ? !call.mayHaveRun : call.runs < call.route->maxAttempts;
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -193,7 +193,9 @@
         return;
     }
     if (call.attempts.empty()) {
-        return startStream(now, call);
+        // The retry was granted some time ago.
+        return isBarred(call) ? fail(now, call, base::ErrorKind::PromptPartQuarantined, "requests like it have crashed endpoints meanwhile")
+                              : startStream(now, call);
     }
     const AttemptId id = call.attempts.front();
     const Attempt &attempt = attempts.at(id);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -140,6 +140,8 @@
     void exclude(Call &call, EndpointIndex index);
     /// Returns true if a call may be dispatched now; each retry that it permits counts against the service's retry window.
     bool mayRetry(Instant now, Call &call);
+    /// Returns true if the call must not be sent again, since requests like it are convicted of crashing endpoints and it has not begun.
+    bool isBarred(const Call &call) const;
     /// Reports an attempt that broke at an endpoint to the crash guard: the request may have crashed the endpoint.
     void suspectCrash(Instant now, const Call &call, EndpointIndex endpoint);
     /// Returns what identifies a call as a possible cause of a crash, as it is written to the log.
--- a/libs/relay/tests/CrashEvidenceTests.cpp
+++ b/libs/relay/tests/CrashEvidenceTests.cpp
@@ -55,6 +55,31 @@
     }
 }
 
+/// Guards against a retry that was granted before the conviction, and that waits for a pipeline, being sent after it.
+TEST(APromptPartThatCrashesEndpoints, isNotSentAgainByARetryThatHasWaited)
+{
+    RelayTestBed bed;
+    constexpr std::uint64_t Fingerprint = 5;
+    const auto drainOtherHolder = [&](bool draining) {
+        for (EndpointEntry &entry : bed.entries) {
+            entry.draining = draining && entry.id != bed.driver.sent.back().endpoint && entry.layers.first == 0 && !entry.layers.empty();
+        }
+        bed.advance(Ms(50));
+    };
+    bed.call("/stream/x", "key-a", Ms(20000), Fingerprint);
+    drainOtherHolder(true);
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    bed.advance(Ms(200));
+    LONGS_EQUAL(1, bed.driver.sent.size());
+    wire::RelayDigest digest;
+    digest.instance = "two";
+    digest.crashReports = {{Fingerprint, 1, Ms(0)}, {Fingerprint, 2, Ms(0)}, {Fingerprint, 3, Ms(0)}};
+    bed.kernel.onPeerMessage(bed.now, digest);
+    drainOtherHolder(false);
+    bed.advance(Ms(1000));
+    LONGS_EQUAL(1, bed.driver.sent.size());
+}
+
 /// Guards against streams that had begun, and move to another endpoint, being blamed for its crash.
 TEST(APromptPartThatCrashesEndpoints, isNotBlamedOnStreamsThatHaveBegun)
 {
