A part that was sound so far isn't convicted in place of a new one; the first probe of a new one waits for its endpoints

Change: signatures that this instance has seen served before are considered last, so that their crashes are explained by the others; if they are convicted all the same, they get a probe after 1 s. One that was never served gets its first probe after 5 s, when crashed endpoints are back. isConvictedInPlaceOfASoundOneThatPrecedesIt failed before (none of three sent) and passes.

--- a/libs/relay/src/CrashEvidence.cpp
+++ b/libs/relay/src/CrashEvidence.cpp
@@ -14,8 +14,10 @@
 constexpr std::size_t MaxSignatures = 1024;
 /// Suspicions are forgotten this long after the last crash, those of a convicted signature after twice the interval to its next probe if that is longer.
 constexpr Ms SuspicionLifetime{120000};
-/// Time from a conviction to the first probe, and the factor by which each failed probe prolongs it.
-constexpr Ms FirstProbeInterval{2000};
+/// Time from the last crash to the first probe, and the factor by which each failed probe prolongs it. A signature that was sound before is likely to be so
+/// again. Any other has probably crashed the endpoints, which should have returned before another one is risked.
+constexpr Ms KnownProbeInterval{1000};
+constexpr Ms FirstProbeInterval{5000};
 constexpr unsigned ProbeIntervalFactor = 4;
 /// Failed probes beyond this number don't prolong the interval any more.
 constexpr unsigned MaxCountedProbes = 5;
@@ -26,7 +28,7 @@
 
 Instant probeInterval(const CrashEvidence::Conviction &conviction)
 {
-    Instant interval = FirstProbeInterval;
+    Instant interval = conviction.wasServed ? KnownProbeInterval : FirstProbeInterval;
     for (unsigned i = 0; i < std::min(conviction.failedProbes, MaxCountedProbes); ++i) {
         interval *= ProbeIntervalFactor;
     }
@@ -194,11 +196,18 @@
 {
     struct Candidate {
         std::uint64_t signature = 0;
+        bool wasServed = false;
         std::vector<const Suspicion *> suspicions;
+
+        /// Candidates of the same rank can't be told from each other.
+        std::pair<bool, std::size_t> rank() const
+        {
+            return {!wasServed, suspicions.size()};
+        }
     };
     std::vector<Candidate> candidates;
     for (const auto &[signature, suspicions] : suspicions_) {
-        Candidate candidate{signature, {}};
+        Candidate candidate{signature, served_.isKnown(signature), {}};
         for (const Suspicion &suspicion : suspicions) {
             if (!suspicion.isRefuted) {
                 candidate.suspicions.push_back(&suspicion);
@@ -208,17 +217,16 @@
             candidates.push_back(std::move(candidate));
         }
     }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) { return a.suspicions.size() > b.suspicions.size(); });
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) { return a.rank() > b.rank(); });
     convictions_.clear();
     std::unordered_set<std::uint64_t> explained;
-    std::unordered_set<std::uint64_t> explainedByEquals;
-    std::size_t equalCount = 0;
+    std::unordered_set<std::uint64_t> explainedBySameRank;
+    const Candidate *previous = nullptr;
     for (const Candidate &candidate : candidates) {
-        // Signatures with the same number of crashes don't explain each other: which of them is the cause is not known yet.
-        if (candidate.suspicions.size() != equalCount) {
-            equalCount = candidate.suspicions.size();
-            explained.insert(explainedByEquals.begin(), explainedByEquals.end());
+        if (previous != nullptr && previous->rank() != candidate.rank()) {
+            explained.insert(explainedBySameRank.begin(), explainedBySameRank.end());
         }
+        previous = &candidate;
         std::vector<Instant> crashes;
         for (const Suspicion *suspicion : candidate.suspicions) {
             if (!explained.contains(suspicion->crash)) {
@@ -229,16 +237,16 @@
             continue;
         }
         std::sort(crashes.begin(), crashes.end());
-        convictions_.emplace(candidate.signature, convictionBy(crashes));
+        convictions_.emplace(candidate.signature, convictionBy(crashes, candidate.wasServed));
         for (const Suspicion *suspicion : candidate.suspicions) {
-            explainedByEquals.insert(suspicion->crash);
+            explainedBySameRank.insert(suspicion->crash);
         }
     }
 }
 
-CrashEvidence::Conviction CrashEvidence::convictionBy(const std::vector<Instant> &crashes)
+CrashEvidence::Conviction CrashEvidence::convictionBy(const std::vector<Instant> &crashes, bool wasServed)
 {
-    Conviction conviction{crashes.size(), crashes[ConvictingCrashes - 1], crashes.back(), 0};
+    Conviction conviction{crashes.size(), crashes[ConvictingCrashes - 1], crashes.back(), 0, wasServed};
     Instant previous = conviction.since;
     for (const Instant crash : crashes) {
         if (crash > previous + SameProbe) {
--- a/libs/relay/src/details/CrashEvidence.h
+++ b/libs/relay/src/details/CrashEvidence.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "details/ServedSignatures.h"
 #include "relay/RelayKernel.h"
 #include "wire/RelayDigest.h"
 
@@ -14,8 +15,9 @@
 /// The evidence is a set that only grows: a suspicion is a signature and a crash, and a refutation names the suspicion that it removes for good. So it
 /// doesn't matter in which order, how often and by which way reports of other instances arrive, and the clocks of instances needn't agree.
 ///
-/// A signature is convicted once several crashes speak against it that no refutation removes and that no other convicted signature with more
-/// crashes explains.
+/// A signature is convicted once several crashes speak against it that no refutation removes and that no other convicted signature explains.
+/// Those that this instance has never seen served are considered first, then those with more crashes: a part of prompts that was sound so far is
+/// unlikely to be the cause if it always came with a new one.
 class CrashEvidence
 {
 public:
@@ -36,8 +38,16 @@
         Instant lastCrashAt{0};
         /// Crashes after the conviction, where those in quick succession count as one: requests that were let through as probes have failed.
         unsigned failedProbes = 0;
+        /// Requests with the signature have been served by this instance before.
+        bool wasServed = false;
     };
 
+    /// `served` is what this instance has served; it must outlive this object.
+    explicit CrashEvidence(const ServedSignatures &served)
+        : served_(served)
+    {
+    }
+
     /// Adds a suspicion. Returns true if it is new and not refuted already.
     bool add(std::uint64_t signature, std::uint64_t crash, Instant crashedAt);
     /// Refutes a suspicion, also one that has not arrived yet. Returns true if that is new.
@@ -77,8 +87,9 @@
     /// Does so if any is: less evidence convicts no other signature unless it ends the conviction of one that explained its crashes.
     void updateIfConvicted();
     /// Returns what convicts a signature whose crashes, in the order of time, are those; `crashes` are at least as many as a conviction takes.
-    static Conviction convictionBy(const std::vector<Instant> &crashes);
+    static Conviction convictionBy(const std::vector<Instant> &crashes, bool wasServed);
 
+    const ServedSignatures &served_;
     std::unordered_map<std::uint64_t, Suspicions> suspicions_;
     std::unordered_map<std::uint64_t, Conviction> convictions_;
 };
--- a/libs/relay/src/details/CrashGuard.h
+++ b/libs/relay/src/details/CrashGuard.h
@@ -2,7 +2,6 @@
 
 #include "details/CrashEvidence.h"
 #include "details/EndpointRegistry.h"
-#include "details/ServedSignatures.h"
 
 #include <deque>
 #include <span>
@@ -127,8 +126,8 @@
     /// Broken attempts that wait for confirmation, oldest first.
     std::deque<BrokenAttempt> brokenAttempts_;
     std::deque<InferredCrash> inferredCrashes_;
-    CrashEvidence evidence_;
     ServedSignatures served_;
+    CrashEvidence evidence_{served_};
     /// When a probe of a signature was last sent by any instance.
     std::unordered_map<std::uint64_t, Instant> probedAt_;
     CrashNews news_;
--- a/libs/relay/src/details/ServedSignatures.h
+++ b/libs/relay/src/details/ServedSignatures.h
@@ -23,6 +23,12 @@
         return slot.signature == signature && slot.servedAt > time;
     }
 
+    /// Returns true if a request with this signature is known to have begun at any time.
+    bool isKnown(std::uint64_t signature) const
+    {
+        return wasServedAfter(signature, Instant{0});
+    }
+
 private:
     struct Slot {
         std::uint64_t signature = 0;
--- a/libs/relay/tests/CrashEvidenceTests.cpp
+++ b/libs/relay/tests/CrashEvidenceTests.cpp
@@ -80,6 +80,31 @@
     LONGS_EQUAL(1, bed.driver.sent.size());
 }
 
+/// Guards against a part being convicted together with the fatal one because only requests with both came since, although it was sound all the time before.
+TEST(APromptPartThatCrashesEndpoints, isConvictedInPlaceOfASoundOneThatPrecedesIt)
+{
+    constexpr std::uint64_t RarePart = 50;
+    CrashFleet fleet(3);
+    for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+        fleet.request(i, RarePart);
+    }
+    fleet.advance(Ms(1000));
+    int requests = 0;
+    fleet.advance(Ms(2000), [&]() {
+        if (++requests % 8 == 0) {
+            fleet.request(static_cast<std::size_t>(requests / 8) % 3, CrashFleet::FatalPart, 0, RarePart);
+        }
+    });
+    const Instant convictedAt = fleet.now;
+    for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+        fleet.request(i, CrashFleet::FatalPart, 0, RarePart);
+        LONGS_EQUAL(0, fleet.sentSince(CrashFleet::FatalPart, convictedAt));
+        fleet.request(i, RarePart);
+    }
+    fleet.advance(Ms(500));
+    LONGS_EQUAL(3, fleet.sentSince(RarePart, convictedAt));
+}
+
 /// Guards against streams that had begun, and move to another endpoint, being blamed for its crash.
 TEST(APromptPartThatCrashesEndpoints, isNotBlamedOnStreamsThatHaveBegun)
 {
