--- a/libs/relay/tests/CrashEvidenceTests.cpp
+++ b/libs/relay/tests/CrashEvidenceTests.cpp
@@ -127,6 +127,78 @@
     LONGS_EQUAL(0, reported);
 }
 
+/// Guards against an instance that is started after the crashes sending what the others have learned to reject.
+TEST(APromptPartThatCrashesEndpoints, isRejectedByAnInstanceThatStartsLater)
+{
+    CrashFleet fleet(3);
+    fleet.advance(Ms(4000), [&]() { sendRequests(fleet); });
+    fleet.restart(0);
+    const std::size_t late = fleet.addInstance();
+    fleet.advance(SpreadTime, [&]() { sendRequests(fleet); });
+    const Instant since = fleet.now;
+    constexpr int Requests = 10;
+    for (int i = 0; i < Requests; ++i) {
+        fleet.request(0, CrashFleet::FatalPart);
+        fleet.request(late, CrashFleet::FatalPart);
+    }
+    CHECK(fleet.sentSince(CrashFleet::FatalPart, since) <= 1);
+}
+
+/// Guards against an instance that was cut off from the others during the crashes going on with what they have learned to reject.
+TEST(APromptPartThatCrashesEndpoints, isRejectedByAnInstanceThatWasCutOff)
+{
+    CrashFleet fleet(3);
+    fleet.instances[0]->isCutOff = true;
+    fleet.advance(Ms(4000), [&]() {
+        for (std::size_t i = 1; i < fleet.instances.size(); ++i) {
+            fleet.request(i, 100 + (++step % SoundParts));
+        }
+        if (step % 25 == 0) {
+            fleet.request(1 + (step / 25) % 2, CrashFleet::FatalPart);
+        }
+    });
+    CHECK(fleet.fatalCrash(3).has_value());
+    fleet.instances[0]->isCutOff = false;
+    fleet.advance(SpreadTime, [&]() { fleet.request(0, 100 + (++step % SoundParts)); });
+    const Instant since = fleet.now;
+    constexpr int Requests = 10;
+    for (int i = 0; i < Requests; ++i) {
+        fleet.request(0, CrashFleet::FatalPart);
+    }
+    CHECK(fleet.sentSince(CrashFleet::FatalPart, since) <= 1);
+}
+
+/// Guards against evidence getting lost on its way through the aggregators of a fleet that is too large for a full mesh.
+TEST(APromptPartThatCrashesEndpoints, isRejectedEverywhereInALargeFleet)
+{
+    constexpr std::size_t Instances = 40;
+    CrashFleet fleet(Instances);
+    fleet.advance(Ms(20000), [&]() {
+        ++step;
+        fleet.request(step % Instances, 100 + step % SoundParts);
+        if (step % 16 == 0) {
+            fleet.request((step / 16) % Instances, CrashFleet::FatalPart);
+        }
+    });
+    const auto fifth = fleet.fatalCrash(5);
+    if (fifth) {
+        CHECK(fleet.sentSince(CrashFleet::FatalPart, *fifth + SpreadTime) <= MaxLateRequests);
+    }
+    // Sound requests go on everywhere.
+    CHECK(soundBegunSince(fleet, fleet.now - Ms(5000)) >= static_cast<std::size_t>(Ms(5000) / CrashFleet::Step) * 9 / 10);
+}
+
+/// Guards against a part that crashes endpoints only in some of its runs being rejected for good, and against it crashing endpoints without limit: its good
+/// runs acquit it, and three crashes in a row convict it again.
+TEST(APromptPartThatCrashesEndpoints, isRejectedForATimeIfItCrashesThemNowAndThen)
+{
+    CrashFleet fleet(3);
+    fleet.runsPerCrash = 3;
+    fleet.advance(Ms(20000), [&]() { sendRequests(fleet); });
+    CHECK(fleet.begunSince(CrashFleet::FatalPart, fleet.now - Ms(10000)) > 0);
+    CHECK(soundBegunSince(fleet, fleet.now - Ms(10000)) >= static_cast<std::size_t>(Ms(10000) / CrashFleet::Step));
+}
+
 /// One kind of request that most callers send; its endpoints crash from outside now and then.
 TEST_GROUP(ASoundRequestThatWasThereAtCrashes)
 {
@@ -149,3 +221,113 @@
     fleet.advance(Ms(10000), [&]() { sendEverywhere(fleet); });
     LONGS_EQUAL(0, fleet.quarantinedSince(0, fleet.now - (Ms(10000) - SpreadTime)));
 }
+
+/// Guards against instances, the restarted and the new ones included, keeping what the others know to be refuted.
+TEST(ASoundRequestThatWasThereAtCrashes, isServedByInstancesThatStartLater)
+{
+    CrashFleet fleet(3);
+    fleet.advance(Ms(500), [&]() { sendEverywhere(fleet); });
+    for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+        fleet.report(i, Fingerprint, {1, 2, 3});
+    }
+    fleet.advance(SpreadTime, [&]() { sendEverywhere(fleet); });
+    fleet.restart(1);
+    const std::size_t late = fleet.addInstance();
+    const Instant since = fleet.now;
+    fleet.advance(Ms(2000), [&]() { sendEverywhere(fleet); });
+    LONGS_EQUAL(0, fleet.quarantinedSince(1, since));
+    LONGS_EQUAL(0, fleet.quarantinedSince(late, since));
+}
+
+/// Guards against an instance that was cut off, and convicts a request alone, going on with it or convincing the others.
+TEST(ASoundRequestThatWasThereAtCrashes, isServedByAnInstanceThatWasCutOffOnceItIsBack)
+{
+    CrashFleet fleet(3);
+    fleet.instances[0]->isCutOff = true;
+    fleet.report(0, Fingerprint, {1, 2, 3});
+    fleet.advance(Ms(500), [&]() {
+        fleet.request(1, SoundPart, Fingerprint);
+        fleet.request(2, SoundPart, Fingerprint);
+    });
+    fleet.instances[0]->isCutOff = false;
+    fleet.advance(Ms(6000), [&]() { sendEverywhere(fleet); });
+    for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+        LONGS_EQUAL(0, fleet.quarantinedSince(i, fleet.now - (Ms(6000) - SpreadTime)));
+    }
+}
+
+/// Guards against the order in which reports and refutations arrive deciding the verdict.
+TEST(ASoundRequestThatWasThereAtCrashes, isServedWhicheverArrivesFirst)
+{
+    for (const bool refutationsFirst : {true, false}) {
+        RelayTestBed bed;
+        wire::RelayDigest reports;
+        reports.instance = "two";
+        reports.crashReports = {{Fingerprint, 1, Ms(0)}, {Fingerprint, 2, Ms(0)}, {Fingerprint, 3, Ms(0)}};
+        wire::RelayDigest refutations;
+        refutations.instance = "three";
+        refutations.crashRefutations = {{Fingerprint, 1}, {Fingerprint, 2}, {Fingerprint, 3}};
+        bed.kernel.onPeerMessage(bed.now, refutationsFirst ? refutations : reports);
+        bed.kernel.onPeerMessage(bed.now, refutationsFirst ? reports : refutations);
+        bed.kernel.onPeerMessage(bed.now, reports);
+        bed.call("/read/x", "key-a", Ms(1000), Fingerprint);
+        LONGS_EQUAL(1, bed.driver.sent.size());
+    }
+}
+
+/// Guards against a request that most callers send being rejected because endpoints are killed from outside while they run it.
+TEST(ASoundRequestThatWasThereAtCrashes, isServedWhileEndpointsAreKilledOneAfterTheOther)
+{
+    CrashFleet fleet(3);
+    int steps = 0;
+    std::size_t rejected = 0;
+    constexpr int StepsPerKill = 16;
+    fleet.advance(Ms(20000), [&]() {
+        sendEverywhere(fleet);
+        if (++steps % StepsPerKill == 0) {
+            fleet.crash(static_cast<std::size_t>(steps / StepsPerKill) % fleet.endpoints.size());
+        }
+    });
+    for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+        rejected += fleet.quarantinedSince(i, Instant{0});
+    }
+    // A conviction that the next answer refutes costs the requests of a moment.
+    CHECK(rejected <= fleet.begunSince(SoundPart, Instant{0}) / 50);
+}
+
+/// Guards against all endpoints being lost at once: nothing is left that could acquit what was running on them.
+TEST(ASoundRequestThatWasThereAtCrashes, isServedAgainAfterAllEndpointsWereKilled)
+{
+    CrashFleet fleet(3);
+    fleet.advance(Ms(1000), [&]() { sendEverywhere(fleet); });
+    for (std::size_t i = 0; i < fleet.endpoints.size(); ++i) {
+        fleet.crash(i);
+    }
+    fleet.advance(CrashFleet::RestartTime + SpreadTime + Ms(2000), [&]() { sendEverywhere(fleet); });
+    const Instant since = fleet.now;
+    fleet.advance(Ms(1000), [&]() { sendEverywhere(fleet); });
+    for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+        LONGS_EQUAL(0, fleet.quarantinedSince(i, since));
+    }
+    CHECK(fleet.begunSince(SoundPart, since) > 0);
+}
+
+/// Guards against crashes that have not happened: an instance alone loses its connections to endpoints that live on.
+TEST(ASoundRequestThatWasThereAtCrashes, isNotBlamedForEndpointsThatLiveOn)
+{
+    constexpr std::uint64_t RarePart = 50;
+    CrashFleet fleet(3);
+    for (std::size_t endpoint = 0; endpoint < fleet.endpoints.size(); endpoint += 2) {
+        fleet.request(0, RarePart);
+        fleet.advance(CrashFleet::Step);
+        fleet.loseConnections(0, endpoint);
+        fleet.advance(CrashFleet::Step);
+    }
+    fleet.advance(SpreadTime);
+    const Instant since = fleet.now;
+    for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+        fleet.request(i, RarePart);
+    }
+    fleet.advance(CrashFleet::Step);
+    LONGS_EQUAL(3, fleet.sentSince(RarePart, since));
+}
--- a/libs/relay/tests/CrashFleet.cpp
+++ b/libs/relay/tests/CrashFleet.cpp
@@ -17,6 +17,11 @@
     return "instance-" + std::to_string(instance);
 }
 
+std::string addressOf(std::size_t instance)
+{
+    return nameOf(instance) + ":1";
+}
+
 } // namespace
 
 CrashFleet::CrashFleet(std::size_t instanceCount)
@@ -49,14 +54,15 @@
     RelaySettings settings = RelayTestBed::settings();
     settings.node = nameOf(number);
     settings.instance = nameOf(number) + "/" + std::to_string(++storeRevision_);
-    settings.meshAddress = nameOf(number) + ":1";
+    settings.meshAddress = addressOf(number);
+    numberOfAddress_[settings.meshAddress] = number;
     settings.seed = number + 1;
     instance.kernel = std::make_unique<RelayKernel>(settings, instance.driver);
     instance.kernel->onConfig(now, now, RelayTestBed::config(1));
     instance.kernel->onEndpoints(now, listedEntries(), ++storeRevision_);
     std::vector<InstanceEntry> entries;
     for (std::size_t i = 0; i < instances.size(); ++i) {
-        entries.push_back({nameOf(i), nameOf(i) + ":1", "zone-a"});
+        entries.push_back({nameOf(i), addressOf(i), "zone-a"});
     }
     for (const auto &each : instances) {
         if (each->kernel) {
@@ -137,9 +143,10 @@
     for (std::size_t from = 0; from < instances.size(); ++from) {
         Instance &sender = *instances[from];
         for (; sender.deliveredDigests < sender.driver.digests.size(); ++sender.deliveredDigests) {
-            auto message = wire::decodeRelayMessage(wire::encode(sender.driver.digests[sender.deliveredDigests]));
-            for (std::size_t to = 0; to < instances.size(); ++to) {
-                if (to != from && !sender.isCutOff && !instances[to]->isCutOff) {
+            const auto message = wire::decodeRelayMessage(wire::encode(sender.driver.digests[sender.deliveredDigests]));
+            for (const std::string &receiver : sender.driver.digestReceivers[sender.deliveredDigests]) {
+                const std::size_t to = numberOfAddress_.at(receiver);
+                if (!sender.isCutOff && !instances[to]->isCutOff) {
                     instances[to]->kernel->onPeerMessage(now, std::get<wire::RelayMessage>(message));
                 }
             }
@@ -211,6 +218,22 @@
     crash(endpoints[endpoint]);
 }
 
+void CrashFleet::loseConnections(std::size_t instance, std::size_t endpoint)
+{
+    std::vector<Run> lost;
+    std::erase_if(runs_, [&](const Run &run) {
+        const bool isLost = run.instance == instance && run.endpoint == endpoints[endpoint].entry.id;
+        if (isLost) {
+            lost.push_back(run);
+        }
+        return isLost;
+    });
+    for (const Run &run : lost) {
+        instances[instance]->kernel->onFailure(now, run.attempt, AttemptFailure::Broken);
+    }
+    instances[instance]->kernel->onReport(now, endpoints[endpoint].entry.id, std::nullopt);
+}
+
 void CrashFleet::crash(Endpoint &endpoint)
 {
     endpoint.downUntil = now + RestartTime;
--- a/libs/relay/tests/CrashFleet.h
+++ b/libs/relay/tests/CrashFleet.h
@@ -73,6 +73,8 @@
     }
     /// Crashes an endpoint from outside.
     void crash(std::size_t endpoint);
+    /// Breaks the connections of one instance to an endpoint, which lives on, and leaves a request for its report unanswered.
+    void loseConnections(std::size_t instance, std::size_t endpoint);
 
     /// Returns how many requests with that last part were sent to endpoints from that time on.
     std::size_t sentSince(std::uint64_t lastPart, relay::Instant since) const;
@@ -117,6 +119,7 @@
     std::vector<Observation> begun_;
     std::vector<Quarantined> quarantined_;
     std::vector<relay::Instant> fatalCrashes_;
+    std::map<std::string, std::size_t> numberOfAddress_;
     relay::CallId lastCall_ = 0;
     std::uint64_t storeRevision_ = 0;
     int fatalRuns_ = 0;
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -72,6 +72,7 @@
     void sendDigest(const std::vector<std::string> &addresses, const wire::RelayDigest &digest) override
     {
         digestAddresses = addresses;
+        digestReceivers.push_back(addresses);
         digests.push_back(digest);
     }
     void sendFreshnessRequest(const std::string &address, const wire::FreshnessRequest &request) override
@@ -137,6 +138,8 @@
     /// Receivers of the last digest.
     std::vector<std::string> digestAddresses;
     std::vector<wire::RelayDigest> digests;
+    /// Receivers of each of them.
+    std::vector<std::vector<std::string>> digestReceivers;
     /// Freshness requests and replies, each with the address of its receiver.
     std::vector<std::pair<std::string, wire::FreshnessRequest>> freshnessRequests;
     std::vector<std::pair<std::string, wire::FreshnessReply>> freshnessReplies;
