Operators see what is quarantined and on what evidence, and can lift it

The metrics have a gauge. The status and the command are served on the metrics address, which has no key on the users' platform: it must be reachable by operators only, as before.

--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -120,6 +120,20 @@
     double contextTokens = 0;
 };
 
+/// Why requests with a signature are rejected as crashing endpoints, for status output.
+struct QuarantineView {
+    /// Hash of the content of a request, or of the id of a prompt part.
+    std::uint64_t signature = 0;
+    /// Crashes that speak against it.
+    std::size_t crashes = 0;
+    /// Time since it was quarantined and since the last of its crashes, as far as this instance knows.
+    Ms age{0};
+    Ms lastCrashAge{0};
+    /// Requests that were let through since and crashed their endpoints, and the time until the next may be; zero if that is due.
+    unsigned failedProbes = 0;
+    Ms nextProbeIn{0};
+};
+
 /// Makes every decision about relayed requests on one instance. Not thread-safe. Deterministic: the same sequence of calls with the same times
 /// and seed makes the same calls to the driver.
 class RelayKernel
@@ -172,6 +186,10 @@
     const RelayCounters &counters() const;
     /// Returns all endpoints that were ever listed.
     std::vector<EndpointView> endpoints() const;
+    /// Returns what is quarantined.
+    std::vector<QuarantineView> quarantine(Instant now) const;
+    /// Ends a quarantine, on all instances as soon as they hear of it. Returns false if there is none.
+    bool liftQuarantine(Instant now, std::uint64_t signature);
     /// Returns the version of the configuration in use; 0 if there is none yet.
     std::uint64_t configVersion() const;
     /// Returns the number of calls that have been admitted and have not ended.
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -288,6 +288,33 @@
     return views;
 }
 
+std::vector<QuarantineView> RelayKernel::quarantine(Instant now) const
+{
+    const auto ms = [](Instant duration) {
+        return std::chrono::duration_cast<Ms>(std::max(Instant{0}, duration));
+    };
+    std::vector<QuarantineView> views;
+    for (const auto &[signature, conviction] : impl_->crashGuard.evidence().convictions()) {
+        views.push_back({signature,
+                         conviction.crashes,
+                         ms(now - conviction.since),
+                         ms(now - conviction.lastCrashAt),
+                         conviction.failedProbes,
+                         ms(conviction.lastCrashAt + probeInterval(conviction) - now)});
+    }
+    return views;
+}
+
+bool RelayKernel::liftQuarantine(Instant now, std::uint64_t signature)
+{
+    if (!impl_->crashGuard.lift(signature, now)) {
+        return false;
+    }
+    impl_->peers.expedite();
+    impl_->driver.record({"quarantine_lifted", "", std::to_string(signature), "by an operator"});
+    return true;
+}
+
 std::uint64_t RelayKernel::configVersion() const
 {
     return impl_->config ? impl_->config->version : 0;
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -85,7 +85,7 @@
     /// Applies the settings file if its text has changed. If the new text is invalid, the previous settings stay in use.
     void rereadSettings();
     void onRequest(net::ExchangeId exchange, net::HttpRequest request);
-    /// Answers the readiness check and serves the metrics, on either of the two servers.
+    /// Answers the readiness check, and serves the metrics, the status and the commands of operators, on either of the two servers.
     void onOperatorRequest(net::HttpServer &server, net::ExchangeId exchange, const net::HttpRequest &request);
     /// Passes a message from another instance to the kernel, in the event loop's thread; drops it if it is malformed. Called in the mesh's thread.
     void onMeshMessage(const std::string &bytes);
@@ -96,6 +96,8 @@
     void onFailure(relay::AttemptId id, net::CallFailure failure);
     /// Returns the metrics in the Prometheus text format.
     std::string metricsText() const;
+    /// Returns the state of the instance as JSON, for operators.
+    std::string statusText() const;
     StoreHandlers storeHandlers();
     net::HttpServer::Handlers callerHandlers();
     /// Handlers of the readiness or metrics server that `server` will hold.
--- a/libs/relayhost/src/HostMetrics.cpp
+++ b/libs/relayhost/src/HostMetrics.cpp
@@ -2,6 +2,8 @@
 
 #include "base/Time.h"
 
+#include <boost/json.hpp>
+
 #include <sstream>
 
 namespace relayhost {
@@ -28,6 +30,7 @@
     text << "# TYPE trefoilport_open_calls gauge\ntrefoilport_open_calls " << kernel_.openCalls() << "\n";
     text << "# TYPE trefoilport_config_version gauge\ntrefoilport_config_version " << kernel_.configVersion() << "\n";
     text << "# TYPE trefoilport_planner gauge\ntrefoilport_planner " << (kernel_.isPlanner(base::readBootTimeClock()) ? 1 : 0) << "\n";
+    text << "# TYPE trefoilport_quarantined gauge\ntrefoilport_quarantined " << kernel_.quarantine(base::readBootTimeClock()).size() << "\n";
     text << firstEventLatency_.exposition("trefoilport_first_event_seconds");
     text << eventIntervals_.exposition("trefoilport_between_events_seconds");
     text << plainAnswerLatency_.exposition("trefoilport_plain_answer_seconds");
@@ -38,4 +41,23 @@
     return text.str();
 }
 
+std::string RelayHost::statusText() const
+{
+    boost::json::array quarantine;
+    for (const relay::QuarantineView &view : kernel_.quarantine(base::readBootTimeClock())) {
+        quarantine.push_back(boost::json::object{{"signature", std::to_string(view.signature)},
+                                                 {"crashes", view.crashes},
+                                                 {"since_ms", view.age.count()},
+                                                 {"last_crash_ms", view.lastCrashAge.count()},
+                                                 {"failed_probes", view.failedProbes},
+                                                 {"next_probe_ms", view.nextProbeIn.count()}});
+    }
+    return boost::json::serialize(boost::json::object{{"instance", settings_.node},
+                                                      {"zone", settings_.zone},
+                                                      {"revision", kernel_.configVersion()},
+                                                      {"ready", ready_},
+                                                      {"open_calls", kernel_.openCalls()},
+                                                      {"quarantine", quarantine}});
+}
+
 } // namespace relayhost
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -3,6 +3,7 @@
 #include "base/Time.h"
 
 #include <atomic>
+#include <charconv>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -22,6 +23,9 @@
 /// Capacity of the mesh's ring of messages to other instances; further messages wait outside it.
 constexpr std::size_t MeshRingItems = 256;
 constexpr std::size_t MaxOperatorHeaderBytes = 4096;
+/// URL path of the status, and the one by which an operator ends the quarantine of the signature that follows it.
+constexpr std::string_view StatusPath = "/admin/status";
+constexpr std::string_view LiftPath = "/admin/quarantine/lift/";
 constexpr int InvalidSettingsExitCode = 2;
 /// An exception ended the process, for instance because an address could not be bound.
 constexpr int FatalErrorExitCode = 3;
@@ -53,6 +57,13 @@
     return server;
 }
 
+std::uint64_t numberIn(const std::string &text)
+{
+    std::uint64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
 /// Returns a name that differs for each process, so that a restarted instance doesn't mistake the planner's lease of its previous process for
 /// its own.
 std::string uniqueInstanceName(const std::string &node)
@@ -230,6 +241,13 @@
     if (request.target == dialect_.metricsPath()) {
         return server.respond(exchange, {Ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metricsText()});
     }
+    if (request.target == StatusPath) {
+        return server.respond(exchange, {Ok, {{"Content-Type", "application/json"}}, statusText()});
+    }
+    if (request.method == "POST" && request.target.starts_with(LiftPath)) {
+        const bool isLifted = kernel_.liftQuarantine(now(), numberIn(request.target.substr(LiftPath.size())));
+        return server.respond(exchange, {isLifted ? Ok : NotFound, {}, isLifted ? "" : "no such signature is quarantined"});
+    }
     server.respond(exchange, {NotFound, {}, ""});
 }
 
--- a/libs/timeline/src/RequestHistory.cpp
+++ b/libs/timeline/src/RequestHistory.cpp
@@ -19,6 +19,8 @@
 
 /// Events about an endpoint that may explain the outcome of a request.
 constexpr std::array<std::string_view, 5> ExplainingEndpointEvents = {"endpoint_silent", "endpoint_slow", "endpoint_usual", "order_place", "order_answered"};
+/// Events about a signature that requests are rejected for, since such requests have crashed endpoints.
+constexpr std::array<std::string_view, 4> ExplainingCrashEvents = {"crash_strike", "crash_report_taken", "crash_refutation_taken", "quarantine_lifted"};
 /// Events about the store or the instance that may explain the outcome of a request.
 constexpr std::array<std::string_view, 8> ExplainingInstanceEvents = {
     "started", "stopping", "ready", "not_ready", "store_lost", "store_reached", "config_in_force", "settings_reloaded"};
@@ -66,12 +68,24 @@
     }
 }
 
+/// Collects the signatures that a detail names as "signature N".
+void collectSignatures(std::string_view detail, std::set<std::string> &signatures)
+{
+    constexpr std::string_view Word = "signature ";
+    for (std::size_t at = detail.find(Word); at != std::string_view::npos; at = detail.find(Word)) {
+        detail.remove_prefix(at + Word.size());
+        signatures.emplace(detail.substr(0, detail.find_first_not_of("0123456789")));
+    }
+}
+
 /// Where and when to look for lines that explain the outcome of a request, as derived from the request's own lines.
 struct SearchScope {
     /// Instances that logged lines of the request.
     std::set<std::string> instances;
     /// Endpoints that the request was sent to, with all stages of its pipelines.
     std::set<std::string> endpoints;
+    /// Signatures for which it was rejected, or sent as a probe.
+    std::set<std::string> signatures;
     /// The request was sent to no endpoint, because there was none for it or the router was overloaded, so the events of every endpoint are relevant.
     bool anyEndpoint = false;
     /// Times of the first and the last line of the request.
@@ -91,6 +105,7 @@
             scope.endpoints.insert(line.subject);
             collectEndpoints(line.detail, scope.endpoints);
         }
+        collectSignatures(line.detail, scope.signatures);
         scope.anyEndpoint = scope.anyEndpoint || line.subject == "no_endpoint" || line.subject == "overloaded";
         scope.firstTime = scope.firstTime.empty() ? line.time : std::min(scope.firstTime, line.time);
         scope.lastTime = std::max(scope.lastTime, line.time);
@@ -108,6 +123,10 @@
 /// Returns true if a line that does not belong to the request is about something that the request depended on.
 bool mayExplain(const SearchScope &scope, const LogLine &line)
 {
+    // A quarantine may rest on crashes long before the request.
+    if (isOneOf(ExplainingCrashEvents, line.event)) {
+        return line.time <= scope.lastTime && scope.signatures.contains(line.subject);
+    }
     if (!isInTimeRange(scope, line)) {
         return false;
     }
@@ -146,7 +165,8 @@
 std::string contributingEvents(const std::vector<LogLine> &lines)
 {
     std::string text;
-    for (const std::string_view event : {"attempt_refused", "attempt_failed", "stream_moved", "event_gap", "endpoint_silent", "endpoint_slow", "store_lost"}) {
+    for (const std::string_view event :
+         {"attempt_refused", "attempt_failed", "stream_moved", "event_gap", "endpoint_silent", "endpoint_slow", "store_lost", "crash_strike"}) {
         const auto count = std::count_if(lines.begin(), lines.end(), [&](const LogLine &line) { return line.event == event; });
         const LogLine *line = lastLineOf(lines, event);
         if (line != nullptr) {
--- a/libs/timeline/tests/RequestHistoryTests.cpp
+++ b/libs/timeline/tests/RequestHistoryTests.cpp
@@ -115,3 +115,26 @@
     CHECK(timeline::explainRequest({sent}, "r9").outcome == timeline::RequestOutcome::Unknown);
     CHECK(timeline::explainRequest({}, "r1").lines.empty());
 }
+
+/// The crashes of a quarantined request may be minutes before it, on other instances and by other requests.
+TEST(ARequestHistory, showsTheCrashesForWhichARequestWasRejected)
+{
+    const auto history = timeline::explainRequest(
+        {
+            line("02,000", "front-2", "crash_strike", "", "77", "crash 5, an endpoint crashed on this request"),
+            line("02,100", "front-1", "crash_report_taken", "", "77", "crash 5, from front-2"),
+            line("02,100", "front-1", "crash_report_taken", "", "78", "crash 5, from front-2"),
+            line("31,000",
+                 "front-1",
+                 "rejected",
+                 "r1",
+                 "prompt_part_quarantined",
+                 "requests with a part of this prompt have crashed endpoints; signature 77, 3 crashes"),
+            line("32,000", "front-1", "crash_refutation_taken", "", "77", "crash 5, from front-2"),
+        },
+        "r1");
+    LONGS_EQUAL(3, history.lines.size());
+    STRCMP_CONTAINS("as prompt_part_quarantined: requests with a part of this prompt have crashed endpoints; signature 77, 3 crashes", history.cause.c_str());
+    STRCMP_CONTAINS("crash_strike at 07:55:02,000 77", history.cause.c_str());
+    CHECK(!mentions(history, "78"));
+}
--- a/programs/trefoilctl/Show.cpp
+++ b/programs/trefoilctl/Show.cpp
@@ -68,6 +68,23 @@
     }
 }
 
+/// Prints what the given instances, which relay requests, have quarantined and on what evidence; nothing if there is none.
+void printQuarantine(const json::array &instances)
+{
+    json::array rows;
+    for (const json::value &instance : instances) {
+        for (const json::value &entry : instance.as_object().at("quarantine").as_array()) {
+            json::object row = entry.as_object();
+            row["instance"] = instance.as_object().at("instance");
+            rows.push_back(row);
+        }
+    }
+    if (!rows.empty()) {
+        std::cout << "quarantined:\n";
+        printTable(rows, {"instance", "signature", "crashes", "since_ms", "last_crash_ms", "failed_probes", "next_probe_ms"});
+    }
+}
+
 /// Prints one array of the first instance's status, as JSON or as a table with the given columns.
 ExitCode showStatusSection(const ShowOptions &options, const char *section, const std::vector<std::string> &columns)
 {
@@ -98,8 +115,31 @@
     }
     if (options.json) {
         std::cout << json::serialize(rows) << "\n";
-    } else if (!rows.empty()) {
-        printTable(rows, {"instance", "zone", "revision", "staged_revision", "confirmed", "store_reachable", "stopping", "open_calls", "waiting_for"});
+        return code;
+    }
+    json::array ownFace;
+    json::array relays;
+    for (const json::value &row : rows) {
+        (row.as_object().contains("quarantine") ? relays : ownFace).push_back(row);
+    }
+    if (!ownFace.empty()) {
+        printTable(ownFace, {"instance", "zone", "revision", "staged_revision", "confirmed", "store_reachable", "stopping", "open_calls", "waiting_for"});
+    }
+    if (!relays.empty()) {
+        printTable(relays, {"instance", "zone", "revision", "ready", "open_calls"});
+        printQuarantine(relays);
+    }
+    return code;
+}
+
+ExitCode liftQuarantine(const ShowOptions &options, const std::string &signature)
+{
+    ExitCode code = ExitCode::Done;
+    const auto body = fetchBody(options, options.instances.front(), "POST", "/admin/quarantine/lift/" + signature, code);
+    if (body && options.json) {
+        std::cout << json::serialize(json::object{{"lifted", signature}}) << "\n";
+    } else if (body) {
+        std::cout << "lifted " << signature << "\n";
     }
     return code;
 }
--- a/programs/trefoilctl/Show.h
+++ b/programs/trefoilctl/Show.h
@@ -16,7 +16,8 @@
     bool json = false;
 };
 
-/// Prints the state of each given instance, such as its configuration revision and its number of open calls.
+/// Prints the state of each given instance, such as its configuration revision and its number of open calls. Of those that relay requests also what
+/// they have quarantined as crashing endpoints.
 ExitCode showStatus(const ShowOptions &options);
 
 /// Prints the routes of the first given instance. With a name, prints the pipeline that a call on this route would get now and the endpoints that serve it;
@@ -33,6 +34,10 @@
 /// incarnation.
 ExitCode drainEndpoint(const ShowOptions &options, const std::string &endpoint);
 
+/// Ends the quarantine of a signature: the first given instance and, by its next digest, all others let such requests pass. Returns Refused if there
+/// is none.
+ExitCode liftQuarantine(const ShowOptions &options, const std::string &signature);
+
 /// Merges the timeline events of all given instances in the order of their stamps and prints them. If traceFile is not empty, writes them to this file in the
 /// Trace Event format instead.
 ExitCode showTimeline(const ShowOptions &options, const std::string &traceFile);
--- a/programs/trefoilctl/main.cpp
+++ b/programs/trefoilctl/main.cpp
@@ -178,6 +178,15 @@
           [](const Arguments &a) {
               return drainEndpoint(showOptions(), a[0]);
           }}},
+        {"lift",
+         {"SIGNATURE",
+          "ends a quarantine that status lists, on all instances",
+          1,
+          false,
+          true,
+          [](const Arguments &a) {
+              return liftQuarantine(showOptions(), a[0]);
+          }}},
         {"timeline",
          {"",
           "shows the events of all given instances in order",
