A request whose caller has left before it is read isn't started

Cause: the server passes a request on and only then watches its connection. Now it looks once before. doesNotStartForAClientThatHasLeftBeforeItWasRead failed before (two requests) and passes.

Also tests of answers with neither a length nor chunks: whole if the connection is closed, broken if it is reset. They pass on the code as it was.

--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -177,6 +177,9 @@
             co_await refuse(error, parser.got_some());
             co_return false;
         }
+        if (hasClientLeft()) {
+            co_return false; // It has left while the process was held up, or while its request was read.
+        }
         startExchange(parser.release());
         watchForClose();
         co_await writeQueued();
@@ -265,16 +268,22 @@
             if (error || self->id_ != watchedId || self->ended_) {
                 return;
             }
-            char byte = 0;
-            beast::error_code peekError;
-            self->stream_.socket().non_blocking(true, peekError);
-            const std::size_t peekedBytes = self->stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
-            if (peekedBytes == 0 && peekError != asio::error::would_block) {
+            if (self->hasClientLeft()) {
                 self->abortExchange();
             }
         });
     }
 
+    /// Returns true if the client has closed the connection, or at least its sending side, and nothing else is left to read.
+    bool hasClientLeft()
+    {
+        char byte = 0;
+        beast::error_code error;
+        stream_.socket().non_blocking(true, error);
+        const std::size_t peekedBytes = stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return peekedBytes == 0 && error != asio::error::would_block;
+    }
+
     /// Ends the exchange because its connection has failed, and reports it by onAbort.
     void abortExchange()
     {
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -70,9 +70,30 @@
         done.get_future().wait();
     }
 
+    /// Holds the thread of the event loop up while `task` runs in the calling thread.
+    void stallDuring(const std::function<void()> &task)
+    {
+        std::promise<void> stalled;
+        std::promise<void> goOn;
+        loop_.post([&]() {
+            stalled.set_value();
+            goOn.get_future().wait();
+        });
+        stalled.get_future().wait();
+        task();
+        goOn.set_value();
+    }
+
+    /// Number of requests that were passed to the handler.
+    int requests() const
+    {
+        return requests_;
+    }
+
 private:
     void answer(net::ExchangeId id, const net::HttpRequest &request)
     {
+        ++requests_;
         if (request.target == "/silent") {
             return;
         }
@@ -91,6 +112,7 @@
         }
     }
 
+    std::atomic<int> requests_{0};
     net::EventLoop loop_;
     std::optional<net::HttpServer> server_;
     net::Address address_;
@@ -140,8 +162,16 @@
 class FixedServer
 {
 public:
-    explicit FixedServer(std::string answer)
-        : acceptor_(io_, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    /// What the server does with a connection once it has answered.
+    enum class Ending {
+        KeepOpen,
+        Close,
+        Reset,
+    };
+
+    explicit FixedServer(std::string answer, Ending ending = Ending::KeepOpen)
+        : ending_(ending)
+        , acceptor_(io_, {boost::asio::ip::make_address("127.0.0.1"), 0})
         , thread_([this, answer = std::move(answer)]() { serve(answer); })
     {
     }
@@ -179,9 +209,16 @@
             boost::system::error_code error;
             boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", error);
             boost::asio::write(socket, boost::asio::buffer(answer), error);
+            if (ending_ == Ending::Reset) {
+                socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+            }
+            if (ending_ != Ending::KeepOpen) {
+                socket.close(error);
+            }
         }
     }
 
+    const Ending ending_;
     boost::asio::io_context io_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::deque<boost::asio::ip::tcp::socket> sockets_;
@@ -258,6 +295,17 @@
     CHECK(result.failure == net::CallFailure::NotSent);
 }
 
+/// Guards against work for callers that have left while the process was held up: their requests wait in the sockets together with the end of the connection.
+TEST(AnHttpExchange, doesNotStartForAClientThatHasLeftBeforeItWasRead)
+{
+    server.stallDuring([&]() {
+        RawClient client(server.address());
+        client.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\n");
+    });
+    CHECK(server.get("/whole").ok);
+    LONGS_EQUAL(1, server.requests());
+}
+
 TEST_GROUP(AConnectionOfAServerThatStops)
 {
     SmallServer server;
@@ -318,6 +366,31 @@
     LONGS_EQUAL(2, server.connections());
 }
 
+/// An answer that states neither a length nor chunks ends with its connection.
+TEST_GROUP(AnAnswerWithoutALength){static net::BlockingResult fetchFrom(FixedServer::Ending ending){
+    FixedServer server("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", ending);
+net::ClientCall call;
+call.address = server.address();
+call.totalTimeout = std::chrono::seconds(60);
+return net::callAndWait(call);
+}
+}
+;
+
+TEST(AnAnswerWithoutALength, isWholeIfTheServerClosesItsConnection)
+{
+    const auto result = fetchFrom(FixedServer::Ending::Close);
+    CHECK(result.ok);
+    STRCMP_EQUAL("id: 1\ndata: x\n\n", result.response.body.c_str());
+}
+
+TEST(AnAnswerWithoutALength, isBrokenIfItsConnectionIsReset)
+{
+    const auto result = fetchFrom(FixedServer::Ending::Reset);
+    CHECK(!result.ok);
+    CHECK(result.failure == net::CallFailure::Broken);
+}
+
 /// A server in trouble sends bytes that are no answer, without end. The client must not keep them, nor wait until its time is up.
 TEST_GROUP(AnEndlessAnswer)
 {
