--- a/libs/relay/tests/CrashEvidenceTests.cpp
+++ b/libs/relay/tests/CrashEvidenceTests.cpp
@@ -1,4 +1,4 @@
-#include "CrashFleet.h"
+#include "InstanceFleet.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -21,7 +21,7 @@
     std::uint64_t step = 0;
 
     /// Sends a sound request through each instance in each step, and one with the fatal part through a changing instance in each twentieth.
-    void sendRequests(CrashFleet & fleet)
+    void sendRequests(InstanceFleet & fleet)
     {
         constexpr std::uint64_t FatalPeriod = 20;
         ++step;
@@ -29,11 +29,11 @@
             fleet.request(i, 100 + (step * 7 + i) % SoundParts);
         }
         if (step % FatalPeriod == 0) {
-            fleet.request((step / FatalPeriod) % fleet.instances.size(), CrashFleet::FatalPart);
+            fleet.request((step / FatalPeriod) % fleet.instances.size(), InstanceFleet::FatalPart);
         }
     }
 
-    std::size_t soundBegunSince(const CrashFleet &fleet, Instant since) const
+    std::size_t soundBegunSince(const InstanceFleet &fleet, Instant since) const
     {
         std::size_t begun = 0;
         for (std::uint64_t part = 100; part < 100 + SoundParts; ++part) {
@@ -46,12 +46,12 @@
 /// Guards against requests that share only a prompt part crashing endpoints one after the other.
 TEST(APromptPartThatCrashesEndpoints, isRejectedEverywhereAfterFiveCrashes)
 {
-    CrashFleet fleet(3);
+    InstanceFleet fleet(3);
     fleet.advance(Ms(30000), [&]() { sendRequests(fleet); });
     CHECK(fleet.fatalCrash(1).has_value());
     const auto fifth = fleet.fatalCrash(5);
     if (fifth) {
-        CHECK(fleet.sentSince(CrashFleet::FatalPart, *fifth + SpreadTime) <= MaxLateRequests);
+        CHECK(fleet.sentSince(InstanceFleet::FatalPart, *fifth + SpreadTime) <= MaxLateRequests);
     }
 }
 
@@ -84,7 +84,7 @@
 TEST(APromptPartThatCrashesEndpoints, isConvictedInPlaceOfASoundOneThatPrecedesIt)
 {
     constexpr std::uint64_t RarePart = 50;
-    CrashFleet fleet(3);
+    InstanceFleet fleet(3);
     for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
         fleet.request(i, RarePart);
     }
@@ -92,13 +92,13 @@
     int requests = 0;
     fleet.advance(Ms(2000), [&]() {
         if (++requests % 8 == 0) {
-            fleet.request(static_cast<std::size_t>(requests / 8) % 3, CrashFleet::FatalPart, 0, RarePart);
+            fleet.request(static_cast<std::size_t>(requests / 8) % 3, InstanceFleet::FatalPart, 0, RarePart);
         }
     });
     const Instant convictedAt = fleet.now;
     for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
-        fleet.request(i, CrashFleet::FatalPart, 0, RarePart);
-        LONGS_EQUAL(0, fleet.sentSince(CrashFleet::FatalPart, convictedAt));
+        fleet.request(i, InstanceFleet::FatalPart, 0, RarePart);
+        LONGS_EQUAL(0, fleet.sentSince(InstanceFleet::FatalPart, convictedAt));
         fleet.request(i, RarePart);
     }
     fleet.advance(Ms(500));
@@ -130,7 +130,7 @@
 /// Guards against an instance that is started after the crashes sending what the others have learned to reject.
 TEST(APromptPartThatCrashesEndpoints, isRejectedByAnInstanceThatStartsLater)
 {
-    CrashFleet fleet(3);
+    InstanceFleet fleet(3);
     fleet.advance(Ms(4000), [&]() { sendRequests(fleet); });
     fleet.restart(0);
     const std::size_t late = fleet.addInstance();
@@ -138,23 +138,23 @@
     const Instant since = fleet.now;
     constexpr int Requests = 10;
     for (int i = 0; i < Requests; ++i) {
-        fleet.request(0, CrashFleet::FatalPart);
-        fleet.request(late, CrashFleet::FatalPart);
+        fleet.request(0, InstanceFleet::FatalPart);
+        fleet.request(late, InstanceFleet::FatalPart);
     }
-    CHECK(fleet.sentSince(CrashFleet::FatalPart, since) <= 1);
+    CHECK(fleet.sentSince(InstanceFleet::FatalPart, since) <= 1);
 }
 
 /// Guards against an instance that was cut off from the others during the crashes going on with what they have learned to reject.
 TEST(APromptPartThatCrashesEndpoints, isRejectedByAnInstanceThatWasCutOff)
 {
-    CrashFleet fleet(3);
+    InstanceFleet fleet(3);
     fleet.instances[0]->isCutOff = true;
     fleet.advance(Ms(4000), [&]() {
         for (std::size_t i = 1; i < fleet.instances.size(); ++i) {
             fleet.request(i, 100 + (++step % SoundParts));
         }
         if (step % 25 == 0) {
-            fleet.request(1 + (step / 25) % 2, CrashFleet::FatalPart);
+            fleet.request(1 + (step / 25) % 2, InstanceFleet::FatalPart);
         }
     });
     CHECK(fleet.fatalCrash(3).has_value());
@@ -163,40 +163,40 @@
     const Instant since = fleet.now;
     constexpr int Requests = 10;
     for (int i = 0; i < Requests; ++i) {
-        fleet.request(0, CrashFleet::FatalPart);
+        fleet.request(0, InstanceFleet::FatalPart);
     }
-    CHECK(fleet.sentSince(CrashFleet::FatalPart, since) <= 1);
+    CHECK(fleet.sentSince(InstanceFleet::FatalPart, since) <= 1);
 }
 
 /// Guards against evidence getting lost on its way through the aggregators of a fleet that is too large for a full mesh.
 TEST(APromptPartThatCrashesEndpoints, isRejectedEverywhereInALargeFleet)
 {
     constexpr std::size_t Instances = 40;
-    CrashFleet fleet(Instances);
+    InstanceFleet fleet(Instances);
     fleet.advance(Ms(20000), [&]() {
         ++step;
         fleet.request(step % Instances, 100 + step % SoundParts);
         if (step % 16 == 0) {
-            fleet.request((step / 16) % Instances, CrashFleet::FatalPart);
+            fleet.request((step / 16) % Instances, InstanceFleet::FatalPart);
         }
     });
     const auto fifth = fleet.fatalCrash(5);
     if (fifth) {
-        CHECK(fleet.sentSince(CrashFleet::FatalPart, *fifth + SpreadTime) <= MaxLateRequests);
+        CHECK(fleet.sentSince(InstanceFleet::FatalPart, *fifth + SpreadTime) <= MaxLateRequests);
     }
     // Sound requests go on everywhere.
-    CHECK(soundBegunSince(fleet, fleet.now - Ms(5000)) >= static_cast<std::size_t>(Ms(5000) / CrashFleet::Step) * 9 / 10);
+    CHECK(soundBegunSince(fleet, fleet.now - Ms(5000)) >= static_cast<std::size_t>(Ms(5000) / InstanceFleet::Step) * 9 / 10);
 }
 
 /// Guards against a part that crashes endpoints only in some of its runs being rejected for good, and against it crashing endpoints without limit: its good
 /// runs acquit it, and three crashes in a row convict it again.
 TEST(APromptPartThatCrashesEndpoints, isRejectedForATimeIfItCrashesThemNowAndThen)
 {
-    CrashFleet fleet(3);
+    InstanceFleet fleet(3);
     fleet.runsPerCrash = 3;
     fleet.advance(Ms(20000), [&]() { sendRequests(fleet); });
-    CHECK(fleet.begunSince(CrashFleet::FatalPart, fleet.now - Ms(10000)) > 0);
-    CHECK(soundBegunSince(fleet, fleet.now - Ms(10000)) >= static_cast<std::size_t>(Ms(10000) / CrashFleet::Step));
+    CHECK(fleet.begunSince(InstanceFleet::FatalPart, fleet.now - Ms(10000)) > 0);
+    CHECK(soundBegunSince(fleet, fleet.now - Ms(10000)) >= static_cast<std::size_t>(Ms(10000) / InstanceFleet::Step));
 }
 
 /// One kind of request that most callers send; its endpoints crash from outside now and then.
@@ -205,7 +205,7 @@
     static constexpr std::uint64_t Fingerprint = 777;
     static constexpr std::uint64_t SoundPart = 100;
 
-    static void sendEverywhere(CrashFleet & fleet)
+    static void sendEverywhere(InstanceFleet & fleet)
     {
         for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
             fleet.request(i, SoundPart, Fingerprint);
@@ -216,7 +216,7 @@
 /// Guards against an instance that goes on rejecting a kind of request which all others serve.
 TEST(ASoundRequestThatWasThereAtCrashes, isServedByAnInstanceThatHasThreeReportsOnceTheOthersServeIt)
 {
-    CrashFleet fleet(3);
+    InstanceFleet fleet(3);
     fleet.report(0, Fingerprint, {1, 2, 3});
     fleet.advance(Ms(10000), [&]() { sendEverywhere(fleet); });
     LONGS_EQUAL(0, fleet.quarantinedSince(0, fleet.now - (Ms(10000) - SpreadTime)));
@@ -225,7 +225,7 @@
 /// Guards against instances, the restarted and the new ones included, keeping what the others know to be refuted.
 TEST(ASoundRequestThatWasThereAtCrashes, isServedByInstancesThatStartLater)
 {
-    CrashFleet fleet(3);
+    InstanceFleet fleet(3);
     fleet.advance(Ms(500), [&]() { sendEverywhere(fleet); });
     for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
         fleet.report(i, Fingerprint, {1, 2, 3});
@@ -242,7 +242,7 @@
 /// Guards against an instance that was cut off, and convicts a request alone, going on with it or convincing the others.
 TEST(ASoundRequestThatWasThereAtCrashes, isServedByAnInstanceThatWasCutOffOnceItIsBack)
 {
-    CrashFleet fleet(3);
+    InstanceFleet fleet(3);
     fleet.instances[0]->isCutOff = true;
     fleet.report(0, Fingerprint, {1, 2, 3});
     fleet.advance(Ms(500), [&]() {
@@ -278,7 +278,7 @@
 /// Guards against a request that most callers send being rejected because endpoints are killed from outside while they run it.
 TEST(ASoundRequestThatWasThereAtCrashes, isServedWhileEndpointsAreKilledOneAfterTheOther)
 {
-    CrashFleet fleet(3);
+    InstanceFleet fleet(3);
     int steps = 0;
     std::size_t rejected = 0;
     constexpr int StepsPerKill = 16;
@@ -298,12 +298,12 @@
 /// Guards against all endpoints being lost at once: nothing is left that could acquit what was running on them.
 TEST(ASoundRequestThatWasThereAtCrashes, isServedAgainAfterAllEndpointsWereKilled)
 {
-    CrashFleet fleet(3);
+    InstanceFleet fleet(3);
     fleet.advance(Ms(1000), [&]() { sendEverywhere(fleet); });
     for (std::size_t i = 0; i < fleet.endpoints.size(); ++i) {
         fleet.crash(i);
     }
-    fleet.advance(CrashFleet::RestartTime + SpreadTime + Ms(2000), [&]() { sendEverywhere(fleet); });
+    fleet.advance(InstanceFleet::RestartTime + SpreadTime + Ms(2000), [&]() { sendEverywhere(fleet); });
     const Instant since = fleet.now;
     fleet.advance(Ms(1000), [&]() { sendEverywhere(fleet); });
     for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
@@ -316,18 +316,18 @@
 TEST(ASoundRequestThatWasThereAtCrashes, isNotBlamedForEndpointsThatLiveOn)
 {
     constexpr std::uint64_t RarePart = 50;
-    CrashFleet fleet(3);
+    InstanceFleet fleet(3);
     for (std::size_t endpoint = 0; endpoint < fleet.endpoints.size(); endpoint += 2) {
         fleet.request(0, RarePart);
-        fleet.advance(CrashFleet::Step);
+        fleet.advance(InstanceFleet::Step);
         fleet.loseConnections(0, endpoint);
-        fleet.advance(CrashFleet::Step);
+        fleet.advance(InstanceFleet::Step);
     }
     fleet.advance(SpreadTime);
     const Instant since = fleet.now;
     for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
         fleet.request(i, RarePart);
     }
-    fleet.advance(CrashFleet::Step);
+    fleet.advance(InstanceFleet::Step);
     LONGS_EQUAL(3, fleet.sentSince(RarePart, since));
 }
--- a/libs/relay/tests/CrashFleet.cpp
+++ b/libs/relay/tests/InstanceFleet.cpp
@@ -1,4 +1,4 @@
-#include "CrashFleet.h"
+#include "InstanceFleet.h"
 
 #include <variant>
 
@@ -24,7 +24,7 @@
 
 } // namespace
 
-CrashFleet::CrashFleet(std::size_t instanceCount)
+InstanceFleet::InstanceFleet(std::size_t instanceCount)
 {
     for (int i = 0; i < HoldersPerHalf; ++i) {
         endpoints.push_back({RelayTestBed::engineEntry("low-" + std::to_string(i), "zone-a", {0, RelayTestBed::HalfLayers})});
@@ -35,21 +35,21 @@
     }
 }
 
-std::size_t CrashFleet::addInstance()
+std::size_t InstanceFleet::addInstance()
 {
     instances.push_back(std::make_unique<Instance>());
     join(*instances.back(), instances.size() - 1);
     return instances.size() - 1;
 }
 
-void CrashFleet::restart(std::size_t instance)
+void InstanceFleet::restart(std::size_t instance)
 {
     std::erase_if(runs_, [&](const Run &run) { return run.instance == instance; });
     instances[instance] = std::make_unique<Instance>();
     join(*instances[instance], instance);
 }
 
-void CrashFleet::join(Instance &instance, std::size_t number)
+void InstanceFleet::join(Instance &instance, std::size_t number)
 {
     RelaySettings settings = RelayTestBed::settings();
     settings.node = nameOf(number);
@@ -71,7 +71,7 @@
     }
 }
 
-std::vector<EndpointEntry> CrashFleet::listedEntries() const
+std::vector<EndpointEntry> InstanceFleet::listedEntries() const
 {
     std::vector<EndpointEntry> entries;
     for (const Endpoint &endpoint : endpoints) {
@@ -80,7 +80,7 @@
     return entries;
 }
 
-void CrashFleet::report(std::size_t instance, std::uint64_t fingerprint, const std::vector<std::uint64_t> &crashes)
+void InstanceFleet::report(std::size_t instance, std::uint64_t fingerprint, const std::vector<std::uint64_t> &crashes)
 {
     wire::RelayDigest digest;
     digest.instance = "outside";
@@ -90,7 +90,7 @@
     instances[instance]->kernel->onPeerMessage(now, digest);
 }
 
-void CrashFleet::request(std::size_t instance, std::uint64_t lastPart, std::uint64_t fingerprint, std::uint64_t otherPart)
+void InstanceFleet::request(std::size_t instance, std::uint64_t lastPart, std::uint64_t fingerprint, std::uint64_t otherPart)
 {
     CallArrival arrival;
     arrival.call = ++lastCall_;
@@ -110,7 +110,7 @@
     instances[instance]->kernel->onCall(now, arrival);
 }
 
-void CrashFleet::step()
+void InstanceFleet::step()
 {
     now += Step;
     for (Endpoint &endpoint : endpoints) {
@@ -133,12 +133,12 @@
     collectRejections();
 }
 
-CrashFleet::Endpoint &CrashFleet::endpointOf(const std::string &id)
+InstanceFleet::Endpoint &InstanceFleet::endpointOf(const std::string &id)
 {
     return *std::find_if(endpoints.begin(), endpoints.end(), [&](const Endpoint &endpoint) { return endpoint.entry.id == id; });
 }
 
-void CrashFleet::deliverDigests()
+void InstanceFleet::deliverDigests()
 {
     for (std::size_t from = 0; from < instances.size(); ++from) {
         Instance &sender = *instances[from];
@@ -154,7 +154,7 @@
     }
 }
 
-void CrashFleet::answerReports()
+void InstanceFleet::answerReports()
 {
     for (const auto &instance : instances) {
         for (; instance->answeredReports < instance->driver.reportRequests.size(); ++instance->answeredReports) {
@@ -171,7 +171,7 @@
     }
 }
 
-void CrashFleet::processDispatches()
+void InstanceFleet::processDispatches()
 {
     for (std::size_t i = 0; i < instances.size(); ++i) {
         Instance &instance = *instances[i];
@@ -181,13 +181,13 @@
                 instance.kernel->onFailure(now, dispatch.attempt, AttemptFailure::NotSent);
                 continue;
             }
-            sent_.push_back({now, lastPartOfCall_.at({i, dispatch.call})});
+            sent_.push_back({now, lastPartOfCall_.at({i, dispatch.call}), dispatch.endpoint});
             runs_.push_back({i, dispatch.attempt, dispatch.call, dispatch.endpoint, now + FirstEventDelay});
         }
     }
 }
 
-void CrashFleet::beginRuns()
+void InstanceFleet::beginRuns()
 {
     for (std::size_t i = 0; i < runs_.size();) {
         const Run run = runs_[i];
@@ -207,18 +207,23 @@
             continue;
         }
         runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(i));
-        begun_.push_back({now, lastPart});
+        begun_.push_back({now, lastPart, run.endpoint});
+        AnswerHead head;
+        head.status = 200;
+        head.verified = true;
+        head.requestLimit = endpointOf(run.endpoint).requestLimit;
+        instances[run.instance]->kernel->onHead(now, run.attempt, head);
         instances[run.instance]->kernel->onEvent(now, run.attempt, 1);
         instances[run.instance]->kernel->onStreamEnd(now, run.attempt);
     }
 }
 
-void CrashFleet::crash(std::size_t endpoint)
+void InstanceFleet::crash(std::size_t endpoint)
 {
     crash(endpoints[endpoint]);
 }
 
-void CrashFleet::loseConnections(std::size_t instance, std::size_t endpoint)
+void InstanceFleet::loseConnections(std::size_t instance, std::size_t endpoint)
 {
     std::vector<Run> lost;
     std::erase_if(runs_, [&](const Run &run) {
@@ -234,7 +239,7 @@
     instances[instance]->kernel->onReport(now, endpoints[endpoint].entry.id, std::nullopt);
 }
 
-void CrashFleet::crash(Endpoint &endpoint)
+void InstanceFleet::crash(Endpoint &endpoint)
 {
     endpoint.downUntil = now + RestartTime;
     std::vector<Run> lost;
@@ -250,7 +255,7 @@
     }
 }
 
-void CrashFleet::collectRejections()
+void InstanceFleet::collectRejections()
 {
     for (std::size_t i = 0; i < instances.size(); ++i) {
         Instance &instance = *instances[i];
@@ -263,25 +268,41 @@
     }
 }
 
-std::size_t CrashFleet::sentSince(std::uint64_t lastPart, Instant since) const
+std::size_t InstanceFleet::sentSince(std::uint64_t lastPart, Instant since) const
 {
     return static_cast<std::size_t>(
         std::count_if(sent_.begin(), sent_.end(), [&](const Observation &seen) { return seen.lastPart == lastPart && seen.at >= since; }));
 }
 
-std::size_t CrashFleet::begunSince(std::uint64_t lastPart, Instant since) const
+std::size_t InstanceFleet::sentTo(std::size_t endpoint, Instant since, Instant until) const
+{
+    return static_cast<std::size_t>(std::count_if(sent_.begin(), sent_.end(), [&](const Observation &seen) {
+        return seen.endpoint == endpoints[endpoint].entry.id && seen.at >= since && seen.at < until;
+    }));
+}
+
+std::size_t InstanceFleet::maxSentTo(std::size_t endpoint, Instant since, Ms span) const
+{
+    std::size_t most = 0;
+    for (Instant from = since; from + span <= now; from += 4 * Step) {
+        most = std::max(most, sentTo(endpoint, from, from + span));
+    }
+    return most;
+}
+
+std::size_t InstanceFleet::begunSince(std::uint64_t lastPart, Instant since) const
 {
     return static_cast<std::size_t>(
         std::count_if(begun_.begin(), begun_.end(), [&](const Observation &seen) { return seen.lastPart == lastPart && seen.at >= since; }));
 }
 
-std::size_t CrashFleet::quarantinedSince(std::size_t instance, Instant since) const
+std::size_t InstanceFleet::quarantinedSince(std::size_t instance, Instant since) const
 {
     return static_cast<std::size_t>(
         std::count_if(quarantined_.begin(), quarantined_.end(), [&](const Quarantined &entry) { return entry.instance == instance && entry.at >= since; }));
 }
 
-std::optional<Instant> CrashFleet::fatalCrash(std::size_t n) const
+std::optional<Instant> InstanceFleet::fatalCrash(std::size_t n) const
 {
     return n <= fatalCrashes_.size() ? std::optional(fatalCrashes_[n - 1]) : std::nullopt;
 }
--- a/libs/relay/tests/CrashFleet.h
+++ b/libs/relay/tests/InstanceFleet.h
@@ -6,8 +6,9 @@
 #include <memory>
 #include <optional>
 
-/// Several instances that exchange their digests, before engine endpoints that crash on one part of a prompt. Time passes in steps; messages take one step.
-class CrashFleet
+/// Several instances that exchange their digests, before engine endpoints that may crash on one part of a prompt, and may name a limit on their requests.
+/// Time passes in steps; messages take one step.
+class InstanceFleet
 {
 public:
     /// The part of a prompt on which endpoints crash when they begin to answer.
@@ -23,6 +24,8 @@
         relay::EndpointEntry entry;
         /// It is down until then; zero while it is up.
         relay::Instant downUntil{0};
+        /// Requests a second that its answers name as the limit for all instances together; 0 for none.
+        double requestLimit = 0;
         /// It crashes on the fatal part only in each n-th run; never if 0.
         int fatalRuns = 0;
     };
@@ -47,7 +50,7 @@
         bool isCutOff = false;
     };
 
-    explicit CrashFleet(std::size_t instanceCount);
+    explicit InstanceFleet(std::size_t instanceCount);
 
     /// Starts another instance, which knows nothing yet, and returns its number.
     std::size_t addInstance();
@@ -78,6 +81,10 @@
 
     /// Returns how many requests with that last part were sent to endpoints from that time on.
     std::size_t sentSince(std::uint64_t lastPart, relay::Instant since) const;
+    /// Returns how many requests were sent to an endpoint within that time.
+    std::size_t sentTo(std::size_t endpoint, relay::Instant since, relay::Instant until) const;
+    /// Returns the highest number of requests that were sent to an endpoint within any span of that length since then.
+    std::size_t maxSentTo(std::size_t endpoint, relay::Instant since, relay::Ms span) const;
     /// Returns the time of the n-th crash by the fatal part, counted from 1; none if there were fewer.
     std::optional<relay::Instant> fatalCrash(std::size_t n) const;
     /// Returns how many requests with that last part have got their first event from that time on.
@@ -96,6 +103,7 @@
     struct Observation {
         relay::Instant at{0};
         std::uint64_t lastPart = 0;
+        std::string endpoint;
     };
     struct Quarantined {
         relay::Instant at{0};
