--- a/libs/relay/tests/CrashEvidenceTests.cpp
+++ b/libs/relay/tests/CrashEvidenceTests.cpp
@@ -188,6 +188,23 @@
     CHECK(soundBegunSince(fleet, fleet.now - Ms(5000)) >= static_cast<std::size_t>(Ms(5000) / InstanceFleet::Step) * 9 / 10);
 }
 
+/// Guards against evidence waiting at the aggregators of a large fleet for its next repetition.
+TEST(APromptPartThatCrashesEndpoints, isRejectedWithinASecondInALargeFleet)
+{
+    constexpr std::size_t Instances = 40;
+    InstanceFleet fleet(Instances);
+    fleet.advance(Ms(6000), [&]() {
+        ++step;
+        fleet.request(step % Instances, 100 + step % SoundParts);
+        if (step % 4 == 0) {
+            fleet.request((step / 4) % Instances, InstanceFleet::FatalPart);
+        }
+    });
+    const auto third = fleet.fatalCrash(3);
+    CHECK(third.has_value());
+    LONGS_EQUAL(0, fleet.sentSince(InstanceFleet::FatalPart, *third + Ms(1000)) - fleet.sentSince(InstanceFleet::FatalPart, *third + Ms(2000)));
+}
+
 /// Guards against a part that crashes endpoints only in some of its runs being rejected for good, and against it crashing endpoints without limit: its good
 /// runs acquit it, and three crashes in a row convict it again.
 TEST(APromptPartThatCrashesEndpoints, isRejectedForATimeIfItCrashesThemNowAndThen)
@@ -312,22 +329,26 @@
     CHECK(fleet.begunSince(SoundPart, since) > 0);
 }
 
-/// Guards against crashes that have not happened: an instance alone loses its connections to endpoints that live on.
+/// Guards against crashes that have not happened: an instance loses its connections to endpoints that live on, as their next reports show.
 TEST(ASoundRequestThatWasThereAtCrashes, isNotBlamedForEndpointsThatLiveOn)
 {
-    constexpr std::uint64_t RarePart = 50;
-    InstanceFleet fleet(3);
-    for (std::size_t endpoint = 0; endpoint < fleet.endpoints.size(); endpoint += 2) {
-        fleet.request(0, RarePart);
-        fleet.advance(InstanceFleet::Step);
-        fleet.loseConnections(0, endpoint);
-        fleet.advance(InstanceFleet::Step);
+    RelayTestBed bed;
+    std::vector<std::string> lost;
+    for (int i = 0; i < 3; ++i) {
+        bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+        lost.push_back(bed.driver.sent.back().endpoint);
+        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+        bed.kernel.onReport(bed.now, lost.back(), std::nullopt);
+        bed.advance(Ms(100));
     }
-    fleet.advance(SpreadTime);
-    const Instant since = fleet.now;
-    for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
-        fleet.request(i, RarePart);
+    bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+    LONGS_EQUAL(3, bed.driver.sent.size());
+    for (const std::string &endpoint : lost) {
+        EndpointReport report;
+        report.incarnation = 1;
+        bed.kernel.onReport(bed.now, endpoint, report);
     }
-    fleet.advance(InstanceFleet::Step);
-    LONGS_EQUAL(3, fleet.sentSince(RarePart, since));
+    bed.advance(Ms(100));
+    bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+    LONGS_EQUAL(4, bed.driver.sent.size());
 }
--- a/libs/relay/tests/InstanceFleet.cpp
+++ b/libs/relay/tests/InstanceFleet.cpp
@@ -223,22 +223,6 @@
     crash(endpoints[endpoint]);
 }
 
-void InstanceFleet::loseConnections(std::size_t instance, std::size_t endpoint)
-{
-    std::vector<Run> lost;
-    std::erase_if(runs_, [&](const Run &run) {
-        const bool isLost = run.instance == instance && run.endpoint == endpoints[endpoint].entry.id;
-        if (isLost) {
-            lost.push_back(run);
-        }
-        return isLost;
-    });
-    for (const Run &run : lost) {
-        instances[instance]->kernel->onFailure(now, run.attempt, AttemptFailure::Broken);
-    }
-    instances[instance]->kernel->onReport(now, endpoints[endpoint].entry.id, std::nullopt);
-}
-
 void InstanceFleet::crash(Endpoint &endpoint)
 {
     endpoint.downUntil = now + RestartTime;
--- a/libs/relay/tests/InstanceFleet.h
+++ b/libs/relay/tests/InstanceFleet.h
@@ -76,8 +76,6 @@
     }
     /// Crashes an endpoint from outside.
     void crash(std::size_t endpoint);
-    /// Breaks the connections of one instance to an endpoint, which lives on, and leaves a request for its report unanswered.
-    void loseConnections(std::size_t instance, std::size_t endpoint);
 
     /// Returns how many requests with that last part were sent to endpoints from that time on.
     std::size_t sentSince(std::uint64_t lastPart, relay::Instant since) const;
