Instances share and keep the request limits that endpoints name

Cause: no source read the statement. Class: a signal of an endpoint in need that nothing takes up; the design had refusals and reports only.

Change: RequestLimits keeps what an endpoint said last, whichever instance heard it: statements travel in digests with their age, so that the newest counts; an answer without one ends it everywhere. Each instance uses its share, half of it even, half by its part of the open requests, so that none asks before it sends. Credit accrues with the share and is saved up for a second; parts of a request are exchanged for a whole one by chance, since 195 instances that save up a whole request each could send them at once. An endpoint without credit can't be the first stage, or serve a plain call; if none is left, the call is rejected at once with the time to return.

--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -194,6 +194,7 @@
         peers.expedite();
         driver.record({"crash_probe", call.requestId, endpoints.at(attempts.at(id).stages.front()).entry.id, crashGuard.evidenceText(call.signatures, now)});
     }
+    limits.onSent(attempts.at(id).stages.front(), now);
     ++call.attemptCount;
     ++call.runs;
     ++counters.attempts;
--- a/libs/relay/src/Candidates.cpp
+++ b/libs/relay/src/Candidates.cpp
@@ -35,6 +35,10 @@
         // What the other instances have dispatched since their last digests isn't known. After the loss of an endpoint each of them dispatches
         // about as much as this one, so that its own pending prefill is multiplied by their number. So are its prompts on the link between zones.
         const double uncertainPrefill = std::max(0.0, state.pendingPrefillTokens * instances - load.pendingPrefillTokens);
+        const bool canBeFirst = state.entry.layers.first > 0 || limits.maySend(i, nextFraction(), now);
+        if (!canBeFirst) {
+            found.limitWait = std::min(found.limitWait.value_or(Ms::max()), limits.expectedWait(i, now));
+        }
         const double failureRatio = load.failures / (load.answers + AssumedGoodAnswers);
         found.holders.push_back({kind,
                                  state.zone,
@@ -46,7 +50,7 @@
                                  state.slowdown,
                                  1 + FailureCost * failureRatio,
                                  true,
-                                 true});
+                                 canBeFirst});
         found.indices.push_back(i);
         ownLinkTokens += state.pendingLinkTokens;
         found.linkTokens += load.pendingLinkTokens;
--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -87,6 +87,7 @@
         digest.crashReports = news.reports;
         digest.crashRefutations = news.refutations;
         digest.crashProbes = news.probes;
+        digest.limits = limits.reports(digest.scope == wire::DigestScope::Instance, now);
         digest.configVersion = known.configVersion;
         digest.endpointsHash = now - known.endpointsAt < UpdateLifetime ? known.endpointsHash : 0;
         digest.endpointsRevision = known.endpointsRevision;
@@ -115,6 +116,11 @@
     }
     storeDuty.onStoreUpdate(digest, now, known);
     onCrashNews(now, digest);
+    for (const wire::EndpointLimit &limit : digest.limits) {
+        if (limits.onReport(limit, now)) {
+            recordLimit(*endpoints.findHash(limit.endpoint), limit.perSecond, "from " + digest.instance);
+        }
+    }
     for (const wire::SlowEndpoint &slow : digest.slow) {
         const auto index = endpoints.findHash(slow.endpoint);
         if (index && now >= endpoints.at(*index).reportedAt + OwnReportLifetime) {
@@ -156,6 +162,34 @@
     }
 }
 
+void RelayKernel::Impl::recordLimit(EndpointIndex endpoint, double perSecond, const std::string &origin)
+{
+    const char *const event = perSecond > 0 ? "limit_named" : "limit_ended";
+    driver.record({event, "", endpoints.at(endpoint).entry.id, std::to_string(perSecond) + " requests a second, " + origin});
+}
+
+void RelayKernel::Impl::updateLimitShare(Instant now)
+{
+    constexpr Ms UpdatePeriod{500};
+    if (now < shareUpdatedAt + UpdatePeriod) {
+        return;
+    }
+    shareUpdatedAt = now;
+    const auto instances = peers.instances(now);
+    if (!instances) {
+        return limits.setShare(0); // How many share the limits isn't known yet.
+    }
+    double own = 0;
+    double all = 0;
+    for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
+        own += endpoints.at(i).openRequests;
+        all += peers.loadOn(i, now).openRequests;
+    }
+    // Half of a limit is divided evenly, so that an instance without requests can begin with some; half of it by the requests that each has.
+    const double equalShare = 1.0 / *instances;
+    limits.setShare(all > 0 ? (equalShare + own / all) / 2 : equalShare);
+}
+
 void RelayKernel::Impl::recheckSilentEndpoints(Instant now, const wire::RelayDigest &digest)
 {
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-std::optional<EndpointIndex> RelayKernel::Impl::choosePlain(Instant now, const Call &call) const
+std::optional<EndpointIndex> RelayKernel::Impl::choosePlain(Instant now, const Call &call)
 {
     const double target = std::max(1.0, static_cast<double>(call.route->targetLatency.count()));
     std::optional<EndpointIndex> best;
@@ -34,7 +34,7 @@
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         const EndpointState &state = endpoints.at(i);
         const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
-        if (state.entry.service != call.service->name || isExcluded || !endpoints.isUsable(i, now)) {
+        if (state.entry.service != call.service->name || isExcluded || !endpoints.isUsable(i, now) || !limits.maySend(i, nextFraction(), now)) {
             continue;
         }
         const double latency = state.latencyMs > 0 ? state.latencyMs : AssumedLatencyRatio * target;
@@ -49,10 +49,26 @@
     return best;
 }
 
+std::optional<Ms> RelayKernel::Impl::plainLimitWait(Instant now, const Call &call) const
+{
+    std::optional<Ms> shortest;
+    for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
+        const Ms wait = limits.expectedWait(i, now);
+        const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
+        if (endpoints.at(i).entry.service == call.service->name && !isExcluded && endpoints.isUsable(i, now) && wait.count() > 0) {
+            shortest = std::min(shortest.value_or(wait), wait);
+        }
+    }
+    return shortest;
+}
+
 void RelayKernel::Impl::startPlain(Instant now, Call &call)
 {
     const auto endpoint = choosePlain(now, call);
     if (!endpoint) {
+        if (const auto wait = plainLimitWait(now, call)) {
+            return rejectForLoad(now, call, *wait, "the endpoints limit their requests");
+        }
         return fail(now, call, base::ErrorKind::NoEndpoint, "no usable endpoint of service '" + call.service->name + "'");
     }
     Attempt attempt;
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -26,6 +26,7 @@
     , peers(endpoints)
     , planner(endpoints, peers, relayDriver)
     , storeDuty(peers, relayDriver)
+    , limits(endpoints)
     , crashGuard(endpoints)
 {
     configure();
@@ -73,6 +74,7 @@
     checkSilentEndpoints(now);
     checkSlowEndpoints(now);
     checkCrashes(now);
+    updateLimitShare(now);
     storeDuty.tick(now, known);
     planner.tick(now, config, storeDuty.mayTakeLease());
     sendDigests(now);
@@ -234,17 +236,16 @@
     impl_->close(call);
 }
 
-void RelayKernel::onHead(Instant, AttemptId attempt, const AnswerHead &head)
+void RelayKernel::onHead(Instant now, AttemptId attempt, const AnswerHead &head)
 {
     const auto found = impl_->attempts.find(attempt);
     if (found == impl_->attempts.end() || !(head.verified || head.notRun)) {
         return;
     }
-    EndpointState &state = impl_->endpoints.at(found->second.stages.front());
-    if (state.requestLimit != head.requestLimit) {
-        state.requestLimit = head.requestLimit;
-        const char *const event = head.requestLimit > 0 ? "limit_named" : "limit_ended";
-        impl_->driver.record({event, "", state.entry.id, std::to_string(head.requestLimit) + " requests a second"});
+    const EndpointIndex first = found->second.stages.front();
+    if (impl_->limits.onStated(first, head.requestLimit, now)) {
+        impl_->recordLimit(first, head.requestLimit, "to this instance");
+        impl_->peers.expedite();
     }
 }
 
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -72,7 +72,7 @@
     if (!call.service->engine) {
         return startPlain(now, call);
     }
-    const auto [holders, indices, linkTokens] = candidates(now, call);
+    const auto [holders, indices, linkTokens, limitWait] = candidates(now, call);
     const placement::PipelineRequest request{
         static_cast<double>(call.promptTokens), static_cast<double>(call.answerTokens), endpoints.zoneNumber(settings.zone), {}, std::nullopt, linkTokens};
     const placement::Pipeline pipeline = placement::choosePipeline(*call.service->engine, holders, request);
@@ -83,12 +83,16 @@
             call.nextCheckAt = now + ResumePeriod; // There may be a pipeline in time before the caller leaves.
             return;
         }
+        if (limitWait && !isTooLate) {
+            return rejectForLoad(now, call, *limitWait, "the endpoints with the first layers limit their requests");
+        }
         return isTooLate ? fail(now, call, base::ErrorKind::Overloaded, "the wait for another path is too long")
                          : fail(now, call, base::ErrorKind::NoEndpoint, noPipelineReason(holders, call.service->engine->layers));
     }
     const double maxWaitMs = maxAdmittedWaitMs(*call.route);
     if (call.attemptCount == 0 && call.lastEvent == 0 && pipeline.waitMs > maxWaitMs) {
-        return rejectForLoad(now, call, pipeline.waitMs);
+        const Ms wait(static_cast<std::int64_t>(pipeline.waitMs));
+        return rejectForLoad(now, call, wait, "predicted wait " + std::to_string(wait.count()) + " ms");
     }
     Attempt attempt;
     for (const placement::PipelineStage &stage : pipeline.stages) {
@@ -116,16 +120,13 @@
     return std::max(0.0, std::chrono::duration<double, std::milli>(patience).count());
 }
 
-void RelayKernel::Impl::rejectForLoad(Instant now, Call &call, double waitMs)
+void RelayKernel::Impl::rejectForLoad(Instant now, Call &call, Ms wait, const std::string &reason)
 {
+    if (call.attemptCount > 0) {
+        return fail(now, call, base::ErrorKind::Overloaded, reason);
+    }
     const CallId id = call.id;
-    const Ms wait(static_cast<std::int64_t>(waitMs));
-    reject(id,
-           call.requestId,
-           std::chrono::duration_cast<Ms>(call.callerDeadline - now),
-           base::ErrorKind::Overloaded,
-           "predicted wait " + std::to_string(wait.count()) + " ms",
-           wait);
+    reject(id, call.requestId, std::chrono::duration_cast<Ms>(call.callerDeadline - now), base::ErrorKind::Overloaded, reason, wait);
     close(id);
 }
 
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -45,8 +45,6 @@
     double pendingPrefillTokens = 0;
     /// Prompt tokens of those requests that are under way to it over the link between two zones.
     double pendingLinkTokens = 0;
-    /// Requests a second that it takes from all instances together, by its last answer; 0 if it named no limit.
-    double requestLimit = 0;
     /// When the last event arrived of any stream that it serves as the first stage.
     Instant lastEventAt{0};
     /// Recent answers to requests of this instance.
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -5,6 +5,7 @@
 #include "details/EndpointRegistry.h"
 #include "details/PeerLoads.h"
 #include "details/PlannerDuty.h"
+#include "details/RequestLimits.h"
 #include "details/RetryWindow.h"
 #include "details/RouteTable.h"
 #include "details/StoreDuty.h"
@@ -97,6 +98,8 @@
     std::vector<EndpointIndex> indices;
     /// Prompt tokens that all instances together may have under way over the link between zones.
     double linkTokens = 0;
+    /// Shortest time until an endpoint with the first layers may get a request that its limit does not permit now; none if no limit stands in the way.
+    std::optional<Ms> limitWait;
 };
 
 /// State of the kernel. Its functions are defined in several files: Admission, Calls, PlainCalls, StreamCalls, Candidates, Detours, EndpointHealth
@@ -165,6 +168,10 @@
     void onDigest(Instant now, const wire::RelayDigest &digest);
     /// Refutes that the call crashes endpoints, since one has begun to answer it.
     void onServed(Instant now, const Call &call);
+    /// Writes to the log what an endpoint has said about the requests that it takes, and to whom.
+    void recordLimit(EndpointIndex endpoint, double perSecond, const std::string &origin);
+    /// Computes this instance's share of the limits that endpoints name.
+    void updateLimitShare(Instant now);
     /// Requests the reports of slow endpoints, to see whether they still are slow, if this instance is a verifier.
     void checkSlowEndpoints(Instant now);
     /// Logs newly confirmed crashes and expedites the digest that reports them.
@@ -182,9 +189,11 @@
     /// Dispatches a call to the endpoint with the lowest estimated cost, or fails it if none is usable.
     void startPlain(Instant now, Call &call);
     /// Returns the usable endpoint with the lowest estimated cost that isn't excluded for this call; none if there is none.
-    std::optional<EndpointIndex> choosePlain(Instant now, const Call &call) const;
+    std::optional<EndpointIndex> choosePlain(Instant now, const Call &call);
     /// Forwards an answer, or retries the call if the answer is an error and the call may run again.
     void onPlainAnswer(Instant now, Call &call, AttemptId attempt, const AnswerHead &head);
+    /// Returns the shortest time until a usable endpoint that limits its requests is expected to take this call; none if none limits them.
+    std::optional<Ms> plainLimitWait(Instant now, const Call &call) const;
     /// Retries a call after a failed attempt, or fails it with the given error; does nothing while another attempt is open.
     void retryPlainOrFail(Instant now, Call &call, base::ErrorKind kind, const std::string &detail);
     /// Sends an idempotent request that has been unanswered for long to a second endpoint as well.
@@ -196,8 +205,8 @@
     void startStream(Instant now, Call &call);
     /// Returns the time that is left until the caller abandons its stream for lack of events.
     static double patienceLeftMs(Instant now, const Call &call);
-    /// Rejects a stream that would wait that long for the prefill of others.
-    void rejectForLoad(Instant now, Call &call, double waitMs);
+    /// Rejects a call that would have to wait that long: for the prefill of others, or for endpoints that limit their requests.
+    void rejectForLoad(Instant now, Call &call, Ms wait, const std::string &reason);
     /// Returns the usable layer holders of the call's service that aren't excluded for this call.
     Candidates candidates(Instant now, const Call &call);
     /// Multiplies the costs of endpoints by random factors. Among those of one zone whose layers begin at the same one the lowest factor is 1, so that the
@@ -264,6 +273,9 @@
     PlannerDuty planner;
     StoreDuty storeDuty;
     RetryWindow retries;
+    RequestLimits limits;
+    /// When this instance's share of the endpoints' limits was last computed.
+    Instant shareUpdatedAt{0};
     CrashGuard crashGuard;
     RelayCounters counters;
 
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -69,6 +69,16 @@
     friend bool operator==(const CrashRefutation &, const CrashRefutation &) = default;
 };
 
+/// What an endpoint has said about the requests that it takes from all instances together.
+struct EndpointLimit {
+    /// endpointHash() of the endpoint's id.
+    std::uint32_t endpoint = 0;
+    /// Requests a second; 0 if it takes any number again. Encoding rounds it to the nearest hundredth, but not to 0.
+    double perSecond = 0;
+    /// Time since it said so when the digest was sent; encoding rounds it down to a hundredth of a second.
+    std::chrono::milliseconds age{0};
+};
+
 /// An instance that sums the digests of its availability zone.
 struct Aggregator {
     /// Id of the instance, and IP:port at which it receives messages.
@@ -127,6 +137,8 @@
     std::vector<CrashRefutation> crashRefutations = {};
     /// Convicted signatures of which a probe was sent since the last digest.
     std::vector<std::uint64_t> crashProbes = {};
+    /// What endpoints have lately said to the instances within the scope about the requests that they take.
+    std::vector<EndpointLimit> limits = {};
 };
 
 /// An entry of the store's list of endpoints.
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -19,6 +19,9 @@
 constexpr double TenthsPerWhole = 10;
 /// Digests carry the ages of crashes in this unit.
 constexpr std::chrono::milliseconds CrashAgeUnit{100};
+/// Digests carry limits in hundredths, and their ages in this unit.
+constexpr double HundredthsPerWhole = 100;
+constexpr std::chrono::milliseconds LimitAgeUnit{10};
 /// Digests carry decayed counts in eighths.
 constexpr double EighthsPerWhole = 8;
 
@@ -77,6 +80,11 @@
     for (const std::uint64_t signature : digest.crashProbes) {
         out.add_probed(signature);
     }
+    for (const EndpointLimit &limit : digest.limits) {
+        out.add_limited(limit.endpoint);
+        out.add_limit_hundredths(limit.perSecond > 0 ? std::max(1U, static_cast<std::uint32_t>(std::lround(limit.perSecond * HundredthsPerWhole))) : 0);
+        out.add_limit_age(static_cast<std::uint32_t>(limit.age / LimitAgeUnit));
+    }
     out.set_mesh_address(digest.meshAddress);
     out.set_zone(digest.zone);
     if (digest.scope != DigestScope::Instance) {
@@ -127,14 +135,21 @@
     digest.crashProbes.assign(in.probed().begin(), in.probed().end());
 }
 
+void readLimits(const trefoilport::pb::RelayDigest &in, RelayDigest &digest)
+{
+    for (int i = 0; i < in.limited_size(); ++i) {
+        digest.limits.push_back({in.limited(i), in.limit_hundredths(i) / HundredthsPerWhole, in.limit_age(i) * LimitAgeUnit});
+    }
+}
+
 std::optional<RelayDigest> toDigest(const trefoilport::pb::RelayDigest &in)
 {
     const bool listSizesMatch = in.open_requests_size() == in.endpoint_size() && in.context_size() == in.endpoint_size()
         && in.silent_incarnation_size() == in.silent_size() && in.slowness_tenths_size() == in.slow_size() && in.strike_crash_size() == in.strike_size()
         && (in.strike_age_size() == 0 || in.strike_age_size() == in.strike_size()) && in.refuted_crash_size() == in.refuted_size()
-        && in.aggregator_address_size() == in.aggregator_size() && in.failing_answers_size() == in.failing_size()
-        && in.failing_failures_size() == in.failing_size() && in.pending_prefill_size() == in.pending_position_size()
-        && in.pending_link_size() == in.pending_position_size();
+        && in.limit_hundredths_size() == in.limited_size() && in.limit_age_size() == in.limited_size() && in.aggregator_address_size() == in.aggregator_size()
+        && in.failing_answers_size() == in.failing_size() && in.failing_failures_size() == in.failing_size()
+        && in.pending_prefill_size() == in.pending_position_size() && in.pending_link_size() == in.pending_position_size();
     const bool isScopeKnown = in.scope() <= static_cast<std::uint32_t>(DigestScope::Fleet);
     if (!listSizesMatch || !isScopeKnown || in.instance().empty()) {
         return std::nullopt;
@@ -161,6 +176,7 @@
         digest.slow.push_back({in.slow(i), in.slowness_tenths(i) / TenthsPerWhole});
     }
     readCrashEvidence(in, digest);
+    readLimits(in, digest);
     return digest;
 }
 
