--- a/libs/relay/src/PeerLoads.cpp
+++ b/libs/relay/src/PeerLoads.cpp
@@ -112,19 +112,19 @@
     return found != zoneSums_.end() && isFresh(found->second, now);
 }
 
-void PeerLoads::add(Totals &totals, const std::vector<Load> &loads, std::int64_t sign)
+void PeerLoads::add(Totals &totals, const std::vector<Load> &loads, double sign)
 {
     for (const Load &load : loads) {
         if (load.endpoint >= totals.loads.size()) {
             totals.loads.resize(load.endpoint + 1);
         }
-        TotalLoad &total = totals.loads[load.endpoint];
-        total.openRequests += sign * static_cast<std::int64_t>(load.openRequests);
-        total.contextTokens += sign * static_cast<std::int64_t>(load.contextTokens);
-        total.pendingPrefillTokens += sign * static_cast<std::int64_t>(load.pendingPrefillTokens);
-        total.pendingLinkTokens += sign * static_cast<std::int64_t>(load.pendingLinkTokens);
-        total.answers += static_cast<double>(sign) * load.answers;
-        total.failures += static_cast<double>(sign) * load.failures;
+        LoadEstimate &total = totals.loads[load.endpoint];
+        total.openRequests += sign * load.openRequests;
+        total.contextTokens += sign * static_cast<double>(load.contextTokens);
+        total.pendingPrefillTokens += sign * static_cast<double>(load.pendingPrefillTokens);
+        total.pendingLinkTokens += sign * static_cast<double>(load.pendingLinkTokens);
+        total.answers += sign * load.answers;
+        total.failures += sign * load.failures;
     }
 }
 
@@ -212,11 +212,11 @@
     add(totals, sentLoads_);
     digest.countedInstances = totals.countedInstances + 1;
     digest.knownInstances = totals.knownInstances + 1;
-    const auto positive = [](std::int64_t count) {
-        return static_cast<std::uint64_t>(std::max<std::int64_t>(0, count));
+    const auto positive = [](double count) {
+        return static_cast<std::uint64_t>(std::max(0.0, count));
     };
     for (EndpointIndex i = 0; i < totals.loads.size(); ++i) {
-        const TotalLoad &load = totals.loads[i];
+        const LoadEstimate &load = totals.loads[i];
         if (load.openRequests > 0) {
             digest.loads.push_back({wire::endpointHash(endpoints_.at(i).entry.id),
                                     static_cast<std::uint32_t>(load.openRequests),
@@ -292,11 +292,11 @@
                       state.recent.answers(now),
                       state.recent.failures(now)};
     if (index < sum.loads.size()) {
-        const TotalLoad &total = sum.loads[index];
-        load.openRequests += static_cast<double>(std::max<std::int64_t>(0, total.openRequests));
-        load.contextTokens += static_cast<double>(std::max<std::int64_t>(0, total.contextTokens));
-        load.pendingPrefillTokens += static_cast<double>(std::max<std::int64_t>(0, total.pendingPrefillTokens));
-        load.pendingLinkTokens += static_cast<double>(std::max<std::int64_t>(0, total.pendingLinkTokens));
+        const LoadEstimate &total = sum.loads[index];
+        load.openRequests += std::max(0.0, total.openRequests);
+        load.contextTokens += std::max(0.0, total.contextTokens);
+        load.pendingPrefillTokens += std::max(0.0, total.pendingPrefillTokens);
+        load.pendingLinkTokens += std::max(0.0, total.pendingLinkTokens);
         load.answers += std::max(0.0, total.answers);
         load.failures += std::max(0.0, total.failures);
     }
--- a/libs/relay/src/details/PeerLoads.h
+++ b/libs/relay/src/details/PeerLoads.h
@@ -103,18 +103,9 @@
         bool isStale = false;
         Instant lastSeen{0};
     };
-    /// The sum of the loads on one endpoint.
-    struct TotalLoad {
-        std::int64_t openRequests = 0;
-        std::int64_t contextTokens = 0;
-        std::int64_t pendingPrefillTokens = 0;
-        std::int64_t pendingLinkTokens = 0;
-        double answers = 0;
-        double failures = 0;
-    };
     /// Sums of loads, by endpoint.
     struct Totals {
-        std::vector<TotalLoad> loads;
+        std::vector<LoadEstimate> loads;
         std::uint32_t countedInstances = 0;
         std::uint32_t knownInstances = 0;
     };
@@ -126,8 +117,8 @@
     Source sourceOf(const wire::RelayDigest &digest, Instant now) const;
     /// Replaces the sum of a zone or the fleet, unless the known one is as recent and counts more instances.
     static void replaceSum(Source &known, Source received, Instant now);
-    /// Adds the loads of a source, or subtracts them if `sign` is -1.
-    static void add(Totals &totals, const std::vector<Load> &loads, std::int64_t sign = 1);
+    /// Adds the loads of a source, or subtracts them if `sign` is -1. Digests overlap in time, so that sums may become negative.
+    static void add(Totals &totals, const std::vector<Load> &loads, double sign = 1);
     /// Returns the sum of the other instances whose digests count within the scope, without this instance.
     Totals sumOfOthers(wire::DigestScope scope, Instant now) const;
     /// Returns the loads of all other instances: from the own sum, or from an aggregator's if that counts more instances. Computed again only after a
