What digests carry is made and taken in a file of its own

EndpointHealth.cpp had grown to hold the evidence of crashes and the limits too. Digests.cpp now holds what is sent to and taken over from other instances; the health of endpoints stays. A wrapper of one line is gone. No change of behaviour; the tests of the relay kernel pass.

--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -17,8 +17,6 @@
 constexpr Ms OwnReportLifetime{500};
 /// An endpoint counts as slow from this multiple of the expected time.
 constexpr double MinSlowdown = 1.3;
-/// A digest names the endpoint list only if the list was known to be current no longer ago than this.
-constexpr Ms UpdateLifetime{1000};
 /// An endpoint that an aggregator reports as silent gets no new work for this time, which is longer than the interval between two digests.
 constexpr Ms VerifiedSilencePause{900};
 
@@ -60,42 +58,6 @@
     }
 }
 
-void RelayKernel::Impl::checkCrashes(Instant now)
-{
-    for (const wire::CrashReport &report : crashGuard.tick(now)) {
-        driver.record(
-            {"crash_strike", "", std::to_string(report.signature), "crash " + std::to_string(report.crash) + ", an endpoint crashed on this request"});
-    }
-    if (crashGuard.hasNews()) {
-        peers.expedite();
-    }
-}
-
-void RelayKernel::Impl::onServed(Instant now, const Call &call)
-{
-    crashGuard.onServed(call.signatures, now);
-}
-
-void RelayKernel::Impl::sendDigests(Instant now)
-{
-    std::vector<DueDigest> due = peers.dueDigests(now, stopping);
-    if (due.empty()) {
-        return;
-    }
-    const CrashNews news = crashGuard.takeNews(now);
-    for (auto &[addresses, digest] : due) {
-        digest.crashReports = news.reports;
-        digest.crashRefutations = news.refutations;
-        digest.crashProbes = news.probes;
-        digest.limits = limits.reports(digest.scope == wire::DigestScope::Instance, now);
-        digest.configVersion = known.configVersion;
-        digest.endpointsHash = now - known.endpointsAt < UpdateLifetime ? known.endpointsHash : 0;
-        digest.endpointsRevision = known.endpointsRevision;
-        digest.isStale = StoreDuty::isStale(now, known);
-        driver.sendDigest(addresses, digest);
-    }
-}
-
 void RelayKernel::Impl::markSilent(Instant now, EndpointIndex index, const std::string &requestId, const std::string &evidence)
 {
     endpoints.setSilent(index, now);
@@ -104,92 +66,6 @@
     moveStreams(now);
 }
 
-void RelayKernel::Impl::onDigest(Instant now, const wire::RelayDigest &digest)
-{
-    peers.onDigest(digest, now);
-    retries.setInstances(peers.instances(now));
-    for (const wire::SilentEndpoint &silent : digest.silent) {
-        onSilenceReported(now, digest, silent);
-    }
-    if (digest.scope == wire::DigestScope::Fleet) {
-        recheckSilentEndpoints(now, digest);
-    }
-    storeDuty.onStoreUpdate(digest, now, known);
-    onCrashNews(now, digest);
-    for (const wire::EndpointLimit &limit : digest.limits) {
-        if (limits.onReport(limit, now)) {
-            recordLimit(*endpoints.findHash(limit.endpoint), limit.perSecond, "from " + digest.instance);
-        }
-    }
-    for (const wire::SlowEndpoint &slow : digest.slow) {
-        const auto index = endpoints.findHash(slow.endpoint);
-        if (index && now >= endpoints.at(*index).reportedAt + OwnReportLifetime) {
-            endpoints.at(*index).slowdown = slow.slowdown;
-            endpoints.at(*index).reportedAt = std::max(endpoints.at(*index).reportedAt, now - OwnReportLifetime);
-        }
-    }
-}
-
-void RelayKernel::Impl::onCrashNews(Instant now, const wire::RelayDigest &digest)
-{
-    CrashNews fresh;
-    for (const wire::CrashReport &report : digest.crashReports) {
-        if (crashGuard.onReport(report, now)) {
-            fresh.reports.push_back(report);
-            driver.record({"crash_report_taken", "", std::to_string(report.signature), "crash " + std::to_string(report.crash) + ", from " + digest.instance});
-        }
-    }
-    for (const wire::CrashRefutation &refutation : digest.crashRefutations) {
-        if (crashGuard.onRefutation(refutation, now)) {
-            fresh.refutations.push_back(refutation);
-            driver.record({"crash_refutation_taken",
-                           "",
-                           std::to_string(refutation.signature),
-                           "crash " + std::to_string(refutation.crash) + ", from " + digest.instance});
-        }
-    }
-    for (const std::uint64_t signature : digest.crashProbes) {
-        if (crashGuard.onProbe(signature, now)) {
-            fresh.probes.push_back(signature);
-        }
-    }
-    // An aggregator passes on what is new to it.
-    if (peers.isAggregator(now)) {
-        crashGuard.addNews(fresh);
-    }
-    if (crashGuard.hasNews()) {
-        peers.expedite();
-    }
-}
-
-void RelayKernel::Impl::recordLimit(EndpointIndex endpoint, double perSecond, const std::string &origin)
-{
-    const char *const event = perSecond > 0 ? "limit_named" : "limit_ended";
-    driver.record({event, "", endpoints.at(endpoint).entry.id, std::to_string(perSecond) + " requests a second, " + origin});
-}
-
-void RelayKernel::Impl::updateLimitShare(Instant now)
-{
-    constexpr Ms UpdatePeriod{500};
-    if (now < shareUpdatedAt + UpdatePeriod) {
-        return;
-    }
-    shareUpdatedAt = now;
-    const auto instances = peers.instances(now);
-    if (!instances) {
-        return limits.setShare(0); // How many share the limits isn't known yet.
-    }
-    double own = 0;
-    double all = 0;
-    for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
-        own += endpoints.at(i).openRequests;
-        all += peers.loadOn(i, now).openRequests;
-    }
-    // Half of a limit is divided evenly, so that an instance without requests can begin with some; half of it by the requests that each has.
-    const double equalShare = 1.0 / *instances;
-    limits.setShare(all > 0 ? (equalShare + own / all) / 2 : equalShare);
-}
-
 void RelayKernel::Impl::recheckSilentEndpoints(Instant now, const wire::RelayDigest &digest)
 {
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
@@ -226,6 +102,15 @@
     requestReport(now, *index);
 }
 
+void RelayKernel::Impl::onSlownessReported(Instant now, const wire::SlowEndpoint &slow)
+{
+    const auto index = endpoints.findHash(slow.endpoint);
+    if (index && now >= endpoints.at(*index).reportedAt + OwnReportLifetime) {
+        endpoints.at(*index).slowdown = slow.slowdown;
+        endpoints.at(*index).reportedAt = std::max(endpoints.at(*index).reportedAt, now - OwnReportLifetime);
+    }
+}
+
 void RelayKernel::onReport(Instant now, const std::string &endpoint, const std::optional<EndpointReport> &report)
 {
     const auto index = impl_->endpoints.find(endpoint);
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -100,7 +100,7 @@
     const bool isSuccess = head.status < FirstFailureStatus && head.verified;
     if (isSuccess) {
         endpoints.onPlainAnswer(endpoint, latency, now);
-        onServed(now, call);
+        crashGuard.onServed(call.signatures, now);
     } else {
         endpoints.onPlainFailure(endpoint, now);
     }
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -302,7 +302,7 @@
         for (const EndpointIndex stage : openAttempt.stages) {
             impl_->endpoints.onAccepted(stage);
         }
-        impl_->onServed(now, *call);
+        impl_->crashGuard.onServed(call->signatures, now);
     }
     openAttempt.hasEvents = true;
     impl_->clearPendingPrefill(openAttempt);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -102,7 +102,7 @@
     std::optional<Ms> limitWait;
 };
 
-/// State of the kernel. Its functions are defined in several files: Admission, Calls, PlainCalls, StreamCalls, Candidates, Detours, EndpointHealth
+/// State of the kernel. Its functions are defined in several files: Admission, Calls, PlainCalls, StreamCalls, Candidates, Detours, EndpointHealth, Digests
 /// and RelayKernel.
 struct RelayKernel::Impl {
     Impl(RelaySettings relaySettings, RelayDriver &relayDriver);
@@ -166,8 +166,6 @@
     void markSilent(Instant now, EndpointIndex index, const std::string &requestId, const std::string &evidence);
     /// Takes the loads, crash reports and endpoint states that another instance has sent.
     void onDigest(Instant now, const wire::RelayDigest &digest);
-    /// Refutes that the call crashes endpoints, since one has begun to answer it.
-    void onServed(Instant now, const Call &call);
     /// Writes to the log what an endpoint has said about the requests that it takes, and to whom.
     void recordLimit(EndpointIndex endpoint, double perSecond, const std::string &origin);
     /// Computes this instance's share of the limits that endpoints name.
@@ -182,6 +180,8 @@
     void sendDigests(Instant now);
     /// Requests the reports of the endpoints that this instance has marked as silent and that answer the aggregators, as their digest tells.
     void recheckSilentEndpoints(Instant now, const wire::RelayDigest &digest);
+    /// Takes over what another instance says of an endpoint's slowdown, unless this instance has a report of its own.
+    void onSlownessReported(Instant now, const wire::SlowEndpoint &slow);
     /// Asks an endpoint that another instance has marked as silent for its report, or gives it no new work for now.
     void onSilenceReported(Instant now, const wire::RelayDigest &digest, const wire::SilentEndpoint &silent);
 
