--- a/libs/wire/tests/CodecTests.cpp
+++ b/libs/wire/tests/CodecTests.cpp
@@ -88,6 +88,18 @@
     CHECK(value.crashReports == digest.crashReports);
 }
 
+TEST(ARelayDigest, carriesWhatIsKnownForAndAgainstTheCausesOfCrashes)
+{
+    wire::RelayDigest sent{"one", false, {}, {}, {}, {}, 0, 0};
+    sent.crashReports = {{11, 1, std::chrono::milliseconds(1500)}, {12, 2, std::chrono::milliseconds(0)}};
+    sent.crashRefutations = {{11, 3}, {13, 4}};
+    sent.crashProbes = {11};
+    const auto received = std::get<wire::RelayDigest>(base::valueOf(wire::decodeRelayMessage(wire::encode(sent))));
+    CHECK(received.crashReports == sent.crashReports);
+    CHECK(received.crashRefutations == sent.crashRefutations);
+    CHECK(received.crashProbes == sent.crashProbes);
+}
+
 /// A digest of 33 endpoints under load, sent to 8 other instances every 600 ms, must stay below the 4 KB per second that an instance may use for control
 /// messages.
 TEST(ARelayDigest, staysWithinTheBandwidthForControlMessages)
