--- a/libs/wire/tests/CodecTests.cpp
+++ b/libs/wire/tests/CodecTests.cpp
@@ -100,6 +100,19 @@
     CHECK(received.crashProbes == sent.crashProbes);
 }
 
+/// Guards against a small limit being rounded to 0, which stands for none.
+TEST(ARelayDigest, carriesTheLimitsOfEndpoints)
+{
+    wire::RelayDigest sent{"one", false, {}, {}, {}, {}, 0, 0};
+    sent.limits = {{7, 22.4, std::chrono::milliseconds(250)}, {8, 0.001, std::chrono::milliseconds(0)}, {9, 0, std::chrono::milliseconds(0)}};
+    const auto received = std::get<wire::RelayDigest>(base::valueOf(wire::decodeRelayMessage(wire::encode(sent))));
+    LONGS_EQUAL(3, received.limits.size());
+    DOUBLES_EQUAL(22.4, received.limits[0].perSecond, 0.001);
+    LONGS_EQUAL(250, received.limits[0].age.count());
+    CHECK(received.limits[1].perSecond > 0);
+    DOUBLES_EQUAL(0, received.limits[2].perSecond, 0);
+}
+
 /// A digest of 33 endpoints under load, sent to 8 other instances every 600 ms, must stay below the 4 KB per second that an instance may use for control
 /// messages.
 TEST(ARelayDigest, staysWithinTheBandwidthForControlMessages)
