--- a/libs/relay/src/CrashGuard.cpp
+++ b/libs/relay/src/CrashGuard.cpp
@@ -63,9 +63,8 @@
             return now >= broken.brokenAt + ConfirmTimeout;
         }
         const std::uint64_t crash = base::mixBits(base::hashOf(state.entry.id) ^ broken.incarnation);
-        const bool isKnown = std::any_of(inferredCrashes_.begin(), inferredCrashes_.end(), [&](const InferredCrash &entry) { return entry.crash == crash; });
-        if (!hasRestarted && !isKnown) {
-            inferredCrashes_.push_back({crash, broken.endpoint, broken.incarnation, now});
+        if (!hasRestarted) {
+            addInferredCrash({crash, broken.endpoint, broken.incarnation, now});
         }
         for (const std::uint64_t signature : broken.signatures) {
             if (suspect(signature, crash, broken.brokenAt, now)) {
@@ -81,6 +80,15 @@
     return confirmed;
 }
 
+void CrashGuard::addInferredCrash(const InferredCrash &inferred)
+{
+    const bool isKnown =
+        std::any_of(inferredCrashes_.begin(), inferredCrashes_.end(), [&](const InferredCrash &known) { return known.crash == inferred.crash; });
+    if (!isKnown) {
+        inferredCrashes_.push_back(inferred);
+    }
+}
+
 void CrashGuard::refuteWrongCrashes(Instant now)
 {
     std::erase_if(inferredCrashes_, [&](const InferredCrash &inferred) {
--- a/libs/relay/src/details/CrashGuard.h
+++ b/libs/relay/src/details/CrashGuard.h
@@ -115,6 +115,8 @@
 
     /// Adds a suspicion, unless a request with the signature has begun since the crash; returns true if it is new.
     bool suspect(std::uint64_t signature, std::uint64_t crash, Instant crashedAt, Instant now);
+    /// Remembers a crash until the endpoint shows whether it has happened.
+    void addInferredCrash(const InferredCrash &inferred);
     /// Refutes the crashes of endpoints that have proved to be alive in the same incarnation.
     void refuteWrongCrashes(Instant now);
     /// Returns true if the time has come to probe a signature and this instance is one of those whose turn it is.
