A limit that varies a little isn't told before its time

Found by reading: each answer with another figure made a digest due at once (12 instead of 2 in 1.2 s in the test, which failed before) and wrote a log line. Only changes by more than a tenth do now.

--- a/libs/relay/src/RequestLimits.cpp
+++ b/libs/relay/src/RequestLimits.cpp
@@ -1,6 +1,7 @@
 #include "details/RequestLimits.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace relay {
 
@@ -14,6 +15,8 @@
 constexpr Ms OvertakingTime{300};
 /// A statement from another instance is newer only by more than this. Messages take time, so that the same one seems to be newer when it comes back.
 constexpr Ms MinAdvance{100};
+/// A limit has changed for the log, and for a digest before its time, if it differs by more than this part of the higher one.
+constexpr double MinChange = 0.1;
 /// What an endpoint has said is told to other instances for this time; it is said again with each answer.
 constexpr Ms ReportLifetime{3000};
 /// A limit that no answer has repeated for this time is dropped: the endpoint may have no work that could end it.
@@ -57,7 +60,7 @@
         limit.creditAt = statedAt;
         limit.grantedUntil = Instant{0};
     }
-    return before != perSecond;
+    return std::abs(before - perSecond) > MinChange * std::max(before, perSecond);
 }
 
 bool RequestLimits::onStated(EndpointIndex endpoint, double limit, Instant now)
--- a/libs/relay/src/details/RequestLimits.h
+++ b/libs/relay/src/details/RequestLimits.h
@@ -19,9 +19,9 @@
     {
     }
 
-    /// Takes what an endpoint's own answer says: its limit, or 0 for none. Returns true if that has changed.
+    /// Takes what an endpoint's own answer says: its limit, or 0 for none. Returns true if that has changed by more than a little.
     bool onStated(EndpointIndex endpoint, double limit, Instant now);
-    /// Takes over what an endpoint has said to another instance, unless something newer is known. Returns true if that has changed.
+    /// Takes over what an endpoint has said to another instance, unless something newer is known. Returns true likewise.
     bool onReport(const wire::EndpointLimit &report, Instant now);
     /// Returns what endpoints have said lately, for other instances: to this one only, or to any one that is known.
     std::vector<wire::EndpointLimit> reports(bool ownOnly, Instant now) const;
@@ -57,7 +57,7 @@
     Limit &limitOf(EndpointIndex endpoint);
     /// Returns the limit in force; 0 if there is none.
     double current(EndpointIndex endpoint, Instant now) const;
-    /// Takes a statement and returns true if the limit has changed.
+    /// Takes a statement and returns true if the limit has changed by more than a little.
     bool take(EndpointIndex endpoint, double perSecond, Instant statedAt, bool isOwn);
     /// Returns the requests a second that this instance may send.
     double ownRate(const Limit &limit) const;
--- a/libs/relay/tests/RequestLimitTests.cpp
+++ b/libs/relay/tests/RequestLimitTests.cpp
@@ -123,6 +123,26 @@
     CHECK(fleet.maxSentTo(0, since, CountedSpan) <= allowedIn(CountedSpan, Limit));
 }
 
+/// Guards against a limit that varies from answer to answer making each answer a reason for a digest before its time.
+TEST(ARequestLimitOfAnEndpoint, isToldAtOnceOnlyIfItChangesByMoreThanALittle)
+{
+    RelayTestBed bed;
+    const auto digestsIn = [&](Ms duration) {
+        const std::size_t before = bed.driver.digests.size();
+        for (Ms elapsed{0}; elapsed < duration; elapsed += Ms(50)) {
+            AnswerHead head{200, false, true, ""};
+            head.requestLimit = 20 + static_cast<double>(elapsed.count() % 100) / 100;
+            bed.kernel.onHead(bed.now, bed.lastAttempt(), head);
+            bed.advance(Ms(50));
+        }
+        return bed.driver.digests.size() - before;
+    };
+    bed.call("/stream/x");
+    digestsIn(Ms(1200));
+    // One digest in 600 ms.
+    LONGS_EQUAL(2, digestsIn(Ms(1200)));
+}
+
 /// Guards against the limit of a plain service's endpoint being passed by, also by retries and hedges, and against callers that wait until their time is over.
 TEST(ARequestLimitOfAnEndpoint, isKeptForPlainCalls)
 {
