--- a/libs/relay/tests/CrashEvidenceTests.cpp
+++ b/libs/relay/tests/CrashEvidenceTests.cpp
@@ -329,6 +329,27 @@
     CHECK(fleet.begunSince(SoundPart, since) > 0);
 }
 
+/// Guards against an operator's order holding at one instance only, or coming back with the evidence that others repeat.
+TEST(ASoundRequestThatWasThereAtCrashes, isServedEverywhereOnceAnOperatorHasLiftedItsQuarantine)
+{
+    InstanceFleet fleet(3);
+    for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+        fleet.report(i, Fingerprint, {1, 2, 3});
+    }
+    fleet.advance(Ms(500));
+    LONGS_EQUAL(1, fleet.instances[0]->kernel->quarantine(fleet.now).size());
+    CHECK(fleet.instances[0]->kernel->liftQuarantine(fleet.now, Fingerprint));
+    CHECK(!fleet.instances[0]->kernel->liftQuarantine(fleet.now, Fingerprint));
+    fleet.advance(Ms(500));
+    const Instant since = fleet.now;
+    sendEverywhere(fleet);
+    fleet.advance(SpreadTime);
+    LONGS_EQUAL(3, fleet.begunSince(SoundPart, since));
+    for (const auto &instance : fleet.instances) {
+        LONGS_EQUAL(0, instance->kernel->quarantine(fleet.now).size());
+    }
+}
+
 /// Guards against crashes that have not happened: an instance loses its connections to endpoints that live on, as their next reports show.
 TEST(ASoundRequestThatWasThereAtCrashes, isNotBlamedForEndpointsThatLiveOn)
 {
