Reading pass: comments of limits and crash evidence; an unused field of the test fleet

Comments that didn't say what a newcomer needs (which statement, which incarnation, what a return value means), and a field that nothing read. No change of behaviour; the 143 tests of the relay kernel pass.

--- a/libs/relay/src/details/CrashGuard.h
+++ b/libs/relay/src/details/CrashGuard.h
@@ -67,7 +67,7 @@
     bool onReport(const wire::CrashReport &report, Instant now);
     /// Takes over a refutation of another instance. Returns false if it is known.
     bool onRefutation(const wire::CrashRefutation &refutation, Instant now);
-    /// Takes over that another instance has sent a probe.
+    /// Takes over that another instance has sent a probe of a signature. Returns false if one is under way already.
     bool onProbe(std::uint64_t signature, Instant now);
 
     /// Decides whether a new request may be sent. `instances` is the number of instances among which probes are spread.
@@ -105,7 +105,7 @@
         std::uint64_t incarnation = 0;
         Instant brokenAt{0};
     };
-    /// A crash that was inferred from an endpoint's silence.
+    /// A crash that was inferred from an endpoint's silence, with the incarnation that the endpoint had then.
     struct InferredCrash {
         std::uint64_t crash = 0;
         EndpointIndex endpoint = 0;
@@ -121,6 +121,7 @@
     void refuteWrongCrashes(Instant now);
     /// Returns true if the time has come to probe a signature and this instance is one of those whose turn it is.
     bool mayProbe(std::uint64_t signature, const CrashEvidence::Conviction &conviction, std::uint32_t instances, Instant delay, Instant now) const;
+    /// Adds refutations to the news for the other instances.
     void addRefutations(const std::vector<wire::CrashRefutation> &refutations);
 
     const EndpointRegistry &endpoints_;
--- a/libs/relay/src/details/RequestLimits.h
+++ b/libs/relay/src/details/RequestLimits.h
@@ -42,8 +42,9 @@
     struct Limit {
         /// Requests a second from all instances; 0 for none.
         double perSecond = 0;
-        /// When the endpoint said so, and to this instance or to another one; zero if it never said anything.
+        /// When the endpoint said so; zero if it has not said anything.
         Instant statedAt{0};
+        /// It said so to this instance, not to another one.
         bool isOwn = false;
         /// Incarnation of the endpoint then. A new one has named no limit.
         std::uint64_t incarnation = 0;
--- a/libs/relay/tests/InstanceFleet.h
+++ b/libs/relay/tests/InstanceFleet.h
@@ -26,8 +26,6 @@
         relay::Instant downUntil{0};
         /// Requests a second that its answers name as the limit for all instances together; 0 for none.
         double requestLimit = 0;
-        /// It crashes on the fatal part only in each n-th run; never if 0.
-        int fatalRuns = 0;
     };
     /// A request that one instance has sent to an endpoint.
     struct Run {
