--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -73,15 +73,17 @@
     /// Holds the thread of the event loop up while `task` runs in the calling thread.
     void stallDuring(const std::function<void()> &task)
     {
-        std::promise<void> stalled;
-        std::promise<void> goOn;
-        loop_.post([&]() {
-            stalled.set_value();
-            goOn.get_future().wait();
+        // Shared, since the loop's thread may still use them when this function returns.
+        const auto stalled = std::make_shared<std::promise<void>>();
+        const auto goOn = std::make_shared<std::promise<void>>();
+        const std::shared_future<void> mayGoOn = goOn->get_future().share();
+        loop_.post([stalled, goOn, mayGoOn]() {
+            stalled->set_value();
+            mayGoOn.wait();
         });
-        stalled.get_future().wait();
+        stalled->get_future().wait();
         task();
-        goOn.set_value();
+        goOn->set_value();
     }
 
     /// Number of requests that were passed to the handler.
