--- /dev/null
+++ b/review/stand/run.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Runs the case whose folder is the first argument. Ends with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+number=$1
+program=$PWD/target/programs/trefoilportd/trefoilportd
+stand=review/build/case$number
+[ -x "$program" ] || { echo "no $program: build as deploy/system.toml says" >&2; exit 2; }
+[ -x "$stand" ] || { echo "no $stand: run review/build.sh" >&2; exit 2; }
+folder=$(mktemp -d) || exit 2
+timeout -k 2 115 "$stand" "$program" "$folder" "review/$number/record.txt"
+code=$?
+[ -n "${KEEP:-}" ] && cp -r "$folder" "$KEEP"; rm -rf "$folder"
+case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
