--- a/review/1/case.cpp
+++ b/review/1/case.cc
@@ -1,5 +1,5 @@
 // TWICE: a late extra answer to an earlier, rejected request makes the router send a stream that can't be resumed to a second runner.
-#include "Stand.h"
+#include "Stand.hpp"
 
 #include <boost/json/src.hpp>
 
@@ -68,7 +68,8 @@
 private:
     static std::string held()
     {
-        return "\"Stage\":\"prefill_decode\",\"Models\":[{\"Name\":\"daka510000\",\"Version\":1,\"Adapters\":[]}],\"Kind\":\"a100\",\"Layers\":{\"From\":0,\"To\":"
+        return "\"Stage\":\"prefill_decode\",\"Models\":[{\"Name\":\"daka510000\",\"Version\":1,\"Adapters\":[]}],\"Kind\":\"a100\",\"Layers\":{\"From\":0,"
+               "\"To\":"
                "8,\"Version\":1}";
     }
 
@@ -183,8 +184,7 @@
     store.put("servers", b.id(), b.entry());
     std::vector<std::unique_ptr<Instance>> instances;
     for (int i = 0; i < Instances; ++i) {
-        instances.push_back(
-            std::make_unique<Instance>(setting.program, setting.folder, "front-z-a-" + std::to_string(i + 1), ownIp(), store.address()));
+        instances.push_back(std::make_unique<Instance>(setting.program, setting.folder, "front-z-a-" + std::to_string(i + 1), ownIp(), store.address()));
         instances.back()->start();
     }
     for (const auto &instance : instances) {
--- a/review/2/case.cpp
+++ b/review/2/case.cc
@@ -1,5 +1,5 @@
 // LOST: an instance that is stopped exits while answers that it has taken from runners still wait to be written to the clients.
-#include "Stand.h"
+#include "Stand.hpp"
 
 #include <boost/json/src.hpp>
 
@@ -73,6 +73,12 @@
 {
     if (!instance.waitReady(10000)) {
         ++counts.skipped;
+        const bool ended = instance.wait(0);
+        record.line("instance " + std::to_string(number) + " isn't ready 10 s after its start; its process "
+                    + (ended ? "has ended with " + std::to_string(instance.lastEnd()) : std::string("runs")));
+        instance.kill(SIGKILL);
+        instance.wait(1000);
+        instance.start();
         return;
     }
     const int group = ++groups;
@@ -168,8 +174,8 @@
         }
     }
     const long long endedAt = record.ms();
-    record.line("received " + std::to_string(received) + " of " + std::to_string(length) + " bytes, " + std::to_string(endedAt - sentAt) + " ms after the request, "
-                + (received < length ? "then the channel ended: " + channel->why() : "complete"));
+    record.line("received " + std::to_string(received) + " of " + std::to_string(length) + " bytes, " + std::to_string(endedAt - sentAt)
+                + " ms after the request, " + (received < length ? "then the channel ended: " + channel->why() : "complete"));
     if (received < length && stoppedAt > 0) {
         record.line("LOST: the channel ended without a complete answer " + std::to_string(endedAt - stoppedAt) + " ms after the SIGTERM; GraceS is 8 s");
     }
@@ -207,8 +213,7 @@
     }
     std::vector<std::unique_ptr<Instance>> instances;
     for (int i = 0; i < Instances; ++i) {
-        instances.push_back(
-            std::make_unique<Instance>(setting.program, setting.folder, "front-z-a-" + std::to_string(i + 1), ownIp(), store.address()));
+        instances.push_back(std::make_unique<Instance>(setting.program, setting.folder, "front-z-a-" + std::to_string(i + 1), ownIp(), store.address()));
         instances.back()->start();
     }
     for (const auto &instance : instances) {
@@ -237,8 +242,8 @@
     for (std::thread &stop : stops) {
         stop.join();
     }
-    record.line("stops " + std::to_string(counts.stops) + ", requests " + std::to_string(counts.sent) + ", whole answers " + std::to_string(counts.whole) + ", lost "
-                + std::to_string(counts.lost) + ", stops left out since the instance wasn't ready " + std::to_string(counts.skipped));
+    record.line("stops " + std::to_string(counts.stops) + ", requests " + std::to_string(counts.sent) + ", whole answers " + std::to_string(counts.whole)
+                + ", lost " + std::to_string(counts.lost) + ", stops left out since the instance wasn't ready " + std::to_string(counts.skipped));
 
     if (!instances.front()->waitReady(8000)) {
         record.line("the instance isn't ready");
--- a/review/4/case.cpp
+++ b/review/4/case.cc
@@ -1,5 +1,5 @@
 // ORDER: a stream of a service without an engine is resumed without Last-Event-Id, so that pieces of two runs are joined.
-#include "Stand.h"
+#include "Stand.hpp"
 
 #include <boost/json/src.hpp>
 
@@ -140,6 +140,7 @@
     for (std::thread &client : clients) {
         client.join();
     }
-    record.line("complete streams " + std::to_string(complete) + ", with pieces of two runs although the second wasn't asked to go on: " + std::to_string(joined));
+    record.line("complete streams " + std::to_string(complete)
+                + ", with pieces of two runs although the second wasn't asked to go on: " + std::to_string(joined));
     finish(complete == 0 ? 2 : joined > 0 ? 1 : 0);
 }
--- a/review/stand/Stand.h
+++ b/review/stand/Stand.hpp
@@ -661,6 +661,7 @@
             int status = 0;
             if (::waitpid(pid_, &status, WNOHANG) == pid_) {
                 std::erase(startedProcesses(), pid_);
+                status_ = status;
                 pid_ = 0;
                 return true;
             }
@@ -672,6 +673,12 @@
         return true;
     }
 
+    /// How the last process ended: its exit code, or the signal that ended it as a negative number.
+    int lastEnd() const
+    {
+        return WIFEXITED(status_) ? WEXITSTATUS(status_) : -WTERMSIG(status_);
+    }
+
     bool isReady() const
     {
         const auto channel = connectTo(ip, ready);
@@ -699,6 +706,7 @@
     std::string folder_;
     std::string name_;
     pid_t pid_ = 0;
+    int status_ = 0;
 
 public:
     std::string ip;
