--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -188,7 +188,7 @@
         instances.back()->start();
     }
     for (const auto &instance : instances) {
-        if (!instance->waitReady(15000)) {
+        if (!instance->waitReady(15000, record)) {
             record.line("an instance isn't ready");
             finish(2);
         }
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -71,14 +71,8 @@
 /// Sends requests to one instance, stops it, lets the runner answer them all 2.8 to 2.9 s later, and starts the instance again.
 void stopUnderLoad(Instance &instance, int number, bool trouble, Gate &gate, std::atomic<int> &groups, Counts &counts, Record &record)
 {
-    if (!instance.waitReady(10000)) {
+    if (!instance.waitReady(10000, record)) {
         ++counts.skipped;
-        const bool ended = instance.wait(0);
-        record.line("instance " + std::to_string(number) + " isn't ready 10 s after its start; its process "
-                    + (ended ? "has ended with " + std::to_string(instance.lastEnd()) : std::string("runs")));
-        instance.kill(SIGKILL);
-        instance.wait(1000);
-        instance.start();
         return;
     }
     const int group = ++groups;
@@ -217,7 +211,7 @@
         instances.back()->start();
     }
     for (const auto &instance : instances) {
-        if (!instance->waitReady(15000)) {
+        if (!instance->waitReady(15000, record)) {
             record.line("an instance isn't ready");
             finish(2);
         }
@@ -245,7 +239,7 @@
     record.line("stops " + std::to_string(counts.stops) + ", requests " + std::to_string(counts.sent) + ", whole answers " + std::to_string(counts.whole)
                 + ", lost " + std::to_string(counts.lost) + ", stops left out since the instance wasn't ready " + std::to_string(counts.skipped));
 
-    if (!instances.front()->waitReady(8000)) {
+    if (!instances.front()->waitReady(8000, record)) {
         record.line("the instance isn't ready");
         finish(counts.lost > 0 ? 1 : 2);
     }
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -71,7 +71,7 @@
     store.put("config", "main", manifest(7, {route}, {"chat"}));
     Instance instance(setting.program, setting.folder, "front-z-a-1", ip, store.address());
     instance.start();
-    if (!instance.waitReady(15000)) {
+    if (!instance.waitReady(15000, record)) {
         record.line("the instance isn't ready");
         finish(2);
     }
--- a/review/stand/Stand.hpp
+++ b/review/stand/Stand.hpp
@@ -7,7 +7,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <signal.h>
-#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -585,19 +584,45 @@
 }
 
 /// The processes of the system that were started and have not been waited for.
-inline std::vector<pid_t> &startedProcesses()
+class ProcessList
 {
-    static std::vector<pid_t> pids;
-    return pids;
+public:
+    void add(pid_t pid)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        pids_.push_back(pid);
+    }
+
+    void remove(pid_t pid)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        std::erase(pids_, pid);
+    }
+
+    std::vector<pid_t> all()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return pids_;
+    }
+
+private:
+    std::mutex mutex_;
+    std::vector<pid_t> pids_;
+};
+
+inline ProcessList &startedProcesses()
+{
+    static ProcessList list;
+    return list;
 }
 
 /// Ends all started processes and this one. The threads of the stand-ins end with it.
 [[noreturn]] inline void finish(int code)
 {
-    for (const pid_t pid : startedProcesses()) {
+    for (const pid_t pid : startedProcesses().all()) {
         ::kill(pid, SIGKILL);
     }
-    for (const pid_t pid : startedProcesses()) {
+    for (const pid_t pid : startedProcesses().all()) {
         ::waitpid(pid, nullptr, 0);
     }
     std::fflush(stdout);
@@ -634,17 +659,23 @@
     {
         const std::string file = folder_ + "/" + name_ + ".yaml";
         const std::string log = folder_ + "/" + name_ + ".log";
+        const std::string variable = "TREFOILPORT_NODE_FILE=" + file;
+        const std::string path = "PATH=/usr/local/bin:/usr/bin:/bin";
+        // Nothing but system calls between fork and exec, since other threads of this process may hold locks.
+        char *const arguments[] = {const_cast<char *>(program_.c_str()), nullptr};
+        char *const environment[] = {const_cast<char *>(variable.c_str()), const_cast<char *>(path.c_str()), nullptr};
+        const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         pid_ = ::fork();
         if (pid_ == 0) {
-            prctl(PR_SET_PDEATHSIG, SIGKILL);
-            const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
-            ::setenv("TREFOILPORT_NODE_FILE", file.c_str(), 1);
-            ::execl(program_.c_str(), program_.c_str(), static_cast<char *>(nullptr));
+            ::execve(program_.c_str(), arguments, environment);
             ::_exit(127);
         }
-        startedProcesses().push_back(pid_);
+        ::close(out);
+        // run.sh ends what this process has left running.
+        std::ofstream(folder_ + "/pids", std::ios::app) << pid_ << "\n";
+        startedProcesses().add(pid_);
     }
 
     void kill(int signal)
@@ -660,7 +691,7 @@
         for (int waited = 0; pid_ > 0; waited += 10) {
             int status = 0;
             if (::waitpid(pid_, &status, WNOHANG) == pid_) {
-                std::erase(startedProcesses(), pid_);
+                startedProcesses().remove(pid_);
                 status_ = status;
                 pid_ = 0;
                 return true;
@@ -690,18 +721,37 @@
         return channel->send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n") && channel->read(message) && message.status() == 200;
     }
 
-    bool waitReady(int timeoutMs) const
+    /// Waits until the instance is ready. As the platform does with a process that ends, it starts a process again that has ended or isn't ready
+    /// after 6 s, and notes that.
+    bool waitReady(int timeoutMs, Record &record)
     {
-        for (int waited = 0; waited < timeoutMs; waited += 100) {
+        const long long start = record.ms();
+        for (long long startedAt = start; record.ms() < start + timeoutMs; sleepMs(100)) {
             if (isReady()) {
                 return true;
             }
-            sleepMs(100);
+            const bool hasEnded = wait(0);
+            if (hasEnded || record.ms() > startedAt + 6000) {
+                record.line(name_ + " isn't ready; its process " + (hasEnded ? "has ended with " + std::to_string(lastEnd()) : std::string("runs"))
+                            + "; it said: " + lastWords());
+                kill(SIGKILL);
+                wait(2000);
+                this->start();
+                startedAt = record.ms();
+            }
         }
         return false;
     }
 
 private:
+    /// The end of the process's output.
+    std::string lastWords() const
+    {
+        std::ifstream file(folder_ + "/" + name_ + ".log");
+        const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+        return text.substr(text.size() > 1500 ? text.size() - 1500 : 0);
+    }
+
     std::string program_;
     std::string folder_;
     std::string name_;
--- a/review/stand/run.sh
+++ b/review/stand/run.sh
@@ -9,5 +9,11 @@
 folder=$(mktemp -d) || exit 2
 timeout -k 2 115 "$stand" "$program" "$folder" "review/$number/record.txt"
 code=$?
-[ -n "${KEEP:-}" ] && cp -r "$folder" "$KEEP"; rm -rf "$folder"
+if [ -e "$folder/pids" ] && [ $code -ne 0 ] && [ $code -ne 1 ]; then
+    # The stand-in was ended from outside. Only processes that still have the program's name are those that it started.
+    while read -r pid; do
+        [ "$(readlink "/proc/$pid/exe")" = "$program" ] && kill -KILL "$pid"
+    done <"$folder/pids"
+fi
+rm -rf "$folder"
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
