--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -40,8 +40,8 @@
 
     std::string entry() const
     {
-        return "{\"Service\":\"lm\",\"Address\":\"" + listener_.address()
-            + "\",\"Zone\":\"z-a\",\"Version\":\"v1\",\"Slots\":192,\"State\":\"ready\",\"ColdLeftMs\":0,\"SeqNo\":4,\"born\":1700000000000," + held() + "}";
+        return "{\"Service\":\"lm\",\"Address\":\"" + listener_.address() + "\",\"Zone\":\"z-a\",\"Version\":\"v1\",\"Slots\":" + std::to_string(Slots)
+            + ",\"State\":\"ready\",\"ColdLeftMs\":0,\"SeqNo\":4,\"born\":1700000000000," + held() + "}";
     }
 
     const std::string &id() const
@@ -158,7 +158,7 @@
         "{\"Name\":\"r-2yhvz3p\",\"Host\":\"ficu95.example\",\"PathPrefix\":\"/lohu930/\",\"Kind\":\"streaming\",\"TimeoutMs\":20000,\"TargetLatencyMs\":500,"
         "\"Priority\":1,\"Service\":\"lm\",\"MaxAttempts\":2,\"Public\":false,\"Sticky\":true,\"Resumable\":false,\"GapTargetMs\":200}";
     const std::string service =
-        "{\"Name\":\"lm\",\"HealthPath\":\"/health\",\"MaxConns\":978,\"Protocol\":\"h1\",\"Tls\":false,\"Engine\":{\"Slots\":192,\"KvCapacityTokens\":100000,"
+        "{\"Name\":\"lm\",\"HealthPath\":\"/health\",\"MaxConns\":978,\"Protocol\":\"h1\",\"Tls\":false,\"Engine\":{\"Slots\":4,\"KvCapacityTokens\":100000,"
         "\"KvTokenBytes\":918000,\"LinkMbps\":400000.0,\"Stride\":3,\"Models\":[{\"Name\":\"daka510000\",\"pace\":1.0,\"LoadS\":14.0,\"WarmS\":1.0}],"
         "\"step_ms\":1.02,\"per_seq_ms\":0.00714,\"context_per_k\":0.00956,\"read_per_s\":105000.0,\"pairs_per_m\":0.309,\"chunk\":512,"
         "\"report_lag_ms\":200.0,\"LoadsPerS\":0.0,\"loads_at_once\":5,\"delays\":[],\"usual\":{\"prompt\":774,\"answer\":200},\"Layers\":8,"
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -9,7 +9,7 @@
 
 constexpr int EventsPerStream = 57;
 constexpr int EventMs = 30;
-constexpr int Clients = 6;
+constexpr int Clients = 12;
 
 /// A run of a request: each run has words of its own, as a model that samples does.
 struct Run {
@@ -29,6 +29,7 @@
     std::mutex mutex;
     // Runs by request id, in their order.
     std::map<std::string, std::vector<Run>> runs;
+    std::map<std::string, int> open;
     const auto runnerOf = [&](const std::string &name) {
         return [&, name](Channel &channel) {
             for (Message request; channel.read(request) && request.complete; request = {}) {
@@ -43,6 +44,7 @@
                 {
                     const std::lock_guard<std::mutex> lock(mutex);
                     runs[id].push_back({tag, last, name});
+                    ++open[name];
                 }
                 channel.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: " + id
                              + "\r\nX-Response-Seal: 3e1b.07\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -54,13 +56,17 @@
                     std::snprintf(size, sizeof size, "%zx\r\n", event.size());
                     sent = channel.send(size + event + "\r\n");
                 }
+                {
+                    const std::lock_guard<std::mutex> lock(mutex);
+                    --open[name];
+                }
                 if (!sent || !channel.send("0\r\n\r\n")) {
                     return;
                 }
             }
         };
     };
-    const std::vector<std::string> names = {"i-7f3a91c2", "i-02d9e6b4", "i-5b61c0de"};
+    const std::vector<std::string> names = {"i-7f3a91c2", "i-02d9e6b4", "i-5b61c0de", "i-61d0a3f7", "i-84be2c19", "i-9a07d5e3", "i-b3c8f162", "i-d25e7a40"};
     std::map<std::string, std::unique_ptr<Listener>> runners;
     for (const std::string &name : names) {
         runners[name] = std::make_unique<Listener>(ip, runnerOf(name));
@@ -125,15 +131,23 @@
         });
     }
     sleepMs(4000);
+    // The runner with the most open streams.
+    std::string crashed = names[0];
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        for (const std::string &name : names) {
+            crashed = open[name] > open[crashed] ? name : crashed;
+        }
+    }
     if (setting.trouble) {
-        runners["i-02d9e6b4"]->stop();
-        record.line("runner i-02d9e6b4 crashes");
+        runners[crashed]->stop();
+        record.line("runner " + crashed + " of " + std::to_string(names.size()) + " crashes");
     } else {
         record.line("TROUBLE=0: no runner crashes");
     }
     sleepMs(3600);
     if (setting.trouble) {
-        store.remove("servers", "i-02d9e6b4");
+        store.remove("servers", crashed);
     }
     sleepMs(2400);
     stop = true;
