HttpServer: Connection in a file of its own; each exchange reports how it ended

Nothing told how an exchange ended at the connection: answered, left by the caller, aborted by the router, failed while its answer was written, or cut off by the end of the process. The server now reports each end once; the relay host writes a line "exchange_unanswered" with the request and the reason for all but the answered ones, and counts them (exchanges_unanswered). An open call is kept until its answer is written, so that the line also names requests whose answer was handed over before. At the end of the process the exchanges that it cuts off are logged and counted.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/EnumNames.h"
 #include "net/EventLoop.h"
 #include "net/Http.h"
 
@@ -40,6 +41,29 @@
     RequestTooSlow,
 };
 
+/// How an exchange ended.
+enum class ExchangeEnd {
+    /// The last byte of the response was passed to the operating system.
+    Answered,
+    /// The client closed the connection before the response was complete.
+    CallerLeft,
+    /// The client read so slowly that more than ServerLimits::queuedResponseBytes waited for it.
+    CallerTooSlow,
+    /// The connection failed while the response was written.
+    WriteFailed,
+    /// HttpServer::abort() was called.
+    Aborted,
+};
+
+/// Names of the ends in the log.
+inline constexpr base::EnumNames<ExchangeEnd, 5> ExchangeEndNames = {{
+    {ExchangeEnd::Answered, "answered"},
+    {ExchangeEnd::CallerLeft, "caller_left"},
+    {ExchangeEnd::CallerTooSlow, "caller_too_slow"},
+    {ExchangeEnd::WriteFailed, "write_failed"},
+    {ExchangeEnd::Aborted, "aborted"},
+}};
+
 /// An HTTP/1.1 server that sends responses either complete or in chunks.
 ///
 /// Call all members but the constructor in the event loop's thread. Calls for an exchange that has ended do nothing.
@@ -54,6 +78,8 @@
         std::function<void(ExchangeId)> onAbort;
         /// Returns the response to a request that the server refuses.
         std::function<HttpResponse(RefusalKind)> refusal;
+        /// An exchange has ended, answered or not; called once for each onRequest, before onAbort. Optional.
+        std::function<void(ExchangeId, ExchangeEnd)> onEnded = {};
     };
 
     /// Starts to listen; port 0 means any free port. Throws std::runtime_error if the address can't be bound.
--- /dev/null
+++ b/libs/net/src/details/HttpServerImpl.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "details/EventLoopImpl.h"
+#include "net/HttpServer.h"
+
+#include <unordered_map>
+#include <unordered_set>
+
+namespace net {
+
+class Connection;
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+    Impl(EventLoop &loop, const Address &address, ServerLimits serverLimits, Handlers serverHandlers);
+
+    /// Accepts connections until the listening socket is closed.
+    boost::asio::awaitable<void> acceptLoop();
+    /// Returns the connection of a running exchange; null if the exchange has ended.
+    std::shared_ptr<Connection> connectionOf(ExchangeId id) const;
+    /// Forgets an exchange and reports how it ended. Does nothing if it has ended before.
+    void endExchange(ExchangeId id, ExchangeEnd end);
+
+    boost::asio::io_context &io;
+    boost::asio::ip::tcp::acceptor acceptor;
+    ServerLimits limits;
+    Handlers handlers;
+    /// Connections by the exchange that they are running; a connection runs one at a time.
+    std::unordered_map<ExchangeId, std::shared_ptr<Connection>> exchanges;
+    ExchangeId nextId = 1;
+    /// All connections, with or without a running exchange.
+    std::unordered_set<Connection *> open;
+    /// Connections are closed after their current or next response.
+    bool closing = false;
+};
+
+} // namespace net
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -5,8 +5,10 @@
 #include "details/Asio.h"
 
 #include <atomic>
+#include <condition_variable>
 #include <deque>
 #include <future>
+#include <mutex>
 #include <optional>
 #include <thread>
 
@@ -14,6 +16,33 @@
 
 namespace {
 
+/// Passes items from one thread to another, which waits for them.
+template<typename Item>
+class WaitingQueue
+{
+public:
+    void push(Item item)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        items_.push_back(std::move(item));
+        changed_.notify_all();
+    }
+
+    Item pop()
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        changed_.wait(lock, [&]() { return !items_.empty(); });
+        Item item = std::move(items_.front());
+        items_.pop_front();
+        return item;
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::deque<Item> items_;
+};
+
 /// A server that answers /whole with a complete response and /stream with three chunks, closes the connection in the middle of the response to
 /// /cut, and never answers /silent.
 class SmallServer
@@ -32,6 +61,9 @@
         handlers.refusal = [](net::RefusalKind kind) {
             return net::HttpResponse{kind == net::RefusalKind::BodyTooLarge ? 413 : 400, {}, "refused"};
         };
+        handlers.onEnded = [this](net::ExchangeId, net::ExchangeEnd end) {
+            ends_.push(end);
+        };
         server_.emplace(loop_, net::Address{"127.0.0.1", 0}, limits, handlers);
         address_ = server_->address();
         thread_ = std::thread([this]() { loop_.run(); });
@@ -92,6 +124,12 @@
         return requests_;
     }
 
+    /// Waits until an exchange has ended, and returns how; each end is returned once.
+    net::ExchangeEnd nextEnd()
+    {
+        return ends_.pop();
+    }
+
 private:
     void answer(net::ExchangeId id, const net::HttpRequest &request)
     {
@@ -115,6 +153,7 @@
     }
 
     std::atomic<int> requests_{0};
+    WaitingQueue<net::ExchangeEnd> ends_;
     net::EventLoop loop_;
     std::optional<net::HttpServer> server_;
     net::Address address_;
@@ -308,6 +347,17 @@
     LONGS_EQUAL(1, server.requests());
 }
 
+/// Guards against exchanges that end without an answer and leave no trace of it.
+TEST(AnHttpExchange, reportsHowItEnded)
+{
+    CHECK(server.get("/whole").ok);
+    CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
+    CHECK(!server.get("/cut").ok);
+    CHECK(server.nextEnd() == net::ExchangeEnd::Aborted);
+    CHECK(!server.get("/silent").ok);
+    CHECK(server.nextEnd() == net::ExchangeEnd::CallerLeft);
+}
+
 TEST_GROUP(AConnectionOfAServerThatStops)
 {
     SmallServer server;
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -51,7 +51,7 @@
     void record(const relay::Decision &decision) override;
 
 private:
-    /// A caller's request that has not been answered in full.
+    /// A caller's request whose answer has not been written in full.
     struct OpenCall {
         net::HttpRequest request;
         std::string requestId;
@@ -85,6 +85,10 @@
     /// Applies the settings file if its text has changed. If the new text is invalid, the previous settings stay in use.
     void rereadSettings();
     void onRequest(net::ExchangeId exchange, net::HttpRequest request);
+    /// Forgets a call whose exchange has ended, and logs it unless it was answered.
+    void onExchangeEnded(net::ExchangeId exchange, net::ExchangeEnd end);
+    /// Logs the exchanges that the end of the process cuts off.
+    void recordCutExchanges();
     /// Answers the readiness check, and serves the metrics, the status and the commands of operators, on either of the two servers.
     void onOperatorRequest(net::HttpServer &server, net::ExchangeId exchange, const net::HttpRequest &request);
     /// Passes a message from another instance to the kernel, in the event loop's thread; drops it if it is malformed. Called in the mesh's thread.
@@ -126,6 +130,8 @@
     record::Latency eventIntervals_;
     /// Times from the arrival of a call to its answer, for answers that aren't streams.
     record::Latency plainAnswerLatency_;
+    /// Callers' requests that were read and whose answers were not written in full, for whatever reason.
+    std::uint64_t unansweredExchanges_ = 0;
     /// Time at which the settings file was last read.
     relay::Instant settingsReadAt_{0};
     /// Readiness checks are answered with 200 if this is set, otherwise with 503.
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -174,7 +174,6 @@
         return;
     }
     callerServer_->respond(call, dialect_.encodeRejection(rejection, found->second.requestId));
-    calls_.erase(found);
 }
 
 void RelayHost::forward(relay::CallId call, relay::AttemptId attempt)
@@ -186,7 +185,6 @@
     if (found != attempts_.end()) {
         callerServer_->respond(call, {found->second.status, net::endToEndHeaders(found->second.headers, {}), found->second.body});
     }
-    calls_.erase(call);
 }
 
 void RelayHost::beginStream(relay::CallId call, relay::AttemptId attempt)
@@ -200,13 +198,11 @@
 void RelayHost::endStream(relay::CallId call)
 {
     callerServer_->endStream(call);
-    calls_.erase(call);
 }
 
 void RelayHost::breakStream(relay::CallId call)
 {
     callerServer_->abort(call);
-    calls_.erase(call);
 }
 
 void RelayHost::sendEndpointRequest(const std::string &address,
--- a/libs/relayhost/src/HostMetrics.cpp
+++ b/libs/relayhost/src/HostMetrics.cpp
@@ -26,6 +26,7 @@
     counter("reports", counters.reports);
     counter("orders", counters.orders);
     counter("callers_gone", counters.callersGone);
+    counter("exchanges_unanswered", unansweredExchanges_);
     counter("log_lines_left_out", log_.droppedLines());
     text << "# TYPE trefoilport_open_calls gauge\ntrefoilport_open_calls " << kernel_.openCalls() << "\n";
     text << "# TYPE trefoilport_config_version gauge\ntrefoilport_config_version " << kernel_.configVersion() << "\n";
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -140,9 +140,11 @@
         onRequest(exchange, std::move(request));
     };
     handlers.onAbort = [this](net::ExchangeId exchange) {
-        calls_.erase(exchange);
         kernel_.onCallerGone(now(), exchange);
     };
+    handlers.onEnded = [this](net::ExchangeId exchange, net::ExchangeEnd end) {
+        onExchangeEnded(exchange, end);
+    };
     handlers.refusal = [this](net::RefusalKind refusal) {
         record({"malformed_request", "", std::string(base::nameOf(kindOf(refusal))), ""});
         return dialect_.encodeRejection({kindOf(refusal), "the request can't be read", relay::Ms(0)}, "");
@@ -176,6 +178,7 @@
     loop_.run();
     mesh_.stop();
     meshThread_.join();
+    recordCutExchanges();
     record({"stopped", "", settings_.relay.instance, ""});
 }
 
@@ -230,6 +233,29 @@
     kernel_.onCall(now(), decoded.arrival);
 }
 
+void RelayHost::onExchangeEnded(net::ExchangeId exchange, net::ExchangeEnd end)
+{
+    const auto found = calls_.find(exchange);
+    if (found == calls_.end()) {
+        return;
+    }
+    if (end != net::ExchangeEnd::Answered) {
+        ++unansweredExchanges_;
+        record({"exchange_unanswered", found->second.requestId, std::string(base::nameIn(net::ExchangeEndNames, end)), ""});
+    }
+    calls_.erase(found);
+}
+
+void RelayHost::recordCutExchanges()
+{
+    for (const auto &[exchange, call] : calls_) {
+        record({"exchange_unanswered", call.requestId, "cut_at_exit", ""});
+    }
+    if (!calls_.empty()) {
+        record({"exchanges_cut", "", settings_.relay.instance, std::to_string(calls_.size()) + " answers were not written when the process ended"});
+    }
+}
+
 void RelayHost::onOperatorRequest(net::HttpServer &server, net::ExchangeId exchange, const net::HttpRequest &request)
 {
     constexpr int Ok = 200;
