HttpServer: an expired timeout no longer acts on the operation after its own

Seen (test): a process that is held up twice, once while a request arrives and once until the idle timeout is over, cancels the operations of the exchange that has begun meanwhile: the watch for the caller's leaving ends, so that the endpoint goes on working for a caller that is gone. Reads that follow (the body of a request) and a blocked write can be hit in the same way.

Cause: a timer that has expired can't be cancelled; its handler is queued and runs although the read has ended. It cancelled whatever the socket was doing. Class: a late event acts on the next owner. OperationTimeout numbers the operations; an action runs only for the one that it was started for. When a timeout is over and bytes have arrived that the held-up process has not taken yet, the read goes on. closeIfIdle() acts only on a connection that waits for a request and has no bytes in its socket; closing it before reset the connection under a request that had just arrived.

The header now counts against the request timeout from its first byte on; before, a client that sent it slowly was refused only after the idle timeout.

Ruled out by the same test bed: a timer that expires in the same turn of the loop in which the read completes runs before the exchange begins and does no harm; a long answer was written in full.

--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -9,12 +9,21 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
+namespace {
+
+/// Space for the first bytes of a request, while the connection waits for it.
+constexpr std::size_t FirstReadBytes = 2048;
+
+} // namespace
+
 Connection::Connection(std::shared_ptr<HttpServer::Impl> server, tcp::socket socket)
     : server_(std::move(server))
-    , stream_(std::move(socket))
-    , wakeTimer_(stream_.get_executor())
-    , readTimer_(stream_.get_executor())
+    , socket_(std::move(socket))
+    , wakeTimer_(socket_.get_executor())
+    , timeout_(socket_.get_executor())
 {
+    beast::error_code ignored;
+    socket_.non_blocking(true, ignored);
     server_->open.insert(this);
 }
 
@@ -68,36 +77,29 @@
 void Connection::close()
 {
     beast::error_code ignored;
-    stream_.socket().close(ignored);
+    socket_.close(ignored);
     ended_ = true;
     wakeTimer_.cancel();
 }
 
 void Connection::closeIfIdle()
 {
-    if (isIdle_ && buffer_.size() == 0) {
-        // Ends the pending read. If this read has already received a request, it can't be cancelled any more, and the request is answered.
-        beast::error_code ignored;
-        stream_.socket().cancel(ignored);
+    // A read that has received bytes can't be cancelled any more, and its request is answered.
+    if (isIdle_ && !hasInput()) {
+        cancelOperations();
     }
 }
 
 asio::awaitable<bool> Connection::serveRequest()
 {
-    http::request_parser<http::string_body> parser;
+    if (buffer_.size() == 0 && !co_await waitForRequest()) {
+        co_return false;
+    }
+    RequestParser parser;
     parser.header_limit(static_cast<std::uint32_t>(server_->limits.headerBytes));
     parser.body_limit(server_->limits.bodyBytes);
-    beast::error_code error;
-    startReadTimer(server_->limits.idleTimeout);
-    co_await http::async_read_some(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
-    isIdle_ = isIdle_ && error;
-    if (!error && !parser.is_done()) {
-        startReadTimer(server_->limits.requestTimeout);
-        co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
-    }
-    readTimer_.cancel();
-    if (error) {
-        co_await refuse(error, parser.got_some());
+    if (const beast::error_code error = co_await readRequest(parser)) {
+        co_await refuse(error);
         co_return false;
     }
     if (hasClientLeft()) {
@@ -107,21 +109,39 @@
     watchForClose();
     co_await writeQueued();
     server_->endExchange(id_, broken_ ? ExchangeEnd::WriteFailed : ExchangeEnd::Answered);
-    isIdle_ = true;
     co_return keepAlive_ && !broken_ && !server_->closing;
 }
 
-void Connection::startReadTimer(std::chrono::milliseconds timeout)
+asio::awaitable<bool> Connection::waitForRequest()
 {
-    readTimedOut_ = false;
-    auto self = shared_from_this();
-    readTimer_.expires_after(timeout);
-    readTimer_.async_wait([self](const beast::error_code &error) {
-        if (!error) {
-            self->readTimedOut_ = true;
-            beast::error_code ignored;
-            self->stream_.socket().cancel(ignored);
-        }
+    beast::error_code error;
+    startReadTimeout(server_->limits.idleTimeout);
+    isIdle_ = true;
+    const std::size_t receivedBytes = co_await socket_.async_read_some(buffer_.prepare(FirstReadBytes), asio::redirect_error(asio::use_awaitable, error));
+    isIdle_ = false;
+    timeout_.stop();
+    buffer_.commit(receivedBytes);
+    co_return !error;
+}
+
+asio::awaitable<beast::error_code> Connection::readRequest(RequestParser &parser)
+{
+    beast::error_code error;
+    startReadTimeout(server_->limits.requestTimeout);
+    co_await http::async_read_header(socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (!error && !parser.is_done()) {
+        startReadTimeout(server_->limits.requestTimeout);
+        co_await http::async_read(socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    }
+    timeout_.stop();
+    co_return error;
+}
+
+void Connection::startReadTimeout(std::chrono::nanoseconds timeout)
+{
+    timeout_.start(timeout, shared_from_this(), [this, timeout]() {
+        // After a hold-up of the process the bytes may be there already.
+        hasInput() ? startReadTimeout(timeout) : cancelOperations();
     });
 }
 
@@ -138,30 +158,27 @@
     server_->handlers.onRequest(id_, std::move(request));
 }
 
-asio::awaitable<void> Connection::refuse(beast::error_code error, bool gotSome)
+asio::awaitable<void> Connection::refuse(beast::error_code error)
 {
-    const bool timedOut = error == asio::error::operation_aborted && readTimedOut_;
-    const bool isClientGone = error == http::error::end_of_stream || error == asio::error::connection_reset;
-    if (isClientGone || (error == asio::error::operation_aborted && !timedOut) || (timedOut && !gotSome)) {
-        co_return;
-    }
     RefusalKind kind = RefusalKind::Malformed;
     if (error == http::error::header_limit) {
         kind = RefusalKind::HeaderTooLarge;
     } else if (error == http::error::body_limit) {
         kind = RefusalKind::BodyTooLarge;
-    } else if (timedOut) {
+    } else if (error == asio::error::operation_aborted) {
         kind = RefusalKind::RequestTooSlow;
+    } else if (error == http::error::end_of_stream || error == asio::error::connection_reset) {
+        co_return;
     }
-    if (!stream_.socket().is_open()) {
+    if (!socket_.is_open()) {
         co_return;
     }
     const HttpResponse response = server_->handlers.refusal(kind);
     const std::string text = headText(response.status, response.headers, false, response.body.size(), false) + response.body;
     beast::error_code ignored;
-    stream_.expires_after(server_->limits.requestTimeout);
-    co_await asio::async_write(stream_, asio::buffer(text), asio::redirect_error(asio::use_awaitable, ignored));
-    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    timeout_.start(server_->limits.requestTimeout, shared_from_this(), [this]() { cancelOperations(); });
+    co_await asio::async_write(socket_, asio::buffer(text), asio::redirect_error(asio::use_awaitable, ignored));
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
     co_await drainInput();
 }
 
@@ -170,17 +187,18 @@
     char scratch[4096];
     beast::error_code error;
     std::size_t droppedBytes = 0;
-    stream_.expires_after(std::chrono::seconds(1));
+    timeout_.start(std::chrono::seconds(1), shared_from_this(), [this]() { cancelOperations(); });
     while (!error && droppedBytes < 4 * server_->limits.bodyBytes) {
-        droppedBytes += co_await stream_.async_read_some(asio::buffer(scratch), asio::redirect_error(asio::use_awaitable, error));
+        droppedBytes += co_await socket_.async_read_some(asio::buffer(scratch), asio::redirect_error(asio::use_awaitable, error));
     }
+    timeout_.stop();
 }
 
 void Connection::watchForClose()
 {
     auto self = shared_from_this();
     const ExchangeId watchedId = id_;
-    stream_.socket().async_wait(tcp::socket::wait_read, [self, watchedId](const beast::error_code &error) {
+    socket_.async_wait(tcp::socket::wait_read, [self, watchedId](const beast::error_code &error) {
         if (error || self->id_ != watchedId || self->ended_) {
             return;
         }
@@ -194,9 +212,20 @@
 {
     char byte = 0;
     beast::error_code error;
-    stream_.socket().non_blocking(true, error);
-    const std::size_t peekedBytes = stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return peekedBytes == 0 && error != asio::error::would_block;
+    const std::size_t peekedBytes = socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return peekedBytes == 0 && error != asio::error::would_block && error != asio::error::interrupted;
+}
+
+bool Connection::hasInput() const
+{
+    beast::error_code error;
+    return socket_.available(error) > 0 && !error;
+}
+
+void Connection::cancelOperations()
+{
+    beast::error_code ignored;
+    socket_.cancel(ignored);
 }
 
 void Connection::abortExchange(ExchangeEnd end)
@@ -226,7 +255,7 @@
         std::string data;
         data.swap(output_);
         beast::error_code error;
-        co_await asio::async_write(stream_, asio::buffer(data), asio::redirect_error(asio::use_awaitable, error));
+        co_await asio::async_write(socket_, asio::buffer(data), asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             abortExchange(ExchangeEnd::WriteFailed);
             broken_ = true;
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "details/HttpServerImpl.h"
+#include "details/OperationTimeout.h"
 
 namespace net {
 
@@ -30,15 +31,21 @@
 
 private:
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
+    using RequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     /// Reads one request and writes its response, or refuses the request. Returns false if the connection can't be used for another one.
     boost::asio::awaitable<bool> serveRequest();
-    /// Cancels the reading of a request after a timeout, and leaves the connection open for the refusal. Replaces an earlier timeout.
-    void startReadTimer(std::chrono::milliseconds timeout);
+    /// Waits for the first bytes of a request. Returns false if the connection is to be closed: it failed, the idle timeout is over or closeIfIdle() was
+    /// called.
+    boost::asio::awaitable<bool> waitForRequest();
+    /// Reads the rest of a request of which some bytes have been received.
+    boost::asio::awaitable<boost::beast::error_code> readRequest(RequestParser &parser);
+    /// Cancels the pending read after a timeout; if it has received bytes that aren't taken yet, the read goes on for as long again.
+    void startReadTimeout(std::chrono::nanoseconds timeout);
     /// Starts an exchange for a request and passes it to the handler.
     void startExchange(Request &&message);
-    /// Answers a request that couldn't be read, unless the client is gone or hasn't sent any of it, or the read was cancelled by closeIfIdle().
-    boost::asio::awaitable<void> refuse(boost::beast::error_code error, bool gotSome);
+    /// Answers a request that couldn't be read, unless the client is gone.
+    boost::asio::awaitable<void> refuse(boost::beast::error_code error);
     /// Reads and discards what the client still sends, for at most 1 s and about 4 times the body limit. Closing a socket with unread data resets the
     /// connection, so that the client might not receive the refusal.
     boost::asio::awaitable<void> drainInput();
@@ -47,6 +54,10 @@
     void watchForClose();
     /// Returns true if the client has closed the connection, or at least its sending side, and nothing else is left to read.
     bool hasClientLeft();
+    /// Returns true if the socket has received bytes that weren't read yet.
+    bool hasInput() const;
+    /// Cancels the operations of the socket.
+    void cancelOperations();
     /// Ends the exchange because its connection has failed, and reports it by onAbort.
     void abortExchange(ExchangeEnd end);
     /// Writes queued output until the response has ended and is written, or the connection fails.
@@ -58,10 +69,11 @@
     void close();
 
     std::shared_ptr<HttpServer::Impl> server_;
-    boost::beast::tcp_stream stream_;
+    boost::asio::ip::tcp::socket socket_;
     /// Never expires; writeQueued() waits on it, and cancelling it ends the wait.
     boost::asio::steady_timer wakeTimer_;
-    boost::asio::steady_timer readTimer_;
+    /// For reading a request, or for writing a refusal.
+    OperationTimeout timeout_;
     /// Received bytes that aren't parsed yet.
     boost::beast::flat_buffer buffer_;
     /// Response bytes that aren't passed to the socket yet.
@@ -73,9 +85,8 @@
     bool ended_ = false;
     /// The connection has failed.
     bool broken_ = false;
-    bool readTimedOut_ = false;
-    /// No read of the next request has succeeded yet. Bytes that arrived with the previous request may be in `buffer_`.
-    bool isIdle_ = true;
+    /// It waits for the first bytes of a request.
+    bool isIdle_ = false;
 };
 
 } // namespace net
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -28,10 +28,13 @@
         changed_.notify_all();
     }
 
-    Item pop()
+    /// Waits for an item; returns none if there is none within 10 s.
+    std::optional<Item> pop()
     {
         std::unique_lock<std::mutex> lock(mutex_);
-        changed_.wait(lock, [&]() { return !items_.empty(); });
+        if (!changed_.wait_for(lock, std::chrono::seconds(10), [&]() { return !items_.empty(); })) {
+            return std::nullopt;
+        }
         Item item = std::move(items_.front());
         items_.pop_front();
         return item;
@@ -43,15 +46,24 @@
     std::deque<Item> items_;
 };
 
-/// A server that answers /whole with a complete response and /stream with three chunks, closes the connection in the middle of the response to
-/// /cut, and never answers /silent.
+/// Size of the response to /large, in bytes; more than the buffers of a socket hold.
+constexpr std::size_t LargeBytes = 16 * 1024 * 1024;
+
+/// The limits of the server in the tests.
+net::ServerLimits smallLimits()
+{
+    net::ServerLimits limits;
+    limits.bodyBytes = 1000;
+    return limits;
+}
+
+/// A server that answers /whole with a complete response, /large with a long one and /stream with three chunks, closes the connection in the middle of the
+/// response to /cut, and never answers /silent.
 class SmallServer
 {
 public:
-    SmallServer()
+    explicit SmallServer(const net::ServerLimits &limits = smallLimits())
     {
-        net::ServerLimits limits;
-        limits.bodyBytes = 1000;
         net::HttpServer::Handlers handlers;
         handlers.onRequest = [this](net::ExchangeId id, const net::HttpRequest &request) {
             answer(id, request);
@@ -118,14 +130,20 @@
         goOn->set_value();
     }
 
+    /// Holds the thread of the event loop up for that long when it has done what it has to do already.
+    void stallLater(std::chrono::milliseconds duration)
+    {
+        loop_.post([duration]() { std::this_thread::sleep_for(duration); });
+    }
+
     /// Number of requests that were passed to the handler.
     int requests() const
     {
         return requests_;
     }
 
-    /// Waits until an exchange has ended, and returns how; each end is returned once.
-    net::ExchangeEnd nextEnd()
+    /// Waits until an exchange has ended, and returns how; each end is returned once. None if no exchange ends within 10 s.
+    std::optional<net::ExchangeEnd> nextEnd()
     {
         return ends_.pop();
     }
@@ -141,6 +159,10 @@
             server_->respond(id, {200, {}, "whole " + request.body});
             return;
         }
+        if (request.target == "/large") {
+            server_->respond(id, {200, {}, std::string(LargeBytes, 'x')});
+            return;
+        }
         server_->beginStream(id, 200, {});
         for (const char *part : {"a", "b", "c"}) {
             server_->writeChunk(id, part);
@@ -184,6 +206,11 @@
         return received;
     }
 
+    void close()
+    {
+        socket_.close();
+    }
+
     /// Returns the bytes received until they contain the text; some that follow it may be included.
     std::string receiveUntil(const std::string &text)
     {
@@ -358,6 +385,54 @@
     CHECK(server.nextEnd() == net::ExchangeEnd::CallerLeft);
 }
 
+/// A process that is held up finds out at nearly the same moment that a request has come and that the time to wait for it is over.
+TEST_GROUP(AServerThatIsHeldUpForLongerThanItsIdleTimeout)
+{
+    static constexpr std::chrono::milliseconds IdleTimeout{300};
+
+    static net::ServerLimits limitsWithShortIdleTimeout()
+    {
+        net::ServerLimits limits = smallLimits();
+        limits.idleTimeout = IdleTimeout;
+        return limits;
+    }
+
+    SmallServer server{limitsWithShortIdleTimeout()};
+
+    RawClient client{server.address()};
+
+    /// Makes a first request, so that the connection waits for the next one. Then the server is held up twice: it finds the next request after the first time,
+    /// and before it can take it, the second time outlasts the idle timeout.
+    void sendDuringStall(const std::string &request)
+    {
+        client.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\n");
+        client.receiveUntil("whole ");
+        CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
+        server.stallDuring([&]() {
+            client.send(request);
+            server.stallLater(2 * IdleTimeout);
+        });
+    }
+};
+
+/// Guards against an expired idle timeout that acts on the exchange after it: it ended the watch for the caller's leaving.
+TEST(AServerThatIsHeldUpForLongerThanItsIdleTimeout, noticesThatTheCallerLeaves)
+{
+    sendDuringStall("GET /silent HTTP/1.1\r\nHost: a\r\n\r\n");
+    while (server.requests() < 2) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    client.close();
+    CHECK(server.nextEnd() == net::ExchangeEnd::CallerLeft);
+}
+
+TEST(AServerThatIsHeldUpForLongerThanItsIdleTimeout, writesALongAnswerInFull)
+{
+    sendDuringStall("GET /large HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    CHECK(client.receiveAll().size() > LargeBytes);
+    CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
+}
+
 TEST_GROUP(AConnectionOfAServerThatStops)
 {
     SmallServer server;
