Stop: the process ends only when the last answers have reached their callers

The kernel ended the process when it had no open call; a call ends when its answer is handed to the HTTP server. Answers in the server's queue, answers of which a part was written, requests half read and rejections at the end of the grace period were cut off.

Class: when an exchange has ended. It has when its last byte has reached the caller, not when the answer is handed over. The kernel now asks the driver for unfinished exchanges, and ends the process when there is none, or 200 ms before the platform would kill it.

The same cause, in the connection: - A socket that is closed with unread bytes resets the connection, which destroys an answer on its way. After the last answer the sending side is closed, and input is discarded until the client closes its side, or for 1 s after everything has been acknowledged; before only refusals did so. - A request that had arrived behind the one that was answered was dropped when the connection was to be closed. Now the answer says "Connection: close" only if nothing more has arrived.

Both errors: a caller that doesn't read its answer can't hold the process beyond its grace period; one that keeps its side open holds it for 1 s.

Tests that failed before: doesNotExitWhileAnAnswerIsWritten, exitsBeforeItsGracePeriodEnds..., isUnfinishedWhileItsLastAnswerIsOnItsWay, deliversItsLastAnswerAlthoughTheClientHasSentMore, answersARequestThatHasArrivedDuringTheOneBefore. netTests and relayTests pass.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -108,9 +108,13 @@
     /// Replaces the limits. A connection that already waits for a request, or reads one, keeps the header and body limits for this request.
     void setLimits(const ServerLimits &limits);
 
-    /// Closes idle connections, and from now on every connection after its current or next response. New connections are still accepted.
+    /// Closes idle connections, and from now on every connection after its last response, which says so: requests that have arrived are answered before.
+    /// New connections are still accepted.
     void closeConnections();
 
+    /// Returns the number of connections on which a request is being read, or has arrived and will be, or a response isn't delivered yet.
+    std::size_t unfinishedConnections() const;
+
     /// Closes the listening socket. Open connections stay open, and each is closed after its current or next response.
     void stopAccepting();
 
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -2,6 +2,9 @@
 
 #include "details/ResponseText.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 namespace net {
 
 namespace asio = boost::asio;
@@ -13,6 +16,15 @@
 
 /// Space for the first bytes of a request, while the connection waits for it.
 constexpr std::size_t FirstReadBytes = 2048;
+/// Time that the client has to close its side after the last response has reached it.
+constexpr std::chrono::seconds LingerTime{1};
+
+/// Returns the number of bytes that were written but not acknowledged by the peer; 0 if that is unknown.
+int unacknowledgedBytes(tcp::socket &socket)
+{
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
 
 } // namespace
 
@@ -44,17 +56,23 @@
 
 void Connection::respond(const HttpResponse &response)
 {
-    keepAlive_ = keepAlive_ && !server_->closing;
+    decideKeepAlive();
     queue(headText(response.status, response.headers, false, response.body.size(), keepAlive_) + response.body);
     finish();
 }
 
 void Connection::begin(int status, const Headers &headers)
 {
-    keepAlive_ = keepAlive_ && !server_->closing;
+    decideKeepAlive();
     queue(headText(status, headers, true, 0, keepAlive_));
 }
 
+void Connection::decideKeepAlive()
+{
+    const bool isLast = server_->closing && buffer_.size() == 0 && !hasInput();
+    keepAlive_ = keepAlive_ && !isLast;
+}
+
 void Connection::chunk(const std::string &data)
 {
     if (!data.empty()) {
@@ -90,6 +108,11 @@
     }
 }
 
+bool Connection::isUnfinished() const
+{
+    return !isIdle_ || hasInput();
+}
+
 asio::awaitable<bool> Connection::serveRequest()
 {
     if (buffer_.size() == 0 && !co_await waitForRequest()) {
@@ -109,11 +132,18 @@
     watchForClose();
     co_await writeQueued();
     server_->endExchange(id_, broken_ ? ExchangeEnd::WriteFailed : ExchangeEnd::Answered);
-    co_return keepAlive_ && !broken_ && !server_->closing;
+    if (!keepAlive_ && !broken_) {
+        co_await linger();
+    }
+    co_return keepAlive_ && !broken_;
 }
 
 asio::awaitable<bool> Connection::waitForRequest()
 {
+    const bool isNew = id_ == 0;
+    if (server_->closing && !isNew && !hasInput()) {
+        co_return false;
+    }
     beast::error_code error;
     startReadTimeout(server_->limits.idleTimeout);
     isIdle_ = true;
@@ -178,18 +208,21 @@
     beast::error_code ignored;
     timeout_.start(server_->limits.requestTimeout, shared_from_this(), [this]() { cancelOperations(); });
     co_await asio::async_write(socket_, asio::buffer(text), asio::redirect_error(asio::use_awaitable, ignored));
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    co_await drainInput();
+    co_await linger();
 }
 
-asio::awaitable<void> Connection::drainInput()
+asio::awaitable<void> Connection::linger()
 {
     char scratch[4096];
     beast::error_code error;
-    std::size_t droppedBytes = 0;
-    timeout_.start(std::chrono::seconds(1), shared_from_this(), [this]() { cancelOperations(); });
-    while (!error && droppedBytes < 4 * server_->limits.bodyBytes) {
-        droppedBytes += co_await socket_.async_read_some(asio::buffer(scratch), asio::redirect_error(asio::use_awaitable, error));
+    socket_.shutdown(tcp::socket::shutdown_send, error);
+    while (!error) {
+        timeout_.start(LingerTime, shared_from_this(), [this]() { cancelOperations(); });
+        while (!error) {
+            co_await socket_.async_read_some(asio::buffer(scratch), asio::redirect_error(asio::use_awaitable, error));
+        }
+        const bool isStillSending = error == asio::error::operation_aborted && unacknowledgedBytes(socket_) > 0;
+        error = isStillSending ? beast::error_code() : error;
     }
     timeout_.stop();
 }
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "details/Connection.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace net {
@@ -127,6 +128,12 @@
     }
 }
 
+std::size_t HttpServer::unfinishedConnections() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(impl_->open.begin(), impl_->open.end(), [](const Connection *connection) { return connection->isUnfinished(); }));
+}
+
 void HttpServer::stopAccepting()
 {
     impl_->closing = true;
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -28,6 +28,8 @@
 
     /// Closes the connection unless a request is being read or answered.
     void closeIfIdle();
+    /// Returns true unless the connection waits for a request of which nothing has arrived.
+    bool isUnfinished() const;
 
 private:
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
@@ -46,9 +48,12 @@
     void startExchange(Request &&message);
     /// Answers a request that couldn't be read, unless the client is gone.
     boost::asio::awaitable<void> refuse(boost::beast::error_code error);
-    /// Reads and discards what the client still sends, for at most 1 s and about 4 times the body limit. Closing a socket with unread data resets the
-    /// connection, so that the client might not receive the refusal.
-    boost::asio::awaitable<void> drainInput();
+    /// Ends the connection so that the client receives all that was written: closes the sending side, and discards what the client still sends until it
+    /// closes its side, or doesn't within 1 s after everything has reached it. Closing a socket with unread data resets the connection, which destroys a
+    /// response on its way.
+    boost::asio::awaitable<void> linger();
+    /// Closes the connection after this response if the server closes its connections, unless another request has arrived on it.
+    void decideKeepAlive();
     /// Waits until the socket becomes readable during an exchange, and aborts the exchange if there is no data to read: then the client has closed
     /// the connection, or at least its sending side. Data, for example of a pipelined request, ends the check.
     void watchForClose();
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -48,6 +48,8 @@
 
 /// Size of the response to /large, in bytes; more than the buffers of a socket hold.
 constexpr std::size_t LargeBytes = 16 * 1024 * 1024;
+/// Size of the response to /buffered, in bytes; the buffers of a socket hold it.
+constexpr std::size_t BufferedBytes = 1024 * 1024;
 
 /// The limits of the server in the tests.
 net::ServerLimits smallLimits()
@@ -103,17 +105,45 @@
         return address_;
     }
 
-    /// Calls the server's closeConnections() in the thread of its event loop, and waits until that is done.
-    void closeConnections()
+    /// Runs a task in the thread of the server's event loop, and waits until that is done.
+    void runInLoop(const std::function<void()> &task)
     {
         std::promise<void> done;
         loop_.post([&]() {
-            server_->closeConnections();
+            task();
             done.set_value();
         });
         done.get_future().wait();
     }
 
+    /// Calls the server's closeConnections().
+    void closeConnections()
+    {
+        runInLoop([&]() { server_->closeConnections(); });
+    }
+
+    /// Calls the server's closeConnections() when the event loop has done what it has to do already.
+    void closeConnectionsLater()
+    {
+        loop_.post([this]() { server_->closeConnections(); });
+    }
+
+    std::size_t unfinishedConnections()
+    {
+        std::size_t count = 0;
+        runInLoop([&]() { count = server_->unfinishedConnections(); });
+        return count;
+    }
+
+    /// Waits until all exchanges are finished. Returns false if that takes longer than 10 s.
+    bool waitUntilFinished()
+    {
+        for (int i = 0; i < 1000 && unfinishedConnections() > 0; ++i) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        return unfinishedConnections() == 0;
+    }
+
     /// Holds the thread of the event loop up while `task` runs in the calling thread.
     void stallDuring(const std::function<void()> &task)
     {
@@ -163,6 +193,10 @@
             server_->respond(id, {200, {}, std::string(LargeBytes, 'x')});
             return;
         }
+        if (request.target == "/buffered") {
+            server_->respond(id, {200, {}, std::string(BufferedBytes, 'x')});
+            return;
+        }
         server_->beginStream(id, 200, {});
         for (const char *part : {"a", "b", "c"}) {
             server_->writeChunk(id, part);
@@ -186,9 +220,16 @@
 class RawClient
 {
 public:
-    explicit RawClient(const net::Address &address)
+    static constexpr int SmallReceiveBufferBytes = 16 * 1024;
+
+    /// The size of the receive buffer is left to the operating system if it is 0.
+    explicit RawClient(const net::Address &address, int receiveBufferBytes = 0)
         : socket_(io_)
     {
+        socket_.open(boost::asio::ip::tcp::v4());
+        if (receiveBufferBytes > 0) {
+            socket_.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes));
+        }
         socket_.connect({boost::asio::ip::make_address(address.host), address.port});
     }
 
@@ -211,6 +252,15 @@
         socket_.close();
     }
 
+    /// Returns that many received bytes, or fewer if the connection ends before.
+    std::string receive(std::size_t bytes)
+    {
+        std::string received;
+        boost::system::error_code error;
+        boost::asio::read(socket_, boost::asio::dynamic_buffer(received), boost::asio::transfer_exactly(bytes), error);
+        return received;
+    }
+
     /// Returns the bytes received until they contain the text; some that follow it may be included.
     std::string receiveUntil(const std::string &text)
     {
@@ -462,6 +512,85 @@
     STRCMP_CONTAINS("Connection: close", answer.c_str());
 }
 
+/// Guards against a request that is dropped because the connection is closed after the answer to the one before it.
+TEST(AConnectionOfAServerThatStops, answersARequestThatHasArrivedDuringTheOneBefore)
+{
+    RawClient client(server.address());
+    server.stallDuring([&]() {
+        client.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\nGET /stream HTTP/1.1\r\nHost: a\r\n\r\n");
+        server.closeConnectionsLater();
+    });
+    const std::string answers = client.receiveAll();
+    STRCMP_CONTAINS("whole ", answers.c_str());
+    STRCMP_CONTAINS("Connection: close", answers.c_str());
+    STRCMP_CONTAINS("1\r\nc\r\n0\r\n\r\n", answers.c_str());
+    LONGS_EQUAL(answers.find("Connection: close"), answers.rfind("Connection: close"));
+}
+
+/// Guards against a request that has arrived in the socket when its idle connection is closed.
+TEST(AConnectionOfAServerThatStops, answersARequestThatHasArrivedWhenItIsClosed)
+{
+    RawClient client(server.address());
+    client.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\n");
+    client.receiveUntil("whole ");
+    CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
+    server.stallDuring([&]() {
+        client.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\n");
+        server.closeConnectionsLater();
+    });
+    STRCMP_CONTAINS("whole ", client.receiveAll().c_str());
+}
+
+/// Guards against an answer that is destroyed on its way: closing a socket with unread bytes resets the connection.
+TEST(AConnectionOfAServerThatStops, deliversItsLastAnswerAlthoughTheClientHasSentMore)
+{
+    RawClient client(server.address(), RawClient::SmallReceiveBufferBytes);
+    client.send("GET /buffered HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" + std::string(100 * 1024, 'x'));
+    CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
+    CHECK(client.receiveAll().size() > BufferedBytes);
+}
+
+/// Guards against a process that ends while its last answer is in the buffers of a connection to a slow client.
+TEST(AConnectionOfAServerThatStops, isUnfinishedWhileItsLastAnswerIsOnItsWay)
+{
+    RawClient client(server.address(), RawClient::SmallReceiveBufferBytes);
+    client.send("GET /buffered HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    LONGS_EQUAL(1, server.unfinishedConnections());
+    CHECK(client.receiveAll().size() > BufferedBytes);
+    client.close();
+    CHECK(server.waitUntilFinished());
+}
+
+/// Guards against a process that ends while the last answers are still on their way to slow clients.
+TEST(AConnectionOfAServerThatStops, isUnfinishedUntilTheClientHasItsAnswer)
+{
+    LONGS_EQUAL(0, server.unfinishedConnections());
+    RawClient client(server.address());
+    client.send("GET /large HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::string answer = client.receiveUntil("\r\n\r\n");
+    server.closeConnections();
+    LONGS_EQUAL(1, server.unfinishedConnections());
+    answer += client.receive(LargeBytes - answer.size());
+    CHECK(answer.size() >= LargeBytes);
+    CHECK(server.waitUntilFinished());
+}
+
+/// Guards against a process that ends while a request is half read.
+TEST(AConnectionOfAServerThatStops, isUnfinishedWhileARequestIsRead)
+{
+    RawClient client(server.address());
+    client.send("GET /whole HT");
+    CHECK(server.get("/whole").ok);
+    server.closeConnections();
+    LONGS_EQUAL(1, server.unfinishedConnections());
+    client.send("TP/1.1\r\nHost: a\r\n\r\n");
+    STRCMP_CONTAINS("Connection: close", client.receiveAll().c_str());
+    client.close();
+    CHECK(server.waitUntilFinished());
+}
+
 TEST_GROUP(AKeptConnection){/// Returns the response bodies of two requests that one client makes, one after the other.
                             std::vector<std::string> fetchTwoBodies(const net::Address &address){net::EventLoop loop;
 net::HttpClient client(loop);
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -17,6 +17,8 @@
 constexpr Ms MinStopDuration{2800};
 /// Open calls are failed this long before the platform would kill the process.
 constexpr Ms StopMargin{600};
+/// The process ends this long before the platform would kill it, whatever is still being written.
+constexpr Ms ExitMargin{200};
 
 } // namespace
 
@@ -141,7 +143,8 @@
             fail(now, *calls.begin()->second, base::ErrorKind::Stopping, "this instance has to stop now");
         }
     }
-    if (!exited && calls.empty() && elapsed >= MinStopDuration) {
+    const bool isIdle = calls.empty() && driver.unfinishedExchanges() == 0;
+    if (!exited && ((isIdle && elapsed >= MinStopDuration) || elapsed >= settings.gracePeriod - ExitMargin)) {
         exited = true;
         driver.exit();
     }
--- a/libs/relay/tests/AdmissionTests.cpp
+++ b/libs/relay/tests/AdmissionTests.cpp
@@ -141,6 +141,31 @@
     CHECK(bed.driver.exited);
 }
 
+/// Guards against answers that are lost because the process ends before they are written.
+TEST(AnInstance, doesNotExitWhileAnAnswerIsWritten)
+{
+    bed.call("/book/seat");
+    bed.kernel.onStop(bed.now);
+    bed.driver.unfinished = 1;
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {200, false, true, ""});
+    bed.advance(Ms(5000));
+    CHECK(!bed.driver.exited);
+    bed.driver.unfinished = 0;
+    bed.advance(Ms(100));
+    CHECK(bed.driver.exited);
+}
+
+/// Guards against a process that is killed in the middle of its work since one caller doesn't read its answer.
+TEST(AnInstance, exitsBeforeItsGracePeriodEndsWhateverIsStillWritten)
+{
+    bed.kernel.onStop(bed.now);
+    bed.driver.unfinished = 1;
+    bed.advance(RelayTestBed::settings().gracePeriod - Ms(500));
+    CHECK(!bed.driver.exited);
+    bed.advance(Ms(400));
+    CHECK(bed.driver.exited);
+}
+
 /// At the end of its grace period an instance rejects open calls. An at-most-once request that an endpoint still works on must not be reported as
 /// not run, because its caller would send it again.
 TEST(AnInstance, doesNotReportAnOpenRequestAsNotRunWhenItExits)
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -108,6 +108,10 @@
     {
         connectionsClosed = true;
     }
+    std::size_t unfinishedExchanges() const override
+    {
+        return unfinished;
+    }
     void exit() override
     {
         exited = true;
@@ -122,6 +126,8 @@
         return std::find(cancelled.begin(), cancelled.end(), attempt) != cancelled.end();
     }
 
+    /// What unfinishedExchanges() returns.
+    std::size_t unfinished = 0;
     std::vector<relay::Dispatch> sent;
     std::vector<relay::AttemptId> cancelled;
     std::vector<Rejected> rejected;
--- a/libs/relay/tests/VirtualInstance.cpp
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -417,6 +417,11 @@
 {
 }
 
+std::size_t VirtualFleet::Driver::unfinishedExchanges() const
+{
+    return 0; // Answers arrive at once.
+}
+
 void VirtualFleet::Driver::exit()
 {
 }
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -319,6 +319,11 @@
     callerServer_->closeConnections();
 }
 
+std::size_t RelayHost::unfinishedExchanges() const
+{
+    return callerServer_->unfinishedConnections();
+}
+
 void RelayHost::exit()
 {
     loop_.stop();
