HttpServer: a changed idle timeout holds for the connections that wait

A connection that waits for a request kept the timeout of the configuration under which it began to wait. When a configuration brought a longer one, callers counted on it, and the connection was closed under their next request. When it brought a shorter one, connections that began to wait at once kept to it, though callers learn of it later.

A connection now waits for the longest timeout that was in force since it began to, and a timeout that was replaced holds for another 10 s for new waits. The limits of a configuration that is older than the one in force are not taken.

Both errors: idle connections are kept longer after a shortened timeout, by that timeout and 10 s at most; no request is closed out by a change in either direction, except when this instance learns of the longer timeout only after the shorter one has passed.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -30,6 +30,8 @@
     std::chrono::milliseconds requestTimeout{10000};
     /// Longest time that a connection waits for the first bytes of a request.
     std::chrono::milliseconds idleTimeout{60000};
+    /// Time after which clients know of a changed idle timeout; until then they may count on the earlier one if that is longer.
+    std::chrono::milliseconds idleTimeoutNotice{0};
 };
 
 /// Why the server itself refused a request, without calling onRequest.
@@ -105,7 +107,8 @@
     /// Closes the connection without ending the response, so that the client recognizes it as incomplete. onAbort isn't called.
     void abort(ExchangeId id);
 
-    /// Replaces the limits. A connection that already waits for a request, or reads one, keeps the header and body limits for this request.
+    /// Replaces the limits. A connection that already reads a request keeps the header and body limits for this request. One that waits for a request does
+    /// so for the longest idle timeout that has been in force meanwhile.
     void setLimits(const ServerLimits &limits);
 
     /// Closes idle connections, and from now on every connection after its last response, which says so: requests that have arrived are answered before.
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -145,7 +145,8 @@
         co_return false;
     }
     beast::error_code error;
-    startReadTimeout(server_->limits.idleTimeout);
+    idleSince_ = IdleTimeouts::Clock::now();
+    startIdleTimeout();
     isIdle_ = true;
     const std::size_t receivedBytes = co_await socket_.async_read_some(buffer_.prepare(FirstReadBytes), asio::redirect_error(asio::use_awaitable, error));
     isIdle_ = false;
@@ -167,6 +168,16 @@
     co_return error;
 }
 
+void Connection::startIdleTimeout()
+{
+    const auto timeLeft = idleSince_ + server_->idleTimeouts.timeoutSince(idleSince_) - IdleTimeouts::Clock::now();
+    if (timeLeft.count() <= 0) {
+        return closeIfIdle();
+    }
+    // The timeout may be longer by then.
+    timeout_.start(timeLeft, shared_from_this(), [this]() { startIdleTimeout(); });
+}
+
 void Connection::startReadTimeout(std::chrono::nanoseconds timeout)
 {
     timeout_.start(timeout, shared_from_this(), [this, timeout]() {
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -15,6 +15,7 @@
     : io(loop.impl().io)
     , acceptor(io)
     , limits(serverLimits)
+    , idleTimeouts(serverLimits.idleTimeout)
     , handlers(std::move(serverHandlers))
 {
     const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
@@ -118,6 +119,7 @@
 void HttpServer::setLimits(const ServerLimits &limits)
 {
     impl_->limits = limits;
+    impl_->idleTimeouts.set(limits.idleTimeout, limits.idleTimeoutNotice, IdleTimeouts::Clock::now());
 }
 
 void HttpServer::closeConnections()
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -40,6 +40,8 @@
     /// Waits for the first bytes of a request. Returns false if the connection is to be closed: it failed, the idle timeout is over or closeIfIdle() was
     /// called.
     boost::asio::awaitable<bool> waitForRequest();
+    /// Closes the connection when its idle timeout is over.
+    void startIdleTimeout();
     /// Reads the rest of a request of which some bytes have been received.
     boost::asio::awaitable<boost::beast::error_code> readRequest(RequestParser &parser);
     /// Cancels the pending read after a timeout; if it has received bytes that aren't taken yet, the read goes on for as long again.
@@ -92,6 +94,8 @@
     bool broken_ = false;
     /// It waits for the first bytes of a request.
     bool isIdle_ = false;
+    /// When it began to wait for a request.
+    IdleTimeouts::Clock::time_point idleSince_;
 };
 
 } // namespace net
--- a/libs/net/src/details/HttpServerImpl.h
+++ b/libs/net/src/details/HttpServerImpl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "details/EventLoopImpl.h"
+#include "details/IdleTimeouts.h"
 #include "net/HttpServer.h"
 
 #include <unordered_map>
@@ -23,6 +24,7 @@
     boost::asio::io_context &io;
     boost::asio::ip::tcp::acceptor acceptor;
     ServerLimits limits;
+    IdleTimeouts idleTimeouts;
     Handlers handlers;
     /// Connections by the exchange that they are running; a connection runs one at a time.
     std::unordered_map<ExchangeId, std::shared_ptr<Connection>> exchanges;
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -128,6 +128,11 @@
         loop_.post([this]() { server_->closeConnections(); });
     }
 
+    void setLimits(const net::ServerLimits &limits)
+    {
+        runInLoop([&]() { server_->setLimits(limits); });
+    }
+
     std::size_t unfinishedConnections()
     {
         std::size_t count = 0;
@@ -483,6 +488,51 @@
     CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
 }
 
+TEST_GROUP(AConnectionWhoseIdleTimeoutChanges)
+{
+    static constexpr std::chrono::milliseconds Short{500};
+    static constexpr std::chrono::milliseconds Long{60000};
+
+    static net::ServerLimits limitsWith(std::chrono::milliseconds idleTimeout)
+    {
+        net::ServerLimits limits = smallLimits();
+        limits.idleTimeout = idleTimeout;
+        return limits;
+    }
+
+    /// Makes a request and returns whether it was answered.
+    static bool isAnswered(RawClient & client)
+    {
+        client.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\n");
+        return client.receiveUntil("whole ").find("200") != std::string::npos;
+    }
+};
+
+/// Guards against a request that is lost since its connection is closed after the timeout of an earlier configuration.
+TEST(AConnectionWhoseIdleTimeoutChanges, isKeptForTheLongerTimeoutAtOnce)
+{
+    SmallServer server(limitsWith(Short));
+    RawClient client(server.address());
+    CHECK(isAnswered(client));
+    CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
+    server.setLimits(limitsWith(Long));
+    std::this_thread::sleep_for(2 * Short);
+    CHECK(isAnswered(client));
+}
+
+/// Guards against a request that is lost since its client doesn't know yet that the timeout is shorter now.
+TEST(AConnectionWhoseIdleTimeoutChanges, isKeptForTheEarlierTimeoutUntilTheClientKnowsTheShorterOne)
+{
+    SmallServer server(limitsWith(Long));
+    net::ServerLimits limits = limitsWith(Short);
+    limits.idleTimeoutNotice = std::chrono::seconds(60);
+    server.setLimits(limits);
+    RawClient client(server.address());
+    CHECK(isAnswered(client));
+    std::this_thread::sleep_for(2 * Short);
+    CHECK(isAnswered(client));
+}
+
 TEST_GROUP(AConnectionOfAServerThatStops)
 {
     SmallServer server;
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -23,6 +23,8 @@
 /// Capacity of the mesh's ring of messages to other instances; further messages wait outside it.
 constexpr std::size_t MeshRingItems = 256;
 constexpr std::size_t MaxOperatorHeaderBytes = 4096;
+/// Time after which all callers know of a new configuration.
+constexpr relay::Ms ConfigNoticeTime{10000};
 /// URL path of the status, and the one by which an operator ends the quarantine of the signature that follows it.
 constexpr std::string_view StatusPath = "/admin/status";
 constexpr std::string_view LiftPath = "/admin/quarantine/lift/";
@@ -54,6 +56,7 @@
     server.bodyBytes = limits.bodyBytes;
     server.requestTimeout = limits.headerTimeout;
     server.idleTimeout = limits.idleTimeout;
+    server.idleTimeoutNotice = ConfigNoticeTime;
     return server;
 }
 
@@ -107,7 +110,7 @@
 {
     StoreHandlers handlers;
     handlers.onConfig = [this](relay::Instant sentAt, const relay::FleetConfigPtr &config) {
-        if (config) {
+        if (config && config->version >= kernel_.configVersion()) {
             callerServer_->setLimits(serverLimits(config->limits));
         }
         kernel_.onConfig(now(), sentAt, config);
