HttpServer: one head and one end for each response, no body where there must be none

Answers to HEAD and with 204, 304 or 1xx have no body now, and state a length only where one is allowed and known. 2. respond() behind beginStream() wrote a second status line into the middle of a stream; an end for an answer that had not begun left the client waiting. Class: nobody checked who may write what. The connection now keeps the state of its response; a part that doesn't fit ends it visibly, without the last chunk, and is reported as "misused" and by onAbort.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace net {
 
@@ -55,15 +56,18 @@
     WriteFailed,
     /// HttpServer::abort() was called.
     Aborted,
+    /// A part of the response didn't fit to those before it, for example a second status line; the connection was closed.
+    Misused,
 };
 
 /// Names of the ends in the log.
-inline constexpr base::EnumNames<ExchangeEnd, 5> ExchangeEndNames = {{
+inline constexpr base::EnumNames<ExchangeEnd, 6> ExchangeEndNames = {{
     {ExchangeEnd::Answered, "answered"},
     {ExchangeEnd::CallerLeft, "caller_left"},
     {ExchangeEnd::CallerTooSlow, "caller_too_slow"},
     {ExchangeEnd::WriteFailed, "write_failed"},
     {ExchangeEnd::Aborted, "aborted"},
+    {ExchangeEnd::Misused, "misused"},
 }};
 
 /// An HTTP/1.1 server that sends responses either complete or in chunks.
@@ -91,7 +95,8 @@
     /// Returns the address on which the server listens, with the actual port.
     Address address() const;
 
-    /// Sends a complete response and ends the exchange.
+    /// Sends a complete response and ends the exchange. Here and below, a part that doesn't fit to those before it closes the connection, so that the client
+    /// recognizes the response as incomplete; then onAbort is called.
     void respond(ExchangeId id, const HttpResponse &response);
 
     /// Starts a chunked response with its status and header.
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -56,36 +56,69 @@
 
 void Connection::respond(const HttpResponse &response)
 {
+    if (isMisuse(responseState_ != ResponseState::None)) {
+        return;
+    }
     decideKeepAlive();
-    queue(headText(response.status, response.headers, false, response.body.size(), keepAlive_) + response.body);
+    const bool withoutBody = isHead_ || hasNoBody(response.status);
+    // A response to HEAD states the length that it would have otherwise, if that is known.
+    const bool statesLength = !hasNoBody(response.status) && !(isHead_ && response.body.empty());
+    const Framing framing{false, statesLength ? std::optional(response.body.size()) : std::nullopt};
+    std::string text = headText(response.status, response.headers, framing, keepAlive_);
+    if (!withoutBody) {
+        text += response.body;
+    }
+    queue(text);
     finish();
 }
 
 void Connection::begin(int status, const Headers &headers)
 {
+    if (isMisuse(responseState_ != ResponseState::None)) {
+        return;
+    }
     decideKeepAlive();
-    queue(headText(status, headers, true, 0, keepAlive_));
-}
-
-void Connection::decideKeepAlive()
-{
-    const bool isLast = server_->closing && buffer_.size() == 0 && !hasInput();
-    keepAlive_ = keepAlive_ && !isLast;
+    responseState_ = ResponseState::Begun;
+    isBodySent_ = !isHead_ && !hasNoBody(status);
+    queue(headText(status, headers, {!hasNoBody(status), std::nullopt}, keepAlive_));
 }
 
 void Connection::chunk(const std::string &data)
 {
-    if (!data.empty()) {
+    if (!isMisuse(responseState_ != ResponseState::Begun) && !data.empty() && isBodySent_) {
         queue(chunkOf(data));
     }
 }
 
 void Connection::end()
 {
-    queue("0\r\n\r\n");
+    if (isMisuse(responseState_ != ResponseState::Begun)) {
+        return;
+    }
+    if (isBodySent_) {
+        queue("0\r\n\r\n");
+    }
     finish();
 }
 
+bool Connection::isMisuse(bool doesNotFit)
+{
+    if (ended_) {
+        return true; // Nothing is sent any more.
+    }
+    if (doesNotFit) {
+        abortExchange(ExchangeEnd::Misused);
+        close();
+    }
+    return doesNotFit;
+}
+
+void Connection::decideKeepAlive()
+{
+    const bool isLast = server_->closing && buffer_.size() == 0 && !hasInput();
+    keepAlive_ = keepAlive_ && !isLast;
+}
+
 void Connection::abort()
 {
     server_->endExchange(id_, ExchangeEnd::Aborted);
@@ -190,6 +223,8 @@
 {
     id_ = server_->nextId++;
     ended_ = false;
+    responseState_ = ResponseState::None;
+    isHead_ = message.method() == http::verb::head;
     keepAlive_ = message.keep_alive();
     server_->exchanges[id_] = shared_from_this();
     HttpRequest request{std::string(message.method_string()), std::string(message.target()), {}, std::move(message.body())};
@@ -215,7 +250,7 @@
         co_return;
     }
     const HttpResponse response = server_->handlers.refusal(kind);
-    const std::string text = headText(response.status, response.headers, false, response.body.size(), false) + response.body;
+    const std::string text = headText(response.status, response.headers, {false, response.body.size()}, false) + response.body;
     beast::error_code ignored;
     timeout_.start(server_->limits.requestTimeout, shared_from_this(), [this]() { cancelOperations(); });
     co_await asio::async_write(socket_, asio::buffer(text), asio::redirect_error(asio::use_awaitable, ignored));
@@ -323,6 +358,7 @@
 
 void Connection::finish()
 {
+    responseState_ = ResponseState::Complete;
     ended_ = true;
     wakeTimer_.cancel();
 }
--- a/libs/net/src/ResponseText.cpp
+++ b/libs/net/src/ResponseText.cpp
@@ -18,7 +18,15 @@
     return chunk;
 }
 
-std::string headText(int status, const Headers &headers, bool chunked, std::size_t bodyBytes, bool keepAlive)
+bool hasNoBody(int status)
+{
+    constexpr int FirstFinal = 200;
+    constexpr int NoContent = 204;
+    constexpr int NotModified = 304;
+    return status < FirstFinal || status == NoContent || status == NotModified;
+}
+
+std::string headText(int status, const Headers &headers, const Framing &framing, bool keepAlive)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
     const auto reason = http::obsolete_reason(static_cast<http::status>(status));
@@ -27,7 +35,11 @@
     for (const auto &[name, value] : headers) {
         text.append(name).append(": ").append(value).append("\r\n");
     }
-    text += chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
+    if (framing.isChunked) {
+        text += "Transfer-Encoding: chunked\r\n";
+    } else if (framing.bodyBytes) {
+        text += "Content-Length: " + std::to_string(*framing.bodyBytes) + "\r\n";
+    }
     text += keepAlive ? "" : "Connection: close\r\n";
     text += "\r\n";
     return text;
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -32,6 +32,14 @@
     bool isUnfinished() const;
 
 private:
+    /// What was queued of the response of the current exchange.
+    enum class ResponseState {
+        None,
+        /// The header of a response in chunks, and perhaps some of these.
+        Begun,
+        Complete,
+    };
+
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
     using RequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -54,6 +62,8 @@
     /// closes its side, or doesn't within 1 s after everything has reached it. Closing a socket with unread data resets the connection, which destroys a
     /// response on its way.
     boost::asio::awaitable<void> linger();
+    /// Returns true if a part of the response must not be sent. If it doesn't fit to the parts before it, aborts the exchange and closes the connection.
+    bool isMisuse(bool doesNotFit);
     /// Closes the connection after this response if the server closes its connections, unless another request has arrived on it.
     void decideKeepAlive();
     /// Waits until the socket becomes readable during an exchange, and aborts the exchange if there is no data to read: then the client has closed
@@ -87,6 +97,11 @@
     std::string output_;
     /// The current exchange, or the last one.
     ExchangeId id_ = 0;
+    ResponseState responseState_ = ResponseState::None;
+    /// The response in chunks has a body.
+    bool isBodySent_ = true;
+    /// The request is one for the header only.
+    bool isHead_ = false;
     bool keepAlive_ = true;
     /// The response is complete or aborted; no more output is queued.
     bool ended_ = false;
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -70,10 +70,12 @@
         handlers.onRequest = [this](net::ExchangeId id, const net::HttpRequest &request) {
             answer(id, request);
         };
-        handlers.onAbort = [](net::ExchangeId) {
+        handlers.onAbort = [this](net::ExchangeId) {
+            ++aborts_;
         };
         handlers.refusal = [](net::RefusalKind kind) {
-            return net::HttpResponse{kind == net::RefusalKind::BodyTooLarge ? 413 : 400, {}, "refused"};
+            const int status = kind == net::RefusalKind::BodyTooLarge ? 413 : 400;
+            return net::HttpResponse{status, {}, "refused"};
         };
         handlers.onEnded = [this](net::ExchangeId, net::ExchangeEnd end) {
             ends_.push(end);
@@ -177,6 +179,12 @@
         return requests_;
     }
 
+    /// Number of exchanges that were reported by onAbort.
+    int aborts() const
+    {
+        return aborts_;
+    }
+
     /// Waits until an exchange has ended, and returns how; each end is returned once. None if no exchange ends within 10 s.
     std::optional<net::ExchangeEnd> nextEnd()
     {
@@ -202,7 +210,20 @@
             server_->respond(id, {200, {}, std::string(BufferedBytes, 'x')});
             return;
         }
+        if (request.target == "/empty") {
+            server_->respond(id, {204, {}, "body"});
+            return;
+        }
+        if (request.target == "/end") {
+            server_->endStream(id);
+            return;
+        }
         server_->beginStream(id, 200, {});
+        if (request.target == "/twice") {
+            server_->writeChunk(id, "begun");
+            server_->respond(id, {500, {}, "error text"});
+            return;
+        }
         for (const char *part : {"a", "b", "c"}) {
             server_->writeChunk(id, part);
         }
@@ -214,6 +235,7 @@
     }
 
     std::atomic<int> requests_{0};
+    std::atomic<int> aborts_{0};
     WaitingQueue<net::ExchangeEnd> ends_;
     net::EventLoop loop_;
     std::optional<net::HttpServer> server_;
@@ -440,6 +462,67 @@
     CHECK(server.nextEnd() == net::ExchangeEnd::CallerLeft);
 }
 
+/// Guards against bytes of one answer that are read as the beginning of the next one.
+TEST_GROUP(AnAnswerWithoutABody)
+{
+    SmallServer server;
+
+    /// Returns what the client gets for a request, before its connection ends.
+    std::string answerTo(const std::string &method, const std::string &target)
+    {
+        RawClient client(server.address());
+        client.send(method + " " + target + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        return client.receiveAll();
+    }
+};
+
+TEST(AnAnswerWithoutABody, isThatToHead)
+{
+    const std::string answer = answerTo("HEAD", "/whole");
+    STRCMP_CONTAINS("200 OK", answer.c_str());
+    CHECK(answer.ends_with("\r\n\r\n"));
+    CHECK(answerTo("HEAD", "/stream").ends_with("\r\n\r\n"));
+    CHECK(answerTo("HEAD", "/stream").find("abc") == std::string::npos);
+    CHECK(answerTo("HEAD", "/stream").find("1\r\na") == std::string::npos);
+}
+
+TEST(AnAnswerWithoutABody, isThatWithItsStatus)
+{
+    const std::string answer = answerTo("GET", "/empty");
+    STRCMP_CONTAINS("204 No Content", answer.c_str());
+    CHECK(answer.find("Content-Length") == std::string::npos);
+    CHECK(answer.ends_with("\r\n\r\n"));
+}
+
+TEST_GROUP(AnExchangeThatGoesWrong)
+{
+    SmallServer server;
+
+    /// Returns what the client gets for a request, before its connection ends.
+    std::string answerTo(const std::string &target)
+    {
+        RawClient client(server.address());
+        client.send("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+        return client.receiveAll();
+    }
+};
+
+/// Guards against an error answer in the middle of a stream that has begun.
+TEST(AnExchangeThatGoesWrong, isCutVisiblyInsteadOfGettingASecondHead)
+{
+    const std::string answer = answerTo("/twice");
+    CHECK(answer.find("500") == std::string::npos);
+    CHECK(answer.find("0\r\n\r\n") == std::string::npos);
+    CHECK(server.nextEnd() == net::ExchangeEnd::Misused);
+    LONGS_EQUAL(1, server.aborts());
+}
+
+TEST(AnExchangeThatGoesWrong, isCutVisiblyInsteadOfEndingAnAnswerThatHasNotBegun)
+{
+    STRCMP_EQUAL("", answerTo("/end").c_str());
+    CHECK(server.nextEnd() == net::ExchangeEnd::Misused);
+}
+
 /// A process that is held up finds out at nearly the same moment that a request has come and that the time to wait for it is over.
 TEST_GROUP(AServerThatIsHeldUpForLongerThanItsIdleTimeout)
 {
