HttpServer: an exception of a handler is reported, and its request answered

An exception in the handler of a request ended the coroutine of the connection, which nobody looked at: no log line, the connection closed without an answer, and the kernel's call stayed for good. The kernel uses checked accesses, so that one inconsistent state would show in this way only.

The exception is now logged; the request is answered 500 if nothing was sent, which promises nothing about its having run, else the connection is closed. onAbort lets the kernel forget the call.

isAnsweredAndReportedWhenItsHandlerThrows could not be built on the code before (onException); without the new handling the client's connection was closed with no answer. netTests pass.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -35,13 +35,15 @@
     std::chrono::milliseconds idleTimeoutNotice{0};
 };
 
-/// Why the server itself refused a request, without calling onRequest.
+/// Why the server itself answered a request.
 enum class RefusalKind {
     Malformed,
     HeaderTooLarge,
     BodyTooLarge,
     /// The request wasn't received completely within a timeout.
     RequestTooSlow,
+    /// Handlers::onRequest threw an exception; it may have acted on the request.
+    HandlerFailed,
 };
 
 /// How an exchange ended.
@@ -58,16 +60,19 @@
     Aborted,
     /// A part of the response didn't fit to those before it, for example a second status line; the connection was closed.
     Misused,
+    /// Handlers::onRequest threw an exception.
+    HandlerFailed,
 };
 
 /// Names of the ends in the log.
-inline constexpr base::EnumNames<ExchangeEnd, 6> ExchangeEndNames = {{
+inline constexpr base::EnumNames<ExchangeEnd, 7> ExchangeEndNames = {{
     {ExchangeEnd::Answered, "answered"},
     {ExchangeEnd::CallerLeft, "caller_left"},
     {ExchangeEnd::CallerTooSlow, "caller_too_slow"},
     {ExchangeEnd::WriteFailed, "write_failed"},
     {ExchangeEnd::Aborted, "aborted"},
     {ExchangeEnd::Misused, "misused"},
+    {ExchangeEnd::HandlerFailed, "handler_failed"},
 }};
 
 /// An HTTP/1.1 server that sends responses either complete or in chunks.
@@ -82,10 +87,12 @@
         std::function<void(ExchangeId, HttpRequest)> onRequest;
         /// The connection failed, or the client closed it or read too slowly, before the response ended. The exchange has ended.
         std::function<void(ExchangeId)> onAbort;
-        /// Returns the response to a request that the server refuses.
+        /// Returns the response to a request that the server answers itself.
         std::function<HttpResponse(RefusalKind)> refusal;
         /// An exchange has ended, answered or not; called once for each onRequest, before onAbort. Optional.
         std::function<void(ExchangeId, ExchangeEnd)> onEnded = {};
+        /// A handler has thrown an exception with this text. Its connection is closed, after an error response if possible. Optional.
+        std::function<void(std::string_view)> onException = {};
     };
 
     /// Starts to listen; port 0 means any free port. Throws std::runtime_error if the address can't be bound.
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -47,9 +47,14 @@
 asio::awaitable<void> Connection::run()
 {
     auto self = shared_from_this();
-    bool isReusable = true;
-    while (isReusable) {
-        isReusable = co_await serveRequest();
+    try {
+        bool isReusable = true;
+        while (isReusable) {
+            isReusable = co_await serveRequest();
+        }
+    } catch (const std::exception &exception) {
+        server_->reportException(exception);
+        server_->endExchange(id_, ExchangeEnd::HandlerFailed);
     }
     close();
 }
@@ -231,7 +236,26 @@
     for (const auto &field : message) {
         request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
     }
-    server_->handlers.onRequest(id_, std::move(request));
+    try {
+        server_->handlers.onRequest(id_, std::move(request));
+    } catch (const std::exception &exception) {
+        server_->reportException(exception);
+        onHandlerFailed();
+    }
+}
+
+void Connection::onHandlerFailed()
+{
+    const bool isUnanswered = responseState_ == ResponseState::None && !ended_;
+    if (!isUnanswered) {
+        abortExchange(ExchangeEnd::HandlerFailed);
+        return close();
+    }
+    const ExchangeId id = id_;
+    keepAlive_ = false;
+    respond(server_->handlers.refusal(RefusalKind::HandlerFailed));
+    server_->endExchange(id, ExchangeEnd::HandlerFailed);
+    server_->handlers.onAbort(id);
 }
 
 asio::awaitable<void> Connection::refuse(beast::error_code error)
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -38,6 +38,13 @@
     }
 }
 
+void HttpServer::Impl::reportException(const std::exception &exception) const
+{
+    if (handlers.onException) {
+        handlers.onException(exception.what());
+    }
+}
+
 asio::awaitable<void> HttpServer::Impl::acceptLoop()
 {
     auto self = shared_from_this();
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -56,6 +56,8 @@
     void startReadTimeout(std::chrono::nanoseconds timeout);
     /// Starts an exchange for a request and passes it to the handler.
     void startExchange(Request &&message);
+    /// Ends the exchange because its handler has thrown an exception: by an error response if nothing was sent yet. Reports it by onAbort.
+    void onHandlerFailed();
     /// Answers a request that couldn't be read, unless the client is gone.
     boost::asio::awaitable<void> refuse(boost::beast::error_code error);
     /// Ends the connection so that the client receives all that was written: closes the sending side, and discards what the client still sends until it
--- a/libs/net/src/details/HttpServerImpl.h
+++ b/libs/net/src/details/HttpServerImpl.h
@@ -4,6 +4,7 @@
 #include "details/IdleTimeouts.h"
 #include "net/HttpServer.h"
 
+#include <exception>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -20,6 +21,8 @@
     std::shared_ptr<Connection> connectionOf(ExchangeId id) const;
     /// Forgets an exchange and reports how it ended. Does nothing if it has ended before.
     void endExchange(ExchangeId id, ExchangeEnd end);
+    /// Reports an exception that a handler has thrown.
+    void reportException(const std::exception &exception) const;
 
     boost::asio::io_context &io;
     boost::asio::ip::tcp::acceptor acceptor;
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -10,6 +10,7 @@
 #include <future>
 #include <mutex>
 #include <optional>
+#include <stdexcept>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -73,8 +74,11 @@
         handlers.onAbort = [this](net::ExchangeId) {
             ++aborts_;
         };
+        handlers.onException = [this](std::string_view text) {
+            exceptions_.push(std::string(text));
+        };
         handlers.refusal = [](net::RefusalKind kind) {
-            const int status = kind == net::RefusalKind::BodyTooLarge ? 413 : 400;
+            const int status = kind == net::RefusalKind::HandlerFailed ? 500 : kind == net::RefusalKind::BodyTooLarge ? 413 : 400;
             return net::HttpResponse{status, {}, "refused"};
         };
         handlers.onEnded = [this](net::ExchangeId, net::ExchangeEnd end) {
@@ -185,6 +189,12 @@
         return aborts_;
     }
 
+    /// Waits for the report of an exception, and returns its text; none if there is none within 10 s.
+    std::optional<std::string> nextException()
+    {
+        return exceptions_.pop();
+    }
+
     /// Waits until an exchange has ended, and returns how; each end is returned once. None if no exchange ends within 10 s.
     std::optional<net::ExchangeEnd> nextEnd()
     {
@@ -210,6 +220,9 @@
             server_->respond(id, {200, {}, std::string(BufferedBytes, 'x')});
             return;
         }
+        if (request.target == "/throw") {
+            throw std::runtime_error("no such seat");
+        }
         if (request.target == "/empty") {
             server_->respond(id, {204, {}, "body"});
             return;
@@ -236,6 +249,7 @@
 
     std::atomic<int> requests_{0};
     std::atomic<int> aborts_{0};
+    WaitingQueue<std::string> exceptions_;
     WaitingQueue<net::ExchangeEnd> ends_;
     net::EventLoop loop_;
     std::optional<net::HttpServer> server_;
@@ -507,6 +521,15 @@
     }
 };
 
+/// Guards against a request that stays unanswered, and state that stays for good, after an exception.
+TEST(AnExchangeThatGoesWrong, isAnsweredAndReportedWhenItsHandlerThrows)
+{
+    STRCMP_CONTAINS("500 Internal Server Error", answerTo("/throw").c_str());
+    STRCMP_EQUAL("no such seat", server.nextException().value_or("").c_str());
+    CHECK(server.nextEnd() == net::ExchangeEnd::HandlerFailed);
+    LONGS_EQUAL(1, server.aborts());
+}
+
 /// Guards against an error answer in the middle of a stream that has begun.
 TEST(AnExchangeThatGoesWrong, isCutVisiblyInsteadOfGettingASecondHead)
 {
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -83,6 +83,8 @@
         return base::ErrorKind::BodyTooLarge;
     case net::RefusalKind::RequestTooSlow:
         return base::ErrorKind::RequestTimeout;
+    case net::RefusalKind::HandlerFailed:
+        return base::ErrorKind::Internal;
     default:
         return base::ErrorKind::BadRequest;
     }
@@ -149,8 +151,12 @@
         onExchangeEnded(exchange, end);
     };
     handlers.refusal = [this](net::RefusalKind refusal) {
-        record({"malformed_request", "", std::string(base::nameOf(kindOf(refusal))), ""});
-        return dialect_.encodeRejection({kindOf(refusal), "the request can't be read", relay::Ms(0)}, "");
+        const bool isInternal = refusal == net::RefusalKind::HandlerFailed;
+        record({isInternal ? "request_failed" : "malformed_request", "", std::string(base::nameOf(kindOf(refusal))), ""});
+        return dialect_.encodeRejection({kindOf(refusal), isInternal ? "the request met an internal error" : "the request can't be read", relay::Ms(0)}, "");
+    };
+    handlers.onException = [this](std::string_view text) {
+        record({"exception", "", "callers", std::string(text)});
     };
     return handlers;
 }
--- a/programs/trefoilportd/CallersDuty.cpp
+++ b/programs/trefoilportd/CallersDuty.cpp
@@ -39,6 +39,8 @@
         return openai::problemResponse({base::ErrorKind::BodyTooLarge, "the body is over the limit"});
     case net::RefusalKind::RequestTooSlow:
         return openai::problemResponse({base::ErrorKind::RequestTimeout, "the request did not arrive in time"});
+    case net::RefusalKind::HandlerFailed:
+        return openai::problemResponse({base::ErrorKind::Internal, "the request met an internal error"});
     }
     return openai::problemResponse({base::ErrorKind::Internal, ""});
 }
