One response per call, written by one attempt

When an endpoint answered an idempotent request with text/event-stream, its events were forwarded as they came, while the kernel went on to hedge and retry the request as one that is answered as a whole: the next attempt wrote into the same answer.

Class: who may write to a caller's connection. CallerResponse is the only writer of a call. A stream belongs to one attempt; the attempt that resumes it takes it over when it is sent; only the end of the owner lets it look complete; all else cuts the connection and writes a line "answer_cut". The kernel says with each dispatch whether the answer is a stream; only then are events forwarded one by one, and the kernel takes events for no other kind of call. endStream() names its attempt.

Ruled out by reading: for calls on streaming routes the kernel keeps to one attempt at a time, breaks a begun stream instead of rejecting it, and forwards no error answer into it.

--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -37,6 +37,8 @@
     std::string team;
     /// Time until the call's deadline.
     Ms timeLeft{0};
+    /// The answer is a stream, whose events are reported one by one by RelayKernel::onEvent(). Any other answer is reported as a whole, whatever it contains.
+    bool isStream = false;
     /// Id of the last event that the caller has received; empty at the start of a stream.
     std::string lastEventId;
     /// The attempt must be sent over a new connection. The endpoint may close a reused one while the request is being written, which leaves
@@ -134,8 +136,8 @@
     virtual void forward(CallId call, AttemptId attempt) = 0;
     /// Starts the answer of a stream with the status and headers of the attempt's answer.
     virtual void beginStream(CallId call, AttemptId attempt) = 0;
-    /// Ends a stream as complete, and with it the call.
-    virtual void endStream(CallId call) = 0;
+    /// Ends a stream as complete, as the attempt's has ended, and with it the call.
+    virtual void endStream(CallId call, AttemptId attempt) = 0;
     /// Aborts a stream so that the caller can't mistake it for complete, and ends the call.
     virtual void breakStream(CallId call) = 0;
     /// Requests an endpoint's report; the result goes to RelayKernel::onReport().
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -211,6 +211,7 @@
     dispatch.endpoint = first.entry.id;
     dispatch.address = first.entry.address;
     dispatch.hops = hopsOf(attempt);
+    dispatch.isStream = call.route->kind == RequestKind::Stream;
     dispatch.team = call.team;
     dispatch.timeLeft = std::chrono::duration_cast<Ms>(call.deadline - now);
     dispatch.priority = call.priority;
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -292,7 +292,7 @@
 bool RelayKernel::onEvent(Instant now, AttemptId attempt, std::uint64_t eventId)
 {
     Call *call = impl_->callOf(attempt);
-    if (call == nullptr) {
+    if (call == nullptr || call->route->kind != RequestKind::Stream) {
         return false;
     }
     Attempt &openAttempt = impl_->attempts.at(attempt);
@@ -353,7 +353,7 @@
                               + std::to_string(call->maxEventInterval / Ms(1)) + " ms, attempts " + std::to_string(call->attemptCount)});
     impl_->dropAttempt(attempt);
     const CallId id = call->id;
-    impl_->driver.endStream(id);
+    impl_->driver.endStream(id, attempt);
     impl_->close(id);
 }
 
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -41,7 +41,7 @@
     {
         begunStreams.push_back(call);
     }
-    void endStream(relay::CallId call) override
+    void endStream(relay::CallId call, relay::AttemptId) override
     {
         endedStreams.push_back(call);
     }
--- a/libs/relay/tests/PlainCallTests.cpp
+++ b/libs/relay/tests/PlainCallTests.cpp
@@ -281,3 +281,17 @@
     }
     LONGS_EQUAL(10, bed.driver.sent.size());
 }
+
+TEST_GROUP(AnIdempotentRequestAnsweredByEvents)
+{
+    RelayTestBed bed;
+};
+
+/// Guards against events of two attempts, or the head of a second answer, in the answer to a request that is no stream.
+TEST(AnIdempotentRequestAnsweredByEvents, isAnsweredAsAWhole)
+{
+    bed.call("/read/x");
+    CHECK(!bed.driver.sent.back().isStream);
+    CHECK(!bed.kernel.onEvent(bed.now, bed.lastAttempt(), 1));
+    CHECK(bed.driver.begunStreams.empty());
+}
--- a/libs/relay/tests/VirtualInstance.cpp
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -234,7 +234,7 @@
 {
 }
 
-void VirtualFleet::Driver::endStream(relay::CallId call)
+void VirtualFleet::Driver::endStream(relay::CallId call, relay::AttemptId)
 {
     if (Caller *caller = fleet_.callerOf(index_, call)) {
         if (caller->delivered != caller->events) {
--- a/libs/relay/tests/VirtualInstance.h
+++ b/libs/relay/tests/VirtualInstance.h
@@ -44,7 +44,7 @@
     void reject(relay::CallId call, const relay::Rejection &rejection) override;
     void forward(relay::CallId call, relay::AttemptId attempt) override;
     void beginStream(relay::CallId call, relay::AttemptId attempt) override;
-    void endStream(relay::CallId call) override;
+    void endStream(relay::CallId call, relay::AttemptId attempt) override;
     void breakStream(relay::CallId call) override;
     void readReport(const std::string &endpoint, const std::string &address) override;
     void sendOrder(const relay::PlacementOrder &order) override;
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -4,6 +4,7 @@
 #include "net/HttpServer.h"
 #include "record/DecisionLog.h"
 #include "record/Latency.h"
+#include "relayhost/CallerResponse.h"
 #include "relayhost/Dialect.h"
 #include "relayhost/StoreFollower.h"
 
@@ -31,7 +32,7 @@
     void reject(relay::CallId call, const relay::Rejection &rejection) override;
     void forward(relay::CallId call, relay::AttemptId attempt) override;
     void beginStream(relay::CallId call, relay::AttemptId attempt) override;
-    void endStream(relay::CallId call) override;
+    void endStream(relay::CallId call, relay::AttemptId attempt) override;
     void breakStream(relay::CallId call) override;
     void readReport(const std::string &endpoint, const std::string &address) override;
     void sendOrder(const relay::PlacementOrder &order) override;
@@ -54,8 +55,9 @@
 private:
     /// A caller's request whose answer has not been written in full.
     struct OpenCall {
-        net::HttpRequest request;
-        std::string requestId;
+        CallerResponse<net::HttpServer> response;
+        net::HttpRequest request = {};
+        std::string requestId = {};
         relay::Instant arrivedAt{0};
         /// Time at which events were last forwarded to the caller; zero before the first.
         relay::Instant lastEventAt{0};
@@ -69,7 +71,9 @@
         net::Headers headers;
         /// The body; of a stream only the bytes after its last complete event.
         std::string body;
-        /// The answer is a verified stream of events.
+        /// The call is answered by a stream.
+        bool mayStream = false;
+        /// The answer is a verified stream of events, which is forwarded event by event.
         bool isStream = false;
     };
 
@@ -94,6 +98,8 @@
     void onOperatorRequest(net::HttpServer &server, net::ExchangeId exchange, const net::HttpRequest &request);
     /// Passes a message from another instance to the kernel, in the event loop's thread; drops it if it is malformed. Called in the mesh's thread.
     void onMeshMessage(const std::string &bytes);
+    /// Logs that the kernel's decision on an answer didn't fit to what the caller has got, so that the connection was cut.
+    void recordMisfit(relay::CallId call, const std::string &part);
     /// Adds the time to the first event, or since the previous forwarding of events, to the latency metrics.
     void recordEventLatency(relay::CallId call);
     void onData(relay::AttemptId id, const std::string &data);
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -43,6 +43,7 @@
         return;
     }
     const relay::AttemptId id = dispatch.attempt;
+    call->second.response.handOver(id);
     net::ClientCall request;
     request.address = net::parseAddress(dispatch.address);
     request.request = dialect_.encodeDispatch(call->second.request, dispatch);
@@ -63,7 +64,7 @@
             return;
         }
         const relay::AnswerHead head = dialect_.decodeAnswer(status, headers, open->second.requestId);
-        attempt->second.isStream = head.verified && dialect_.isEventStream(status, headers);
+        attempt->second.isStream = attempt->second.mayStream && head.verified && dialect_.isEventStream(status, headers);
         kernel_.onHead(now(), id, head);
     };
     handlers.onData = [this, id](const std::string &data) {
@@ -76,6 +77,7 @@
         onFailure(id, failure);
     };
     attempts_[id].call = dispatch.call;
+    attempts_[id].mayStream = dispatch.isStream;
     attempts_[id].clientCall = endpointClient_.start(std::move(request), std::move(handlers));
 }
 
@@ -107,7 +109,11 @@
     }
     if (!forwardedBytes.empty()) {
         recordEventLatency(call);
-        callerServer_->writeChunk(call, forwardedBytes);
+        const auto open = calls_.find(call);
+        if (open != calls_.end() && !open->second.response.write(id, forwardedBytes)) {
+            recordMisfit(call, "events of an attempt that the stream doesn't belong to");
+            kernel_.onCallerGone(now(), call);
+        }
     }
     attempt = attempts_.find(id);
     if (attempt != attempts_.end()) {
@@ -173,36 +179,54 @@
     if (found == calls_.end()) {
         return;
     }
-    callerServer_->respond(call, dialect_.encodeRejection(rejection, found->second.requestId));
+    if (!found->second.response.answer(dialect_.encodeRejection(rejection, found->second.requestId))) {
+        recordMisfit(call, "an error answer");
+    }
 }
 
 void RelayHost::forward(relay::CallId call, relay::AttemptId attempt)
 {
     const auto found = attempts_.find(attempt);
-    if (const auto open = calls_.find(call); open != calls_.end()) {
-        plainAnswerLatency_.add(now() - open->second.arrivedAt);
+    const auto open = calls_.find(call);
+    if (found == attempts_.end() || open == calls_.end()) {
+        return;
     }
-    if (found != attempts_.end()) {
-        callerServer_->respond(call, {found->second.status, net::endToEndHeaders(found->second.headers, {}), found->second.body});
+    plainAnswerLatency_.add(now() - open->second.arrivedAt);
+    if (!open->second.response.answer({found->second.status, net::endToEndHeaders(found->second.headers, {}), found->second.body})) {
+        recordMisfit(call, "a whole answer");
     }
 }
 
 void RelayHost::beginStream(relay::CallId call, relay::AttemptId attempt)
 {
     const auto found = attempts_.find(attempt);
-    if (found != attempts_.end()) {
-        callerServer_->beginStream(call, found->second.status, net::endToEndHeaders(found->second.headers, {}));
+    const auto open = calls_.find(call);
+    if (found == attempts_.end() || open == calls_.end()) {
+        return;
+    }
+    if (!open->second.response.begin(attempt, found->second.status, net::endToEndHeaders(found->second.headers, {}))) {
+        recordMisfit(call, "a second beginning");
     }
 }
 
-void RelayHost::endStream(relay::CallId call)
+void RelayHost::endStream(relay::CallId call, relay::AttemptId attempt)
 {
-    callerServer_->endStream(call);
+    const auto open = calls_.find(call);
+    if (open != calls_.end() && !open->second.response.end(attempt)) {
+        recordMisfit(call, "the end of an attempt that the stream doesn't belong to");
+    }
 }
 
 void RelayHost::breakStream(relay::CallId call)
 {
-    callerServer_->abort(call);
+    if (const auto open = calls_.find(call); open != calls_.end()) {
+        open->second.response.cut();
+    }
+}
+
+void RelayHost::recordMisfit(relay::CallId call, const std::string &part)
+{
+    record({"answer_cut", "", "", "call " + std::to_string(call) + ", instead of " + part});
 }
 
 void RelayHost::sendEndpointRequest(const std::string &address,
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -231,7 +231,7 @@
 void RelayHost::onRequest(net::ExchangeId exchange, net::HttpRequest request)
 {
     const DecodedCall decoded = dialect_.decodeCall(exchange, request);
-    OpenCall call;
+    OpenCall call{CallerResponse<net::HttpServer>(*callerServer_, exchange)};
     call.requestId = decoded.arrival.requestId;
     call.arrivedAt = now();
     call.request = std::move(request);
