Streams of services without layers are resumed after the last event

A stream that the caller itself resumed began anew, too. startPlain() now names the last event, as the dispatch over a pipeline does.

--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -76,6 +76,7 @@
     const AttemptId id = startAttempt(now, call, std::move(attempt));
     Dispatch dispatch = dispatchOf(now, call, id);
     dispatch.freshConnection = call.route->kind == RequestKind::AtMostOnce;
+    dispatch.lastEventId = call.lastEventId;
     driver.record({"sent",
                    call.requestId,
                    dispatch.endpoint,
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -308,3 +308,25 @@
     bed.kernel.onStreamEnd(bed.now, bed.lastAttempt());
     LONGS_EQUAL(call, bed.driver.endedStreams.back());
 }
+
+TEST_GROUP(AStreamOfAServiceWithoutLayers)
+{
+    RelayTestBed bed;
+
+    void setup() override
+    {
+        auto config = std::make_shared<FleetConfig>(*RelayTestBed::config(2));
+        config->routes[0].services = {{"desk", 1}};
+        bed.kernel.onConfig(bed.now, bed.now, config);
+    }
+};
+
+/// Guards against a resumed stream that begins anew, so that the caller gets parts of two runs as one answer.
+TEST(AStreamOfAServiceWithoutLayers, isResumedAfterItsLastEvent)
+{
+    bed.startStream(3);
+    CHECK(bed.driver.sent.back().isStream);
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    STRCMP_EQUAL("3", bed.driver.sent.back().lastEventId.c_str());
+}
