Stop: a request that has left its socket counts as unfinished

The read of a connection that waits completes in one turn of the event loop, and the connection goes on in the next. In between it looked idle: its bytes were no longer in the socket and not yet taken. The process could end there, and closeConnections() took it for idle.

The connection now waits until its socket is readable and reads when it goes on, so that the bytes stay visible; a waiting connection keeps no read buffer any more.

--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-/// Space for the first bytes of a request, while the connection waits for it.
-constexpr std::size_t FirstReadBytes = 2048;
 /// Time that the client has to close its side after the last response has reached it.
 constexpr std::chrono::seconds LingerTime{1};
 
@@ -140,7 +138,7 @@
 
 void Connection::closeIfIdle()
 {
-    // A read that has received bytes can't be cancelled any more, and its request is answered.
+    // A wait that has ended can't be cancelled any more, and its request is answered.
     if (isIdle_ && !hasInput()) {
         cancelOperations();
     }
@@ -186,10 +184,10 @@
     idleSince_ = IdleTimeouts::Clock::now();
     startIdleTimeout();
     isIdle_ = true;
-    const std::size_t receivedBytes = co_await socket_.async_read_some(buffer_.prepare(FirstReadBytes), asio::redirect_error(asio::use_awaitable, error));
+    // The bytes stay in the socket until this coroutine goes on, so that isUnfinished() sees them.
+    co_await socket_.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
     isIdle_ = false;
     timeout_.stop();
-    buffer_.commit(receivedBytes);
     co_return !error;
 }
 
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -146,6 +146,26 @@
         return count;
     }
 
+    /// Ends the event loop at the first moment at which no exchange is unfinished, as the process does.
+    void stopWhenFinished()
+    {
+        bool isFinished = false;
+        while (!isFinished) {
+            runInLoop([&]() {
+                isFinished = server_->unfinishedConnections() == 0;
+                if (isFinished) {
+                    loop_.stop();
+                }
+            });
+        }
+    }
+
+    /// Counts the unfinished connections after the event loop has found out twice what there is to do.
+    void countUnfinishedTwoTurnsLater(std::promise<std::size_t> &count)
+    {
+        loop_.post([this, &count]() { loop_.post([this, &count]() { count.set_value(server_->unfinishedConnections()); }); });
+    }
+
     /// Waits until all exchanges are finished. Returns false if that takes longer than 10 s.
     bool waitUntilFinished()
     {
@@ -293,6 +313,11 @@
         socket_.close();
     }
 
+    void send(const std::string &bytes, boost::system::error_code &error)
+    {
+        boost::asio::write(socket_, boost::asio::buffer(bytes), error);
+    }
+
     /// Returns that many received bytes, or fewer if the connection ends before.
     std::string receive(std::size_t bytes)
     {
@@ -733,12 +758,64 @@
     CHECK(server.waitUntilFinished());
 }
 
+/// Guards against requests that are lost since their clients go on using their connections until the process is gone.
+TEST(AConnectionOfAServerThatStops, answersEachRequestThatIsPassedOnWhileClientsGoOnUntilItsEnd)
+{
+    constexpr int Clients = 16;
+    std::optional<SmallServer> ending(smallLimits());
+    const net::Address address = ending->address();
+    std::atomic<int> answers{0};
+    std::deque<RawClient> connections;
+    std::vector<std::thread> clients;
+    for (int i = 0; i < Clients; ++i) {
+        RawClient &client = connections.emplace_back(address);
+        clients.emplace_back([&answers, &client]() {
+            boost::system::error_code error;
+            while (!error) {
+                client.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\n", error);
+                const bool isAnswered = client.receiveUntil("whole ").ends_with("whole ");
+                answers += isAnswered ? 1 : 0;
+                error = isAnswered ? error : boost::asio::error::eof;
+            }
+            client.close();
+        });
+    }
+    while (answers < 100 * Clients) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    ending->closeConnections();
+    ending->stopWhenFinished();
+    const int handled = ending->requests();
+    ending.reset();
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    LONGS_EQUAL(handled, answers);
+}
+
+/// Guards against a process that ends between two turns of its event loop: the request has left the socket and isn't taken yet.
+TEST(AConnectionOfAServerThatStops, isUnfinishedWhenARequestHasLeftTheSocket)
+{
+    RawClient client(server.address());
+    client.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\n");
+    client.receiveUntil("whole ");
+    CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
+    std::promise<std::size_t> unfinished;
+    server.stallDuring([&]() {
+        client.send("GET /silent HTTP/1.1\r\nHost: a\r\n\r\n");
+        server.countUnfinishedTwoTurnsLater(unfinished);
+    });
+    LONGS_EQUAL(1, unfinished.get_future().get());
+}
+
 /// Guards against a process that ends while a request is half read.
 TEST(AConnectionOfAServerThatStops, isUnfinishedWhileARequestIsRead)
 {
     RawClient client(server.address());
     client.send("GET /whole HT");
-    CHECK(server.get("/whole").ok);
+    while (server.unfinishedConnections() == 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
     server.closeConnections();
     LONGS_EQUAL(1, server.unfinishedConnections());
     client.send("TP/1.1\r\nHost: a\r\n\r\n");
