Retries: the log tells what the limit was when one was sent or refused

New lines: retry, once for each retry that is sent, and retry_refused, at most once for each call. Both bring what is used, what is allowed and the instances counted. The volume is bounded by the limit itself and by the calls.

A retry now counts at the time at which it is sent. So far it counted when it was permitted: a stream that waited for a pipeline was sent up to seconds later, in another window than the one that it counted in, and one that found no pipeline had used a retry for nothing.

--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -161,6 +161,25 @@
     return call.attemptCount > 0 && call.lastEvent == 0 && (call.isProbe || crashGuard.isConvicted(call.signatures));
 }
 
+std::string RelayKernel::Impl::retryText(Instant now, const Call &call)
+{
+    const RetryUsage usage = retries.usage(call.service->name, now);
+    return "retries " + std::to_string(usage.used) + " of " + std::to_string(static_cast<std::uint64_t>(usage.allowed)) + ", reserve divided among "
+        + std::to_string(usage.instances) + " instances";
+}
+
+bool RelayKernel::Impl::retryIsPermitted(Instant now, Call &call)
+{
+    if (retries.permits(call.service->name, now)) {
+        return true;
+    }
+    if (!call.retryWasRefused) {
+        call.retryWasRefused = true;
+        driver.record({"retry_refused", call.requestId, call.service->name, retryText(now, call)});
+    }
+    return false;
+}
+
 bool RelayKernel::Impl::mayRetry(Instant now, Call &call)
 {
     // A stream that may have run gets more attempts, since failing it loses the answer so far.
@@ -174,7 +193,7 @@
     }
     const bool mayRunAgain = call.route->kind == RequestKind::AtMostOnce ? !call.mayHaveRun : call.runs < call.route->maxAttempts;
     const std::uint32_t attemptLimit = call.mayHaveRun && call.route->kind == RequestKind::Stream ? MaxResumedStreamAttempts : MaxAttempts;
-    return mayRunAgain && call.attemptCount < attemptLimit && retries.tryAcquire(call.service->name, now);
+    return mayRunAgain && call.attemptCount < attemptLimit && retryIsPermitted(now, call);
 }
 
 AttemptId RelayKernel::Impl::startAttempt(Instant now, Call &call, Attempt attempt)
@@ -188,7 +207,11 @@
     replaceStages(attempt, std::move(stages), std::move(attempt.layers));
     attempts.emplace(id, std::move(attempt));
     call.attempts.push_back(id);
-    counters.retries += call.attemptCount > 0 ? 1 : 0;
+    if (call.attemptCount > 0) {
+        ++counters.retries;
+        retries.onRetry(call.service->name, now);
+        driver.record({"retry", call.requestId, call.service->name, retryText(now, call)});
+    }
     if (call.isProbe && call.attemptCount == 0) {
         crashGuard.onProbeSent(call.signatures, now);
         peers.expedite();
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -173,7 +173,7 @@
     driver.record({"attempt_failed", call.requestId, endpoints.at(first).entry.id, detail});
     dropAttempt(attempt);
     if (head.verified && !call.streamBegun) {
-        return startStream(now, call); // The retry has been granted.
+        return startStream(now, call); // The retry is permitted.
     }
     retryStreamOrFail(now, call, detail);
 }
@@ -194,9 +194,11 @@
         return;
     }
     if (call.attempts.empty()) {
-        // The retry was granted some time ago.
-        return isBarred(call) ? fail(now, call, base::ErrorKind::PromptPartQuarantined, "requests like it have crashed endpoints meanwhile")
-                              : startStream(now, call);
+        // The retry was permitted some time ago.
+        if (isBarred(call)) {
+            return fail(now, call, base::ErrorKind::PromptPartQuarantined, "requests like it have crashed endpoints meanwhile");
+        }
+        return retryIsPermitted(now, call) ? startStream(now, call) : fail(now, call, base::ErrorKind::Overloaded, "the limit on retries is used up");
     }
     const AttemptId id = call.attempts.front();
     const Attempt &attempt = attempts.at(id);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -84,6 +84,8 @@
     /// Attempts that were refused after the call may have run. The first is retried at once; each further one lengthens the delay before the next
     /// attempt.
     std::uint32_t refusals = 0;
+    /// The limit on retries has refused it one, which is logged once.
+    bool retryWasRefused = false;
     /// True once an attempt that may have run has ended, or an attempt has sent an event.
     bool mayHaveRun = false;
     /// Endpoints that further attempts of this call must not use, since they have failed or refused it or are running it.
@@ -141,8 +143,12 @@
     void forward(Call &call, AttemptId attempt, int status);
     /// Leaves an endpoint out of all further attempts of a call.
     void exclude(Call &call, EndpointIndex index);
-    /// Returns true if a call may be dispatched now; each retry that it permits counts against the service's retry window.
+    /// Returns true if a call may be dispatched now. A retry counts against the service's retry window when it is sent.
     bool mayRetry(Instant now, Call &call);
+    /// Returns true if the service's retry window permits one more retry; logs the first refusal of a call.
+    bool retryIsPermitted(Instant now, Call &call);
+    /// Returns what the call's service has used of its retry window, as it is written to the log.
+    std::string retryText(Instant now, const Call &call);
     /// Returns true if the call must not be sent again, since requests like it are convicted of crashing endpoints and it has not begun.
     bool isBarred(const Call &call) const;
     /// Reports an attempt that broke at an endpoint to the crash guard: the request may have crashed the endpoint.
--- a/libs/relay/src/details/RetryWindow.h
+++ b/libs/relay/src/details/RetryWindow.h
@@ -9,6 +9,14 @@
 
 namespace relay {
 
+/// What a service has used of the limit on retries within the window that ends now.
+struct RetryUsage {
+    std::size_t used = 0;
+    double allowed = 0;
+    /// Number of instances among which the reserve is divided; 0 while this instance has no part of it.
+    std::uint32_t instances = 0;
+};
+
 /// Limits the retries of each service within a sliding window to a ratio of the service's requests, plus this instance's part of a reserve that
 /// all instances share.
 class RetryWindow
@@ -35,17 +43,25 @@
         counts.requests.push_back(now);
     }
 
-    /// Counts a retry if the limit permits it; returns false if it doesn't.
-    bool tryAcquire(const std::string &service, Instant now)
+    /// Returns true if the limit permits one more retry.
+    bool permits(const std::string &service, Instant now)
     {
-        Counts &counts = countsOf(service, now);
+        const RetryUsage usage = this->usage(service, now);
+        return static_cast<double>(usage.used) + 1 <= usage.allowed;
+    }
+
+    /// Counts a retry that is sent.
+    void onRetry(const std::string &service, Instant now)
+    {
+        countsOf(service, now).retries.push_back(now);
+    }
+
+    /// Returns what a service has used of the limit.
+    RetryUsage usage(const std::string &service, Instant now)
+    {
+        const Counts &counts = countsOf(service, now);
         const double ownReserve = instances_ ? reserve_ / *instances_ : 0;
-        const double allowed = ratio_ * static_cast<double>(counts.requests.size()) + ownReserve;
-        if (static_cast<double>(counts.retries.size()) + 1 > allowed) {
-            return false;
-        }
-        counts.retries.push_back(now);
-        return true;
+        return {counts.retries.size(), ratio_ * static_cast<double>(counts.requests.size()) + ownReserve, instances_.value_or(0)};
     }
 
 private:
