Retries: the reserve is divided among the most instances of a window, listed ones included

Cause: each instance divided the reserve by the instances that it saw at the moment. Those that remained after others had left took over what these had just used, and one that heard of a single other, being cut off from the rest, took half of the reserve. What orders the two facts is the window: a part that was used counts until the window has passed, wherever its user is by then. The number is now the highest of a window, and never below the list.

The other error: names that never return stay in the list of instances and make the parts of the others smaller than they need be.

--- a/libs/relay/src/Digests.cpp
+++ b/libs/relay/src/Digests.cpp
@@ -34,7 +34,6 @@
 void RelayKernel::Impl::onDigest(Instant now, const wire::RelayDigest &digest)
 {
     peers.onDigest(digest, now);
-    retries.onInstances(peers.instances(now), now);
     for (const wire::SilentEndpoint &silent : digest.silent) {
         onSilenceReported(now, digest, silent);
     }
--- a/libs/relay/src/PeerLoads.cpp
+++ b/libs/relay/src/PeerLoads.cpp
@@ -375,4 +375,10 @@
     return routes_.listedInstances() > 0 ? std::optional(routes_.listedInstances()) : std::nullopt;
 }
 
+std::optional<std::uint32_t> PeerLoads::mostInstances(Instant now) const
+{
+    const auto known = instances(now);
+    return known ? std::optional(std::max(*known, routes_.listedInstances())) : std::nullopt;
+}
+
 } // namespace relay
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -75,6 +75,7 @@
     checkSlowEndpoints(now);
     checkCrashes(now);
     updateLimitShare(now);
+    retries.onInstances(peers.mostInstances(now), now);
     storeDuty.tick(now, known);
     planner.tick(now, config, storeDuty.mayTakeLease());
     sendDigests(now);
@@ -202,7 +203,7 @@
 void RelayKernel::onInstances(Instant now, const std::vector<InstanceEntry> &instances)
 {
     impl_->peers.onInstances(instances);
-    impl_->retries.onInstances(impl_->peers.instances(now), now);
+    impl_->retries.onInstances(impl_->peers.mostInstances(now), now);
     if (!impl_->endpoints.hasList()) {
         impl_->sendDigests(now);
         impl_->storeDuty.tick(now, impl_->known);
--- a/libs/relay/src/details/PeerLoads.h
+++ b/libs/relay/src/details/PeerLoads.h
@@ -81,6 +81,9 @@
     /// Returns the number of instances that share fleet-wide limits, this one included: those known by digests, else the listed ones; none before the
     /// first list.
     std::optional<std::uint32_t> instances(Instant now) const;
+    /// Returns the most instances that there may be: those known by digests or the listed ones, whichever are more; none before the first list. An instance
+    /// that is cut off from others hears of few of them, but they live.
+    std::optional<std::uint32_t> mostInstances(Instant now) const;
 
 private:
     /// The load on one endpoint.
--- a/libs/relay/src/details/RetryWindow.h
+++ b/libs/relay/src/details/RetryWindow.h
@@ -30,14 +30,24 @@
         window_ = settings.retryWindow;
     }
 
-    /// Takes the number of instances that share the reserve, at least 1; none while it is unknown. Nothing of the reserve is used until it has been known for
-    /// a whole window: a process before this one under the same name may have used up its part within that time.
+    /// Takes the number of instances that share the reserve, at least 1; none while it is unknown. The reserve is divided among the most instances that were
+    /// known at any time within the window, since those that are gone by now may have used up their parts. Nothing of it is used until the number has been
+    /// known for a whole window: a process before this one under the same name may have used up its part within that time.
     void onInstances(std::optional<std::uint32_t> instances, Instant now)
     {
-        if (instances && !instances_) {
+        if (!instances) {
+            return;
+        }
+        if (instanceCounts_.empty()) {
             knownSince_ = now;
         }
-        instances_ = instances;
+        while (!instanceCounts_.empty() && instanceCounts_.back().instances <= *instances) {
+            instanceCounts_.pop_back();
+        }
+        instanceCounts_.push_back({*instances, now});
+        while (instanceCounts_.front().lastSeenAt + window_ < now) {
+            instanceCounts_.pop_front();
+        }
     }
 
     /// Counts a new request of a service.
@@ -64,12 +74,17 @@
     RetryUsage usage(const std::string &service, Instant now)
     {
         const Counts &counts = countsOf(service, now);
-        const std::uint32_t sharing = instances_ && now > knownSince_ + window_ ? *instances_ : 0;
+        const std::uint32_t sharing = !instanceCounts_.empty() && now > knownSince_ + window_ ? instanceCounts_.front().instances : 0;
         const double ownReserve = sharing > 0 ? reserve_ / sharing : 0;
         return {counts.retries.size(), ratio_ * static_cast<double>(counts.requests.size()) + ownReserve, sharing};
     }
 
 private:
+    /// A number of instances, and when it was last seen.
+    struct InstanceCount {
+        std::uint32_t instances = 0;
+        Instant lastSeenAt{0};
+    };
     /// Times of the requests and retries within the window, oldest first.
     struct Counts {
         std::deque<Instant> requests;
@@ -93,7 +108,8 @@
 
     double ratio_ = 0;
     double reserve_ = 0;
-    std::optional<std::uint32_t> instances_;
+    /// Numbers of instances within the window, from the highest to the lowest, which is the latest one.
+    std::deque<InstanceCount> instanceCounts_;
     /// Time since which the number of instances has been known.
     Instant knownSince_{0};
     Instant window_{0};
