The list of endpoints is ordered by the store's epoch, then by revision

Cause: EndpointList::replace and apply, StoreDuty::onStoreUpdate and onReply compared revisions alone, so that each list of the restored store was refused until its revisions had caught up; a watch from a revision that had been given out again got no error and missed changes.

Now a version is the pair (epoch, revision). An older one is ignored whatever its revision. A new epoch replaces the list as a whole; the history of changes begins anew, and an instance that knows an earlier epoch gets the complete list from its peers (marked as such), so that 195 instances don't read the store at once. An age that another instance states for an earlier epoch is no confirmation.

Ruled out: that a watch goes on over a gap in the same epoch (the follower lists again after each error).

Both errors: a late list of the earlier epoch can't undo a later one; senders of earlier versions state no epoch (0) and are ignored by those who know one, so that in a mixed fleet the new instances read the store themselves.

--- a/libs/relay/src/EndpointList.cpp
+++ b/libs/relay/src/EndpointList.cpp
@@ -47,17 +47,28 @@
 
 bool EndpointList::replace(const std::vector<EndpointEntry> &entries, wire::StoreVersion version)
 {
-    const std::uint64_t revision = version.revision;
-    if (revision < version_.revision) {
+    std::vector<wire::EndpointRecord> records;
+    records.reserve(entries.size());
+    for (const EndpointEntry &entry : entries) {
+        records.push_back(toRecord(entry));
+    }
+    return replaceRecords(records, version);
+}
+
+bool EndpointList::replaceRecords(const std::vector<wire::EndpointRecord> &records, wire::StoreVersion version)
+{
+    if (version < version_) {
         return false;
     }
-    if (version_.revision == 0) {
-        knownSince_ = revision;
+    if (version_.revision == 0 || version.epoch != version_.epoch) {
+        listed_.clear();
+        removed_.clear();
+        knownSince_ = version.revision;
     }
     std::set<std::string> present;
-    for (const EndpointEntry &entry : entries) {
-        present.insert(entry.id);
-        put(toRecord(entry), revision);
+    for (const wire::EndpointRecord &record : records) {
+        present.insert(record.id);
+        put(record, version.revision);
     }
     std::vector<std::string> gone;
     for (const auto &[id, listed] : listed_) {
@@ -66,7 +77,7 @@
         }
     }
     for (const std::string &id : gone) {
-        remove(id, revision);
+        remove(id, version.revision);
     }
     version_ = version;
     return true;
@@ -74,18 +85,20 @@
 
 bool EndpointList::apply(const wire::EndpointListChanges &changes, wire::StoreVersion version)
 {
-    const std::uint64_t revision = version.revision;
-    if (revision <= version_.revision) {
+    if (version <= version_) {
         return false;
     }
-    if (version_.revision == 0) {
-        knownSince_ = revision;
+    if (changes.isComplete || version_.revision == 0) {
+        return replaceRecords(changes.changed, version);
+    }
+    if (version.epoch != version_.epoch) {
+        return false;
     }
     for (const wire::EndpointRecord &record : changes.changed) {
-        put(record, revision);
+        put(record, version.revision);
     }
     for (const std::string &id : changes.removed) {
-        remove(id, revision);
+        remove(id, version.revision);
     }
     version_ = version;
     return true;
@@ -114,19 +127,21 @@
 
 std::optional<wire::EndpointListChanges> EndpointList::changesSince(wire::StoreVersion version) const
 {
-    const std::uint64_t revision = version.revision;
-    const bool isWholeList = revision == 0;
-    if (version_.revision == 0 || (revision < knownSince_ && !isWholeList)) {
+    if (version_.revision == 0 || version.epoch > version_.epoch) {
         return std::nullopt;
     }
     wire::EndpointListChanges changes;
+    changes.isComplete = version.revision == 0 || version.epoch < version_.epoch;
+    if (!changes.isComplete && version.revision < knownSince_) {
+        return std::nullopt;
+    }
     for (const auto &[id, listed] : listed_) {
-        if (listed.changedAt > revision) {
+        if (changes.isComplete || listed.changedAt > version.revision) {
             changes.changed.push_back(listed.record);
         }
     }
     for (const Removed &removed : removed_) {
-        if (removed.removedAt > revision) {
+        if (!changes.isComplete && removed.removedAt > version.revision) {
             changes.removed.push_back(removed.id);
         }
     }
--- a/libs/relay/src/StoreDuty.cpp
+++ b/libs/relay/src/StoreDuty.cpp
@@ -58,7 +58,7 @@
         return join(now, known);
     }
     follow(isChosenReader || readers.empty() || isOwnKnowledgeStale, isChosenReader, now);
-    if (updateRevision_ > known.endpointsVersion.revision && now >= updateAwaitedSince_ + UpdateTimeout) {
+    if (updateVersion_ > known.endpointsVersion && now >= updateAwaitedSince_ + UpdateTimeout) {
         updateAwaitedSince_ = now;
         refreshEndpoints(now);
     }
@@ -136,9 +136,10 @@
     if (reply.configVersion > known.configVersion) {
         driver_.refreshConfig();
     }
-    if (reply.endpointsHash == known.endpointsHash) {
+    const bool isSameEpoch = reply.endpointsVersion.epoch == known.endpointsVersion.epoch;
+    if (isSameEpoch && reply.endpointsHash == known.endpointsHash) {
         known.endpointsAt = std::max(known.endpointsAt, requestedAt - Instant(Ms(reply.endpointsAgeMs)));
-    } else if (reply.endpointsVersion.revision >= known.endpointsVersion.revision) {
+    } else if (reply.endpointsVersion >= known.endpointsVersion) {
         refreshEndpoints(now); // The reply had no changes, or they did not lead to the same list.
     }
 }
@@ -148,14 +149,16 @@
     if (digest.configVersion > known.configVersion) {
         driver_.refreshConfig();
     }
-    // A digest without a list, with the same content or without a later revision is no update.
-    if (digest.endpointsHash == 0 || digest.endpointsHash == known.endpointsHash || digest.endpointsVersion.revision <= known.endpointsVersion.revision) {
+    // A digest without a list, with the same content or without a later version is no update. The same content in another epoch is one: the history of before
+    // doesn't lead on from it.
+    const bool isSameList = digest.endpointsHash == known.endpointsHash && digest.endpointsVersion.epoch == known.endpointsVersion.epoch;
+    if (digest.endpointsHash == 0 || isSameList || digest.endpointsVersion <= known.endpointsVersion) {
         return;
     }
-    if (updateRevision_ <= known.endpointsVersion.revision) {
+    if (updateVersion_ <= known.endpointsVersion) {
         updateAwaitedSince_ = now;
     }
-    updateRevision_ = std::max(updateRevision_, digest.endpointsVersion.revision);
+    updateVersion_ = std::max(updateVersion_, digest.endpointsVersion);
     if (now >= updateRequestedAt_ + RefreshPeriod) {
         updateRequestedAt_ = now;
         sendRequest(digest.instance, now, known);
--- a/libs/relay/src/details/EndpointList.h
+++ b/libs/relay/src/details/EndpointList.h
@@ -19,11 +19,12 @@
     /// Replaces the whole list by one that was read from the store. Returns false, without any change, if the version is older than the known one.
     bool replace(const std::vector<EndpointEntry> &entries, wire::StoreVersion version);
 
-    /// Applies changes that lead from a known version to the given one. Returns false, without any change, if the version isn't later than the
-    /// known one.
+    /// Applies changes that lead from a known version to the given one, or takes the whole list. Returns false, without any change, if the version isn't
+    /// later than the known one, or if changes lead to another epoch: what the copy lacks isn't among them.
     bool apply(const wire::EndpointListChanges &changes, wire::StoreVersion version);
 
-    /// Returns the changes after a version, or nothing if the history doesn't reach back that far or no list is known yet.
+    /// Returns the changes after a version; the whole list if that version is of an earlier epoch, or of no list at all. Nothing if the history doesn't
+    /// reach back that far, if the version is of a later epoch, or if no list is known yet.
     std::optional<wire::EndpointListChanges> changesSince(wire::StoreVersion version) const;
 
     /// Returns all listed endpoints, ordered by id.
@@ -41,7 +42,7 @@
 private:
     struct Listed {
         wire::EndpointRecord record;
-        /// Revision at which the last change of the record was seen. The store may have changed it at an earlier one.
+        /// Revision, in the present epoch, at which the last change of the record was seen. The store may have changed it at an earlier one.
         std::uint64_t changedAt = 0;
     };
     struct Removed {
@@ -50,6 +51,8 @@
         std::uint64_t removedAt = 0;
     };
 
+    /// Replaces the whole list; see replace(). The history begins anew with each epoch, since it can't lead from one to the next.
+    bool replaceRecords(const std::vector<wire::EndpointRecord> &records, wire::StoreVersion version);
     /// Records a new or changed endpoint; does nothing if the record is unchanged.
     void put(const wire::EndpointRecord &record, std::uint64_t revision);
     /// Moves an endpoint to the history of removed ones; does nothing if it isn't listed.
--- a/libs/relay/src/details/StoreDuty.h
+++ b/libs/relay/src/details/StoreDuty.h
@@ -75,8 +75,8 @@
     bool followsStore_ = false;
     bool mayTakeLease_ = false;
     Instant startedAt_{0};
-    /// The latest revision of the endpoint list that a digest has named, and since when it is awaited.
-    std::uint64_t updateRevision_ = 0;
+    /// The latest version of the endpoint list that a digest has named, and since when it is awaited.
+    wire::StoreVersion updateVersion_;
     Instant updateAwaitedSince_{0};
     /// When changes that a digest has named were last requested from its sender.
     Instant updateRequestedAt_{0};
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -166,7 +166,7 @@
         : kernel(settings(), driver)
     {
         kernel.onConfig(now, now, config(1));
-        kernel.onEndpoints(now, entries, {0, ++storeRevision});
+        kernel.onEndpoints(now, entries, {storeEpoch, ++storeRevision});
         kernel.onInstances(now, {{"one", "10.0.0.1:7000"}, {"two", "10.0.0.2:7000"}});
         kernel.onTick(now);
     }
@@ -299,7 +299,7 @@
             now += Step;
             if (storeAnswers) {
                 kernel.onConfig(now, now, nullptr);
-                kernel.onEndpoints(now, entries, {0, ++storeRevision});
+                kernel.onEndpoints(now, entries, {storeEpoch, ++storeRevision});
             }
             kernel.onTick(now);
         }
@@ -322,6 +322,8 @@
         deskEntry("desk-c", "zone-c"),
     };
     std::uint64_t storeRevision = 0;
+    /// Epoch of the store in advance().
+    std::uint64_t storeEpoch = 0;
     relay::Instant now{std::chrono::seconds(100)};
     FakeDriver driver;
     relay::RelayKernel kernel;
--- a/libs/relayhost/include/relayhost/StoreFollower.h
+++ b/libs/relayhost/include/relayhost/StoreFollower.h
@@ -64,6 +64,8 @@
     void markReachable(bool reachable);
     /// Runs the task in the event loop at that time, or as soon as possible if it has passed.
     void runAt(relay::Instant due, std::function<void()> task);
+    /// Runs the next step of following the endpoints at that time, unless a read or watch has been started meanwhile.
+    void continueAt(relay::Instant due, void (StoreFollower::*step)());
 
     void readConfig();
     void onConfig(relay::Instant sentAt, const ConfigReadResult &read);
@@ -78,8 +80,11 @@
     void registerInstance(const std::vector<relay::InstanceEntry> &known);
     void listInstances();
     void onInstances(const std::optional<InstanceListing> &instances);
-    /// Takes the epoch of the store that an answer names, and reports a later one than known.
-    void noteEpoch(std::uint64_t epoch);
+    /// Takes the epoch of the store that an answer names; returns true and reports it if it is later than known.
+    bool noteEpoch(std::uint64_t epoch);
+    /// Takes the epoch that an answer about something other than the endpoints names. If it is later than known, the full list is read again in place of the
+    /// present read or watch: a watch from a revision of an earlier epoch proves nothing.
+    void takeEpoch(std::uint64_t epoch);
 
     net::EventLoop &loop_;
     std::unique_ptr<StoreClient> client_;
@@ -105,6 +110,8 @@
     bool follows_ = false;
     /// No read of the configuration is in progress or scheduled.
     bool configIdle_ = false;
+    /// Number of the latest read or watch of the endpoints; what earlier ones bring is ignored.
+    std::uint64_t endpointsRead_ = 0;
     /// No read or watch of the endpoints is in progress or scheduled.
     bool endpointsIdle_ = true;
 };
--- a/libs/relayhost/src/StoreFollower.cpp
+++ b/libs/relayhost/src/StoreFollower.cpp
@@ -97,12 +97,21 @@
     }
 }
 
-void StoreFollower::noteEpoch(std::uint64_t epoch)
+bool StoreFollower::noteEpoch(std::uint64_t epoch)
 {
     const std::uint64_t before = epoch_.value_or(epoch);
     epoch_ = std::max(before, epoch);
-    if (epoch > before) {
-        handlers_.onEpoch(before, epoch);
+    if (epoch <= before) {
+        return false;
+    }
+    handlers_.onEpoch(before, epoch);
+    return true;
+}
+
+void StoreFollower::takeEpoch(std::uint64_t epoch)
+{
+    if (noteEpoch(epoch) && !endpointsIdle_) {
+        listEndpoints();
     }
 }
 
@@ -111,6 +120,16 @@
     loop_.after(std::max(relay::Instant(0), due - base::readBootTimeClock()), std::move(task));
 }
 
+void StoreFollower::continueAt(relay::Instant due, void (StoreFollower::*step)())
+{
+    const std::uint64_t number = endpointsRead_;
+    runAt(due, [this, number, step]() {
+        if (number == endpointsRead_) {
+            (this->*step)();
+        }
+    });
+}
+
 void StoreFollower::readConfig()
 {
     configIdle_ = false;
@@ -124,7 +143,7 @@
     if (!read.ok) {
         return runAt(retryTime(), [this]() { readConfig(); });
     }
-    noteEpoch(read.epoch);
+    takeEpoch(read.epoch);
     handlers_.onConfig(sentAt, read.config);
     if (follows_) {
         return runAt(sentAt + ConfigPeriod, [this]() { readConfig(); });
@@ -136,14 +155,20 @@
 {
     endpointsIdle_ = false;
     listedAt_ = base::readBootTimeClock();
-    client_->listEndpoints([this](const std::optional<EndpointListing> &listing) { onListing(listing); });
+    const std::uint64_t number = ++endpointsRead_;
+    client_->listEndpoints([this, number](const std::optional<EndpointListing> &listing) {
+        if (number == endpointsRead_) {
+            onListing(listing);
+        }
+    });
 }
 
 void StoreFollower::onListing(const std::optional<EndpointListing> &listing)
 {
     markReachable(listing.has_value());
-    if (!listing) {
-        return runAt(retryTime(), [this]() { listEndpoints(); });
+    const bool isOutdated = listing && epoch_ && listing->version.epoch < *epoch_;
+    if (!listing || isOutdated) {
+        return continueAt(retryTime(), &StoreFollower::listEndpoints);
     }
     noteEpoch(listing->version.epoch);
     if (listing->damaged != damaged_) {
@@ -179,15 +204,20 @@
     if (sentAt - listedAt_ >= FullListPeriod) {
         return listEndpoints();
     }
-    client_->watchEndpoints(version_.revision, WatchTimeout, [this, sentAt](const std::optional<EndpointChanges> &changes) { onChanges(sentAt, changes); });
+    const std::uint64_t number = ++endpointsRead_;
+    client_->watchEndpoints(version_.revision, WatchTimeout, [this, number, sentAt](const std::optional<EndpointChanges> &changes) {
+        if (number == endpointsRead_) {
+            onChanges(sentAt, changes);
+        }
+    });
 }
 
 void StoreFollower::onChanges(relay::Instant sentAt, const std::optional<EndpointChanges> &changes)
 {
-    if (!changes) {
-        return listEndpoints(); // The history was discarded, the watch was cut off or the store is unreachable: only the full list is current.
+    if (!changes || changes->version.epoch != version_.epoch) {
+        // The history was discarded, the watch was cut off, or the store is unreachable or was restored: only the full list is current.
+        return listEndpoints();
     }
-    noteEpoch(changes->version.epoch);
     for (const EndpointChange &change : changes->changes) {
         if (change.entry) {
             endpoints_[change.id] = *change.entry;
@@ -197,7 +227,7 @@
     }
     version_ = changes->version;
     reportEndpoints();
-    runAt(sentAt + MinWatchPeriod, [this]() { watchEndpoints(); });
+    continueAt(sentAt + MinWatchPeriod, &StoreFollower::watchEndpoints);
 }
 
 void StoreFollower::listInstances()
@@ -208,7 +238,7 @@
 void StoreFollower::onInstances(const std::optional<InstanceListing> &instances)
 {
     if (instances) {
-        noteEpoch(instances->epoch);
+        takeEpoch(instances->epoch);
         registerInstance(instances->entries);
         handlers_.onInstances(instances->entries);
     }
@@ -234,7 +264,7 @@
     client_->readLease([this](const std::optional<LeaseReadResult> &lease) {
         markReachable(lease.has_value());
         if (lease) {
-            noteEpoch(lease->first.epoch);
+            takeEpoch(lease->first.epoch);
             handlers_.onLease(*lease);
         }
     });
@@ -244,7 +274,7 @@
 {
     const relay::Instant sentAt = base::readBootTimeClock();
     client_->writeLease(record, expectedRevision, [this, sentAt](wire::StoreVersion version) {
-        noteEpoch(version.epoch);
+        takeEpoch(version.epoch);
         handlers_.onLeaseWritten(sentAt, version);
     });
 }
--- a/libs/relayhost/tests/StoreFollowerTests.cpp
+++ b/libs/relayhost/tests/StoreFollowerTests.cpp
@@ -190,3 +190,36 @@
     LONGS_EQUAL(1, epochs.size());
     LONGS_EQUAL(4, epochs.front());
 }
+
+/// A revision of before the restore may have been given out again, so that the watch from it misses changes without any error.
+TEST(AFollowerOfTheStore, readsTheWholeListWhenAWatchIsAnsweredFromAnotherEpoch)
+{
+    client->lists.at(0)(EndpointListing{{entry("a")}, {1, 40}, 0});
+    client->watches.at(0)(EndpointChanges{{{"a", std::nullopt}}, {2, 41}});
+    LONGS_EQUAL(1, reported.size());
+    LONGS_EQUAL(2, client->lists.size());
+    client->lists.at(1)(EndpointListing{{entry("b")}, {2, 41}, 0});
+    STRCMP_EQUAL("b", reported.back().at(0).id.c_str());
+}
+
+/// The watch was lost with the store of before and ends only at its timeout; meanwhile the list is unknown.
+TEST(AFollowerOfTheStore, readsTheWholeListOnceAnyAnswerNamesALaterEpoch)
+{
+    client->lists.at(0)(EndpointListing{{entry("a")}, {1, 40}, 0});
+    client->configReads.at(0)({true, 2, nullptr});
+    LONGS_EQUAL(2, client->lists.size());
+    client->lists.at(1)(EndpointListing{{entry("b")}, {2, 30}, 0});
+    LONGS_EQUAL(30, client->watchedFrom.back());
+    client->watches.at(0)(EndpointChanges{{{"b", std::nullopt}}, {1, 50}});
+    LONGS_EQUAL(2, reported.size());
+    LONGS_EQUAL(2, client->lists.size());
+}
+
+/// A list that was requested before the restore arrives after an answer of the restored store.
+TEST(AFollowerOfTheStore, doesNotTakeAListOfAnEarlierEpoch)
+{
+    client->configReads.at(0)({true, 2, nullptr});
+    client->lists.back()(EndpointListing{{entry("a")}, {1, 40}, 0});
+    CHECK(reported.empty());
+    CHECK(client->watches.empty());
+}
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -173,6 +173,8 @@
     std::vector<EndpointRecord> changed;
     /// Ids of the entries that were removed.
     std::vector<std::string> removed;
+    /// `changed` is the whole list: what it doesn't name isn't listed.
+    bool isComplete = false;
 
     friend bool operator==(const EndpointListChanges &, const EndpointListChanges &) = default;
 };
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -201,6 +201,7 @@
     for (const std::string &id : changes.removed) {
         out.add_removed(id);
     }
+    out.set_complete(changes.isComplete);
 }
 
 EndpointListChanges toChanges(const trefoilport::pb::EndpointListChanges &in)
@@ -220,6 +221,7 @@
                                    record.model_version()});
     }
     changes.removed.assign(in.removed().begin(), in.removed().end());
+    changes.isComplete = in.complete();
     return changes;
 }
 
