--- a/libs/relay/src/EndpointList.cpp
+++ b/libs/relay/src/EndpointList.cpp
@@ -45,18 +45,30 @@
 
 } // namespace
 
-bool EndpointList::replace(const std::vector<EndpointEntry> &entries, std::uint64_t revision)
+bool EndpointList::replace(const std::vector<EndpointEntry> &entries, wire::StoreVersion version)
 {
-    if (revision < revision_) {
+    std::vector<wire::EndpointRecord> records;
+    records.reserve(entries.size());
+    for (const EndpointEntry &entry : entries) {
+        records.push_back(toRecord(entry));
+    }
+    return replaceRecords(records, version);
+}
+
+bool EndpointList::replaceRecords(const std::vector<wire::EndpointRecord> &records, wire::StoreVersion version)
+{
+    if (version < version_) {
         return false;
     }
-    if (revision_ == 0) {
-        knownSince_ = revision;
+    if (version_.revision == 0 || version.epoch != version_.epoch) {
+        listed_.clear();
+        removed_.clear();
+        knownSince_ = version.revision;
     }
     std::set<std::string> present;
-    for (const EndpointEntry &entry : entries) {
-        present.insert(entry.id);
-        put(toRecord(entry), revision);
+    for (const wire::EndpointRecord &record : records) {
+        present.insert(record.id);
+        put(record, version.revision);
     }
     std::vector<std::string> gone;
     for (const auto &[id, listed] : listed_) {
@@ -65,27 +77,30 @@
         }
     }
     for (const std::string &id : gone) {
-        remove(id, revision);
+        remove(id, version.revision);
     }
-    revision_ = revision;
+    version_ = version;
     return true;
 }
 
-bool EndpointList::apply(const wire::EndpointListChanges &changes, std::uint64_t revision)
+bool EndpointList::apply(const wire::EndpointListChanges &changes, wire::StoreVersion version)
 {
-    if (revision <= revision_) {
+    if (version <= version_) {
         return false;
     }
-    if (revision_ == 0) {
-        knownSince_ = revision;
+    if (changes.isComplete || version_.revision == 0) {
+        return replaceRecords(changes.changed, version);
+    }
+    if (version.epoch != version_.epoch) {
+        return false;
     }
     for (const wire::EndpointRecord &record : changes.changed) {
-        put(record, revision);
+        put(record, version.revision);
     }
     for (const std::string &id : changes.removed) {
-        remove(id, revision);
+        remove(id, version.revision);
     }
-    revision_ = revision;
+    version_ = version;
     return true;
 }
 
@@ -110,20 +125,23 @@
     }
 }
 
-std::optional<wire::EndpointListChanges> EndpointList::changesSince(std::uint64_t revision) const
+std::optional<wire::EndpointListChanges> EndpointList::changesSince(wire::StoreVersion version) const
 {
-    const bool isWholeList = revision == 0;
-    if (revision_ == 0 || (revision < knownSince_ && !isWholeList)) {
+    if (version_.revision == 0 || version.epoch > version_.epoch) {
         return std::nullopt;
     }
     wire::EndpointListChanges changes;
+    changes.isComplete = version.revision == 0 || version.epoch < version_.epoch;
+    if (!changes.isComplete && version.revision < knownSince_) {
+        return std::nullopt;
+    }
     for (const auto &[id, listed] : listed_) {
-        if (listed.changedAt > revision) {
+        if (changes.isComplete || listed.changedAt > version.revision) {
             changes.changed.push_back(listed.record);
         }
     }
     for (const Removed &removed : removed_) {
-        if (removed.removedAt > revision) {
+        if (!changes.isComplete && removed.removedAt > version.revision) {
             changes.removed.push_back(removed.id);
         }
     }
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -168,7 +168,7 @@
     {
         kernel.onInstances(now - settings().retryWindow - relay::Ms(1), {{"one", "10.0.0.1:7000"}, {"two", "10.0.0.2:7000"}});
         kernel.onConfig(now, now, config(1));
-        kernel.onEndpoints(now, entries, ++storeRevision);
+        kernel.onEndpoints(now, entries, {storeEpoch, ++storeRevision});
         kernel.onInstances(now, {{"one", "10.0.0.1:7000"}, {"two", "10.0.0.2:7000"}});
         kernel.onTick(now);
     }
@@ -301,7 +301,7 @@
             now += Step;
             if (storeAnswers) {
                 kernel.onConfig(now, now, nullptr);
-                kernel.onEndpoints(now, entries, ++storeRevision);
+                kernel.onEndpoints(now, entries, {storeEpoch, ++storeRevision});
             }
             kernel.onTick(now);
         }
@@ -324,6 +324,8 @@
         deskEntry("desk-c", "zone-c"),
     };
     std::uint64_t storeRevision = 0;
+    /// Epoch of the store in advance().
+    std::uint64_t storeEpoch = 0;
     relay::Instant now{std::chrono::seconds(100)};
     FakeDriver driver;
     relay::RelayKernel kernel;
