Failed watches in quick succession are followed by lists with a pause

A change whose entry can't be named makes the watch fail, and the list is read at once, then watched again at once. A writer that changes such an entry many times a second made every instance read the whole list as fast as the store answers; so does a store that answers each watch with 410. Suspected from reading, no operator has reported it.

The first gap is still followed by the list at once; a second one within 250 ms, the period between two watches, waits for its end. The test failed before: 40 lists in a row without a pause.

--- a/libs/relayhost/include/relayhost/StoreFollower.h
+++ b/libs/relayhost/include/relayhost/StoreFollower.h
@@ -86,6 +86,8 @@
     std::uint64_t revision_ = 0;
     /// Time at which the last full list of endpoints was requested.
     relay::Instant listedAt_{0};
+    /// Time at which the last full list after a failed watch was requested, or is going to be.
+    relay::Instant listedAfterGapAt_{0};
     /// Number of malformed entries in the last full list.
     std::size_t damaged_ = 0;
     /// Interval to the next read of the list of instances.
--- a/libs/relayhost/src/StoreFollower.cpp
+++ b/libs/relayhost/src/StoreFollower.cpp
@@ -12,7 +12,8 @@
 constexpr relay::Ms ConfigPeriod{900};
 /// Without changes, a watch of the endpoints ends after this time: its empty answer shows that the connection to the store still works.
 constexpr relay::Ms WatchTimeout{1700};
-/// Minimum period between the starts of two watches, so that changes in quick succession are handled together.
+/// Minimum period between the starts of two watches, so that changes in quick succession are handled together, and between two full lists after failed
+/// watches.
 constexpr relay::Ms MinWatchPeriod{250};
 /// The full list of endpoints is read again after this period, even if no watch has failed.
 constexpr relay::Ms FullListPeriod{10000};
@@ -174,7 +175,13 @@
 void StoreFollower::onChanges(relay::Instant sentAt, const std::optional<EndpointChanges> &changes)
 {
     if (!changes) {
-        return listEndpoints(); // The history was discarded, the watch was cut off or the store is unreachable: only the full list is current.
+        // The history was discarded, the watch was cut off, a change can't be read or the store is unreachable: only the full list is current.
+        const relay::Instant due = listedAfterGapAt_ + MinWatchPeriod;
+        listedAfterGapAt_ = std::max(due, base::readBootTimeClock());
+        if (listedAfterGapAt_ > due) {
+            return listEndpoints();
+        }
+        return runAt(due, [this]() { listEndpoints(); });
     }
     for (const EndpointChange &change : changes->changes) {
         if (change.entry) {
--- a/libs/relayhost/tests/StoreFollowerTests.cpp
+++ b/libs/relayhost/tests/StoreFollowerTests.cpp
@@ -18,6 +18,9 @@
     void listEndpoints(std::function<void(std::optional<EndpointListing>)> done) override
     {
         lists.push_back(std::move(done));
+        if (onList) {
+            onList();
+        }
     }
     void watchEndpoints(std::uint64_t revision, relay::Ms, std::function<void(std::optional<EndpointChanges>)> done) override
     {
@@ -48,6 +51,7 @@
     std::vector<std::function<void(std::optional<EndpointChanges>)>> watches;
     std::vector<std::uint64_t> watchedFrom;
     std::function<void()> onWatch;
+    std::function<void()> onList;
 };
 
 relay::EndpointEntry entry(const std::string &id)
@@ -132,6 +136,28 @@
     LONGS_EQUAL(50, client->watchedFrom.back());
 }
 
+/// Guards against lists without a pause, if each watch shows a change that can't be read.
+TEST(AFollowerOfTheStore, pausesBetweenGapsInQuickSuccession)
+{
+    constexpr std::size_t Gaps = 40;
+    client->lists.at(0)(EndpointListing{{entry("a")}, 40, 1});
+    // All gaps come at once, unless the machine holds up the test in each round.
+    while (client->lists.size() < Gaps && client->watches.size() == client->lists.size()) {
+        client->watches.back()(std::nullopt);
+        if (client->lists.size() == client->watches.size()) {
+            break; // The list is read later.
+        }
+        client->lists.back()(EndpointListing{{entry("a")}, 40, 1});
+    }
+    CHECK(client->lists.size() < Gaps);
+    client->onList = [this]() {
+        loop.stop();
+    };
+    const std::size_t lists = client->lists.size();
+    loop.run();
+    LONGS_EQUAL(lists + 1, client->lists.size());
+}
+
 TEST(AFollowerOfTheStore, reportsNothingAfterAFailedRead)
 {
     client->configReads.at(0)({false, nullptr});
