A range of layers beyond the model no longer ends the planner's process

The instance that holds the planner's lease ends, the next one takes over, and ends as well.

The test failed before: exit by SIGSEGV.

--- a/libs/placement/src/LayerPlanner.cpp
+++ b/libs/placement/src/LayerPlanner.cpp
@@ -56,7 +56,7 @@
     {
         const double capacity = sign * capacityOf(endpoint, range);
         std::vector<double> &zone = zoneCapacities(endpoint.zone);
-        for (std::uint32_t b = range.first / block_; b < range.end / block_ && b < fleetCapacities_.size(); ++b) {
+        for (std::uint32_t b = range.first / block_; b < endBlock(range); ++b) {
             zone[b] += capacity;
             fleetCapacities_[b] += capacity;
         }
@@ -68,7 +68,7 @@
         const double capacity = capacityOf(endpoint, range);
         const std::vector<double> &zone = zoneCapacities(endpoint.zone);
         double sum = 0;
-        for (std::uint32_t b = range.first / block_; b < range.end / block_; ++b) {
+        for (std::uint32_t b = range.first / block_; b < endBlock(range); ++b) {
             sum +=
                 std::log((1 + zone[b] + capacity) / (1 + zone[b])) + FleetWeight * std::log((1 + fleetCapacities_[b] + capacity) / (1 + fleetCapacities_[b]));
         }
@@ -76,6 +76,12 @@
     }
 
 private:
+    /// Returns the block after the last one of the range. An endpoint may say that it holds layers which the model doesn't have.
+    std::uint32_t endBlock(LayerRange range) const
+    {
+        return std::min(range.end / block_, static_cast<std::uint32_t>(fleetCapacities_.size()));
+    }
+
     double capacityOf(const PlannerEndpoint &endpoint, LayerRange range) const
     {
         return concurrentRequests(profile_, endpoint.kind, range.size()) / std::max(1.0, endpoint.slowdown);
--- a/libs/placement/tests/PlacementTests.cpp
+++ b/libs/placement/tests/PlacementTests.cpp
@@ -332,3 +332,22 @@
     const Pipeline after = choosePipeline(profile, holders, request);
     CHECK(after.stages.front().holder != first);
 }
+
+/// Guards against memory that is not the planner's being read: an endpoint may say that it holds layers which the model doesn't have.
+TEST(ThePlan, survivesRangesBeyondTheModel)
+{
+    for (const LayerRange held : {LayerRange{0, 4294967295U}, LayerRange{75, 85}, LayerRange{80, 90}, LayerRange{4294967294U, 4294967295U}}) {
+        std::vector<PlannerEndpoint> fleet = withPlannedLayers(mixedProfile(), mixedFleet());
+        fleet.push_back({Big, 7, held, 0, true, 1});
+        for (int move = 0; move < 3; ++move) {
+            const auto assignment = planMove(mixedProfile(), fleet);
+            if (!assignment) {
+                break;
+            }
+            CHECK(assignment->range.end <= mixedProfile().layers);
+            fleet[assignment->endpoint].held = assignment->range;
+        }
+        const Pipeline pipeline = choosePipeline(mixedProfile(), holdersFrom(fleet), {100, 100, 0, {}, std::nullopt, 0});
+        CHECK(runsEveryLayerOnce(mixedProfile(), pipeline));
+    }
+}
