--- a/libs/net/include/net/Http.h
+++ b/libs/net/include/net/Http.h
@@ -44,6 +44,9 @@
 /// Parses an address such as "127.0.0.1:8080". Returns port 0 if the text has no colon or no valid port; the host isn't checked.
 Address parseAddress(std::string_view text);
 
+/// Returns whether the address has a port, and an IP address as its host.
+bool isValid(const Address &address);
+
 /// Returns "host:port".
 std::string toString(const Address &address);
 
--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -5,6 +5,8 @@
 #include <cctype>
 #include <charconv>
 
+#include <arpa/inet.h>
+
 namespace net {
 
 namespace {
@@ -85,6 +87,14 @@
     return address;
 }
 
+bool isValid(const Address &address)
+{
+    in6_addr bytes{};
+    const char *const host = address.host.c_str();
+    const bool hasWholeHost = address.host.size() == std::char_traits<char>::length(host);
+    return address.port != 0 && hasWholeHost && (::inet_pton(AF_INET, host, &bytes) == 1 || ::inet_pton(AF_INET6, host, &bytes) == 1);
+}
+
 std::string toString(const Address &address)
 {
     return address.host + ":" + std::to_string(address.port);
