--- a/libs/base/include/base/Time.h
+++ b/libs/base/include/base/Time.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 
 namespace base {
@@ -30,4 +32,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/// Converts predicted milliseconds, moved into the range from 0 to one day, so that sums of such times don't overflow. What is no number counts as 0.
+inline std::chrono::milliseconds boundedMs(double ms)
+{
+    constexpr double OneDayMs = 24.0 * 60 * 60 * 1000;
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::isnan(ms) ? 0 : std::clamp(ms, 0.0, OneDayMs)));
+}
+
 } // namespace base
--- a/libs/net/include/net/EventFrames.h
+++ b/libs/net/include/net/EventFrames.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <charconv>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,7 +13,7 @@
 struct EventFrame {
     /// The decimal number in the event's `id` field; 0 if it has none.
     std::uint64_t id = 0;
-    /// The event has an `id` field with a number.
+    /// The event has an `id` field with a number, and with nothing but that number.
     bool hasId = false;
     /// The event's bytes, including the blank line that ends it; a view into the buffer that was parsed.
     std::string_view bytes;
@@ -35,12 +36,10 @@
         if (!line.starts_with("id:")) {
             continue;
         }
-        for (const char character : line.substr(3)) {
-            if (character >= '0' && character <= '9') {
-                frame.id = frame.id * 10 + static_cast<std::uint64_t>(character - '0');
-                frame.hasId = true;
-            }
-        }
+        line.remove_prefix(std::min(line.find_first_not_of(' ', 3), line.size()));
+        line = line.substr(0, line.find_last_not_of('\r') + 1);
+        const auto [end, error] = std::from_chars(line.data(), line.data() + line.size(), frame.id);
+        frame.hasId = error == std::errc() && end == line.data() + line.size();
     }
     return frame;
 }
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -452,6 +452,15 @@
     CHECK(frame->bytes.ends_with("\r\n\r\n"));
 }
 
+/// Guards against an id that can't be read being taken for another one, after which events are dropped or sent twice.
+TEST(AnEventFrame, hasNoIdIfThatIsNoNumberOrTooLarge)
+{
+    for (const char *id : {"18446744073709551617", "99999999999999999999999", "1x2", "-4", "1 2", ""}) {
+        CHECK_TEXT(!net::firstEvent("id: " + std::string(id) + "\ndata: x\n\n")->hasId, id);
+    }
+    CHECK(net::firstEvent("id:18446744073709551614\r\ndata: x\r\n\r\n")->id == 18446744073709551614U);
+}
+
 TEST(AnEventFrame, mayLackAnId)
 {
     CHECK(!net::firstEvent(": comment\n\n")->hasId);
--- a/libs/relay/src/PlannerDuty.cpp
+++ b/libs/relay/src/PlannerDuty.cpp
@@ -1,5 +1,7 @@
 #include "details/PlannerDuty.h"
 
+#include "base/Time.h"
+
 #include <algorithm>
 
 namespace relay {
@@ -226,7 +228,7 @@
     // Loads beyond the supported number slow each other down.
     const double loadSlowdown = std::max(1.0, static_cast<double>(pending_.size() + 1) / std::max(1U, profile.maxConcurrentLoads));
     const double loadMs = profile.loadSeconds * 1e3 * range.size() / std::max(1U, profile.layers) * loadSlowdown;
-    pending_[index] = {range, state.entry.incarnation, now + OrderTimeout, Ms(static_cast<std::int64_t>(loadMs)), false};
+    pending_[index] = {range, state.entry.incarnation, now + OrderTimeout, base::boundedMs(loadMs), false};
     driver_.sendOrder({state.entry.id, state.entry.address, range, record_.fence, state.orderCount});
     driver_.record({"order_place",
                     "",
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -1,3 +1,4 @@
+#include "base/Time.h"
 #include "details/KernelImpl.h"
 
 #include <algorithm>
@@ -47,7 +48,7 @@
     const Ms minimum = attempt.hasEvents ? CheckAfterEventGap : CheckAfterDispatch;
     const double predictedMs =
         attempt.hasEvents ? MaxEventIntervalRatio * attempt.predictedEventIntervalMs : MaxFirstTokenRatio * attempt.predictedFirstTokenMs;
-    return std::max(minimum, Ms(static_cast<std::int64_t>(predictedMs)));
+    return std::max(minimum, base::boundedMs(predictedMs));
 }
 
 /// Returns why there is no pipeline over layers [0, `layers`): the first layer that no candidate holds, or else a lack of memory.
@@ -91,7 +92,7 @@
     }
     const double maxWaitMs = maxAdmittedWaitMs(*call.route);
     if (call.attemptCount == 0 && call.lastEvent == 0 && pipeline.waitMs > maxWaitMs) {
-        const Ms wait(static_cast<std::int64_t>(pipeline.waitMs));
+        const Ms wait = base::boundedMs(pipeline.waitMs);
         return rejectForLoad(now, call, wait, "predicted wait " + std::to_string(wait.count()) + " ms");
     }
     Attempt attempt;
