--- a/libs/timeline/src/RequestHistory.cpp
+++ b/libs/timeline/src/RequestHistory.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <chrono>
 #include <set>
 #include <sstream>
 
@@ -37,20 +38,24 @@
     return value != nullptr && value->is_string() ? std::string(value->as_string()) : "";
 }
 
-/// Converts "YYYY-MM-DD HH:MM:SS,mmm" to milliseconds since midnight; returns 0 if the text is shorter. The date is ignored, because a request does not take as
-/// long as a day.
-std::int64_t millisecondsOfDay(std::string_view time)
+/// Converts "YYYY-MM-DD HH:MM:SS,mmm" to milliseconds since the Unix epoch; returns 0 if the text is shorter.
+std::int64_t toMilliseconds(std::string_view time)
 {
     constexpr std::size_t TimeLength = 23;
     if (time.size() < TimeLength) {
         return 0;
     }
     const auto number = [&](std::size_t at, std::size_t length) {
-        std::int64_t value = 0;
+        int value = 0;
         std::from_chars(time.data() + at, time.data() + at + length, value);
         return value;
     };
-    return ((number(11, 2) * 60 + number(14, 2)) * 60 + number(17, 2)) * 1000 + number(20, 3);
+    const std::chrono::year_month_day date{std::chrono::year(number(0, 4)),
+                                           std::chrono::month(static_cast<unsigned>(number(5, 2))),
+                                           std::chrono::day(static_cast<unsigned>(number(8, 2)))};
+    const auto timeOfDay = std::chrono::hours(number(11, 2)) + std::chrono::minutes(number(14, 2)) + std::chrono::seconds(number(17, 2))
+        + std::chrono::milliseconds(number(20, 3));
+    return (std::chrono::sys_days(date).time_since_epoch() + timeOfDay).count();
 }
 
 /// Collects the endpoints of the pipeline from the detail of a `sent` or `stream_detoured` line, which has the form "... path a=0-20 b=20-80, ..."; the part
@@ -117,7 +122,7 @@
 /// Returns true if a line was written between LookbackMs before the first line of the request and its last line.
 bool isInTimeRange(const SearchScope &scope, const LogLine &line)
 {
-    return line.time <= scope.lastTime && millisecondsOfDay(line.time) >= millisecondsOfDay(scope.firstTime) - LookbackMs;
+    return line.time <= scope.lastTime && toMilliseconds(line.time) >= toMilliseconds(scope.firstTime) - LookbackMs;
 }
 
 /// Returns true if a line that does not belong to the request is about something that the request depended on.
--- a/libs/timeline/tests/RequestHistoryTests.cpp
+++ b/libs/timeline/tests/RequestHistoryTests.cpp
@@ -138,3 +138,20 @@
     STRCMP_CONTAINS("crash_strike at 07:55:02,000 77", history.cause.c_str());
     CHECK(!mentions(history, "78"));
 }
+
+// An event shortly before midnight must count for a request shortly after it, and one of the same time of an earlier day must not.
+TEST(ARequestHistory, looksBackOverMidnightButNotOverADay)
+{
+    const auto at = [](const char *time, const char *event, const char *request, const char *subject) {
+        return timeline::LogLine{time, "front-1", event, request, subject, "", 0};
+    };
+    const auto history = timeline::explainRequest(
+        {
+            at("2026-08-31 00:00:00,500", "store_lost", "", "a day before"),
+            at("2026-08-31 23:59:58,000", "store_lost", "", "seconds before"),
+            at("2026-09-01 00:00:01,000", "rejected", "r1", "configuration_unconfirmed"),
+        },
+        "r1");
+    LONGS_EQUAL(2, history.lines.size());
+    STRCMP_EQUAL("seconds before", history.lines.front().subject.c_str());
+}
