--- a/libs/timeline/src/RequestHistory.cpp
+++ b/libs/timeline/src/RequestHistory.cpp
@@ -50,9 +50,8 @@
         std::from_chars(time.data() + at, time.data() + at + length, value);
         return value;
     };
-    const std::chrono::year_month_day date{std::chrono::year(number(0, 4)),
-                                           std::chrono::month(static_cast<unsigned>(number(5, 2))),
-                                           std::chrono::day(static_cast<unsigned>(number(8, 2)))};
+    const std::chrono::year_month_day date{
+        std::chrono::year(number(0, 4)), std::chrono::month(static_cast<unsigned>(number(5, 2))), std::chrono::day(static_cast<unsigned>(number(8, 2)))};
     const auto timeOfDay = std::chrono::hours(number(11, 2)) + std::chrono::minutes(number(14, 2)) + std::chrono::seconds(number(17, 2))
         + std::chrono::milliseconds(number(20, 3));
     return (std::chrono::sys_days(date).time_since_epoch() + timeOfDay).count();
