The fair queue charges no team for calls that it did not serve

A team whose large call was withdrawn or had passed its deadline waited as long as if the call had been served: the tags of its flow were those of the call that was gone. The new test failed before (2 of 15 turns for the team, 5 are its share). The finish tag is computed anew from the start tag when calls leave unserved; the flow's place in the order stays.

--- a/trefoilport/src/FairQueue.cpp
+++ b/trefoilport/src/FairQueue.cpp
@@ -10,9 +10,18 @@
     if (flow.calls.empty()) {
         return;
     }
-    const QueuedCall &head = flow.calls.front();
     flow.startTag = std::max(virtualTime, flow.finishTag);
-    flow.finishTag = flow.startTag + static_cast<double>(head.cost) / static_cast<double>(head.weight);
+    updateFinishTag(flow);
+}
+
+void FairQueue::updateFinishTag(Flow &flow)
+{
+    // The flow isn't charged for a first call that has left the queue unserved.
+    flow.finishTag = flow.startTag;
+    if (!flow.calls.empty()) {
+        const QueuedCall &head = flow.calls.front();
+        flow.finishTag += static_cast<double>(head.cost) / static_cast<double>(head.weight);
+    }
 }
 
 void FairQueue::push(QueuedCall call)
@@ -72,6 +81,7 @@
 {
     std::vector<QueuedCall> expired;
     for (auto &[key, flow] : flows_) {
+        const std::size_t sizeBefore = flow.calls.size();
         for (auto it = flow.calls.begin(); it != flow.calls.end();) {
             if (it->deadline > now) {
                 ++it;
@@ -82,6 +92,9 @@
             it = flow.calls.erase(it);
             --size_;
         }
+        if (flow.calls.size() < sizeBefore) {
+            updateFinishTag(flow);
+        }
     }
     return expired;
 }
@@ -94,6 +107,7 @@
             flow.work -= found->cost;
             flow.calls.erase(found);
             --size_;
+            updateFinishTag(flow);
             return true;
         }
     }
--- a/trefoilport/src/details/FairQueue.h
+++ b/trefoilport/src/details/FairQueue.h
@@ -62,8 +62,8 @@
     /// The queued calls of one team, class and model.
     struct Flow {
         std::deque<QueuedCall> calls;
-        /// Virtual finish time of the first call, or of the last served call if the flow is empty. The tags are not computed again when the first
-        /// call expires or is removed.
+        /// Virtual finish time of the first call. If the flow is empty, the one of the last served call, or the start time of a later call that
+        /// left unserved.
         double finishTag = 0;
         /// Virtual start time of the first call.
         double startTag = 0;
@@ -74,6 +74,8 @@
 
     /// Computes the tags of the flow's first call; does nothing if the flow is empty.
     static void assignTags(Flow &flow, double virtualTime);
+    /// Computes the finish tag of the flow's first call anew from its start tag, also after the first call has changed.
+    static void updateFinishTag(Flow &flow);
     /// Erases empty flows whose tags no longer matter, and resets the virtual time when the queue is empty.
     void dropIdleFlows();
 
--- a/trefoilport/tests/PolicyTests.cpp
+++ b/trefoilport/tests/PolicyTests.cpp
@@ -101,6 +101,28 @@
     LONGS_EQUAL(0, queue.size());
 }
 
+// A team whose large call was withdrawn must not wait as if the call had been served.
+TEST(TheFairQueue, chargesNoTeamForCallsThatWereNotServed)
+{
+    QueuedCall large = queued(1, "withdrawn", 1);
+    large.cost = 1000;
+    QueuedCall expiring = large;
+    expiring.call = 2;
+    expiring.team = "expired";
+    expiring.deadline = std::chrono::seconds(1);
+    queue.push(large);
+    queue.push(expiring);
+    for (CallId call = 10; call < 40; ++call) {
+        queue.push(queued(call, call % 3 == 0 ? "withdrawn" : call % 3 == 1 ? "expired" : "other", 1));
+    }
+    CHECK(queue.remove(1));
+    LONGS_EQUAL(1, queue.takeExpired(std::chrono::seconds(2)).size());
+    const auto served = serve(15);
+    LONGS_EQUAL(5, served.at("withdrawn"));
+    LONGS_EQUAL(5, served.at("expired"));
+    LONGS_EQUAL(5, served.at("other"));
+}
+
 TEST_GROUP(TheRetryBudget){};
 
 TEST(TheRetryBudget, limitsRetriesToAPercentageOfFirstAttempts)
