Endpoints: a pause after a refusal isn't ended by a report or by the answer to an earlier request

Cause: two facts without an order. The first event of a request that the endpoint had taken before reset its count of refusals, and a report, which each refusal requests, ended the pause of an endpoint whose count was 0. An accepted request now counts only if it was sent after the last refusal, and a report ends only what waits for it: the hold of an endpoint that others have found silent, which is kept apart from the pause.

AStream.isNotSentToAnEndpointThatHasJustRefusedAndThenReports failed before: the next request went to the endpoint that had just refused. The other error: an endpoint that has room again is used up to 150 ms later after one refusal, as intended by the pause.

--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -11,14 +11,14 @@
 constexpr Ms UserReportPeriod{4000};
 /// A slow endpoint's report is requested again once it is older than this, by whichever instance comes first: its digest informs the others.
 constexpr Ms SlowReportPeriod{1000};
-/// Pause of an endpoint while a report is awaited.
-constexpr Ms ReportPause{350};
+/// An endpoint gets no new work for this time while its report is awaited.
+constexpr Ms ReportHold{350};
 /// For this time after an endpoint's own report, what other instances' digests say of the endpoint is ignored.
 constexpr Ms OwnReportLifetime{500};
 /// An endpoint counts as slow from this multiple of the expected time.
 constexpr double MinSlowdown = 1.3;
 /// An endpoint that an aggregator reports as silent gets no new work for this time, which is longer than the interval between two digests.
-constexpr Ms VerifiedSilencePause{900};
+constexpr Ms VerifiedSilenceHold{900};
 
 } // namespace
 
@@ -94,11 +94,11 @@
     }
     // In a large fleet the aggregators and the instances with requests there ask the endpoint. If all did, it would be flooded when it returns.
     if (digest.scope == wire::DigestScope::Fleet && state.openRequests == 0) {
-        return endpoints.pause(*index, now, VerifiedSilencePause);
+        return endpoints.hold(*index, now, VerifiedSilenceHold);
     }
     // The other instance itself may be cut off from the network, so the endpoint isn't marked as silent: it only gets no new work until its report
     // can have arrived.
-    endpoints.pause(*index, now, ReportPause);
+    endpoints.hold(*index, now, ReportHold);
     requestReport(now, *index);
 }
 
--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -83,7 +83,7 @@
     EndpointState &state = states_[index];
     state.silentCheckAt = Instant{0};
     state.silenceCount = 0;
-    state.pausedUntil = state.refusals == 0 ? Instant{0} : state.pausedUntil;
+    state.heldUntil = Instant{0};
     state.slowdown = std::max(1.0, report.slowdown);
     state.loading = report.loading;
     if (report.incarnation < state.entry.incarnation) {
@@ -112,16 +112,20 @@
         state.refusals = std::min(state.refusals + 1, MaxRefusals);
     }
     state.pausedUntil = now + RefusalPauseUnit * (1 << state.refusals);
+    state.refusedAt = now;
 }
 
-void EndpointRegistry::pause(EndpointIndex index, Instant now, Ms duration)
+void EndpointRegistry::hold(EndpointIndex index, Instant now, Ms duration)
 {
-    states_[index].pausedUntil = std::max(states_[index].pausedUntil, now + duration);
+    states_[index].heldUntil = std::max(states_[index].heldUntil, now + duration);
 }
 
-void EndpointRegistry::onAccepted(EndpointIndex index)
+void EndpointRegistry::onAccepted(EndpointIndex index, Instant sentAt)
 {
-    states_[index].refusals = 0;
+    EndpointState &state = states_[index];
+    if (sentAt > state.refusedAt) {
+        state.refusals = 0;
+    }
 }
 
 void EndpointRegistry::forgetLayers(EndpointIndex index)
@@ -147,7 +151,7 @@
 bool EndpointRegistry::isUsable(EndpointIndex index, Instant now) const
 {
     const EndpointState &state = states_[index];
-    return state.listed && !state.entry.draining && state.silentCheckAt.count() == 0 && now >= state.pausedUntil;
+    return state.listed && !state.entry.draining && state.silentCheckAt.count() == 0 && now >= state.pausedUntil && now >= state.heldUntil;
 }
 
 std::optional<EndpointIndex> EndpointRegistry::find(const std::string &id) const
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -22,10 +22,13 @@
     Instant silentCheckAt{0};
     /// How often in a row it was marked as silent without a report in between.
     int silenceCount = 0;
-    /// The endpoint gets no new work until this time, since it refused work without running it, a report is awaited or others have found it silent.
+    /// The endpoint gets no new work until this time, since it refused work without running it. A report doesn't end that.
     Instant pausedUntil{0};
-    /// Refusals in a row, up to a maximum.
+    /// Refusals in a row, up to a maximum, and the time of the last one.
     int refusals = 0;
+    Instant refusedAt{0};
+    /// The endpoint gets no new work until this time or until it reports, since a report is awaited or others have found it silent.
+    Instant heldUntil{0};
     /// A report has been requested and neither arrived nor timed out.
     bool reportPending = false;
     Instant reportRequestedAt{0};
@@ -75,11 +78,11 @@
     /// capacity or since it is leaving.
     void pauseAfterRefusal(EndpointIndex index, Instant now);
 
-    /// Gives the endpoint no new work for at least the given time.
-    void pause(EndpointIndex index, Instant now, Ms duration);
+    /// Gives the endpoint no new work for at least the given time, or until it reports.
+    void hold(EndpointIndex index, Instant now, Ms duration);
 
-    /// Resets the number of refusals in a row, since the endpoint has accepted work.
-    void onAccepted(EndpointIndex index);
+    /// Resets the number of refusals in a row, since the endpoint has accepted work that was sent after the last of them.
+    void onAccepted(EndpointIndex index, Instant sentAt);
 
     /// Clears the layers of an endpoint that doesn't hold what it was expected to hold. It counts as empty until a report or list shows its layers.
     void forgetLayers(EndpointIndex index);
@@ -88,7 +91,7 @@
     void onPlainAnswer(EndpointIndex index, double latencyMs, Instant now);
     void onPlainFailure(EndpointIndex index, Instant now);
 
-    /// Returns true if the endpoint may get new work: listed, not draining, not silent and not paused.
+    /// Returns true if the endpoint may get new work: listed, not draining, not silent, and neither paused nor held.
     bool isUsable(EndpointIndex index, Instant now) const;
 
     /// Finds an endpoint by id, also one that is no longer listed.
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -248,6 +248,31 @@
     CHECK(refusals <= 8);
 }
 
+/// Guards against a pause after a refusal that ends at once, since the endpoint reports, or begins to answer what it took before.
+TEST(AStream, isNotSentToAnEndpointThatHasJustRefusedAndThenReports)
+{
+    bed.call("/stream/x");
+    const AttemptId early = bed.lastAttempt();
+    const std::string full = bed.upperStage();
+    const std::string id = full.substr(0, full.find(':'));
+    const Instant refusedAt = bed.now;
+    do {
+        bed.call("/stream/x");
+    } while (bed.upperStage() != full);
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {503, true, false, full});
+    bed.kernel.onEvent(bed.now, early, 1);
+    EndpointReport report;
+    report.incarnation = 1;
+    report.layers = {RelayTestBed::HalfLayers, 80};
+    bed.kernel.onReport(bed.now, id, report);
+    bed.call("/stream/x");
+    CHECK(bed.upperStage() != full);
+    bed.advance(Ms(100));
+    CHECK(bed.now < refusedAt + Ms(150));
+    bed.call("/stream/x");
+    CHECK(bed.upperStage() != full);
+}
+
 TEST(AStream, isRejectedAtOnceWithARetryDelayWhenALayerIsMissing)
 {
     for (EndpointEntry &entry : bed.entries) {
