Streams: a silent endpoint still runs what it was sent, and is counted

Callers' requests ran on more endpoints than maxAttempts of their routes allows. When a first stage fell silent, its attempt was no longer counted, as if the endpoint had ended. But a sound endpoint may fall silent for a second and go on; then it has run the request, and so have the two attempts after it.

The count is now derived each time that a further attempt is wanted, from the runs of the call, each with its endpoint and incarnation. One is left out only when its endpoint is known to have ended: it has a new incarnation, or it is silent and gone from the list. If no further attempt is permitted, a stream stays at its silent stage (stream_kept) instead of being broken off: the endpoint may go on, and proof that an earlier one has ended lets it move at the next check. The same after a refused detour, unless the first stage says that it doesn't know the stream. A silent stage is reported to the crash guard once for each attempt, not at each check.

Both errors: runs at sound endpoints beyond the limit end; a stream whose two endpoints fail within the time until the first is known to have ended is lost to this instance, and its caller resumes it with a request of its own. Waiting there for the proof was weighed: the caller has no use of the wait.

--- a/libs/relay/include/relay/FleetConfig.h
+++ b/libs/relay/include/relay/FleetConfig.h
@@ -50,8 +50,8 @@
     Ms callerPatience{2000};
     /// Priority of its requests unless the team has one; 0 is the highest.
     int priority = 0;
-    /// Maximum number of attempts of one request that may run. Attempts that certainly didn't run, and attempts of a stream whose first stage fell
-    /// silent, are not counted.
+    /// Maximum number of attempts of one request that may run. Attempts that certainly didn't run, and those whose first stage is known to have ended since,
+    /// are not counted.
     std::uint32_t maxAttempts = 1;
     /// Requests need no API key.
     bool isPublic = false;
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -164,8 +164,29 @@
 std::string RelayKernel::Impl::retryText(Instant now, const Call &call)
 {
     const RetryUsage usage = retries.usage(call.service->name, now);
-    return "retries " + std::to_string(usage.used) + " of " + std::to_string(static_cast<std::uint64_t>(usage.allowed)) + ", reserve divided among "
-        + std::to_string(usage.instances) + " instances";
+    return "runs " + std::to_string(countedRuns(call)) + " of " + std::to_string(call.route->maxAttempts) + ", retries " + std::to_string(usage.used) + " of "
+        + std::to_string(static_cast<std::uint64_t>(usage.allowed)) + ", reserve divided among " + std::to_string(usage.instances) + " instances";
+}
+
+bool RelayKernel::Impl::hasEnded(const Run &run) const
+{
+    const EndpointState &state = endpoints.at(run.first);
+    return state.entry.incarnation > run.incarnation || (!state.listed && isSilent(run.first));
+}
+
+std::uint32_t RelayKernel::Impl::countedRuns(const Call &call) const
+{
+    return static_cast<std::uint32_t>(std::count_if(call.runs.begin(), call.runs.end(), [&](const Run &run) { return !hasEnded(run); }));
+}
+
+bool RelayKernel::Impl::mayRunAgain(const Call &call) const
+{
+    return call.route->kind == RequestKind::AtMostOnce ? !call.mayHaveRun : countedRuns(call) < call.route->maxAttempts;
+}
+
+void RelayKernel::Impl::forgetRun(Call &call, AttemptId attempt)
+{
+    std::erase_if(call.runs, [&](const Run &run) { return run.attempt == attempt; });
 }
 
 bool RelayKernel::Impl::retryIsPermitted(Instant now, Call &call)
@@ -191,9 +212,8 @@
     if (isBarred(call)) {
         return false;
     }
-    const bool mayRunAgain = call.route->kind == RequestKind::AtMostOnce ? !call.mayHaveRun : call.runs < call.route->maxAttempts;
     const std::uint32_t attemptLimit = call.mayHaveRun && call.route->kind == RequestKind::Stream ? MaxResumedStreamAttempts : MaxAttempts;
-    return mayRunAgain && call.attemptCount < attemptLimit && retryIsPermitted(now, call);
+    return mayRunAgain(call) && call.attemptCount < attemptLimit && retryIsPermitted(now, call);
 }
 
 AttemptId RelayKernel::Impl::startAttempt(Instant now, Call &call, Attempt attempt)
@@ -217,9 +237,10 @@
         peers.expedite();
         driver.record({"crash_probe", call.requestId, endpoints.at(attempts.at(id).stages.front()).entry.id, crashGuard.evidenceText(call.signatures, now)});
     }
-    limits.onSent(attempts.at(id).stages.front(), now);
+    const EndpointIndex first = attempts.at(id).stages.front();
+    limits.onSent(first, now);
     ++call.attemptCount;
-    ++call.runs;
+    call.runs.push_back({id, first, endpoints.at(first).entry.incarnation});
     ++counters.attempts;
     return id;
 }
@@ -293,7 +314,7 @@
     impl_->dropAttempt(attempt);
     impl_->exclude(*call, first);
     if (failure == AttemptFailure::NotSent) {
-        --call->runs;
+        impl_->forgetRun(*call, attempt);
     } else {
         call->mayHaveRun = true;
     }
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -91,7 +91,7 @@
         driver.record({"attempt_refused", call.requestId, endpoints.at(endpoint).entry.id, "status " + std::to_string(head.status)});
         endpoints.pauseAfterRefusal(endpoint, now);
         exclude(call, endpoint);
-        --call.runs;
+        forgetRun(call, attempt);
         dropAttempt(attempt);
         return retryPlainOrFail(now, call, base::ErrorKind::Overloaded, "the endpoint refused the request without running it");
     }
@@ -109,7 +109,7 @@
         dropAttempt(attempt);
         return; // The other attempt may still succeed.
     }
-    if (canRetry && choosePlain(now, call) && call.runs < call.route->maxAttempts) {
+    if (canRetry && choosePlain(now, call) && mayRunAgain(call)) {
         exclude(call, endpoint);
         if (choosePlain(now, call) && mayRetry(now, call)) {
             dropAttempt(attempt);
@@ -136,7 +136,7 @@
 
 void RelayKernel::Impl::hedge(Instant now, Call &call)
 {
-    if (call.route->kind != RequestKind::Idempotent || call.attempts.size() != 1 || call.runs >= call.route->maxAttempts) {
+    if (call.route->kind != RequestKind::Idempotent || call.attempts.size() != 1 || !mayRunAgain(call)) {
         return;
     }
     const Attempt &attempt = attempts.at(call.attempts.front());
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -138,7 +138,7 @@
     }
     const EndpointIndex atFault = head.faultAddress.empty() ? first : endpoints.findAddress(head.faultAddress).value_or(first);
     driver.record({"attempt_refused", call.requestId, endpoints.at(atFault).entry.id, "status " + std::to_string(head.status)});
-    --call.runs;
+    forgetRun(call, attempt);
     dropAttempt(attempt);
     if (head.status == MisdirectedStatus) {
         endpoints.forgetLayers(atFault);
@@ -165,7 +165,7 @@
     call.mayHaveRun = true;
     endpoints.at(first).recent.onAnswer(hasFailed, now);
     exclude(call, first);
-    const bool canRetry = hasFailed && call.route->isResumable && call.runs < call.route->maxAttempts;
+    const bool canRetry = hasFailed && call.route->isResumable && mayRunAgain(call);
     if (head.verified && !call.streamBegun && !(canRetry && mayRetry(now, call))) {
         return forward(call, attempt, head.status);
     }
@@ -221,7 +221,7 @@
         return;
     }
     call.mayHaveRun = true;
-    if (call.runs >= call.route->maxAttempts) {
+    if (!mayRunAgain(call)) {
         return; // The route permits no further attempt.
     }
     replaceAttempt(now, call, id, "no progress for " + std::to_string(silence / Ms(1)) + " ms");
@@ -238,12 +238,15 @@
 
 void RelayKernel::Impl::bypassStage(Instant now, Call &call, AttemptId attempt, EndpointIndex silent)
 {
-    const Attempt &openAttempt = attempts.at(attempt);
+    Attempt &openAttempt = attempts.at(attempt);
     const bool isFirst = silent == openAttempt.stages.front();
     if (!isFirst && openAttempt.detourPending) {
         return;
     }
-    suspectCrash(now, call, silent);
+    if (openAttempt.suspected != silent) {
+        openAttempt.suspected = silent;
+        suspectCrash(now, call, silent);
+    }
     if (!isFirst && detour(now, call, attempt)) {
         return;
     }
@@ -254,14 +257,26 @@
 
 void RelayKernel::Impl::moveStream(Instant now, Call &call, AttemptId attempt, EndpointIndex silent)
 {
-    // Runs are counted by their first stage: an attempt counts against the route's maxAttempts unless its first stage is the silent one.
-    if (silent == attempts.at(attempt).stages.front()) {
-        --call.runs;
+    if (!isBarred(call) && !mayRetry(now, call)) {
+        return keepAttempt(call, attempt, silent);
     }
     exclude(call, silent);
     replaceAttempt(now, call, attempt, endpoints.at(silent).entry.id + " is silent");
 }
 
+void RelayKernel::Impl::keepAttempt(const Call &call, AttemptId attempt, EndpointIndex silent)
+{
+    Attempt &openAttempt = attempts.at(attempt);
+    if (!openAttempt.isKept) {
+        openAttempt.isKept = true;
+        driver.record(
+            {"stream_kept",
+             call.requestId,
+             endpoints.at(silent).entry.id,
+             "silent, but no further attempt is permitted; runs " + std::to_string(countedRuns(call)) + " of " + std::to_string(call.route->maxAttempts)});
+    }
+}
+
 void RelayKernel::Impl::replaceAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason)
 {
     call.mayHaveRun = true;
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -40,6 +40,18 @@
     /// Detours that were sent to its first stage, and whether the last one is unanswered.
     int detours = 0;
     bool detourPending = false;
+    /// The silent stage that was last reported to the crash guard.
+    std::optional<EndpointIndex> suspected;
+    /// It stays at a silent stage since no further attempt is permitted, which is logged once.
+    bool isKept = false;
+};
+
+/// An attempt that may run or have run at its first stage.
+struct Run {
+    AttemptId attempt = 0;
+    EndpointIndex first = 0;
+    /// Incarnation of the first stage when the attempt was sent. Engine endpoints start without layers, so that a later one would have refused it.
+    std::uint64_t incarnation = 0;
 };
 
 /// A caller's request that has been admitted and not yet answered completely.
@@ -77,8 +89,8 @@
     Instant maxEventInterval{0};
     /// Open attempts; more than one while a request is hedged.
     std::vector<AttemptId> attempts;
-    /// Attempts that may have run, open ones included. An attempt whose first stage fell silent is not counted: it ended with that endpoint.
-    std::uint32_t runs = 0;
+    /// Attempts that may have run, open ones included; see RelayKernel::Impl::countedRuns().
+    std::vector<Run> runs;
     /// All attempts so far.
     std::uint32_t attemptCount = 0;
     /// Attempts that were refused after the call may have run. The first is retried at once; each further one lengthens the delay before the next
@@ -145,6 +157,15 @@
     void exclude(Call &call, EndpointIndex index);
     /// Returns true if a call may be dispatched now. A retry counts against the service's retry window when it is sent.
     bool mayRetry(Instant now, Call &call);
+    /// Returns how many runs count against the route's maxAttempts: all but those whose endpoint is known to have ended since. One that is only silent may go
+    /// on, and still runs the request.
+    std::uint32_t countedRuns(const Call &call) const;
+    /// Returns true if the endpoint of a run is known to have ended since: it has a new incarnation, or it is silent and no longer listed.
+    bool hasEnded(const Run &run) const;
+    /// Returns true if the call may run once more, as its route permits.
+    bool mayRunAgain(const Call &call) const;
+    /// Forgets the run of an attempt that certainly did not run.
+    static void forgetRun(Call &call, AttemptId attempt);
     /// Returns true if the service's retry window permits one more retry; logs the first refusal of a call.
     bool retryIsPermitted(Instant now, Call &call);
     /// Returns what the call's service has used of its retry window, as it is written to the log.
@@ -230,13 +251,15 @@
     std::optional<EndpointIndex> silentStage(Instant now, const Attempt &attempt) const;
     /// Takes a stream off a silent stage: by a detour if possible, else by a new attempt if the route is resumable.
     void bypassStage(Instant now, Call &call, AttemptId attempt, EndpointIndex silent);
-    /// Replaces an attempt that passes through a silent stage by a new one without that stage.
+    /// Replaces an attempt that passes through a silent stage by a new one without that stage. The attempt stays if no further one is permitted.
     void moveStream(Instant now, Call &call, AttemptId attempt, EndpointIndex silent);
     /// Replaces the silent later stages, and the one at fault, by other endpoints while the first stage continues. Returns false if the first stage
     /// is among them, if there are no replacements, or if the attempt has had too many detours.
     bool detour(Instant now, Call &call, AttemptId attempt, std::optional<EndpointIndex> fault = std::nullopt);
     /// Logs the attempt's current detour and sends it to the first stage.
     void requestDetour(const Call &call, AttemptId attempt);
+    /// Leaves an attempt at its silent stage: that may go on, and what it runs then isn't lost. Logs it once.
+    void keepAttempt(const Call &call, AttemptId attempt, EndpointIndex silent);
     /// Aborts an attempt and starts a new one if the call may be retried, else fails the call.
     void replaceAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason);
     /// Returns the candidates of the call; those that are stages of the attempt already are marked as unusable.
