The configuration is ordered by its own version, also where the store shows an older one

What callers would see: after a restore the store shows the copy's configuration until the operator has written the newest again. An instance that held a newer one took each read of the older one, and each later 'unchanged since the last read' of the client, as a confirmation of its own: a key that was revoked by a version that the copy lacks would have been accepted without bound. A process that started meanwhile took the older configuration for the newest and denied (401, 404) what the newer one allows, although the digests of its peers named that one.

'There is none' counted as a confirmation as well.

Now a read confirms only if it shows at least the version that this instance holds and that others have named within the last three seconds; a process whose configuration was never confirmed isn't ready and answers 503, and while others hold a newer one nothing is denied by the own. The limits of the callers' server never go back either. New log line: config_unconfirmed.

--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -151,7 +151,8 @@
     /// Starts the shutdown; RelayDriver::exit() follows.
     void onStop(Instant now);
 
-    /// Takes the result of a read of the configuration that was sent at `sentAt`. Null means that the version is the one already known.
+    /// Takes the result of a read of the configuration that was sent at `sentAt`. Null means that the version is the one already known. An older version
+    /// than this or another instance holds changes nothing and doesn't confirm that the own one is current: the store may have been restored from a copy.
     void onConfig(Instant now, Instant sentAt, FleetConfigPtr config);
     /// Takes a current list of all endpoints, which contains all changes up to `version` of the store.
     void onEndpoints(Instant now, const std::vector<EndpointEntry> &entries, wire::StoreVersion version);
--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -70,8 +70,8 @@
     const auto refuse = [&](base::ErrorKind kind, const std::string &detail) {
         reject(arrival.call, arrival.requestId, timeLimitOf(arrival), kind, detail);
     };
-    if (!config || !endpoints.hasList()) {
-        return refuse(base::ErrorKind::Unconfirmed, "no configuration has been read yet");
+    if (!config || known.configAt.count() == 0 || !endpoints.hasList()) {
+        return refuse(base::ErrorKind::Unconfirmed, "no current configuration has been read yet");
     }
     if (stopping && now - stopAt > RefuseAfter) {
         return refuse(base::ErrorKind::Stopping, "this instance is shutting down");
@@ -79,7 +79,7 @@
     const std::string configAge =
         "configuration " + std::to_string(config->version) + ", age " + std::to_string(std::chrono::duration_cast<Ms>(now - known.configAt).count()) + " ms";
     const Route *route = routes.find(arrival.host, arrival.path);
-    const bool isConclusive = configIsCurrent(now, MaxConclusiveAge);
+    const bool isConclusive = configIsCurrent(now, MaxConclusiveAge) && storeDuty.namedConfigVersion(now) <= config->version;
     if (route == nullptr) {
         return refuse(isConclusive ? base::ErrorKind::UnknownRoute : base::ErrorKind::Unconfirmed, "no route for this host and path; " + configAge);
     }
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -180,6 +180,7 @@
 void RelayKernel::onConfig(Instant now, Instant sentAt, FleetConfigPtr config)
 {
     Impl &impl = *impl_;
+    const std::uint64_t shown = config ? config->version : impl.known.configVersion;
     if (config && (!impl.config || config->version > impl.config->version)) {
         impl.routes = RouteTable(config);
         impl.config = std::move(config);
@@ -187,7 +188,16 @@
         impl.peers.expedite();
         impl.driver.record({"config_in_force", "", impl.settings.instance, "version " + std::to_string(impl.config->version)});
     }
-    impl.known.configAt = std::max(impl.known.configAt, sentAt);
+    if (!impl.config) {
+        return;
+    }
+    const std::uint64_t newest = std::max(impl.known.configVersion, impl.storeDuty.namedConfigVersion(now));
+    if (shown >= newest) {
+        impl.known.configAt = std::max(impl.known.configAt, sentAt);
+    } else {
+        impl.driver.record(
+            {"config_unconfirmed", "", impl.settings.instance, "the store shows version " + std::to_string(shown) + ", known is " + std::to_string(newest)});
+    }
     impl.updateReadiness(now);
 }
 
--- a/libs/relay/src/StoreDuty.cpp
+++ b/libs/relay/src/StoreDuty.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint64_t MaxFirstRequestNumber = 1ULL << 48;
 /// Minimum interval between reads of the endpoint list, and between requests, that updates from other instances cause.
 constexpr Ms RefreshPeriod{250};
+/// A version of the configuration counts as held by another instance for this time, several intervals between digests.
+constexpr Ms NamedVersionLifetime{3000};
 /// Changes that a digest has named and that have not arrived within this time are read from the store.
 constexpr Ms UpdateTimeout{350};
 /// A new instance requests the list of endpoints from others in this period. It reads the list itself if none has sent it within the timeout, since
@@ -133,9 +135,7 @@
     if (reply.configVersion == known.configVersion) {
         known.configAt = std::max(known.configAt, requestedAt - Instant(Ms(reply.configAgeMs)));
     }
-    if (reply.configVersion > known.configVersion) {
-        driver_.refreshConfig();
-    }
+    onConfigNamed(reply.configVersion, now, known);
     const bool isSameEpoch = reply.endpointsVersion.epoch == known.endpointsVersion.epoch;
     if (isSameEpoch && reply.endpointsHash == known.endpointsHash) {
         known.endpointsAt = std::max(known.endpointsAt, requestedAt - Instant(Ms(reply.endpointsAgeMs)));
@@ -146,9 +146,7 @@
 
 void StoreDuty::onStoreUpdate(const wire::RelayDigest &digest, Instant now, const Knowledge &known)
 {
-    if (digest.configVersion > known.configVersion) {
-        driver_.refreshConfig();
-    }
+    onConfigNamed(digest.configVersion, now, known);
     // A digest without a list, with the same content or without a later version is no update. The same content in another epoch is one: the history of before
     // doesn't lead on from it.
     const bool isSameList = digest.endpointsHash == known.endpointsHash && digest.endpointsVersion.epoch == known.endpointsVersion.epoch;
@@ -165,6 +163,22 @@
     }
 }
 
+void StoreDuty::onConfigNamed(std::uint64_t version, Instant now, const Knowledge &known)
+{
+    if (version >= namedConfigVersion(now)) {
+        namedConfigVersion_ = version;
+        configNamedAt_ = now;
+    }
+    if (version > known.configVersion) {
+        driver_.refreshConfig();
+    }
+}
+
+std::uint64_t StoreDuty::namedConfigVersion(Instant now) const
+{
+    return now < configNamedAt_ + NamedVersionLifetime ? namedConfigVersion_ : 0;
+}
+
 void StoreDuty::refreshEndpoints(Instant now)
 {
     if (now >= refreshedAt_ + RefreshPeriod) {
--- a/libs/relay/src/details/StoreDuty.h
+++ b/libs/relay/src/details/StoreDuty.h
@@ -51,6 +51,9 @@
     /// Compares the knowledge that another instance's digest names with `known`, and requests what is newer.
     void onStoreUpdate(const wire::RelayDigest &digest, Instant now, const Knowledge &known);
 
+    /// Returns the highest version of the configuration that other instances have lately named; 0 if none has.
+    std::uint64_t namedConfigVersion(Instant now) const;
+
     /// Returns true if this instance is one of the few that may take the planner's lease, as far as it can tell.
     bool mayTakeLease() const
     {
@@ -64,6 +67,8 @@
     void follow(bool shouldFollow, bool isReader, Instant now);
     /// Sends a freshness request to an instance.
     void sendRequest(const std::string &instance, Instant now, const Knowledge &known);
+    /// Takes a version of the configuration that another instance holds, and reads the store if it is newer than the own one.
+    void onConfigNamed(std::uint64_t version, Instant now, const Knowledge &known);
     /// Reads the list of endpoints from the store, unless it was read moments ago.
     void refreshEndpoints(Instant now);
 
@@ -75,6 +80,9 @@
     bool followsStore_ = false;
     bool mayTakeLease_ = false;
     Instant startedAt_{0};
+    /// The highest version of the configuration that other instances have named, and when one last did.
+    std::uint64_t namedConfigVersion_ = 0;
+    Instant configNamedAt_{0};
     /// The latest version of the endpoint list that a digest has named, and since when it is awaited.
     wire::StoreVersion updateVersion_;
     Instant updateAwaitedSince_{0};
--- a/libs/relay/tests/VirtualInstance.cpp
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -40,7 +40,6 @@
     instance.stopping = false;
     instance.followsStore = false;
     instance.endpointReadsPaused = true;
-    instance.configVersion = 0;
     instance.startedAt = time_.now();
     instance.interruptedAt = time_.now();
     instance.answers.clear();
@@ -126,9 +125,7 @@
                 const std::uint64_t generation = self.generation;
                 return time_.after(RetryPeriod, [this, index, generation]() { runInInstance(index, generation, [this, index]() { readConfig(index); }); });
             }
-            const bool isNew = (*config)->version != self.configVersion;
-            self.configVersion = (*config)->version;
-            self.kernel->onConfig(time_.now(), sentAt, isNew ? *config : nullptr);
+            self.kernel->onConfig(time_.now(), sentAt, *config);
             self.configReadsPaused = !self.followsStore;
             if (self.followsStore) {
                 const std::uint64_t generation = self.generation;
--- a/libs/relay/tests/VirtualInstance.h
+++ b/libs/relay/tests/VirtualInstance.h
@@ -18,8 +18,6 @@
     /// No read of the configuration, or of the endpoint list, is under way or scheduled.
     bool configReadsPaused = false;
     bool endpointReadsPaused = true;
-    /// Version of the configuration that the kernel was last given; zero if none.
-    std::uint64_t configVersion = 0;
     relay::Instant startedAt{0};
     relay::Instant frozenUntil{0};
     /// Time of the latest start, or end of the latest freeze.
--- a/libs/relayhost/include/relayhost/StoreClient.h
+++ b/libs/relayhost/include/relayhost/StoreClient.h
@@ -17,7 +17,7 @@
     bool ok = false;
     /// Epoch of the store that answered; 0 if none did.
     std::uint64_t epoch = 0;
-    /// Null if there is none yet, or if it is unchanged since the last successful read.
+    /// Null if there is none. Versions may go back: the store may have been restored from a copy.
     relay::FleetConfigPtr config;
 };
 
--- a/libs/relayhost/include/relayhost/StoreFollower.h
+++ b/libs/relayhost/include/relayhost/StoreFollower.h
@@ -10,8 +10,7 @@
 
 /// Results that a StoreFollower reports. All handlers are called in the event loop's thread.
 struct StoreHandlers {
-    /// The configuration was read, and is current as of `sentAt`, the time at which the read was sent. Null if there is none yet, or if it is
-    /// unchanged since the last report.
+    /// The configuration was read; `sentAt` is the time at which the read was sent. It may be older than one reported before.
     std::function<void(relay::Instant sentAt, relay::FleetConfigPtr)> onConfig;
     /// The full list of endpoints, with all changes up to the version.
     std::function<void(std::vector<relay::EndpointEntry>, wire::StoreVersion)> onEndpoints;
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -107,7 +107,7 @@
 {
     StoreHandlers handlers;
     handlers.onConfig = [this](relay::Instant sentAt, const relay::FleetConfigPtr &config) {
-        if (config) {
+        if (config->version >= kernel_.configVersion()) {
             callerServer_->setLimits(serverLimits(config->limits));
         }
         kernel_.onConfig(now(), sentAt, config);
--- a/libs/relayhost/src/StoreFollower.cpp
+++ b/libs/relayhost/src/StoreFollower.cpp
@@ -144,7 +144,9 @@
         return runAt(retryTime(), [this]() { readConfig(); });
     }
     takeEpoch(read.epoch);
-    handlers_.onConfig(sentAt, read.config);
+    if (read.config) {
+        handlers_.onConfig(sentAt, read.config);
+    }
     if (follows_) {
         return runAt(sentAt + ConfigPeriod, [this]() { readConfig(); });
     }
