Facts about an endpoint are ordered by its incarnation, and leaving is final within one

What callers would see: the entry of an endpoint in a restored store is older than what was known of it. One that had said that it leaves was listed as ready again and got new requests; one whose entry had been removed came back out of the copy; one whose earlier process had been leaving got none; and one that had registered after the copy was made counted as gone until it had written its entry again.

Cause: EndpointRegistry::update() took each listed entry as the latest word, except for the layers, and the grace period for missing entries began only after a long outage.

Now an entry of an earlier incarnation changes nothing, and draining is never undone within one. In the first list of a new epoch entries may be missing for the grace period that follows an outage. An endpoint whose entry was removed in an earlier epoch and that is listed again under the same incarnation gets no new work for that period: an endpoint that has left removes its entry again.

--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -35,23 +35,28 @@
 {
     const EndpointEntry known = state.entry;
     state.entry = entry;
+    state.listedAsDraining = entry.draining;
     if (entry.incarnation > known.incarnation) {
         state.silentCheckAt = Instant{0};
         state.pausedUntil = Instant{0};
         state.refusals = 0;
         state.silenceCount = 0;
         state.orderCount = 0;
-    } else if (entry.incarnation < known.incarnation || now < state.reportedAt + MaxListLag) {
+        return;
+    }
+    state.entry.draining = known.draining || entry.draining;
+    if (now < state.reportedAt + MaxListLag) {
         // The list is older than the endpoint's own report.
-        state.entry.incarnation = known.incarnation;
         state.entry.layers = known.layers;
         state.entry.modelVersion = known.modelVersion;
     }
 }
 
-void EndpointRegistry::onList(Instant now, const std::vector<EndpointEntry> &entries, bool afterOutage)
+void EndpointRegistry::onList(Instant now, const std::vector<EndpointEntry> &entries, std::uint64_t epoch, bool afterOutage)
 {
+    const bool mayLackEntries = afterOutage || (hasList_ && epoch != epoch_);
     hasList_ = true;
+    epoch_ = epoch;
     std::unordered_set<std::string> present;
     for (const EndpointEntry &entry : entries) {
         present.insert(entry.id);
@@ -62,7 +67,14 @@
             lastNewEndpointAt_ = now;
         }
         EndpointState &state = states_[found->second];
+        if (!isNew && entry.incarnation < state.entry.incarnation) {
+            continue;
+        }
+        const bool mayComeFromCopy = !isNew && !state.listed && entry.incarnation == state.entry.incarnation && epoch > state.unlistedEpoch;
         update(state, entry, now);
+        if (mayComeFromCopy) {
+            pause(found->second, now, ReturnGracePeriod);
+        }
         state.zone = zoneNumber(entry.zone);
         state.listed = true;
         state.keepListedUntil = Instant{0};
@@ -71,11 +83,22 @@
         if (!state.listed || present.contains(state.entry.id)) {
             continue;
         }
-        if (afterOutage && state.keepListedUntil.count() == 0) {
+        if (mayLackEntries && state.keepListedUntil.count() == 0) {
             state.keepListedUntil = now + ReturnGracePeriod;
         }
         state.listed = now < state.keepListedUntil;
+        state.unlistedEpoch = epoch;
+    }
+}
+
+bool EndpointRegistry::setLeaving(EndpointIndex index, std::uint64_t incarnation)
+{
+    EndpointEntry &entry = states_[index].entry;
+    if (entry.incarnation != incarnation || entry.draining) {
+        return false;
     }
+    entry.draining = true;
+    return true;
 }
 
 void EndpointRegistry::onReport(EndpointIndex index, const EndpointReport &report, Instant now)
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -16,7 +16,11 @@
     std::uint32_t zone = 0;
     /// True while the endpoint is in the platform's list; otherwise it gets no new work.
     bool listed = false;
-    /// Set if the endpoint was missing from a list that was read after an outage of the store: it stays listed until this time. Zero otherwise.
+    /// The list itself shows that the endpoint is draining; `entry.draining` may be known earlier from the endpoint or from other instances.
+    bool listedAsDraining = false;
+    /// Epoch of the store in which the endpoint was last found to be no longer listed.
+    std::uint64_t unlistedEpoch = 0;
+    /// Set if the endpoint was missing from a list that was read after an outage or a restore of the store: it stays listed until this time. Zero otherwise.
     Instant keepListedUntil{0};
     /// Set while the endpoint is marked as silent: it gets no new work, and a report is requested from this time on. Zero if it isn't silent.
     Instant silentCheckAt{0};
@@ -61,9 +65,14 @@
 class EndpointRegistry
 {
 public:
-    /// Takes a current list. After an outage of the store, entries that have expired meanwhile may be missing although their endpoints live; they stay
-    /// listed for a grace period.
-    void onList(Instant now, const std::vector<EndpointEntry> &entries, bool afterOutage);
+    /// Takes a current list of a store of that epoch. After an outage of the store, entries that have expired meanwhile may be missing although their
+    /// endpoints live, and so may new entries after a restore; they stay listed for a grace period. An entry that was removed before the restore and is
+    /// there again after it may come from the copy: its endpoint gets no new work until the grace period has passed, in which it would be removed again.
+    void onList(Instant now, const std::vector<EndpointEntry> &entries, std::uint64_t epoch, bool afterOutage);
+
+    /// Takes from the endpoint itself, or from another instance, that this incarnation of it is leaving. Returns false if that is known, or if the present
+    /// incarnation is another one.
+    bool setLeaving(EndpointIndex index, std::uint64_t incarnation);
 
     /// Takes an endpoint's own report and ends its mark as silent. A report of an older incarnation than the listed one changes no layers.
     void onReport(EndpointIndex index, const EndpointReport &report, Instant now);
@@ -127,7 +136,8 @@
     }
 
 private:
-    /// Takes a listed entry, but keeps newer state from the endpoint's own reports.
+    /// Takes a listed entry, but keeps newer state from the endpoint's own reports. Within one incarnation, leaving is final. An entry of an earlier
+    /// incarnation changes nothing.
     void update(EndpointState &state, const EndpointEntry &entry, Instant now);
 
     std::vector<EndpointState> states_;
@@ -136,6 +146,8 @@
     std::unordered_map<std::uint32_t, EndpointIndex> byHash_;
     std::unordered_map<std::string, std::uint32_t> zoneNumbers_;
     bool hasList_ = false;
+    /// Epoch of the store that the last list came from.
+    std::uint64_t epoch_ = 0;
     Instant lastNewEndpointAt_{0};
 };
 
--- a/libs/relay/tests/LargeFleetDigestTests.cpp
+++ b/libs/relay/tests/LargeFleetDigestTests.cpp
@@ -68,7 +68,7 @@
             auto member = std::make_unique<FleetMember>();
             member->id = "instance-" + std::to_string(i);
             member->zone = zoneOf(i);
-            member->endpoints.onList(now, entries, false);
+            member->endpoints.onList(now, entries, 0, false);
             EndpointState &state = member->endpoints.at(static_cast<EndpointIndex>(i % EndpointCount));
             state.openRequests = 1;
             state.contextTokens = 1024;
--- /dev/null
+++ b/libs/relay/tests/LeavingEndpointTests.cpp
@@ -0,0 +1,137 @@
+#include "FakeDriver.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace relay;
+
+/// Facts about one endpoint are ordered by its incarnation; within one incarnation, leaving is final.
+TEST_GROUP(AnEndpointThatLeaves)
+{
+    RelayTestBed bed;
+
+    void setup() override
+    {
+        bed.storeEpoch = 1;
+        bed.storeRevision = 900;
+        bed.advance(Ms(50));
+    }
+
+    EndpointEntry &entry(const std::string &id)
+    {
+        return *std::find_if(bed.entries.begin(), bed.entries.end(), [&](const EndpointEntry &listed) { return listed.id == id; });
+    }
+
+    void remove(const std::string &id)
+    {
+        std::erase_if(bed.entries, [&](const EndpointEntry &listed) { return listed.id == id; });
+    }
+
+    /// Restores the store from a copy: its epoch rises and its revisions go back.
+    void restore()
+    {
+        ++bed.storeEpoch;
+        bed.storeRevision = 700;
+    }
+
+    static std::string stateIn(const RelayKernel &kernel, const std::string &id)
+    {
+        const auto views = kernel.endpoints();
+        return std::find_if(views.begin(), views.end(), [&](const EndpointView &view) { return view.id == id; })->state;
+    }
+
+    std::string stateOf(const std::string &id) const
+    {
+        return stateIn(bed.kernel, id);
+    }
+
+    /// Makes requests until one is sent to that endpoint; returns its attempt.
+    AttemptId sendTo(const std::string &id)
+    {
+        for (int i = 0; i < 100; ++i) {
+            bed.call("/book/seat");
+            if (bed.driver.sent.back().endpoint == id) {
+                return bed.lastAttempt();
+            }
+        }
+        FAIL("no request was sent to the endpoint");
+        return 0;
+    }
+};
+
+/// The copy is older than the entry in which the endpoint said that it leaves.
+TEST(AnEndpointThatLeaves, isNotUsedAgainWhenARestoredEntryListsItAsReady)
+{
+    entry("desk-a").draining = true;
+    bed.advance(Ms(50));
+    restore();
+    entry("desk-a").draining = false;
+    bed.advance(Ms(6000));
+    STRCMP_EQUAL("draining", stateOf("desk-a").c_str());
+}
+
+TEST(AnEndpointThatLeaves, isUsedAgainOnceItHasRestarted)
+{
+    entry("desk-a").draining = true;
+    bed.advance(Ms(50));
+    entry("desk-a").draining = false;
+    entry("desk-a").incarnation = 2;
+    bed.advance(Ms(50));
+    STRCMP_EQUAL("usable", stateOf("desk-a").c_str());
+}
+
+/// The copy has the entry of the process before, which was leaving; the present process would get no requests.
+TEST(AnEndpointThatLeaves, doesNotMakeItsNextIncarnationLeave)
+{
+    entry("desk-a").incarnation = 2;
+    bed.advance(Ms(50));
+    restore();
+    entry("desk-a").incarnation = 1;
+    entry("desk-a").draining = true;
+    bed.advance(Ms(50));
+    STRCMP_EQUAL("usable", stateOf("desk-a").c_str());
+}
+
+/// Some endpoints leave by removing their entry alone. The copy still has it, until the endpoint has removed it again.
+TEST(AnEndpointThatLeaves, isNotUsedAtOnceWhenItsRemovedEntryIsRestored)
+{
+    const EndpointEntry removed = entry("desk-a");
+    remove("desk-a");
+    bed.advance(Ms(50));
+    STRCMP_EQUAL("gone", stateOf("desk-a").c_str());
+    restore();
+    bed.entries.push_back(removed);
+    bed.advance(Ms(1500));
+    for (int i = 0; i < 60; ++i) {
+        bed.call("/book/seat");
+        CHECK(bed.driver.sent.back().endpoint != "desk-a");
+    }
+    // An entry that is still there has not been removed again: the endpoint lives.
+    bed.advance(Ms(900));
+    sendTo("desk-a");
+}
+
+TEST(AnEndpointThatLeaves, isUsedAtOnceWhenItListsItselfAgainWithoutARestore)
+{
+    const EndpointEntry removed = entry("desk-a");
+    remove("desk-a");
+    bed.advance(Ms(50));
+    bed.entries.push_back(removed);
+    bed.advance(Ms(50));
+    sendTo("desk-a");
+}
+
+/// An endpoint that has started after the copy was made is missing until it has written its entry again.
+TEST(AnEndpointThatLeaves, isNotTakenForOneThatTheCopyLacks)
+{
+    restore();
+    const EndpointEntry lacking = entry("desk-a");
+    remove("desk-a");
+    bed.advance(Ms(2000));
+    STRCMP_EQUAL("usable", stateOf("desk-a").c_str());
+    bed.entries.push_back(lacking);
+    bed.advance(Ms(500));
+    STRCMP_EQUAL("usable", stateOf("desk-a").c_str());
+    remove("desk-a");
+    bed.advance(Ms(50));
+    STRCMP_EQUAL("gone", stateOf("desk-a").c_str());
+}
