Each outgoing call ends, whatever is thrown, and never before it has started

Seen in the review: TRACE with a body throws inside the HTTP library; the call gets no end (its caller waits for its own timeout) and its state is never freed. Cause: the coroutine of a call had no end for exceptions, and its starter dropped them without a word. A handler that throws does the same, with a connection left half read.

Class: who may call whom, and when, is left to the luck of a suspension.

Now a call begins after start() has returned, everything between its connection and the end of its response runs in one function, and one place ends it: as a failure, with a log line, if something was thrown. Two timers whose handler is already due when their operation ends (connecting, total timeout) no longer close the connection, which may be another call's by then; that race is mended from reading, without a test of its own.

Failed before: the three cases of ACallThatCannotBeSent (called back before start() had returned; no end within 10 s; no end within 10 s).

--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -14,7 +14,7 @@
 
 /// Why a call failed. Only NotSent proves that the server received no part of it.
 enum class CallFailure {
-    /// The call failed, timed out or was cancelled before its first byte was written.
+    /// The call failed, timed out or was cancelled before its first byte was written, or its request can't be written as HTTP.
     NotSent,
     /// The connection was closed, or the response is malformed or too large.
     Broken,
@@ -59,7 +59,8 @@
     explicit HttpClient(EventLoop &loop);
     ~HttpClient();
 
-    /// Starts a call. Its handlers are called after start() has returned, except that onFailure is called before if the host isn't an IP address.
+    /// Starts a call. Its handlers are called after start() has returned. A call whose request can't be written as HTTP fails as NotSent; one whose
+    /// onHead or onData throws fails as Broken.
     ClientCallId start(ClientCall call, ClientHandlers handlers);
 
     /// Starts a call, collects the response, and calls one of the handlers with the complete response or with the failure.
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -2,6 +2,8 @@
 
 #include "details/EventLoopImpl.h"
 
+#include <iostream>
+
 namespace net {
 
 namespace asio = boost::asio;
@@ -20,6 +22,10 @@
     std::shared_ptr<asio::steady_timer> timer;
     bool cancelled = false;
     bool timedOut = false;
+    /// From here on, the server may have received the request and acted on it.
+    bool sent = false;
+    /// The connection isn't the call's any more. The total timeout may have passed just before that, with its handler still to come.
+    bool ended = false;
 };
 
 void closeSocket(tcp::socket &socket)
@@ -71,8 +77,13 @@
 
     /// Opens a connection within the connect timeout. Returns false if that fails.
     asio::awaitable<bool> connect(const ClientCall &call, const std::shared_ptr<RunningCall> &running);
-    /// Runs one call from the connection to its end or failure.
-    asio::awaitable<void> exchange(ClientCallId id, ClientCall call, ClientHandlers handlers);
+    /// Runs one call to its end or failure.
+    asio::awaitable<void> run(ClientCallId id, ClientCall call, ClientHandlers handlers);
+    /// Makes the exchange of one call, from the connection to the end of the response. Returns false if that fails; then the connection can't be used any
+    /// more. Throws what a handler or the HTTP library throws.
+    asio::awaitable<bool> exchange(ClientCall &call, const ClientHandlers &handlers, std::shared_ptr<RunningCall> state);
+    /// Starts the timer of the total timeout.
+    static void startTimer(const ClientCall &call, const std::shared_ptr<RunningCall> &state);
 
     asio::io_context &io;
     /// Idle connections by address.
@@ -100,9 +111,21 @@
     return message;
 }
 
-CallFailure failureOf(const RunningCall &running, bool sent)
+/// Logs the exception with which a handler of a call's end has failed.
+void logFailure(const std::exception_ptr &failure)
 {
-    if (!sent) {
+    try {
+        if (failure) {
+            std::rethrow_exception(failure);
+        }
+    } catch (const std::exception &error) {
+        std::cerr << "the handler of a call's end failed: " << error.what() << "\n";
+    }
+}
+
+CallFailure failureOf(const RunningCall &running)
+{
+    if (!running.sent) {
         return CallFailure::NotSent;
     }
     if (running.timedOut) {
@@ -123,12 +146,15 @@
     running->socket = std::make_shared<tcp::socket>(io);
     auto socket = running->socket;
     asio::steady_timer connectTimer(io, call.connectTimeout);
-    connectTimer.async_wait([socket](const beast::error_code &waitError) {
-        if (!waitError) {
+    // The timeout may have passed just before the connection is there, with its handler still to come.
+    const auto isConnecting = std::make_shared<bool>(true);
+    connectTimer.async_wait([socket, isConnecting](const beast::error_code &waitError) {
+        if (!waitError && *isConnecting) {
             closeSocket(*socket);
         }
     });
     co_await socket->async_connect({ip, call.address.port}, asio::redirect_error(asio::use_awaitable, error));
+    *isConnecting = false;
     connectTimer.cancel();
     if (error || !socket->is_open()) {
         co_return false;
@@ -138,58 +164,75 @@
     co_return true;
 }
 
-asio::awaitable<void> HttpClient::Impl::exchange(ClientCallId id, ClientCall call, ClientHandlers handlers)
+void HttpClient::Impl::startTimer(const ClientCall &call, const std::shared_ptr<RunningCall> &state)
+{
+    if (call.totalTimeout.count() <= 0) {
+        return;
+    }
+    state->timer->expires_after(call.totalTimeout);
+    state->timer->async_wait([state](const beast::error_code &error) {
+        if (!error && !state->ended) {
+            state->timedOut = true;
+            closeSocket(*state->socket);
+        }
+    });
+}
+
+asio::awaitable<void> HttpClient::Impl::run(ClientCallId id, ClientCall call, ClientHandlers handlers)
 {
     auto self = shared_from_this();
     auto state = running[id];
+    startTimer(call, state);
+    bool isDone = false;
+    try {
+        isDone = co_await exchange(call, handlers, state);
+    } catch (const std::exception &error) {
+        // A request that can't be written as HTTP, or a handler that failed: the call ends, and nothing else does.
+        std::cerr << "call to " << toString(call.address) << " failed: " << error.what() << "\n";
+    }
+    state->ended = true;
+    state->timer->cancel();
+    running.erase(id);
+    if (isDone) {
+        handlers.onEnd();
+        co_return;
+    }
+    closeSocket(*state->socket);
+    handlers.onFailure(failureOf(*state));
+}
+
+asio::awaitable<bool> HttpClient::Impl::exchange(ClientCall &call, const ClientHandlers &handlers, std::shared_ptr<RunningCall> state)
+{
     const std::string key = toString(call.address);
-    bool sent = false;
-    const auto fail = [&]() {
-        closeSocket(*state->socket);
-        state->timer->cancel();
-        self->running.erase(id);
-        handlers.onFailure(failureOf(*state, sent));
-    };
-    if (call.totalTimeout.count() > 0) {
-        state->timer->expires_after(call.totalTimeout);
-        state->timer->async_wait([state](const beast::error_code &error) {
-            if (!error) {
-                state->timedOut = true;
-                closeSocket(*state->socket);
-            }
-        });
+    if (state->cancelled) {
+        co_return false;
     }
+    const bool isHeadRequest = call.request.method == "HEAD";
+    const auto message = toMessage(call);
     auto idleSocket = call.freshConnection ? nullptr : takeIdle(key);
     if (idleSocket) {
         state->socket = idleSocket;
     } else if (!co_await connect(call, state)) {
-        fail();
-        co_return;
+        co_return false;
     }
     if (state->cancelled || state->timedOut) {
-        fail();
-        co_return;
+        co_return false;
     }
 
     beast::error_code error;
-    const bool isHeadRequest = call.request.method == "HEAD";
-    const std::size_t bodyLimit = call.bodyLimit;
-    const auto message = toMessage(call);
-    sent = true; // From here on, the server may have received the request and acted on it.
+    state->sent = true;
     co_await http::async_write(*state->socket, message, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        fail();
-        co_return;
+        co_return false;
     }
 
     beast::flat_buffer buffer;
     http::response_parser<http::buffer_body> parser;
-    parser.body_limit(bodyLimit);
+    parser.body_limit(call.bodyLimit);
     parser.skip(isHeadRequest);
     co_await http::async_read_header(*state->socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        fail();
-        co_return;
+        co_return false;
     }
     Headers headers;
     for (const auto &field : parser.get()) {
@@ -211,17 +254,14 @@
             error = {};
         }
         if (error || state->cancelled) {
-            fail();
-            co_return;
+            co_return false;
         }
     }
-    state->timer->cancel();
-    running.erase(id);
     // Bytes after the response belong to no request. The next call would read them as its response, so the connection isn't reused.
     if (parser.get().keep_alive() && !parser.need_eof() && !call.freshConnection && buffer.size() == 0) {
         keepIdle(key, state->socket);
     }
-    handlers.onEnd();
+    co_return true;
 }
 
 HttpClient::HttpClient(EventLoop &loop)
@@ -241,8 +281,11 @@
     auto impl = impl_;
     auto callPtr = std::make_shared<ClientCall>(std::move(call));
     auto handlersPtr = std::make_shared<ClientHandlers>(std::move(handlers));
-    asio::co_spawn(
-        impl_->io, [impl, id, callPtr, handlersPtr]() { return impl->exchange(id, std::move(*callPtr), std::move(*handlersPtr)); }, asio::detached);
+    // The call begins only after this function has returned, even if it is called in the loop's thread.
+    asio::post(impl_->io, [impl, id, callPtr, handlersPtr]() {
+        asio::co_spawn(
+            impl->io, [impl, id, callPtr, handlersPtr]() { return impl->run(id, std::move(*callPtr), std::move(*handlersPtr)); }, logFailure);
+    });
     return id;
 }
 
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -368,6 +368,82 @@
     LONGS_EQUAL(2, server.connections());
 }
 
+/// Guards against a driver that is called back before it knows the call, and against calls whose state is never freed.
+TEST_GROUP(ACallThatCannotBeSent)
+{
+    std::vector<net::CallFailure> failures;
+
+    void run(net::ClientCall call)
+    {
+        net::EventLoop loop;
+        net::HttpClient client(loop);
+        bool hasStarted = false;
+        call.totalTimeout = std::chrono::seconds(60);
+        // As in a program, the call is started by a handler within the loop's thread.
+        loop.post([&]() {
+            client.fetch(
+                call,
+                [&](const net::HttpResponse &) { loop.stop(); },
+                [&](net::CallFailure failure) {
+                    CHECK(hasStarted);
+                    failures.push_back(failure);
+                    loop.stop();
+                });
+            hasStarted = true;
+        });
+        loop.run();
+    }
+};
+
+TEST(ACallThatCannotBeSent, failsOnlyAfterItWasStarted)
+{
+    for (const char *host : {"300.1.2.3", "host", "", "10.0.0.1\r\nX: 1", "[::1]"}) {
+        run({{host, 80}, {}});
+        CHECK(failures.back() == net::CallFailure::NotSent);
+    }
+    LONGS_EQUAL(5, failures.size());
+}
+
+TEST(ACallThatCannotBeSent, failsIfTheLibraryRejectsItsMessage)
+{
+    FixedServer server("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    net::ClientCall trace{server.address(), {"TRACE", "/", {}, "a body"}};
+    net::ClientCall longHeader{server.address(), {"GET", "/", {{"X-Long", std::string(100000, 'x')}}, ""}};
+    for (const net::ClientCall &call : {trace, longHeader}) {
+        run(call);
+        CHECK(!failures.empty());
+        CHECK(failures.back() == net::CallFailure::NotSent);
+    }
+    LONGS_EQUAL(2, failures.size());
+}
+
+/// Guards against the end of one call's handler taking the rest of the process with it, or leaving the call without an end.
+TEST(ACallThatCannotBeSent, endsAsBrokenIfItsHandlerThrows)
+{
+    FixedServer server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    net::EventLoop loop;
+    net::ClientHandlers handlers;
+    handlers.onHead = [](int, const net::Headers &) {
+        throw std::length_error("too long");
+    };
+    handlers.onData = [](const std::string &) {
+    };
+    handlers.onEnd = [&]() {
+        loop.stop();
+    };
+    handlers.onFailure = [&](net::CallFailure failure) {
+        failures.push_back(failure);
+        loop.stop();
+    };
+    net::ClientCall call{server.address(), {}};
+    call.totalTimeout = std::chrono::seconds(60);
+    net::HttpClient client(loop);
+    client.start(call, handlers);
+    loop.run();
+    LONGS_EQUAL(1, failures.size());
+    CHECK(failures.back() == net::CallFailure::Broken);
+}
+
 /// An answer that states neither a length nor chunks ends with its connection.
 TEST_GROUP(AnAnswerWithoutALength){static net::BlockingResult fetchFrom(FixedServer::Ending ending){
     FixedServer server("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", ending);
