An answer to an earlier request is no answer to the next one

Callers are told "not run, try again" for requests that an endpoint runs or has run (REFUSED), or such a request runs at a second one (TWICE).

Cause: "not run" was taken from any answer that states it, whether or not it bears the id of the request. Class: what a kept connection still owes. Where else, and what changed: - An answer with another id, on a connection that has carried other calls, is skipped (four at most, each within the limit of a body), and the connection is closed after the call. It states nothing. The first answer on a connection can't be a late one: as before, it is damaged if its id differs, and the caller needn't wait for another. - An answer without an id on a kept connection may belong to an earlier request, and proves nothing either; on a new one it does as before. - Streams that can't be resumed go over new connections, as requests that must run at most once did: a kept one that the endpoint closes meanwhile leaves unknown whether they ran. That includes streams of services without layers. - The router's own requests have no id. An answer that bears one isn't theirs. Placement orders and detours go over new connections: a late 412 or 202 to an earlier order was taken for the one to this order, which would be a wrong decision about fencing. Reports stay on kept connections; a late one is at most one report old, and its endpoint has answered.

--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -39,10 +39,16 @@
     bool freshConnection = false;
     /// Maximum size of the response body, in bytes; a larger one fails the call as Broken.
     std::size_t bodyLimit = 4 * 1024 * 1024;
+    /// Returns whether the response with this header answers another request than the call's. A faulty server may send a response once more where the next
+    /// one is expected. Asked only on a connection that has carried other calls before; such a response is skipped, and the connection is closed after
+    /// the call. May be null.
+    std::function<bool(const Headers &)> isStray = nullptr;
 };
 
 /// Callbacks of a call, called in the loop's thread. Exactly one of onEnd and onFailure is called, after all others.
 struct ClientHandlers {
+    /// The call uses a connection that has carried other calls before. Called before onHead; may be null.
+    std::function<void()> onKeptConnection;
     /// The status line and the header fields have been received.
     std::function<void(int status, const Headers &)> onHead;
     /// A part of the body has been received, with the chunk framing removed.
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t MaxIdleConnectionsPerAddress = 64;
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
+/// Responses to other requests that are skipped before the response to a call.
+constexpr int MaxStrayResponses = 4;
 
 /// The state of a call as far as cancel() and the total timeout use it.
 struct RunningCall {
@@ -134,6 +136,52 @@
     return running.cancelled ? CallFailure::Cancelled : CallFailure::Broken;
 }
 
+using Parser = http::response_parser<http::buffer_body>;
+using DataHandler = std::function<void(std::string data)>;
+
+/// Takes the body of a response that is skipped.
+const DataHandler DropData = [](const std::string &) {
+};
+
+/// Reads the header of a response; none if that fails.
+asio::awaitable<std::optional<Headers>> readHead(tcp::socket &socket, beast::flat_buffer &buffer, Parser &parser)
+{
+    beast::error_code error;
+    co_await http::async_read_header(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return std::nullopt;
+    }
+    Headers headers;
+    for (const auto &field : parser.get()) {
+        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    co_return headers;
+}
+
+/// Reads the body of a response and passes on each part. Returns false if that fails or the call was cancelled.
+asio::awaitable<bool> readBody(RunningCall &state, beast::flat_buffer &buffer, Parser &parser, const DataHandler &onData)
+{
+    beast::error_code error;
+    std::string chunk(ReadBufferBytes, '\0');
+    while (!parser.is_done()) {
+        parser.get().body().data = chunk.data();
+        parser.get().body().size = chunk.size();
+        parser.get().body().more = true;
+        co_await http::async_read_some(*state.socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        const std::size_t receivedBytes = chunk.size() - parser.get().body().size;
+        if (receivedBytes > 0 && !state.cancelled) {
+            onData(chunk.substr(0, receivedBytes));
+        }
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        if (error || state.cancelled) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
 } // namespace
 
 asio::awaitable<bool> HttpClient::Impl::connect(const ClientCall &call, const std::shared_ptr<RunningCall> &running)
@@ -226,42 +274,36 @@
         co_return false;
     }
 
-    beast::flat_buffer buffer;
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(call.bodyLimit);
-    parser.skip(isHeadRequest);
-    co_await http::async_read_header(*state->socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        co_return false;
+    const bool isKept = idleSocket != nullptr;
+    if (isKept && handlers.onKeptConnection) {
+        handlers.onKeptConnection();
     }
-    Headers headers;
-    for (const auto &field : parser.get()) {
-        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
-    handlers.onHead(parser.get().result_int(), headers);
-
-    std::string chunk(ReadBufferBytes, '\0');
-    while (!parser.is_done()) {
-        parser.get().body().data = chunk.data();
-        parser.get().body().size = chunk.size();
-        parser.get().body().more = true;
-        co_await http::async_read_some(*state->socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        const std::size_t receivedBytes = chunk.size() - parser.get().body().size;
-        if (receivedBytes > 0 && !state->cancelled) {
-            handlers.onData(chunk.substr(0, receivedBytes));
+    beast::flat_buffer buffer;
+    for (int strays = 0; strays <= MaxStrayResponses; ++strays) {
+        Parser parser;
+        parser.body_limit(call.bodyLimit);
+        parser.skip(isHeadRequest);
+        const auto headers = co_await readHead(*state->socket, buffer, parser);
+        if (!headers) {
+            co_return false;
         }
-        if (error == http::error::need_buffer) {
-            error = {};
+        const bool isStray = isKept && call.isStray && call.isStray(*headers);
+        if (!isStray) {
+            handlers.onHead(parser.get().result_int(), *headers);
         }
-        if (error || state->cancelled) {
+        if (!co_await readBody(*state, buffer, parser, isStray ? DropData : handlers.onData)) {
             co_return false;
         }
+        if (!isStray) {
+            // Bytes after the response belong to no request. The next call would read them as its response, so the connection isn't reused.
+            const bool isClean = strays == 0 && buffer.size() == 0;
+            if (parser.get().keep_alive() && !parser.need_eof() && !call.freshConnection && isClean) {
+                keepIdle(key, state->socket);
+            }
+            co_return true;
+        }
     }
-    // Bytes after the response belong to no request. The next call would read them as its response, so the connection isn't reused.
-    if (parser.get().keep_alive() && !parser.need_eof() && !call.freshConnection && buffer.size() == 0) {
-        keepIdle(key, state->socket);
-    }
-    co_return true;
+    co_return false;
 }
 
 HttpClient::HttpClient(EventLoop &loop)
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -229,6 +229,57 @@
     std::thread thread_;
 };
 
+/// A server that answers the requests in the order in which they come, all connections together, with the given bytes, one connection after the other. It
+/// closes the last connection after the last answer.
+class ScriptedServer
+{
+public:
+    explicit ScriptedServer(std::vector<std::string> answers)
+        : acceptor_(io_, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , thread_([this, answers = std::move(answers)]() { serve(answers); })
+    {
+    }
+
+    ~ScriptedServer()
+    {
+        thread_.join();
+    }
+
+    net::Address address() const
+    {
+        return {"127.0.0.1", acceptor_.local_endpoint().port()};
+    }
+
+    int connections() const
+    {
+        return connections_;
+    }
+
+private:
+    void serve(const std::vector<std::string> &answers)
+    {
+        for (auto answer = answers.begin(); answer != answers.end();) {
+            auto socket = acceptor_.accept();
+            ++connections_;
+            std::string received;
+            boost::system::error_code error;
+            while (answer != answers.end()) {
+                const std::size_t size = boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), "\r\n\r\n", error);
+                if (error) {
+                    break;
+                }
+                received.erase(0, size);
+                boost::asio::write(socket, boost::asio::buffer(*answer++), error);
+            }
+        }
+    }
+
+    boost::asio::io_context io_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::atomic<int> connections_{0};
+    std::thread thread_;
+};
+
 } // namespace
 
 TEST_GROUP(AnHttpExchange)
@@ -444,6 +495,95 @@
     CHECK(failures.back() == net::CallFailure::Broken);
 }
 
+/// Guards against a response that a faulty server sends once more, where the next one is expected, being taken for that one.
+TEST_GROUP(AResponseToAnEarlierRequest)
+{
+    std::vector<std::string> ids;
+    std::vector<std::string> bodies;
+    std::vector<net::CallFailure> failures;
+
+    static std::string response(const std::string &id, const std::string &body)
+    {
+        return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    /// Makes calls with the ids 1, 2, ... one after the other, until `count` have ended or one has failed.
+    void makeCalls(const net::Address &address, int count)
+    {
+        net::EventLoop loop;
+        net::HttpClient client(loop);
+        std::function<void(int)> startCall = [&](int number) {
+            net::ClientCall call;
+            call.address = address;
+            call.bodyLimit = 64 * 1024;
+            call.totalTimeout = std::chrono::seconds(60);
+            call.isStray = [number](const net::Headers &headers) {
+                return net::headerIn(headers, "X-Id") != std::to_string(number);
+            };
+            client.fetch(
+                std::move(call),
+                [&, number](const net::HttpResponse &answer) {
+                    ids.emplace_back(net::headerIn(answer.headers, "X-Id"));
+                    bodies.push_back(answer.body);
+                    number < count ? startCall(number + 1) : loop.stop();
+                },
+                [&](net::CallFailure failure) {
+                    failures.push_back(failure);
+                    loop.stop();
+                });
+        };
+        startCall(1);
+        loop.run();
+    }
+};
+
+TEST(AResponseToAnEarlierRequest, isSkippedAndEndsTheUseOfItsConnection)
+{
+    const std::string chunked = "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nold\r\n0\r\n\r\n";
+    ScriptedServer server({response("1", "first"), response("1", "first") + chunked + response("2", "second"), response("3", "third")});
+    makeCalls(server.address(), 3);
+    LONGS_EQUAL(0, failures.size());
+    STRCMP_EQUAL("second", bodies.at(1).c_str());
+    STRCMP_EQUAL("3", ids.at(2).c_str());
+    LONGS_EQUAL(2, server.connections());
+}
+
+/// Guards against the other error: a first response with a damaged id is one, and must reach the caller at once.
+TEST(AResponseToAnEarlierRequest, cannotBeTheFirstOneOfAConnection)
+{
+    ScriptedServer server({response("x", "damaged")});
+    makeCalls(server.address(), 1);
+    STRCMP_EQUAL("damaged", bodies.at(0).c_str());
+}
+
+TEST(AResponseToAnEarlierRequest, breaksTheCallIfItComesWithoutEnd)
+{
+    std::string many;
+    for (int i = 0; i < 1000; ++i) {
+        many += response("1", "old");
+    }
+    ScriptedServer server({response("1", "first"), many + response("2", "second")});
+    makeCalls(server.address(), 2);
+    LONGS_EQUAL(1, failures.size());
+    CHECK(failures.at(0) == net::CallFailure::Broken);
+}
+
+TEST(AResponseToAnEarlierRequest, breaksTheCallIfItsBodyIsTooLarge)
+{
+    ScriptedServer server({response("1", "first"), response("1", std::string(200000, 'x')) + response("2", "second")});
+    makeCalls(server.address(), 2);
+    LONGS_EQUAL(1, failures.size());
+    CHECK(failures.at(0) == net::CallFailure::Broken);
+}
+
+TEST(AResponseToAnEarlierRequest, leavesTheCallWithoutAnAnswerIfNoneFollows)
+{
+    ScriptedServer server({response("1", "first"), response("1", "first")});
+    makeCalls(server.address(), 2);
+    LONGS_EQUAL(1, failures.size());
+    CHECK(failures.at(0) == net::CallFailure::Broken);
+}
+
 /// An answer that states neither a length nor chunks ends with its connection.
 TEST_GROUP(AnAnswerWithoutALength){static net::BlockingResult fetchFrom(FixedServer::Ending ending){
     FixedServer server("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", ending);
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -75,7 +75,6 @@
     attempt.stages = {*endpoint};
     const AttemptId id = startAttempt(now, call, std::move(attempt));
     Dispatch dispatch = dispatchOf(now, call, id);
-    dispatch.freshConnection = call.route->kind == RequestKind::AtMostOnce;
     driver.record({"sent",
                    call.requestId,
                    dispatch.endpoint,
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -21,6 +21,24 @@
     }
 };
 
+/// Guards against streams that can't be resumed being lost, or run twice, by what a kept connection still holds of earlier requests.
+TEST(AStream, isSentOverANewConnectionIfItCannotBeRepeated)
+{
+    bed.startStream(0);
+    CHECK(!bed.driver.sent.back().freshConnection);
+    auto config = std::make_shared<FleetConfig>(*RelayTestBed::config(2));
+    config->routes[0].isResumable = false;
+    config->routes.push_back(config->routes[0]);
+    config->routes[3].pathPrefix = "/plain/";
+    config->routes[3].services = {{"desk", 1}};
+    bed.kernel.onConfig(bed.now, bed.now, config);
+    bed.call("/stream/x");
+    CHECK(bed.driver.sent.back().freshConnection);
+    bed.call("/plain/x");
+    CHECK(bed.driver.sent.back().freshConnection);
+    LONGS_EQUAL(3, bed.driver.sent.size());
+}
+
 TEST(AStream, passesThroughEveryLayerOnceInsideOneZone)
 {
     bed.startStream(0);
--- a/libs/relayhost/include/relayhost/Dialect.h
+++ b/libs/relayhost/include/relayhost/Dialect.h
@@ -15,6 +15,15 @@
     bool isMalformed = false;
 };
 
+/// Whose id an answer bears.
+enum class AnswerId {
+    /// That of the request.
+    Own,
+    /// That of another request, which it answers.
+    Other,
+    None,
+};
+
 /// Translates between the HTTP messages of one hosting platform and the kernel's types. Makes no decisions. All members may be called only in
 /// the event loop's thread.
 class Dialect
@@ -31,6 +40,8 @@
     virtual net::HttpRequest encodeDispatch(const net::HttpRequest &original, const relay::Dispatch &dispatch) const = 0;
     /// Decodes the status and headers of an endpoint's answer to the request with this id.
     virtual relay::AnswerHead decodeAnswer(int status, const net::Headers &headers, const std::string &requestId) const = 0;
+    /// Returns whose id an endpoint's answer to the request with this id bears. The id is empty for the router's own requests, which have none.
+    virtual AnswerId answerIdOf(const net::Headers &headers, const std::string &requestId) const = 0;
     /// Returns true if the answer is a stream of server-sent events, which is forwarded event by event instead of as a whole.
     virtual bool isEventStream(int status, const net::Headers &headers) const = 0;
     /// Returns the error answer that the router gives itself. The request id is empty if it is unknown.
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -64,6 +64,8 @@
     struct OpenAttempt {
         relay::CallId call = 0;
         net::ClientCallId clientCall = 0;
+        /// Its connection has carried other requests before.
+        bool isOnKeptConnection = false;
         int status = 0;
         net::Headers headers;
         /// The body; of a stream only the bytes after its last complete event.
@@ -72,11 +74,16 @@
         bool isStream = false;
     };
 
+    /// Returns what an attempt's answer says. On a kept connection, only an answer with the request's id is proof that it has not run: one without
+    /// an id may belong to an earlier request.
+    relay::AnswerHead answerHead(const OpenAttempt &attempt, const std::string &requestId) const;
     /// Sends an endpoint a request of the router's own: a report request, a placement order or a detour. `timeout` limits the whole exchange.
-    /// Exactly one of the handlers runs, in the loop's thread.
+    /// Exactly one of the handlers runs, in the loop's thread. Answers to these requests bear no id: one that must not be mistaken for the answer to an
+    /// earlier request needs a fresh connection.
     void sendEndpointRequest(const std::string &address,
                              net::HttpRequest request,
                              relay::Ms timeout,
+                             bool freshConnection,
                              std::function<void(const net::HttpResponse &)> onResponse,
                              std::function<void()> onFailure);
 
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -50,7 +50,15 @@
     request.totalTimeout = dispatch.timeLeft + AnswerTimeoutMargin;
     request.freshConnection = dispatch.freshConnection;
     request.bodyLimit = MaxAnswerBytes;
+    request.isStray = [this, requestId = call->second.requestId](const net::Headers &headers) {
+        return dialect_.answerIdOf(headers, requestId) == AnswerId::Other;
+    };
     net::ClientHandlers handlers;
+    handlers.onKeptConnection = [this, id]() {
+        if (const auto attempt = attempts_.find(id); attempt != attempts_.end()) {
+            attempt->second.isOnKeptConnection = true;
+        }
+    };
     handlers.onHead = [this, id](int status, const net::Headers &headers) {
         const auto attempt = attempts_.find(id);
         if (attempt == attempts_.end()) {
@@ -62,7 +70,7 @@
         if (open == calls_.end()) {
             return;
         }
-        const relay::AnswerHead head = dialect_.decodeAnswer(status, headers, open->second.requestId);
+        const relay::AnswerHead head = answerHead(attempt->second, open->second.requestId);
         attempt->second.isStream = head.verified && dialect_.isEventStream(status, headers);
         kernel_.onHead(now(), id, head);
     };
@@ -79,6 +87,14 @@
     attempts_[id].clientCall = endpointClient_.start(std::move(request), std::move(handlers));
 }
 
+relay::AnswerHead RelayHost::answerHead(const OpenAttempt &attempt, const std::string &requestId) const
+{
+    relay::AnswerHead head = dialect_.decodeAnswer(attempt.status, attempt.headers, requestId);
+    const bool mayAnswerAnother = attempt.isOnKeptConnection && dialect_.answerIdOf(attempt.headers, requestId) != AnswerId::Own;
+    head.notRun = head.notRun && !mayAnswerAnother;
+    return head;
+}
+
 void RelayHost::onData(relay::AttemptId id, const std::string &data)
 {
     auto attempt = attempts_.find(id);
@@ -145,7 +161,7 @@
     } else {
         const auto call = calls_.find(attempt->second.call);
         const std::string requestId = call == calls_.end() ? "" : call->second.requestId;
-        kernel_.onAnswer(now(), id, dialect_.decodeAnswer(attempt->second.status, attempt->second.headers, requestId));
+        kernel_.onAnswer(now(), id, answerHead(attempt->second, requestId));
     }
     attempts_.erase(id);
 }
@@ -212,6 +228,7 @@
 void RelayHost::sendEndpointRequest(const std::string &address,
                                     net::HttpRequest request,
                                     relay::Ms timeout,
+                                    bool freshConnection,
                                     std::function<void(const net::HttpResponse &)> onResponse,
                                     std::function<void()> onFailure)
 {
@@ -220,6 +237,10 @@
     call.request = std::move(request);
     call.connectTimeout = std::min(timeout, ConnectTimeout);
     call.totalTimeout = timeout;
+    call.freshConnection = freshConnection;
+    call.isStray = [this](const net::Headers &headers) {
+        return dialect_.answerIdOf(headers, "") == AnswerId::Other;
+    };
     endpointClient_.fetch(std::move(call), std::move(onResponse), [onFailure = std::move(onFailure)](net::CallFailure) { onFailure(); });
 }
 
@@ -229,6 +250,7 @@
         address,
         dialect_.encodeReportRequest(endpoint),
         ReportTimeout,
+        false,
         [this, endpoint](const net::HttpResponse &response) { kernel_.onReport(now(), endpoint, dialect_.decodeReport(response)); },
         [this, endpoint]() { kernel_.onReport(now(), endpoint, std::nullopt); });
 }
@@ -240,6 +262,7 @@
         order.address,
         dialect_.encodeOrder(order),
         OrderTimeout,
+        true,
         [this, endpoint](const net::HttpResponse &response) { kernel_.onOrderAnswer(now(), endpoint, dialect_.decodeOrderAnswer(response.status)); },
         [this, endpoint]() { kernel_.onOrderAnswer(now(), endpoint, relay::OrderOutcome::NoAnswer); });
 }
@@ -251,6 +274,7 @@
         detour.address,
         dialect_.encodeDetour(detour),
         DetourTimeout,
+        true,
         [this, attempt](const net::HttpResponse &response) {
             kernel_.onDetourAnswer(now(), attempt, dialect_.decodeOrderAnswer(response.status), dialect_.decodeDetourFault(response));
         },
