--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -14,7 +14,7 @@
 
 /// Why a call failed. Only NotSent proves that the server received no part of it.
 enum class CallFailure {
-    /// The call failed, timed out or was cancelled before its first byte was written.
+    /// The call failed, timed out or was cancelled before its first byte was written, or its request can't be written as HTTP.
     NotSent,
     /// The connection was closed, or the response is malformed or too large.
     Broken,
@@ -39,10 +39,16 @@
     bool freshConnection = false;
     /// Maximum size of the response body, in bytes; a larger one fails the call as Broken.
     std::size_t bodyLimit = 4 * 1024 * 1024;
+    /// Returns whether the response with this header answers another request than the call's. A faulty server may send a response once more where the next
+    /// one is expected. Asked only on a connection that has carried other calls before; such a response is skipped, and the connection is closed after
+    /// the call. May be null.
+    std::function<bool(const Headers &)> isStray = nullptr;
 };
 
 /// Callbacks of a call, called in the loop's thread. Exactly one of onEnd and onFailure is called, after all others.
 struct ClientHandlers {
+    /// The call uses a connection that has carried other calls before. Called before onHead; may be null.
+    std::function<void()> onKeptConnection;
     /// The status line and the header fields have been received.
     std::function<void(int status, const Headers &)> onHead;
     /// A part of the body has been received, with the chunk framing removed.
@@ -59,7 +65,8 @@
     explicit HttpClient(EventLoop &loop);
     ~HttpClient();
 
-    /// Starts a call. Its handlers are called after start() has returned, except that onFailure is called before if the host isn't an IP address.
+    /// Starts a call. Its handlers are called after start() has returned. A call whose request can't be written as HTTP fails as NotSent; one whose
+    /// onHead or onData throws fails as Broken.
     ClientCallId start(ClientCall call, ClientHandlers handlers);
 
     /// Starts a call, collects the response, and calls one of the handlers with the complete response or with the failure.
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -2,6 +2,8 @@
 
 #include "details/EventLoopImpl.h"
 
+#include <iostream>
+
 namespace net {
 
 namespace asio = boost::asio;
@@ -13,6 +15,8 @@
 
 constexpr std::size_t MaxIdleConnectionsPerAddress = 64;
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
+/// Responses to other requests that are skipped before the response to a call.
+constexpr int MaxStrayResponses = 4;
 
 /// The state of a call as far as cancel() and the total timeout use it.
 struct RunningCall {
@@ -20,6 +24,10 @@
     std::shared_ptr<asio::steady_timer> timer;
     bool cancelled = false;
     bool timedOut = false;
+    /// From here on, the server may have received the request and acted on it.
+    bool sent = false;
+    /// The connection isn't the call's any more. The total timeout may have passed just before that, with its handler still to come.
+    bool ended = false;
 };
 
 void closeSocket(tcp::socket &socket)
@@ -71,8 +79,13 @@
 
     /// Opens a connection within the connect timeout. Returns false if that fails.
     asio::awaitable<bool> connect(const ClientCall &call, const std::shared_ptr<RunningCall> &running);
-    /// Runs one call from the connection to its end or failure.
-    asio::awaitable<void> exchange(ClientCallId id, ClientCall call, ClientHandlers handlers);
+    /// Runs one call to its end or failure.
+    asio::awaitable<void> run(ClientCallId id, ClientCall call, ClientHandlers handlers);
+    /// Makes the exchange of one call, from the connection to the end of the response. Returns false if that fails; then the connection can't be used any
+    /// more. Throws what a handler or the HTTP library throws.
+    asio::awaitable<bool> exchange(ClientCall &call, const ClientHandlers &handlers, std::shared_ptr<RunningCall> state);
+    /// Starts the timer of the total timeout.
+    static void startTimer(const ClientCall &call, const std::shared_ptr<RunningCall> &state);
 
     asio::io_context &io;
     /// Idle connections by address.
@@ -100,9 +113,21 @@
     return message;
 }
 
-CallFailure failureOf(const RunningCall &running, bool sent)
+/// Logs the exception with which a handler of a call's end has failed.
+void logFailure(const std::exception_ptr &failure)
+{
+    try {
+        if (failure) {
+            std::rethrow_exception(failure);
+        }
+    } catch (const std::exception &error) {
+        std::cerr << "the handler of a call's end failed: " << error.what() << "\n";
+    }
+}
+
+CallFailure failureOf(const RunningCall &running)
 {
-    if (!sent) {
+    if (!running.sent) {
         return CallFailure::NotSent;
     }
     if (running.timedOut) {
@@ -111,6 +136,52 @@
     return running.cancelled ? CallFailure::Cancelled : CallFailure::Broken;
 }
 
+using Parser = http::response_parser<http::buffer_body>;
+using DataHandler = std::function<void(std::string data)>;
+
+/// Takes the body of a response that is skipped.
+const DataHandler DropData = [](const std::string &) {
+};
+
+/// Reads the header of a response; none if that fails.
+asio::awaitable<std::optional<Headers>> readHead(tcp::socket &socket, beast::flat_buffer &buffer, Parser &parser)
+{
+    beast::error_code error;
+    co_await http::async_read_header(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return std::nullopt;
+    }
+    Headers headers;
+    for (const auto &field : parser.get()) {
+        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    co_return headers;
+}
+
+/// Reads the body of a response and passes on each part. Returns false if that fails or the call was cancelled.
+asio::awaitable<bool> readBody(RunningCall &state, beast::flat_buffer &buffer, Parser &parser, const DataHandler &onData)
+{
+    beast::error_code error;
+    std::string chunk(ReadBufferBytes, '\0');
+    while (!parser.is_done()) {
+        parser.get().body().data = chunk.data();
+        parser.get().body().size = chunk.size();
+        parser.get().body().more = true;
+        co_await http::async_read_some(*state.socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        const std::size_t receivedBytes = chunk.size() - parser.get().body().size;
+        if (receivedBytes > 0 && !state.cancelled) {
+            onData(chunk.substr(0, receivedBytes));
+        }
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        if (error || state.cancelled) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
 } // namespace
 
 asio::awaitable<bool> HttpClient::Impl::connect(const ClientCall &call, const std::shared_ptr<RunningCall> &running)
@@ -123,12 +194,15 @@
     running->socket = std::make_shared<tcp::socket>(io);
     auto socket = running->socket;
     asio::steady_timer connectTimer(io, call.connectTimeout);
-    connectTimer.async_wait([socket](const beast::error_code &waitError) {
-        if (!waitError) {
+    // The timeout may have passed just before the connection is there, with its handler still to come.
+    const auto isConnecting = std::make_shared<bool>(true);
+    connectTimer.async_wait([socket, isConnecting](const beast::error_code &waitError) {
+        if (!waitError && *isConnecting) {
             closeSocket(*socket);
         }
     });
     co_await socket->async_connect({ip, call.address.port}, asio::redirect_error(asio::use_awaitable, error));
+    *isConnecting = false;
     connectTimer.cancel();
     if (error || !socket->is_open()) {
         co_return false;
@@ -138,90 +212,98 @@
     co_return true;
 }
 
-asio::awaitable<void> HttpClient::Impl::exchange(ClientCallId id, ClientCall call, ClientHandlers handlers)
+void HttpClient::Impl::startTimer(const ClientCall &call, const std::shared_ptr<RunningCall> &state)
+{
+    if (call.totalTimeout.count() <= 0) {
+        return;
+    }
+    state->timer->expires_after(call.totalTimeout);
+    state->timer->async_wait([state](const beast::error_code &error) {
+        if (!error && !state->ended) {
+            state->timedOut = true;
+            closeSocket(*state->socket);
+        }
+    });
+}
+
+asio::awaitable<void> HttpClient::Impl::run(ClientCallId id, ClientCall call, ClientHandlers handlers)
 {
     auto self = shared_from_this();
     auto state = running[id];
+    startTimer(call, state);
+    bool isDone = false;
+    try {
+        isDone = co_await exchange(call, handlers, state);
+    } catch (const std::exception &error) {
+        // A request that can't be written as HTTP, or a handler that failed: the call ends, and nothing else does.
+        std::cerr << "call to " << toString(call.address) << " failed: " << error.what() << "\n";
+    }
+    state->ended = true;
+    state->timer->cancel();
+    running.erase(id);
+    if (isDone) {
+        handlers.onEnd();
+        co_return;
+    }
+    closeSocket(*state->socket);
+    handlers.onFailure(failureOf(*state));
+}
+
+asio::awaitable<bool> HttpClient::Impl::exchange(ClientCall &call, const ClientHandlers &handlers, std::shared_ptr<RunningCall> state)
+{
     const std::string key = toString(call.address);
-    bool sent = false;
-    const auto fail = [&]() {
-        closeSocket(*state->socket);
-        state->timer->cancel();
-        self->running.erase(id);
-        handlers.onFailure(failureOf(*state, sent));
-    };
-    if (call.totalTimeout.count() > 0) {
-        state->timer->expires_after(call.totalTimeout);
-        state->timer->async_wait([state](const beast::error_code &error) {
-            if (!error) {
-                state->timedOut = true;
-                closeSocket(*state->socket);
-            }
-        });
+    if (state->cancelled) {
+        co_return false;
     }
+    const bool isHeadRequest = call.request.method == "HEAD";
+    const auto message = toMessage(call);
     auto idleSocket = call.freshConnection ? nullptr : takeIdle(key);
     if (idleSocket) {
         state->socket = idleSocket;
     } else if (!co_await connect(call, state)) {
-        fail();
-        co_return;
+        co_return false;
     }
     if (state->cancelled || state->timedOut) {
-        fail();
-        co_return;
+        co_return false;
     }
 
     beast::error_code error;
-    const bool isHeadRequest = call.request.method == "HEAD";
-    const std::size_t bodyLimit = call.bodyLimit;
-    const auto message = toMessage(call);
-    sent = true; // From here on, the server may have received the request and acted on it.
+    state->sent = true;
     co_await http::async_write(*state->socket, message, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        fail();
-        co_return;
+        co_return false;
     }
 
-    beast::flat_buffer buffer;
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(bodyLimit);
-    parser.skip(isHeadRequest);
-    co_await http::async_read_header(*state->socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        fail();
-        co_return;
-    }
-    Headers headers;
-    for (const auto &field : parser.get()) {
-        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    const bool isKept = idleSocket != nullptr;
+    if (isKept && handlers.onKeptConnection) {
+        handlers.onKeptConnection();
     }
-    handlers.onHead(parser.get().result_int(), headers);
-
-    std::string chunk(ReadBufferBytes, '\0');
-    while (!parser.is_done()) {
-        parser.get().body().data = chunk.data();
-        parser.get().body().size = chunk.size();
-        parser.get().body().more = true;
-        co_await http::async_read_some(*state->socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        const std::size_t receivedBytes = chunk.size() - parser.get().body().size;
-        if (receivedBytes > 0 && !state->cancelled) {
-            handlers.onData(chunk.substr(0, receivedBytes));
+    beast::flat_buffer buffer;
+    for (int strays = 0; strays <= MaxStrayResponses; ++strays) {
+        Parser parser;
+        parser.body_limit(call.bodyLimit);
+        parser.skip(isHeadRequest);
+        const auto headers = co_await readHead(*state->socket, buffer, parser);
+        if (!headers) {
+            co_return false;
         }
-        if (error == http::error::need_buffer) {
-            error = {};
+        const bool isStray = isKept && call.isStray && call.isStray(*headers);
+        if (!isStray) {
+            handlers.onHead(parser.get().result_int(), *headers);
         }
-        if (error || state->cancelled) {
-            fail();
-            co_return;
+        if (!co_await readBody(*state, buffer, parser, isStray ? DropData : handlers.onData)) {
+            co_return false;
+        }
+        if (!isStray) {
+            // Bytes after the response belong to no request. The next call would read them as its response, so the connection isn't reused.
+            const bool isClean = strays == 0 && buffer.size() == 0;
+            if (parser.get().keep_alive() && !parser.need_eof() && !call.freshConnection && isClean) {
+                keepIdle(key, state->socket);
+            }
+            co_return true;
         }
     }
-    state->timer->cancel();
-    running.erase(id);
-    // Bytes after the response belong to no request. The next call would read them as its response, so the connection isn't reused.
-    if (parser.get().keep_alive() && !parser.need_eof() && !call.freshConnection && buffer.size() == 0) {
-        keepIdle(key, state->socket);
-    }
-    handlers.onEnd();
+    co_return false;
 }
 
 HttpClient::HttpClient(EventLoop &loop)
@@ -241,8 +323,11 @@
     auto impl = impl_;
     auto callPtr = std::make_shared<ClientCall>(std::move(call));
     auto handlersPtr = std::make_shared<ClientHandlers>(std::move(handlers));
-    asio::co_spawn(
-        impl_->io, [impl, id, callPtr, handlersPtr]() { return impl->exchange(id, std::move(*callPtr), std::move(*handlersPtr)); }, asio::detached);
+    // The call begins only after this function has returned, even if it is called in the loop's thread.
+    asio::post(impl_->io, [impl, id, callPtr, handlersPtr]() {
+        asio::co_spawn(
+            impl->io, [impl, id, callPtr, handlersPtr]() { return impl->run(id, std::move(*callPtr), std::move(*handlersPtr)); }, logFailure);
+    });
     return id;
 }
 
