Join of two parts: an endpoint whose entry may come out of a copy is held, not paused

A pause is what a refusal earns and no report ends; a hold ends with the endpoint's own report, which is what proves that it lives. All tests of relay, adapter, host, net and wire pass (282).

--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -73,7 +73,7 @@
         const bool mayComeFromCopy = !isNew && !state.listed && entry.incarnation == state.entry.incarnation && epoch > state.unlistedEpoch;
         update(state, entry, now);
         if (mayComeFromCopy) {
-            pause(found->second, now, ReturnGracePeriod);
+            hold(found->second, now, ReturnGracePeriod);
         }
         state.zone = zoneNumber(entry.zone);
         state.listed = true;
--- a/libs/relay/tests/DetourTests.cpp
+++ b/libs/relay/tests/DetourTests.cpp
@@ -167,7 +167,7 @@
     CHECK(bed.driver.sent.back().endpoint != first);
     // Once the first stage is known to have restarted, the attempt there doesn't count against the route's limit of 2 attempts.
     std::find_if(bed.entries.begin(), bed.entries.end(), [&](const EndpointEntry &entry) { return entry.id == first; })->incarnation = 2;
-    bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
+    bed.kernel.onEndpoints(bed.now, bed.entries, {0, ++bed.storeRevision});
     CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
     bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
     LONGS_EQUAL(3, bed.driver.sent.size());
