--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "details/Connection.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace net {
@@ -14,6 +15,7 @@
     : io(loop.impl().io)
     , acceptor(io)
     , limits(serverLimits)
+    , idleTimeouts(serverLimits.idleTimeout)
     , handlers(std::move(serverHandlers))
 {
     const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
@@ -117,6 +119,7 @@
 void HttpServer::setLimits(const ServerLimits &limits)
 {
     impl_->limits = limits;
+    impl_->idleTimeouts.set(limits.idleTimeout, limits.idleTimeoutNotice, IdleTimeouts::Clock::now());
 }
 
 void HttpServer::closeConnections()
@@ -127,6 +130,12 @@
     }
 }
 
+std::size_t HttpServer::unfinishedConnections() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(impl_->open.begin(), impl_->open.end(), [](const Connection *connection) { return connection->isUnfinished(); }));
+}
+
 void HttpServer::stopAccepting()
 {
     impl_->closing = true;
