Server-Leaving: an endpoint that says in an answer that it leaves gets no new requests

Until now only the list of endpoints counted.

A verified or not-run answer, as soon as its head has arrived, and a report now mark the endpoint's incarnation as draining: that of the attempt's dispatch, so that a late answer of the process before doesn't stop the next one. Digests name such endpoints (hash and incarnation) to the others, who pass them on, until the list shows it. New log line: endpoint_leaving, with its origin.

Before the change 4 of the 7 new tests in LeavingEndpointTests failed (answers, heads of streams, reports, digests); the others guard the second error: answers that aren't the endpoint's own, and another incarnation, change nothing. Answers to placement orders are not read for it: they carry no more than a status through the dialect.

--- a/libs/relay/include/relay/Endpoint.h
+++ b/libs/relay/include/relay/Endpoint.h
@@ -59,6 +59,8 @@
     std::uint64_t modelVersion = 0;
     /// Time that its work takes, as a multiple of the time that its profile predicts; above 1 it is slower than expected.
     double slowdown = 1;
+    /// It says that it is leaving: it must get no new requests.
+    bool leaving = false;
     /// Requests that wait for another endpoint.
     std::vector<StalledRequest> stalled;
 };
--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -70,6 +70,8 @@
     std::string faultAddress;
     /// Requests a second that the endpoint takes from all instances together; 0 if it names no limit.
     double requestLimit = 0;
+    /// The endpoint says that it is leaving: it finishes its open requests and must get no new ones.
+    bool leaving = false;
 };
 
 /// Why an attempt failed without a whole answer.
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -186,6 +186,7 @@
     std::vector<EndpointIndex> stages;
     stages.swap(attempt.stages);
     replaceStages(attempt, std::move(stages), std::move(attempt.layers));
+    attempt.incarnation = endpoints.at(attempt.stages.front()).entry.incarnation;
     attempts.emplace(id, std::move(attempt));
     call.attempts.push_back(id);
     counters.retries += call.attemptCount > 0 ? 1 : 0;
--- a/libs/relay/src/Digests.cpp
+++ b/libs/relay/src/Digests.cpp
@@ -38,6 +38,11 @@
     for (const wire::SilentEndpoint &silent : digest.silent) {
         onSilenceReported(now, digest, silent);
     }
+    for (const wire::LeavingEndpoint &leaving : digest.leavingEndpoints) {
+        if (const auto index = endpoints.findHash(leaving.endpoint)) {
+            onLeaving(*index, leaving.incarnation, "from " + digest.instance);
+        }
+    }
     if (digest.scope == wire::DigestScope::Fleet) {
         recheckSilentEndpoints(now, digest);
     }
--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -102,6 +102,15 @@
     requestReport(now, *index);
 }
 
+void RelayKernel::Impl::onLeaving(EndpointIndex endpoint, std::uint64_t incarnation, const std::string &origin)
+{
+    if (!endpoints.setLeaving(endpoint, incarnation)) {
+        return;
+    }
+    peers.expedite();
+    driver.record({"endpoint_leaving", "", endpoints.at(endpoint).entry.id, "incarnation " + std::to_string(incarnation) + ", " + origin});
+}
+
 void RelayKernel::Impl::onSlownessReported(Instant now, const wire::SlowEndpoint &slow)
 {
     const auto index = endpoints.findHash(slow.endpoint);
@@ -135,6 +144,9 @@
         impl_->driver.record({event, "", endpoint, std::to_string(state.slowdown) + " times the usual time"});
         impl_->peers.expedite();
     }
+    if (report->leaving) {
+        impl_->onLeaving(*index, report->incarnation, "in a report to this instance");
+    }
     impl_->planner.onReport(now, *index, true);
     for (const StalledRequest &stalled : report->stalled) {
         const auto atFault = impl_->endpoints.findAddress(stalled.address);
--- a/libs/relay/src/PeerLoads.cpp
+++ b/libs/relay/src/PeerLoads.cpp
@@ -202,6 +202,9 @@
     digest.scope = scope;
     for (EndpointIndex i = 0; i < endpoints_.size(); ++i) {
         const EndpointState &state = endpoints_.at(i);
+        if (state.listed && state.entry.draining && !state.listedAsDraining) {
+            digest.leavingEndpoints.push_back({wire::endpointHash(state.entry.id), state.entry.incarnation});
+        }
         if (state.listed && state.silentCheckAt.count() != 0) {
             digest.silent.push_back({wire::endpointHash(state.entry.id), state.entry.incarnation});
         } else if (state.listed && state.slowdown >= MinReportedSlowdown && now < state.reportedAt + SlowdownLifetime) {
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -255,6 +255,9 @@
         return;
     }
     const EndpointIndex first = found->second.stages.front();
+    if (head.leaving) {
+        impl_->onLeaving(first, found->second.incarnation, "in an answer to this instance");
+    }
     if (impl_->limits.onStated(first, head.requestLimit, now)) {
         impl_->recordLimit(first, head.requestLimit, "to this instance");
         impl_->peers.expedite();
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -19,6 +19,8 @@
     CallId call = 0;
     /// The endpoints that it passes through, first stage first; one for services without layers.
     std::vector<EndpointIndex> stages;
+    /// Incarnation of the first stage when the attempt was sent.
+    std::uint64_t incarnation = 0;
     /// The layers that each stage runs; empty for services without layers.
     std::vector<placement::LayerRange> layers;
     /// Stages that are still in prefill: they have not read the prompt, or the tokens generated so far, yet.
@@ -166,6 +168,8 @@
     void markSilent(Instant now, EndpointIndex index, const std::string &requestId, const std::string &evidence);
     /// Takes the loads, crash reports and endpoint states that another instance has sent.
     void onDigest(Instant now, const wire::RelayDigest &digest);
+    /// Takes from an endpoint itself, or from another instance, that an incarnation of it leaves: it gets no new requests, and the others are told.
+    void onLeaving(EndpointIndex endpoint, std::uint64_t incarnation, const std::string &origin);
     /// Writes to the log what an endpoint has said about the requests that it takes, and to whom.
     void recordLimit(EndpointIndex endpoint, double perSecond, const std::string &origin);
     /// Computes this instance's share of the limits that endpoints name.
--- a/libs/relay/tests/LeavingEndpointTests.cpp
+++ b/libs/relay/tests/LeavingEndpointTests.cpp
@@ -56,6 +56,13 @@
         FAIL("no request was sent to the endpoint");
         return 0;
     }
+
+    static AnswerHead leavingHead()
+    {
+        AnswerHead head{200, false, true, ""};
+        head.leaving = true;
+        return head;
+    }
 };
 
 /// The copy is older than the entry in which the endpoint said that it leaves.
@@ -135,3 +142,81 @@
     bed.advance(Ms(50));
     STRCMP_EQUAL("gone", stateOf("desk-a").c_str());
 }
+
+/// The list may lack for seconds what the endpoint says itself.
+TEST(AnEndpointThatLeaves, getsNoNewRequestsOnceAnAnswerHasSaidSo)
+{
+    bed.kernel.onHead(bed.now, sendTo("desk-a"), leavingHead());
+    STRCMP_EQUAL("draining", stateOf("desk-a").c_str());
+    bed.advance(Ms(6000));
+    for (int i = 0; i < 60; ++i) {
+        bed.call("/book/seat");
+        CHECK(bed.driver.sent.back().endpoint != "desk-a");
+    }
+}
+
+/// The head of a stream arrives long before its end.
+TEST(AnEndpointThatLeaves, isBelievedAsSoonAsTheHeadOfAStreamHasArrived)
+{
+    bed.call("/stream/x");
+    const std::string first = bed.driver.sent.back().endpoint;
+    bed.kernel.onHead(bed.now, bed.lastAttempt(), leavingHead());
+    STRCMP_EQUAL("draining", stateOf(first).c_str());
+}
+
+/// Bytes of another process at a reused address, or a late answer to another request, say nothing about this endpoint.
+TEST(AnEndpointThatLeaves, isNotBelievedInAnAnswerThatIsNotItsOwn)
+{
+    AnswerHead head = leavingHead();
+    head.verified = false;
+    bed.kernel.onHead(bed.now, sendTo("desk-a"), head);
+    STRCMP_EQUAL("usable", stateOf("desk-a").c_str());
+}
+
+/// The answer of the process before arrives after the list has shown the next one.
+TEST(AnEndpointThatLeaves, saysNothingAboutItsNextIncarnation)
+{
+    const AttemptId attempt = sendTo("desk-a");
+    entry("desk-a").incarnation = 2;
+    bed.advance(Ms(50));
+    bed.kernel.onHead(bed.now, attempt, leavingHead());
+    STRCMP_EQUAL("usable", stateOf("desk-a").c_str());
+}
+
+TEST(AnEndpointThatLeaves, isBelievedInItsReport)
+{
+    EndpointReport report;
+    report.incarnation = 1;
+    report.layers = {0, RelayTestBed::HalfLayers};
+    report.leaving = true;
+    bed.kernel.onReport(bed.now, "low-a", report);
+    STRCMP_EQUAL("draining", stateOf("low-a").c_str());
+}
+
+/// An instance that has sent the endpoint no request since goes on sending until the list shows it.
+TEST(AnEndpointThatLeaves, isNamedToTheOtherInstances)
+{
+    bed.kernel.onHead(bed.now, sendTo("desk-a"), leavingHead());
+    bed.advance(Ms(150));
+    const wire::RelayDigest digest = bed.driver.digests.back();
+    LONGS_EQUAL(1, digest.leavingEndpoints.size());
+    RelayTestBed other;
+    other.kernel.onPeerMessage(other.now, digest);
+    STRCMP_EQUAL("draining", stateIn(other.kernel, "desk-a").c_str());
+    // The others pass it on, since some instances hear of this one only through them.
+    other.advance(Ms(150));
+    LONGS_EQUAL(1, other.driver.digests.back().leavingEndpoints.size());
+    // The list tells it to all: the digests need not repeat it.
+    entry("desk-a").draining = true;
+    bed.advance(Ms(700));
+    LONGS_EQUAL(0, bed.driver.digests.back().leavingEndpoints.size());
+}
+
+TEST(AnEndpointThatLeaves, isNotMistakenForItsOtherIncarnationInADigest)
+{
+    wire::RelayDigest digest;
+    digest.instance = "two";
+    digest.leavingEndpoints = {{wire::endpointHash("desk-a"), 7}};
+    bed.kernel.onPeerMessage(bed.now, digest);
+    STRCMP_EQUAL("usable", stateOf("desk-a").c_str());
+}
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -33,6 +33,13 @@
     std::uint64_t incarnation = 0;
 };
 
+/// An endpoint that leaves, in one of its incarnations.
+struct LeavingEndpoint {
+    /// endpointHash() of the endpoint's id.
+    std::uint32_t endpoint = 0;
+    std::uint64_t incarnation = 0;
+};
+
 /// An endpoint that recently reported that it works more slowly than its performance profile.
 struct SlowEndpoint {
     /// endpointHash() of the endpoint's id.
@@ -140,6 +147,8 @@
     std::vector<std::uint64_t> crashProbes = {};
     /// What endpoints have lately said to the instances within the scope about the requests that they take.
     std::vector<EndpointLimit> limits = {};
+    /// Endpoints that are known to leave although the list of endpoints doesn't show it.
+    std::vector<LeavingEndpoint> leavingEndpoints = {};
 };
 
 /// An entry of the store's list of endpoints.
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -65,6 +65,10 @@
         out.add_silent(silent.endpoint);
         out.add_silent_incarnation(silent.incarnation);
     }
+    for (const LeavingEndpoint &leaving : digest.leavingEndpoints) {
+        out.add_leaving_endpoint(leaving.endpoint);
+        out.add_leaving_incarnation(leaving.incarnation);
+    }
     for (const SlowEndpoint &slow : digest.slow) {
         out.add_slow(slow.endpoint);
         out.add_slowness_tenths(static_cast<std::uint32_t>(slow.slowdown * TenthsPerWhole));
@@ -149,8 +153,9 @@
         && in.silent_incarnation_size() == in.silent_size() && in.slowness_tenths_size() == in.slow_size() && in.strike_crash_size() == in.strike_size()
         && (in.strike_age_size() == 0 || in.strike_age_size() == in.strike_size()) && in.refuted_crash_size() == in.refuted_size()
         && in.limit_hundredths_size() == in.limited_size() && in.limit_age_size() == in.limited_size() && in.aggregator_address_size() == in.aggregator_size()
-        && in.failing_answers_size() == in.failing_size() && in.failing_failures_size() == in.failing_size()
-        && in.pending_prefill_size() == in.pending_position_size() && in.pending_link_size() == in.pending_position_size();
+        && in.leaving_incarnation_size() == in.leaving_endpoint_size() && in.failing_answers_size() == in.failing_size()
+        && in.failing_failures_size() == in.failing_size() && in.pending_prefill_size() == in.pending_position_size()
+        && in.pending_link_size() == in.pending_position_size();
     const bool isScopeKnown = in.scope() <= static_cast<std::uint32_t>(DigestScope::Fleet);
     if (!listSizesMatch || !isScopeKnown || in.instance().empty()) {
         return std::nullopt;
@@ -173,6 +178,9 @@
     for (int i = 0; i < in.silent_size(); ++i) {
         digest.silent.push_back({in.silent(i), in.silent_incarnation(i)});
     }
+    for (int i = 0; i < in.leaving_endpoint_size(); ++i) {
+        digest.leavingEndpoints.push_back({in.leaving_endpoint(i), in.leaving_incarnation(i)});
+    }
     digest.slow.reserve(static_cast<std::size_t>(in.slow_size()));
     for (int i = 0; i < in.slow_size(); ++i) {
         digest.slow.push_back({in.slow(i), in.slowness_tenths(i) / TenthsPerWhole});
--- a/libs/wire/tests/CodecTests.cpp
+++ b/libs/wire/tests/CodecTests.cpp
@@ -156,8 +156,11 @@
     wire::RelayDigest digest;
     digest.instance = "one";
     digest.endpointsVersion = {3, 40};
+    digest.leavingEndpoints = {{77, 5}};
     const auto decoded = wire::decodeRelayMessage(wire::encode(digest));
     CHECK((std::get<wire::RelayDigest>(base::valueOf(decoded)).endpointsVersion == wire::StoreVersion{3, 40}));
+    LONGS_EQUAL(77, std::get<wire::RelayDigest>(base::valueOf(decoded)).leavingEndpoints.at(0).endpoint);
+    LONGS_EQUAL(5, std::get<wire::RelayDigest>(base::valueOf(decoded)).leavingEndpoints.at(0).incarnation);
     const auto request = wire::decodeRelayMessage(wire::encode(wire::FreshnessRequest{"one", 5, {3, 40}}));
     CHECK((std::get<wire::FreshnessRequest>(base::valueOf(request)).endpointsVersion == wire::StoreVersion{3, 40}));
     const auto reply = wire::decodeRelayMessage(wire::encode(wire::FreshnessReply{5, 7, 120, 99, 30, {3, 40}}));
