The planner's lease and its fencing numbers outlast a restore of the store

What would be seen: after a restore the record of the lease is gone or that of an earlier holder. Reads of it were refused as older until the revisions had caught up; then an absent record counted as free although the holder of before could go on until the end of its lease, a holder sent orders under the fencing number of whichever record it had read last, and the next holder counted on from the copy's number, which had been used since.

Now the lease is ordered by the version of the store. The fencing number that this instance holds is kept apart from the record's. In a new epoch the record is read again; the holder may write it again under its own number while its lease of before lasts, and nobody else may take it until a whole lifetime after the new epoch was first seen. A renewal that a later epoch has taken than it was sent in proves nothing. Each epoch has 2^20 fencing numbers to itself, above all of earlier ones, and numbers that were refused are not counted down to. A record in which another instance holds a higher number ends the own lease at once, also without a restore.

Open: a process that starts just after a restore doesn't know that the epoch is new and may take an absent lease at once; its fencing number is higher than the holder's, who is then refused.

--- a/libs/relay/src/PlannerDuty.cpp
+++ b/libs/relay/src/PlannerDuty.cpp
@@ -9,6 +9,8 @@
 /// Interval between renewals by the holder of the lease, and between reads of it or attempts to take it by the others.
 constexpr Ms RenewPeriod{1000};
 constexpr Ms ObservePeriod{1000};
+/// Fencing numbers that each epoch of the store has to itself. Numbers stay below 2^53, up to which JSON numbers are exact, for 2^33 epochs.
+constexpr std::uint64_t FencesPerEpoch = 1ULL << 20;
 /// The holder stops sending orders this long before others may take the lease.
 constexpr Ms LeaseMargin{500};
 constexpr Ms PlanPeriod{100};
@@ -46,7 +48,7 @@
 
 bool PlannerDuty::holdsLease(Instant now) const
 {
-    return now < validUntil_ && record_.fence > refusedFence_;
+    return now < validUntil_ && heldFence_ > refusedFence_;
 }
 
 void PlannerDuty::tick(Instant now, const FleetConfigPtr &config, bool mayTakeLease)
@@ -76,45 +78,84 @@
     if (writing_ || now < nextLeaseAction_) {
         return;
     }
-    const bool isOwnLease = record_.holder == instance_ && version_.revision != 0;
-    if (isOwnLease && record_.fence > refusedFence_) {
+    if (hasReadLease_ && mayRenew(now)) {
         nextLeaseAction_ = now + RenewPeriod;
-        write({instance_, record_.fence, record_.renewal + 1}, version_.revision);
+        write({instance_, heldFence_, record_.renewal + 1}, version_.revision);
         return;
     }
-    if (!mayTakeLease) {
+    if (!mayTakeLease && now >= validUntil_) {
         hasReadLease_ = false; // The record may be outdated by the time this instance may take the lease again.
         return;
     }
-    const bool isLeaseFree = hasReadLease_ && (version_.revision == 0 || record_.holder.empty() || now >= seenAt_ + leaseLifetime_);
-    if (isLeaseFree) {
+    if (mayTakeLease && isLeaseFree(now)) {
         nextLeaseAction_ = now + ObservePeriod;
-        write({instance_, record_.fence + 1, 0}, version_.revision);
+        write({instance_, nextFence(), 0}, version_.revision);
         return;
     }
-    nextLeaseAction_ = hasReadLease_ ? std::min(now + Instant(ObservePeriod), seenAt_ + leaseLifetime_) : now + Instant(ObservePeriod);
+    const Instant freeAt = std::max(seenAt_, restoredAt_) + leaseLifetime_;
+    nextLeaseAction_ = hasReadLease_ && freeAt > now ? std::min(now + Instant(ObservePeriod), freeAt) : now + Instant(ObservePeriod);
     driver_.readLease();
 }
 
+bool PlannerDuty::mayRenew(Instant now) const
+{
+    if (heldFence_ == 0 || heldFence_ <= refusedFence_) {
+        return false;
+    }
+    if (version_.epoch == heldEpoch_) {
+        return version_.revision != 0 && record_.holder == instance_ && record_.fence == heldFence_;
+    }
+    // The record of this lease may be lost. Nobody else can have taken the lease before its end, so that it may be written again until then.
+    return now < validUntil_ && record_.fence <= heldFence_;
+}
+
+bool PlannerDuty::isLeaseFree(Instant now) const
+{
+    const bool hasOldLeaseEnded = restoredAt_.count() == 0 || now >= restoredAt_ + leaseLifetime_;
+    const bool isUnheld = version_.revision == 0 || record_.holder.empty() || now >= seenAt_ + leaseLifetime_;
+    return hasReadLease_ && hasOldLeaseEnded && isUnheld;
+}
+
+std::uint64_t PlannerDuty::nextFence() const
+{
+    return std::max({record_.fence, heldFence_, refusedFence_, epoch_.value_or(0) * FencesPerEpoch}) + 1;
+}
+
 void PlannerDuty::write(const LeaseRecord &record, std::uint64_t expectedRevision)
 {
     writing_ = true;
     written_ = record;
+    writtenEpoch_ = epoch_.value_or(0);
     driver_.writeLease(record, expectedRevision);
 }
 
+void PlannerDuty::onStoreEpoch(Instant now, std::uint64_t epoch)
+{
+    if (epoch_ && epoch > *epoch_) {
+        restoredAt_ = now;
+        hasReadLease_ = false;
+        nextLeaseAction_ = now;
+    }
+    epoch_ = std::max(epoch_.value_or(0), epoch);
+}
+
 void PlannerDuty::onLeaseRead(Instant now, wire::StoreVersion version, const LeaseRecord &record)
 {
-    if (hasReadLease_ && version.revision <= version_.revision && version_.revision != 0) {
-        if (version < version_) {
-            driver_.record({"lease_read_refused", "", instance_, "version " + wire::toText(version) + " is older than " + wire::toText(version_)});
-        }
-        return; // The read shows nothing new, or is older than the known state.
+    onStoreEpoch(now, version.epoch);
+    const bool isOlder = version.epoch < *epoch_ || (hasReadLease_ && version < version_);
+    if (isOlder) {
+        driver_.record({"lease_read_refused", "", instance_, "version " + toText(version) + " is older than " + toText(version_)});
+    }
+    if (isOlder || (hasReadLease_ && version == version_ && version.revision != 0)) {
+        return;
     }
     hasReadLease_ = true;
     version_ = version;
     record_ = record;
     seenAt_ = now;
+    if (record.fence > heldFence_) {
+        validUntil_ = Instant{0}; // Another instance has taken the lease since.
+    }
     if (version.revision == 0 || record.holder.empty() || record.holder == instance_) {
         nextLeaseAction_ = now;
     }
@@ -123,21 +164,25 @@
 void PlannerDuty::onLeaseWritten(Instant now, Instant sentAt, wire::StoreVersion version)
 {
     writing_ = false;
-    if (version.revision == 0) {
-        // Another instance wrote first, or the outcome is unknown; the read shows which.
+    onStoreEpoch(now, version.epoch);
+    if (version.revision == 0 || version.epoch != writtenEpoch_) {
+        // Another instance wrote first, the outcome is unknown, or the condition was checked in another epoch, where the revision has another meaning. The
+        // read shows which.
         nextLeaseAction_ = now + ObservePeriod;
         driver_.readLease();
         return;
     }
-    const bool isNew = record_.holder != instance_ || record_.fence != written_.fence;
+    const bool isNew = heldFence_ != written_.fence || heldEpoch_ != version.epoch;
     version_ = version;
     record_ = written_;
     seenAt_ = now;
+    heldFence_ = written_.fence;
+    heldEpoch_ = version.epoch;
     if (!releasing_) {
         validUntil_ = sentAt + leaseLifetime_ - LeaseMargin;
     }
     if (isNew && !releasing_) {
-        driver_.record({"lease_taken", "", instance_, "fence " + std::to_string(record_.fence) + ", version " + wire::toText(version)});
+        driver_.record({"lease_taken", "", instance_, "fence " + std::to_string(heldFence_) + ", version " + toText(version)});
     }
 }
 
@@ -145,7 +190,7 @@
 {
     releasing_ = true;
     validUntil_ = Instant{0};
-    if (record_.holder == instance_ && version_.revision != 0 && !writing_) {
+    if (record_.holder == instance_ && version_.revision != 0 && version_.epoch == heldEpoch_ && !writing_) {
         write({"", record_.fence, record_.renewal + 1}, version_.revision);
     }
 }
@@ -230,20 +275,20 @@
     const double loadSlowdown = std::max(1.0, static_cast<double>(pending_.size() + 1) / std::max(1U, profile.maxConcurrentLoads));
     const double loadMs = profile.loadSeconds * 1e3 * range.size() / std::max(1U, profile.layers) * loadSlowdown;
     pending_[index] = {range, state.entry.incarnation, now + OrderTimeout, Ms(static_cast<std::int64_t>(loadMs)), false};
-    driver_.sendOrder({state.entry.id, state.entry.address, range, record_.fence, state.orderCount});
+    driver_.sendOrder({state.entry.id, state.entry.address, range, heldFence_, state.orderCount});
     driver_.record({"order_place",
                     "",
                     state.entry.id,
-                    "layers " + toText(range) + ", fence " + std::to_string(record_.fence) + ", orders so far " + std::to_string(state.orderCount)});
+                    "layers " + toText(range) + ", fence " + std::to_string(heldFence_) + ", orders so far " + std::to_string(state.orderCount)});
 }
 
 void PlannerDuty::onOrderAnswer(Instant now, EndpointIndex index, OrderOutcome outcome)
 {
     const auto found = pending_.find(index);
     if (outcome == OrderOutcome::Fenced) {
-        refusedFence_ = std::max(refusedFence_, record_.fence);
+        refusedFence_ = std::max(refusedFence_, heldFence_);
         validUntil_ = Instant{0};
-        driver_.record({"lease_fenced", "", endpoints_.at(index).entry.id, "fence " + std::to_string(record_.fence)});
+        driver_.record({"lease_fenced", "", endpoints_.at(index).entry.id, "fence " + std::to_string(heldFence_)});
         return;
     }
     driver_.record({"order_answered", "", endpoints_.at(index).entry.id, std::string(base::nameIn(OrderOutcomeNames, outcome))});
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -89,6 +89,7 @@
     const bool afterOutage = listConfirmedAt.count() != 0 && now - listConfirmedAt > MinOutage;
     listConfirmedAt = now;
     known.endpointsVersion = list.version();
+    planner.onStoreEpoch(now, list.version().epoch);
     endpoints.onList(now, list.entries(), list.version().epoch, afterOutage);
     const std::uint64_t hash = list.hash();
     if (hash != known.endpointsHash) {
--- a/libs/relay/src/details/PlannerDuty.h
+++ b/libs/relay/src/details/PlannerDuty.h
@@ -5,6 +5,7 @@
 #include "placement/LayerPlanner.h"
 
 #include <map>
+#include <optional>
 
 namespace relay {
 
@@ -21,6 +22,9 @@
     /// Renews the lease, or takes it if it is free and `mayTakeLease` is set, and sends the orders that are due. Only few instances may take the
     /// lease, so that the number of writes at the end of a lease doesn't grow with the fleet.
     void tick(Instant now, const FleetConfigPtr &config, bool mayTakeLease);
+    /// Takes the epoch of the store that an answer about anything has named. In a later one than known the lease has to be read again, and it is free only
+    /// once a lease of the epoch before has ended: the copy may lack its record.
+    void onStoreEpoch(Instant now, std::uint64_t epoch);
     /// Takes the answer to a read of the lease, which may be older than the known state. Revision 0 means that there is no lease.
     void onLeaseRead(Instant now, wire::StoreVersion version, const LeaseRecord &record);
     /// Takes the result of a write that was sent at `sentAt`. Revision 0 means that the write failed or that its outcome is unknown.
@@ -51,6 +55,12 @@
 
     /// Renews, reads or takes the lease when its next action is due.
     void maintainLease(Instant now, bool mayTakeLease);
+    /// Returns true if this instance may go on with its lease, as far as the known state of the record tells.
+    bool mayRenew(Instant now) const;
+    /// Returns true if the record may be replaced by one of this instance.
+    bool isLeaseFree(Instant now) const;
+    /// Returns a fencing number that is higher than all known ones and all of earlier epochs.
+    std::uint64_t nextFence() const;
     /// Starts a write of the lease.
     void write(const LeaseRecord &record, std::uint64_t expectedRevision);
     /// Drops pending orders that are carried out or obsolete, and requests the reports that are due for the others.
@@ -85,8 +95,18 @@
     /// release() was called: the lease is given up for good.
     bool releasing_ = false;
     LeaseRecord written_;
+    /// Epoch of the store as it was known when written_ was sent.
+    std::uint64_t writtenEpoch_ = 0;
+    /// Fencing number of this instance's latest lease, and the epoch of the store that has confirmed it last; 0 before the first. The record may show other
+    /// numbers after a restore.
+    std::uint64_t heldFence_ = 0;
+    std::uint64_t heldEpoch_ = 0;
     /// Orders are sent under the lease until then.
     Instant validUntil_{0};
+    /// The latest epoch of the store that is known; none before the first answer.
+    std::optional<std::uint64_t> epoch_;
+    /// When a later epoch than the first was first seen; zero if none was.
+    Instant restoredAt_{0};
     /// Earliest time of the next read or write of the lease.
     Instant nextLeaseAction_{0};
     /// The highest fencing number that an endpoint has refused; no more orders are sent under it.
