An instance registers again when a restored store lacks its entry

What would be seen: the entry of an instance that registered in the seconds that the copy lacks is gone for good, since a registration was remembered until the process ended. Instances that start later don't find it in the list; those that hear its digests go on to know it.

Now the memory of a registration belongs to the epoch in which the entry was seen or written. Only an instance that a list of a later epoch lacks writes; a list of an earlier epoch proves nothing.

Before the change registersItsInstanceAgainWhenTheCopyLacksIt failed in StoreFollowerTests; the other new test guards the second error, a write by each instance.

--- a/libs/relayhost/include/relayhost/StoreFollower.h
+++ b/libs/relayhost/include/relayhost/StoreFollower.h
@@ -75,8 +75,8 @@
     /// Returns when a failed read is repeated.
     relay::Instant retryTime();
     void reportEndpoints();
-    /// Adds this instance to the list of instances, unless its entry is there.
-    void registerInstance(const std::vector<relay::InstanceEntry> &known);
+    /// Adds this instance to the list of instances, unless its entry is there or was written in the list's epoch: the list may be seconds old.
+    void registerInstance(const InstanceListing &listing);
     void listInstances();
     void onInstances(const std::optional<InstanceListing> &instances);
     /// Takes the epoch of the store that an answer names; returns true and reports it if it is later than known.
@@ -100,8 +100,9 @@
     std::size_t damaged_ = 0;
     /// Interval to the next read of the list of instances.
     relay::Ms instancesPeriod_;
-    /// The store has an entry of this instance with its present address.
+    /// The store has an entry of this instance with its present address, and the epoch in which it was seen or written last.
     bool isRegistered_ = false;
+    std::uint64_t registeredEpoch_ = 0;
     /// Period in which failed reads are repeated, and the time over which the first reads are spread.
     relay::Ms spread_{0};
     std::minstd_rand random_;
--- a/libs/relayhost/src/StoreFollower.cpp
+++ b/libs/relayhost/src/StoreFollower.cpp
@@ -241,7 +241,7 @@
 {
     if (instances) {
         takeEpoch(instances->epoch);
-        registerInstance(instances->entries);
+        registerInstance(*instances);
         handlers_.onInstances(instances->entries);
     }
     const bool isFirst = instancesPeriod_ == MinInstancesPeriod;
@@ -250,12 +250,16 @@
     instancesPeriod_ = std::min(2 * instancesPeriod_, MaxInstancesPeriod);
 }
 
-void StoreFollower::registerInstance(const std::vector<relay::InstanceEntry> &known)
+void StoreFollower::registerInstance(const InstanceListing &listing)
 {
-    const bool isKnown = std::any_of(known.begin(), known.end(), [&](const relay::InstanceEntry &entry) {
+    if (listing.epoch < registeredEpoch_) {
+        return; // A late list from before a restore.
+    }
+    const bool isListed = std::any_of(listing.entries.begin(), listing.entries.end(), [&](const relay::InstanceEntry &entry) {
         return entry.id == own_.id && entry.meshAddress == own_.meshAddress && entry.zone == own_.zone;
     });
-    isRegistered_ = isRegistered_ || isKnown;
+    isRegistered_ = isListed || (isRegistered_ && listing.epoch == registeredEpoch_);
+    registeredEpoch_ = listing.epoch;
     if (!isRegistered_) {
         client_->registerInstance(own_, [this](bool registered) { isRegistered_ = registered; });
     }
--- a/libs/relayhost/tests/StoreFollowerTests.cpp
+++ b/libs/relayhost/tests/StoreFollowerTests.cpp
@@ -29,10 +29,15 @@
     }
     void registerInstance(const relay::InstanceEntry &, std::function<void(bool)> done) override
     {
+        ++registrations;
         done(true);
     }
-    void listInstances(std::function<void(std::optional<InstanceListing>)>) override
+    void listInstances(std::function<void(std::optional<InstanceListing>)> done) override
     {
+        instanceReads.push_back(std::move(done));
+        if (onInstanceRead) {
+            onInstanceRead();
+        }
     }
     void readLease(std::function<void(std::optional<LeaseReadResult>)> done) override
     {
@@ -46,6 +51,9 @@
     std::vector<std::function<void(ConfigReadResult)>> configReads;
     std::vector<std::function<void(std::optional<EndpointListing>)>> lists;
     std::vector<std::function<void(std::optional<EndpointChanges>)>> watches;
+    std::vector<std::function<void(std::optional<InstanceListing>)>> instanceReads;
+    std::function<void()> onInstanceRead;
+    int registrations = 0;
     std::vector<std::uint64_t> watchedFrom;
     std::function<void()> onWatch;
 };
@@ -223,3 +231,38 @@
     CHECK(reported.empty());
     CHECK(client->watches.empty());
 }
+
+/// The entry of an instance that has registered after the copy was made is gone, and instances that start later don't find it.
+TEST(AFollowerOfTheStore, registersItsInstanceAgainWhenTheCopyLacksIt)
+{
+    client->instanceReads.at(0)(InstanceListing{{}, 1});
+    LONGS_EQUAL(1, client->registrations);
+    client->onInstanceRead = [this]() {
+        if (client->instanceReads.size() == 2) {
+            // A list that is seconds old doesn't show the entry yet.
+            client->instanceReads.back()(InstanceListing{{}, 1});
+            LONGS_EQUAL(1, client->registrations);
+            return;
+        }
+        client->instanceReads.back()(InstanceListing{{}, 2});
+        loop.stop();
+    };
+    loop.run();
+    LONGS_EQUAL(2, client->registrations);
+}
+
+/// A restore must not bring as many writes as there are instances, nor a late list of before it one.
+TEST(AFollowerOfTheStore, writesNoEntryThatTheCopyHas)
+{
+    const InstanceListing listing{{{"one", "10.0.0.1:7000"}}, 2};
+    client->instanceReads.at(0)(InstanceListing{listing.entries, 1});
+    client->onInstanceRead = [this, listing]() {
+        if (client->instanceReads.size() == 2) {
+            return client->instanceReads.back()(listing);
+        }
+        client->instanceReads.back()(InstanceListing{{}, 1});
+        loop.stop();
+    };
+    loop.run();
+    LONGS_EQUAL(0, client->registrations);
+}
