Simulated fleet: the store may be restored from a copy some seconds old

A new kind of fault beside crashes, drains, cuts, restarts and changes of configuration: the store is away for 0.5 to 4 s and comes back from a copy that is 1 to 8 s old. Revisions are given out again, what the instances wrote is gone, the endpoints write their entries with their next heartbeats and the operator the configuration within 1.5 s; a lost revocation is written before the store serves.

--- a/libs/relay/tests/VirtualFleet.cpp
+++ b/libs/relay/tests/VirtualFleet.cpp
@@ -71,6 +71,7 @@
 {
     const Instant start = time_.now();
     recoveryDeadline_ = start + FaultFreeStart + FaultPeriod + RecoveryPeriod;
+    keepCopies();
     time_.after(FaultFreeStart, [this]() {
         sendCall();
         scheduleFaults();
@@ -136,7 +137,7 @@
     Endpoint &engine = *endpoints_[draw(EngineCount)];
     Endpoint &desk = *endpoints_[EngineCount + draw(DeskCount)];
     const Ms duration(500 + draw(9000));
-    switch (draw(14)) {
+    switch (draw(15)) {
     case 0:
         return crash(engine, draw(2) == 0);
     case 1:
@@ -169,6 +170,8 @@
     case 12:
         engine.delaysOrders = true;
         return time_.after(duration, [&engine]() { engine.delaysOrders = false; });
+    case 13:
+        return restoreStore(Ms(500 + draw(3500)));
     default:
         desk.losesAnswers = true;
         return time_.after(duration, [&desk]() { desk.losesAnswers = false; });
--- a/libs/relay/tests/VirtualFleet.h
+++ b/libs/relay/tests/VirtualFleet.h
@@ -2,6 +2,7 @@
 
 #include "VirtualTime.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -106,6 +107,8 @@
 
     struct Store {
         bool down = false;
+        /// How often the store was restored from a copy, plus one.
+        std::uint64_t epoch = 1;
         /// Grows with each change of the configuration, the endpoint list or the lease.
         std::uint64_t revision = 10;
         relay::FleetConfigPtr config;
@@ -160,6 +163,13 @@
     void addEngine();
     /// Stores a newer configuration. If `revokesKey`, the key "key-c" is revoked in it and in all later ones. Does nothing while the store is down.
     void changeConfig(bool revokesKey);
+    /// Keeps copies of the store, from which it may be restored; repeats this periodically.
+    void keepCopies();
+    /// Takes the store away for that time and restores it from a copy that is some seconds old: its revisions are given out again, and what the
+    /// instances wrote since is gone. The endpoints write their entries again with their heartbeats, the operator the configuration.
+    void restoreStore(relay::Ms away);
+    /// Writes the newest configuration again, as soon as the store is reachable.
+    void rewriteConfig();
     /// Ends outages, partitions and faulty behaviour of endpoints. Killed or frozen instances and crashed endpoints return by themselves.
     void endFaults();
     /// Checks what must hold once every call has ended.
@@ -250,6 +260,8 @@
     /// From then on the fleet must serve calls again.
     relay::Instant recoveryDeadline_{0};
     Store store_;
+    /// Copies of the store in the order of their times.
+    std::deque<std::pair<relay::Instant, Store>> copies_;
     std::vector<std::unique_ptr<Instance>> instances_;
     /// Never shrinks: endpoints that are lost for good stay in it, so that references to elements remain valid.
     std::vector<std::unique_ptr<Endpoint>> endpoints_;
--- a/libs/relay/tests/VirtualInstance.cpp
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -136,7 +136,7 @@
 
 void VirtualFleet::listEndpoints(std::size_t index)
 {
-    using Listing = std::pair<std::vector<relay::EndpointEntry>, std::uint64_t>;
+    using Listing = std::pair<std::vector<relay::EndpointEntry>, wire::StoreVersion>;
     Instance &instance = *instances_[index];
     instance.endpointReadsPaused = false;
     const auto serve = [this]() {
@@ -144,14 +144,14 @@
         for (const auto &[id, entry] : store_.endpoints) {
             listing.first.push_back(entry);
         }
-        listing.second = store_.revision;
+        listing.second = {store_.epoch, store_.revision};
         return std::optional(listing);
     };
     query<Listing>(index, "store", StoreTimeout, serve, [this, index](const std::optional<Listing> &listing) {
         Instance &self = *instances_[index];
         const std::uint64_t generation = self.generation;
         if (listing) {
-            self.kernel->onEndpoints(time_.now(), listing->first, {0, listing->second});
+            self.kernel->onEndpoints(time_.now(), listing->first, listing->second);
         }
         self.endpointReadsPaused = listing && !self.followsStore;
         if (!self.endpointReadsPaused) {
@@ -299,17 +299,17 @@
 
 void VirtualFleet::Driver::readLease()
 {
-    using Answer = std::pair<std::uint64_t, relay::LeaseRecord>;
+    using Answer = std::pair<wire::StoreVersion, relay::LeaseRecord>;
     fleet_.query<Answer>(
         index_,
         "store",
         StoreTimeout,
         [this]() {
-            return std::optional(Answer{fleet_.store_.leaseRevision, fleet_.store_.lease});
+            return std::optional(Answer{{fleet_.store_.epoch, fleet_.store_.leaseRevision}, fleet_.store_.lease});
         },
         [this](const std::optional<Answer> &lease) {
             if (lease) {
-                self().kernel->onLeaseRead(fleet_.time_.now(), {0, lease->first}, lease->second);
+                self().kernel->onLeaseRead(fleet_.time_.now(), lease->first, lease->second);
             }
         });
 }
@@ -320,14 +320,14 @@
     const auto serve = [this, record, expectedRevision]() {
         Store &store = fleet_.store_;
         if (store.leaseRevision != expectedRevision) {
-            return std::optional<std::uint64_t>(0);
+            return std::optional(wire::StoreVersion{store.epoch, 0});
         }
         store.lease = record;
         store.leaseRevision = ++store.revision;
-        return std::optional(store.leaseRevision);
+        return std::optional(wire::StoreVersion{store.epoch, store.leaseRevision});
     };
-    fleet_.query<std::uint64_t>(index_, "store", StoreTimeout, serve, [this, sentAt](const auto &revision) {
-        self().kernel->onLeaseWritten(fleet_.time_.now(), sentAt, {0, revision.value_or(0)});
+    fleet_.query<wire::StoreVersion>(index_, "store", StoreTimeout, serve, [this, sentAt](const auto &version) {
+        self().kernel->onLeaseWritten(fleet_.time_.now(), sentAt, version.value_or(wire::StoreVersion{}));
     });
 }
 
