--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -225,6 +225,7 @@
     std::vector<EndpointIndex> stages;
     stages.swap(attempt.stages);
     replaceStages(attempt, std::move(stages), std::move(attempt.layers));
+    attempt.incarnation = endpoints.at(attempt.stages.front()).entry.incarnation;
     attempts.emplace(id, std::move(attempt));
     call.attempts.push_back(id);
     if (call.attemptCount > 0) {
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -92,6 +92,7 @@
     const bool afterOutage = listConfirmedAt.count() != 0 && now - listConfirmedAt > MinOutage;
     listConfirmedAt = now;
     known.endpointsVersion = list.version();
+    planner.onStoreEpoch(now, list.version().epoch);
     endpoints.onList(now, list.entries(), list.version().epoch, afterOutage);
     const std::uint64_t hash = list.hash();
     if (hash != known.endpointsHash) {
@@ -259,6 +260,9 @@
         return;
     }
     const EndpointIndex first = found->second.stages.front();
+    if (head.leaving) {
+        impl_->onLeaving(first, found->second.incarnation, "in an answer to this instance");
+    }
     if (impl_->limits.onStated(first, head.requestLimit, now)) {
         impl_->recordLimit(first, head.requestLimit, "to this instance");
         impl_->peers.expedite();
