--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -75,6 +75,7 @@
     attempt.stages = {*endpoint};
     const AttemptId id = startAttempt(now, call, std::move(attempt));
     Dispatch dispatch = dispatchOf(now, call, id);
+    dispatch.lastEventId = call.lastEventId;
     driver.record({"sent",
                    call.requestId,
                    dispatch.endpoint,
