Endpoints: one that refuses with a time to return gets no requests from this instance until then

New rule of the users: an endpoint that turns a request away with 503 may add Retry-After; it wants nothing from that instance for so long.

The registry keeps the end of the time; neither a report nor an accepted request ends it, only a new incarnation that is learned later than the list can lag: an earlier one may be the one that has answered. The endpoint gets no attempt meanwhile, new, retried or hedged. If it refused for itself, it is no later stage either; if it passed on the refusal of another stage, only its place as first stage is closed, and the stage at fault gets the usual pause. No report is requested because of such a refusal. If nothing else can serve, the caller is rejected at once with the time to return. The log line is backoff_requested.

--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -70,6 +70,8 @@
     std::string faultAddress;
     /// Requests a second that the endpoint takes from all instances together; 0 if it names no limit.
     double requestLimit = 0;
+    /// Time from the answer in which the endpoint wants no request from this instance; zero if it names none.
+    Ms retryAfter{0};
 };
 
 /// Why an attempt failed without a whole answer.
--- a/libs/relay/src/Candidates.cpp
+++ b/libs/relay/src/Candidates.cpp
@@ -27,7 +27,14 @@
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         const EndpointState &state = endpoints.at(i);
         const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
-        if (state.entry.service != call.service->name || state.entry.layers.empty() || isExcluded || !endpoints.isUsable(i, now)) {
+        if (state.entry.service != call.service->name || state.entry.layers.empty()) {
+            continue;
+        }
+        const auto backoff = state.entry.layers.first == 0 ? endpoints.returnsIn(i, now) : std::nullopt;
+        if (backoff) {
+            found.limitWait = std::min(found.limitWait.value_or(*backoff), *backoff);
+        }
+        if (isExcluded || !endpoints.isUsable(i, now)) {
             continue;
         }
         const std::uint32_t kind = placement::kindIndex(*call.service->engine, state.entry.accelerator);
@@ -35,8 +42,9 @@
         // What the other instances have dispatched since their last digests isn't known. After the loss of an endpoint each of them dispatches
         // about as much as this one, so that its own pending prefill is multiplied by their number. So are its prompts on the link between zones.
         const double uncertainPrefill = std::max(0.0, state.pendingPrefillTokens * instances - load.pendingPrefillTokens);
-        const bool canBeFirst = state.entry.layers.first > 0 || limits.maySend(i, nextFraction(), now);
-        if (!canBeFirst) {
+        const bool isLimited = state.entry.layers.first == 0 && !limits.maySend(i, nextFraction(), now);
+        const bool canBeFirst = !isLimited && !backoff;
+        if (isLimited) {
             found.limitWait = std::min(found.limitWait.value_or(Ms::max()), limits.expectedWait(i, now));
         }
         const double failureRatio = load.failures / (load.answers + AssumedGoodAnswers);
--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -104,17 +104,51 @@
     state.silentCheckAt = now + interval;
 }
 
-void EndpointRegistry::pauseAfterRefusal(EndpointIndex index, Instant now)
+void EndpointRegistry::pauseAfterRefusal(EndpointIndex index, Instant now, Ms minimum)
 {
     EndpointState &state = states_[index];
     // Refusals of attempts that were under way at the same time count as one.
     if (now >= state.pausedUntil) {
         state.refusals = std::min(state.refusals + 1, MaxRefusals);
     }
-    state.pausedUntil = now + RefusalPauseUnit * (1 << state.refusals);
+    state.pausedUntil = std::max(state.pausedUntil, now + std::max(minimum, RefusalPauseUnit * (1 << state.refusals)));
     state.refusedAt = now;
 }
 
+void EndpointRegistry::backOff(EndpointIndex index, Instant now, Ms duration)
+{
+    EndpointState &state = states_[index];
+    const Instant until = now + duration;
+    state.backoffUntil = state.backoffIncarnation == state.entry.incarnation ? std::max(state.backoffUntil, until) : until;
+    state.backoffFrom = now;
+    state.backoffIncarnation = state.entry.incarnation;
+}
+
+Ms EndpointRegistry::backoffLeft(EndpointIndex index, Instant now) const
+{
+    const EndpointState &state = states_[index];
+    const bool hasRestarted = state.backoffIncarnation != state.entry.incarnation && now >= state.backoffFrom + MaxListLag;
+    const bool isOver = now >= state.backoffUntil || hasRestarted;
+    return isOver ? Ms(0) : std::chrono::ceil<Ms>(state.backoffUntil - now);
+}
+
+std::optional<Ms> EndpointRegistry::returnsIn(EndpointIndex index, Instant now) const
+{
+    const EndpointState &state = states_[index];
+    const Ms left = backoffLeft(index, now);
+    const bool isSound = state.listed && !state.entry.draining && state.silentCheckAt.count() == 0;
+    return isSound && left.count() > 0 ? std::optional(left) : std::nullopt;
+}
+
+void EndpointRegistry::confirmBackoffs(Instant now)
+{
+    for (EndpointState &state : states_) {
+        if (now < state.backoffUntil && now < state.backoffFrom + MaxListLag) {
+            state.backoffIncarnation = state.entry.incarnation;
+        }
+    }
+}
+
 void EndpointRegistry::hold(EndpointIndex index, Instant now, Ms duration)
 {
     states_[index].heldUntil = std::max(states_[index].heldUntil, now + duration);
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -34,7 +34,8 @@
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         const EndpointState &state = endpoints.at(i);
         const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
-        if (state.entry.service != call.service->name || isExcluded || !endpoints.isUsable(i, now) || !limits.maySend(i, nextFraction(), now)) {
+        const bool isUsable = endpoints.isUsable(i, now) && endpoints.backoffLeft(i, now).count() == 0;
+        if (state.entry.service != call.service->name || isExcluded || !isUsable || !limits.maySend(i, nextFraction(), now)) {
             continue;
         }
         const double latency = state.latencyMs > 0 ? state.latencyMs : AssumedLatencyRatio * target;
@@ -53,9 +54,16 @@
 {
     std::optional<Ms> shortest;
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
+        if (endpoints.at(i).entry.service != call.service->name) {
+            continue;
+        }
+        if (const auto backoff = endpoints.returnsIn(i, now)) {
+            shortest = std::min(shortest.value_or(*backoff), *backoff);
+            continue;
+        }
         const Ms wait = limits.expectedWait(i, now);
         const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
-        if (endpoints.at(i).entry.service == call.service->name && !isExcluded && endpoints.isUsable(i, now) && wait.count() > 0) {
+        if (!isExcluded && endpoints.isUsable(i, now) && wait.count() > 0) {
             shortest = std::min(shortest.value_or(wait), wait);
         }
     }
@@ -89,7 +97,7 @@
     const double latency = msBetween(attempts.at(attempt).sentAt, now);
     if (head.notRun) {
         driver.record({"attempt_refused", call.requestId, endpoints.at(endpoint).entry.id, "status " + std::to_string(head.status)});
-        endpoints.pauseAfterRefusal(endpoint, now);
+        endpoints.pauseAfterRefusal(endpoint, now, head.retryAfter);
         exclude(call, endpoint);
         forgetRun(call, attempt);
         dropAttempt(attempt);
@@ -128,9 +136,14 @@
     if (!call.attempts.empty()) {
         return; // Another attempt is still open.
     }
-    if (choosePlain(now, call) && mayRetry(now, call)) {
+    const bool hasEndpoint = choosePlain(now, call).has_value();
+    if (hasEndpoint && mayRetry(now, call)) {
         return startPlain(now, call);
     }
+    const auto wait = hasEndpoint ? std::nullopt : plainLimitWait(now, call);
+    if (wait) {
+        return rejectForLoad(now, call, *wait, detail);
+    }
     fail(now, call, kind, detail);
 }
 
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -55,6 +55,7 @@
 void RelayKernel::Impl::tick(Instant now)
 {
     failExpiredCalls(now);
+    endpoints.confirmBackoffs(now);
     std::vector<CallId> open;
     open.reserve(calls.size());
     for (const auto &[id, call] : calls) {
@@ -244,6 +245,11 @@
         return;
     }
     const EndpointIndex first = found->second.stages.front();
+    if (head.retryAfter.count() > 0) {
+        impl_->endpoints.backOff(first, now, head.retryAfter);
+        const std::string &endpoint = impl_->endpoints.at(first).entry.id;
+        impl_->driver.record({"backoff_requested", "", endpoint, "no requests for " + std::to_string(head.retryAfter.count()) + " ms"});
+    }
     if (impl_->limits.onStated(first, head.requestLimit, now)) {
         impl_->recordLimit(first, head.requestLimit, "to this instance");
         impl_->peers.expedite();
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -122,10 +122,11 @@
 
 void RelayKernel::Impl::rejectForLoad(Instant now, Call &call, Ms wait, const std::string &reason)
 {
-    if (call.attemptCount > 0) {
+    if (call.mayHaveRun || !call.attempts.empty()) {
         return fail(now, call, base::ErrorKind::Overloaded, reason);
     }
     const CallId id = call.id;
+    counters.failed += call.attemptCount > 0 ? 1 : 0;
     reject(id, call.requestId, std::chrono::duration_cast<Ms>(call.callerDeadline - now), base::ErrorKind::Overloaded, reason, wait);
     close(id);
 }
@@ -143,9 +144,12 @@
     if (head.status == MisdirectedStatus) {
         endpoints.forgetLayers(atFault);
     } else {
-        endpoints.pauseAfterRefusal(atFault, now);
+        // The time that the first stage asks for isn't that of another stage, whose refusal it passes on.
+        endpoints.pauseAfterRefusal(atFault, now, atFault == first ? head.retryAfter : Ms(0));
+    }
+    if (endpoints.backoffLeft(atFault, now).count() == 0) {
+        requestReport(now, atFault);
     }
-    requestReport(now, atFault);
     if (mayRetry(now, call)) {
         // A stream that has begun can't be rejected any more. Its retries are delayed: endpoints accept work again soon, and the caller waits for the
         // next event meanwhile.
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -29,6 +29,10 @@
     Instant refusedAt{0};
     /// The endpoint gets no new work until this time or until it reports, since a report is awaited or others have found it silent.
     Instant heldUntil{0};
+    /// The endpoint has asked for no requests from this instance until this time, when it said so, and its incarnation then. Zero if it hasn't.
+    Instant backoffUntil{0};
+    Instant backoffFrom{0};
+    std::uint64_t backoffIncarnation = 0;
     /// A report has been requested and neither arrived nor timed out.
     bool reportPending = false;
     Instant reportRequestedAt{0};
@@ -75,8 +79,20 @@
     void setSilent(EndpointIndex index, Instant now);
 
     /// Gives the endpoint no new work for a pause that doubles with each refusal in a row, after it has refused work without running it, for lack of
-    /// capacity or since it is leaving.
-    void pauseAfterRefusal(EndpointIndex index, Instant now);
+    /// capacity or since it is leaving. The pause is at least as long as the endpoint has asked for.
+    void pauseAfterRefusal(EndpointIndex index, Instant now, Ms minimum = Ms(0));
+
+    /// Sends the endpoint no requests for a time that it has asked for itself. Neither a report nor an accepted request ends that, only a new incarnation.
+    void backOff(EndpointIndex index, Instant now, Ms duration);
+
+    /// Returns how much longer the endpoint wants no requests; zero if it takes them.
+    Ms backoffLeft(EndpointIndex index, Instant now) const;
+
+    /// Returns the same for an endpoint that is otherwise sound, so that it will take requests then; none for any other.
+    std::optional<Ms> returnsIn(EndpointIndex index, Instant now) const;
+
+    /// Takes an incarnation that is learned shortly after an endpoint's wish for the one that has stated it: the list lags behind.
+    void confirmBackoffs(Instant now);
 
     /// Gives the endpoint no new work for at least the given time, or until it reports.
     void hold(EndpointIndex index, Instant now, Ms duration);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -112,7 +112,8 @@
     std::vector<EndpointIndex> indices;
     /// Prompt tokens that all instances together may have under way over the link between zones.
     double linkTokens = 0;
-    /// Shortest time until an endpoint with the first layers may get a request that its limit does not permit now; none if no limit stands in the way.
+    /// Shortest time until an endpoint with the first layers may get a request that its limit, or its wish to get none, does not permit now; none if neither
+    /// stands in the way.
     std::optional<Ms> limitWait;
 };
 
@@ -219,7 +220,7 @@
     std::optional<EndpointIndex> choosePlain(Instant now, const Call &call);
     /// Forwards an answer, or retries the call if the answer is an error and the call may run again.
     void onPlainAnswer(Instant now, Call &call, AttemptId attempt, const AnswerHead &head);
-    /// Returns the shortest time until a usable endpoint that limits its requests is expected to take this call; none if none limits them.
+    /// Returns the shortest time until an endpoint that limits its requests, or wants none for a time, is expected to take this call; none if there is none.
     std::optional<Ms> plainLimitWait(Instant now, const Call &call) const;
     /// Retries a call after a failed attempt, or fails it with the given error; does nothing while another attempt is open.
     void retryPlainOrFail(Instant now, Call &call, base::ErrorKind kind, const std::string &detail);
