Test: an endpoint's own 503 to a request that may run once is passed on unchanged

The router neither sends such a request again nor replaces the answer. The test holds this; it passes with the code as it is.

--- a/libs/relay/tests/PlainCallTests.cpp
+++ b/libs/relay/tests/PlainCallTests.cpp
@@ -70,6 +70,16 @@
     LONGS_EQUAL(1, bed.driver.sent.size());
 }
 
+/// Guards against replacing an endpoint's own 503, which is its promise that the request has not run: the status stays as the endpoint gave it.
+TEST(ARequestThatMayRunOnce, getsTheEndpointsOwnRefusalUnchangedAlsoIfThatDoesNotSayThatItDidNotRun)
+{
+    const CallId call = bed.call("/book/seat");
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {503, false, true, ""});
+    LONGS_EQUAL(call, bed.driver.forwarded.back());
+    LONGS_EQUAL(1, bed.driver.sent.size());
+    CHECK(bed.driver.rejected.empty());
+}
+
 TEST(ARequestThatMayRunOnce, doesNotGetADamagedAnswer)
 {
     bed.call("/book/seat");
