--- /dev/null
+++ b/libs/relay/tests/SilentStageTests.cpp
@@ -0,0 +1,97 @@
+#include "FakeDriver.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace relay;
+
+/// An endpoint that is silent may have ended, or may go on after a second. The route of the streams permits two attempts.
+TEST_GROUP(AStreamWhoseFirstStageIsSilent)
+{
+    RelayTestBed bed;
+
+    /// Adds a third endpoint that can be a first stage.
+    void addThirdFirstStage()
+    {
+        bed.entries.push_back(RelayTestBed::engineEntry("low-c", "zone-c", {0, RelayTestBed::HalfLayers}));
+        bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
+    }
+
+    /// Starts a stream and lets its first stage fall silent after two events, so that it moves. Returns the id of that stage.
+    std::string loseFirstStage()
+    {
+        bed.startStream(2);
+        const std::string first = bed.driver.sent.back().endpoint;
+        bed.advance(Ms(300));
+        bed.kernel.onReport(bed.now, first, std::nullopt);
+        LONGS_EQUAL(2, bed.driver.sent.size());
+        return first;
+    }
+};
+
+/// Guards against a stream that fails although the endpoint of one of its attempts is known to have ended, and no longer runs it.
+TEST(AStreamWhoseFirstStageIsSilent, mayMoveOnceMoreIfThatHasRestartedSince)
+{
+    addThirdFirstStage();
+    const std::string first = loseFirstStage();
+    std::find_if(bed.entries.begin(), bed.entries.end(), [&](const EndpointEntry &entry) { return entry.id == first; })->incarnation = 2;
+    bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    LONGS_EQUAL(3, bed.driver.sent.size());
+}
+
+/// Guards likewise where the endpoint is silent and has been removed from the list.
+TEST(AStreamWhoseFirstStageIsSilent, mayMoveOnceMoreIfThatIsGone)
+{
+    addThirdFirstStage();
+    const std::string first = loseFirstStage();
+    std::erase_if(bed.entries, [&](const EndpointEntry &entry) { return entry.id == first; });
+    bed.kernel.onEndpoints(bed.now, bed.entries, ++bed.storeRevision);
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    LONGS_EQUAL(3, bed.driver.sent.size());
+}
+
+/// Guards against a stream that runs on more endpoints than its route allows, since one that is only silent counts as ended.
+TEST(AStreamWhoseFirstStageIsSilent, hasUsedUpAnAttempt)
+{
+    addThirdFirstStage();
+    loseFirstStage();
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    LONGS_EQUAL(1, bed.driver.brokenStreams.size());
+}
+
+/// Guards against a stream that is broken off at an endpoint that is silent for a second and then goes on, when no further attempt is permitted.
+TEST(AStreamWhoseFirstStageIsSilent, staysThereWhenItsAttemptsAreUsedUp)
+{
+    addThirdFirstStage();
+    loseFirstStage();
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    const AttemptId second = bed.lastAttempt();
+    bed.advance(Ms(300));
+    bed.kernel.onReport(bed.now, bed.driver.sent.back().endpoint, std::nullopt);
+    bed.advance(Ms(1000));
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(!bed.driver.wasCancelled(second));
+    CHECK(bed.driver.brokenStreams.empty());
+    CHECK(bed.kernel.onEvent(bed.now, second, 4));
+    bed.kernel.onStreamEnd(bed.now, second);
+    LONGS_EQUAL(1, bed.driver.endedStreams.size());
+}
+
+/// Guards against a stream that stays at a silent endpoint although an earlier one turns out to have ended meanwhile.
+TEST(AStreamWhoseFirstStageIsSilent, leavesItOnceAnEarlierOneIsKnownToHaveEnded)
+{
+    addThirdFirstStage();
+    const std::string first = loseFirstStage();
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    bed.advance(Ms(300));
+    bed.kernel.onReport(bed.now, bed.driver.sent.back().endpoint, std::nullopt);
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    std::erase_if(bed.entries, [&](const EndpointEntry &entry) { return entry.id == first; });
+    bed.advance(Ms(200));
+    LONGS_EQUAL(3, bed.driver.sent.size());
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 4));
+}
