--- a/libs/relay/tests/SilentStageTests.cpp
+++ b/libs/relay/tests/SilentStageTests.cpp
@@ -20,7 +20,7 @@
     std::string loseFirstStage()
     {
         bed.startStream(2);
-        const std::string first = bed.driver.sent.back().endpoint;
+        std::string first = bed.driver.sent.back().endpoint;
         bed.advance(Ms(300));
         bed.kernel.onReport(bed.now, first, std::nullopt);
         LONGS_EQUAL(2, bed.driver.sent.size());
