--- a/libs/net/include/net/Http.h
+++ b/libs/net/include/net/Http.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,6 +21,9 @@
 /// compared as a whole, so the fields that it lists are forwarded.
 Headers endToEndHeaders(const Headers &headers, const std::vector<std::string_view> &excluded);
 
+/// Returns the time after which the sender closes the connection if it stays idle, by the Keep-Alive field; none if it states none.
+std::optional<std::chrono::seconds> keepAliveTimeoutIn(const Headers &headers);
+
 /// A complete HTTP request.
 struct HttpRequest {
     std::string method = "GET";
--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -72,6 +72,20 @@
     return passed;
 }
 
+std::optional<std::chrono::seconds> keepAliveTimeoutIn(const Headers &headers)
+{
+    constexpr std::string_view Timeout = "timeout=";
+    const std::string_view field = headerIn(headers, "Keep-Alive");
+    const std::size_t start = field.find(Timeout);
+    std::uint32_t seconds = 0;
+    if (start == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const char *const digits = field.data() + start + Timeout.size();
+    const bool isNumber = std::from_chars(digits, field.data() + field.size(), seconds).ec == std::errc();
+    return isNumber ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
 Address parseAddress(std::string_view text)
 {
     const auto colon = text.rfind(':');
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "net/HttpClient.h"
 
 #include "details/EventLoopImpl.h"
+#include "details/IdleConnections.h"
 
 #include <iostream>
 
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr std::size_t MaxIdleConnectionsPerAddress = 64;
+constexpr std::chrono::seconds MaxIdleTime{20};
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
 /// Responses to other requests that are skipped before the response to a call.
 constexpr int MaxStrayResponses = 4;
@@ -47,12 +49,9 @@
     /// Returns the most recently used idle connection to an address that is still open, or null.
     std::shared_ptr<tcp::socket> takeIdle(const std::string &key)
     {
-        auto &list = idle[key];
-        while (!list.empty()) {
-            auto socket = list.back();
-            list.pop_back();
-            if (isUsable(*socket)) {
-                return socket;
+        while (auto socket = idle.take(key, std::chrono::steady_clock::now())) {
+            if (isUsable(**socket)) {
+                return *socket;
             }
         }
         return nullptr;
@@ -68,15 +67,6 @@
         return error == asio::error::would_block;
     }
 
-    /// Keeps a connection for later calls; drops it, and so closes it, if there are enough.
-    void keepIdle(const std::string &key, const std::shared_ptr<tcp::socket> &socket)
-    {
-        auto &list = idle[key];
-        if (list.size() < MaxIdleConnectionsPerAddress) {
-            list.push_back(socket);
-        }
-    }
-
     /// Opens a connection within the connect timeout. Returns false if that fails.
     asio::awaitable<bool> connect(const ClientCall &call, const std::shared_ptr<RunningCall> &running);
     /// Runs one call to its end or failure.
@@ -88,8 +78,7 @@
     static void startTimer(const ClientCall &call, const std::shared_ptr<RunningCall> &state);
 
     asio::io_context &io;
-    /// Idle connections by address.
-    std::unordered_map<std::string, std::vector<std::shared_ptr<tcp::socket>>> idle;
+    IdleConnections<std::shared_ptr<tcp::socket>> idle{MaxIdleConnectionsPerAddress, MaxIdleTime};
     std::unordered_map<ClientCallId, std::shared_ptr<RunningCall>> running;
     ClientCallId nextId = 1;
 };
@@ -298,7 +287,7 @@
             // Bytes after the response belong to no request. The next call would read them as its response, so the connection isn't reused.
             const bool isClean = strays == 0 && buffer.size() == 0;
             if (parser.get().keep_alive() && !parser.need_eof() && !call.freshConnection && isClean) {
-                keepIdle(key, state->socket);
+                idle.keep(key, state->socket, std::chrono::steady_clock::now(), keepAliveTimeoutIn(*headers));
             }
             co_return true;
         }
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -468,6 +468,15 @@
     STRCMP_EQUAL("ETag", passed.at(0).first.c_str());
 }
 
+TEST(AnHttpExchange, mayStateWhenItsConnectionIsClosed)
+{
+    CHECK(net::keepAliveTimeoutIn({{"keep-alive", "timeout=5, max=100"}}) == std::chrono::seconds(5));
+    CHECK(net::keepAliveTimeoutIn({{"Keep-Alive", "max=100,timeout=0"}}) == std::chrono::seconds(0));
+    for (const char *value : {"", "timeout", "timeout=", "timeout=-1", "timeout=99999999999", "max=3"}) {
+        CHECK(!net::keepAliveTimeoutIn({{"Keep-Alive", value}}));
+    }
+}
+
 TEST(AnHttpExchange, deliversChunksInOrder)
 {
     const auto result = server.get("/stream");
@@ -905,6 +914,14 @@
     CHECK(failures.back() == net::CallFailure::Broken);
 }
 
+TEST(AKeptConnection, isNotReusedAfterTheTimeThatTheServerStates)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok";
+    ScriptedServer server({answer, answer});
+    LONGS_EQUAL(2, fetchTwoBodies(server.address()).size());
+    LONGS_EQUAL(2, server.connections());
+}
+
 /// Guards against a response that a faulty server sends once more, where the next one is expected, being taken for that one.
 TEST_GROUP(AResponseToAnEarlierRequest)
 {
