Logs: answers that were skipped, and refusals that were not believed

`answer_skipped` and `refusal_doubted` tell how often an endpoint writes an answer to an earlier request, and how often a refusal without an id on a kept connection counts as one that may have run: the price of the check before. A list after a gap is cut off by a later read, as its neighbours are (the two were written side by side).

--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -109,6 +109,7 @@
     void recordMisfit(relay::CallId call, const std::string &part);
     /// Adds the time to the first event, or since the previous forwarding of events, to the latency metrics.
     void recordEventLatency(relay::CallId call);
+    void onHead(relay::AttemptId id, const std::string &endpoint, int status, const net::Headers &headers);
     void onData(relay::AttemptId id, const std::string &data);
     void onEnd(relay::AttemptId id);
     void onFailure(relay::AttemptId id, net::CallFailure failure);
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -51,8 +51,12 @@
     request.totalTimeout = dispatch.timeLeft + AnswerTimeoutMargin;
     request.freshConnection = dispatch.freshConnection;
     request.bodyLimit = MaxAnswerBytes;
-    request.isStray = [this, requestId = call->second.requestId](const net::Headers &headers) {
-        return dialect_.answerIdOf(headers, requestId) == AnswerId::Other;
+    request.isStray = [this, requestId = call->second.requestId, endpoint = dispatch.endpoint](const net::Headers &headers) {
+        const bool isStray = dialect_.answerIdOf(headers, requestId) == AnswerId::Other;
+        if (isStray) {
+            record({"answer_skipped", requestId, endpoint, "it answers an earlier request"});
+        }
+        return isStray;
     };
     net::ClientHandlers handlers;
     handlers.onKeptConnection = [this, id]() {
@@ -60,20 +64,8 @@
             attempt->second.isOnKeptConnection = true;
         }
     };
-    handlers.onHead = [this, id](int status, const net::Headers &headers) {
-        const auto attempt = attempts_.find(id);
-        if (attempt == attempts_.end()) {
-            return;
-        }
-        attempt->second.status = status;
-        attempt->second.headers = headers;
-        const auto open = calls_.find(attempt->second.call);
-        if (open == calls_.end()) {
-            return;
-        }
-        const relay::AnswerHead head = answerHead(attempt->second, open->second.requestId);
-        attempt->second.isStream = attempt->second.mayStream && head.verified && dialect_.isEventStream(status, headers);
-        kernel_.onHead(now(), id, head);
+    handlers.onHead = [this, id, endpoint = dispatch.endpoint](int status, const net::Headers &headers) {
+        onHead(id, endpoint, status, headers);
     };
     handlers.onData = [this, id](const std::string &data) {
         onData(id, data);
@@ -89,6 +81,27 @@
     attempts_[id].clientCall = endpointClient_.start(std::move(request), std::move(handlers));
 }
 
+void RelayHost::onHead(relay::AttemptId id, const std::string &endpoint, int status, const net::Headers &headers)
+{
+    const auto attempt = attempts_.find(id);
+    if (attempt == attempts_.end()) {
+        return;
+    }
+    attempt->second.status = status;
+    attempt->second.headers = headers;
+    const auto open = calls_.find(attempt->second.call);
+    if (open == calls_.end()) {
+        return;
+    }
+    const std::string &requestId = open->second.requestId;
+    const relay::AnswerHead head = answerHead(attempt->second, requestId);
+    if (!head.notRun && dialect_.decodeAnswer(status, headers, requestId).notRun) {
+        record({"refusal_doubted", requestId, endpoint, "status " + std::to_string(status) + " without an id on a kept connection"});
+    }
+    attempt->second.isStream = attempt->second.mayStream && head.verified && dialect_.isEventStream(status, headers);
+    kernel_.onHead(now(), id, head);
+}
+
 relay::AnswerHead RelayHost::answerHead(const OpenAttempt &attempt, const std::string &requestId) const
 {
     relay::AnswerHead head = dialect_.decodeAnswer(attempt.status, attempt.headers, requestId);
--- a/libs/relayhost/src/StoreFollower.cpp
+++ b/libs/relayhost/src/StoreFollower.cpp
@@ -224,7 +224,7 @@
         if (listedAfterGapAt_ > due) {
             return listEndpoints();
         }
-        return runAt(due, [this]() { listEndpoints(); });
+        return continueAt(due, &StoreFollower::listEndpoints);
     }
     for (const EndpointChange &change : changes->changes) {
         if (change.entry) {
