A caller's Last-Event-Id that is no number isn't the highest one

`Last-Event-Id: -1`, or one beyond 64 bits, counted as: all events of the stream were dropped as received already, and the caller waited in vain. Such an id now counts as none; the endpoint gets it as the caller sent it.

Failed before: AStream beginsAnewIfTheLastEventOfItsCallerIsNoNumber.

--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace relay {
 
@@ -28,6 +29,15 @@
 /// balancer uses another one.
 constexpr double ReadinessRatio = 0.6;
 
+/// Returns the number that an event's id is; 0, which no event has, if it is none.
+std::uint64_t eventNumber(const std::string &id)
+{
+    std::uint64_t number = 0;
+    const char *const idEnd = id.data() + id.size();
+    const auto [end, error] = std::from_chars(id.data(), idEnd, number);
+    return error == std::errc() && end == idEnd ? number : 0;
+}
+
 /// Returns the caller's time limit, or the default if the caller states none.
 Ms timeLimitOf(const CallArrival &arrival)
 {
@@ -131,7 +141,7 @@
     call.promptTokens = arrival.promptTokens;
     call.answerTokens = arrival.answerTokens > 0 ? arrival.answerTokens : AssumedAnswerTokens;
     call.lastEventId = arrival.lastEventId;
-    call.lastEvent = std::strtoull(arrival.lastEventId.c_str(), nullptr, 10);
+    call.lastEvent = eventNumber(arrival.lastEventId);
     call.lastDeliveredAt = now;
     calls.emplace(call.id, std::move(owned));
     retries.onRequest(service->name, now);
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -39,6 +39,27 @@
     LONGS_EQUAL(3, bed.driver.sent.size());
 }
 
+/// Guards against a damaged id of the last event that counts as the highest one, after which all events are dropped as received.
+TEST(AStream, beginsAnewIfTheLastEventOfItsCallerIsNoNumber)
+{
+    for (const char *lastEventId : {"-1", "99999999999999999999999", "+7", "x", "7x"}) {
+        CallArrival arrival;
+        arrival.call = ++bed.lastCall;
+        arrival.requestId = "request-" + std::to_string(arrival.call);
+        arrival.host = "api.example";
+        arrival.path = "/stream/x";
+        arrival.keySha256 = "key-a";
+        arrival.timeLimit = Ms(20000);
+        arrival.lastEventId = lastEventId;
+        arrival.promptTokens = 500;
+        arrival.answerTokens = 100;
+        arrival.fingerprint = arrival.call;
+        bed.kernel.onCall(bed.now, arrival);
+        STRCMP_EQUAL(lastEventId, bed.driver.sent.back().lastEventId.c_str());
+        CHECK_TEXT(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 1), lastEventId);
+    }
+}
+
 TEST(AStream, passesThroughEveryLayerOnceInsideOneZone)
 {
     bed.startStream(0);
