After a restore the fleet takes the new list from its readers, without reads of its own

Causes: the history of changes begins anew with an epoch, at another revision in each instance; one whose list was older than the beginning of the other's history got no changes and read the store. And a digest that names a later version was awaited although the list of a lower version in the same epoch, which had come from another instance, had the same content.

Now the whole list is sent wherever the history doesn't reach, and an awaited list counts as known by its content.

Before the change learnsOfALeavingEndpointAt69Instances failed with 20 reads (9 allowed); all three sizes pass now.

--- a/libs/relay/src/EndpointList.cpp
+++ b/libs/relay/src/EndpointList.cpp
@@ -131,10 +131,7 @@
         return std::nullopt;
     }
     wire::EndpointListChanges changes;
-    changes.isComplete = version.revision == 0 || version.epoch < version_.epoch;
-    if (!changes.isComplete && version.revision < knownSince_) {
-        return std::nullopt;
-    }
+    changes.isComplete = version.revision == 0 || version.epoch < version_.epoch || version.revision < knownSince_;
     for (const auto &[id, listed] : listed_) {
         if (changes.isComplete || listed.changedAt > version.revision) {
             changes.changed.push_back(listed.record);
--- a/libs/relay/src/StoreDuty.cpp
+++ b/libs/relay/src/StoreDuty.cpp
@@ -60,7 +60,7 @@
         return join(now, known);
     }
     follow(isChosenReader || readers.empty() || isOwnKnowledgeStale, isChosenReader, now);
-    if (updateVersion_ > known.endpointsVersion && now >= updateAwaitedSince_ + UpdateTimeout) {
+    if (awaitsUpdate(known) && now >= updateAwaitedSince_ + UpdateTimeout) {
         updateAwaitedSince_ = now;
         refreshEndpoints(now);
     }
@@ -153,16 +153,25 @@
     if (digest.endpointsHash == 0 || isSameList || digest.endpointsVersion <= known.endpointsVersion) {
         return;
     }
-    if (updateVersion_ <= known.endpointsVersion) {
+    if (!awaitsUpdate(known)) {
         updateAwaitedSince_ = now;
     }
-    updateVersion_ = std::max(updateVersion_, digest.endpointsVersion);
+    if (digest.endpointsVersion > updateVersion_) {
+        updateVersion_ = digest.endpointsVersion;
+        updateHash_ = digest.endpointsHash;
+    }
     if (now >= updateRequestedAt_ + RefreshPeriod) {
         updateRequestedAt_ = now;
         sendRequest(digest.instance, now, known);
     }
 }
 
+bool StoreDuty::awaitsUpdate(const Knowledge &known) const
+{
+    const bool isSameList = updateHash_ == known.endpointsHash && updateVersion_.epoch == known.endpointsVersion.epoch;
+    return updateVersion_ > known.endpointsVersion && !isSameList;
+}
+
 void StoreDuty::onConfigNamed(std::uint64_t version, Instant now, const Knowledge &known)
 {
     if (version >= namedConfigVersion(now)) {
--- a/libs/relay/src/details/EndpointList.h
+++ b/libs/relay/src/details/EndpointList.h
@@ -23,8 +23,8 @@
     /// later than the known one, or if changes lead to another epoch: what the copy lacks isn't among them.
     bool apply(const wire::EndpointListChanges &changes, wire::StoreVersion version);
 
-    /// Returns the changes after a version; the whole list if that version is of an earlier epoch, or of no list at all. Nothing if the history doesn't
-    /// reach back that far, if the version is of a later epoch, or if no list is known yet.
+    /// Returns the changes after a version; the whole list if the history doesn't reach back that far: it begins anew with each epoch. Nothing if the
+    /// version is of a later epoch, or if no list is known yet.
     std::optional<wire::EndpointListChanges> changesSince(wire::StoreVersion version) const;
 
     /// Returns all listed endpoints, ordered by id.
--- a/libs/relay/src/details/StoreDuty.h
+++ b/libs/relay/src/details/StoreDuty.h
@@ -67,6 +67,8 @@
     void follow(bool shouldFollow, bool isReader, Instant now);
     /// Sends a freshness request to an instance.
     void sendRequest(const std::string &instance, Instant now, const Knowledge &known);
+    /// Returns true if a digest has named a list that this instance lacks. A list of a lower version in the same epoch may have the same content.
+    bool awaitsUpdate(const Knowledge &known) const;
     /// Takes a version of the configuration that another instance holds, and reads the store if it is newer than the own one.
     void onConfigNamed(std::uint64_t version, Instant now, const Knowledge &known);
     /// Reads the list of endpoints from the store, unless it was read moments ago.
@@ -85,6 +87,8 @@
     Instant configNamedAt_{0};
     /// The latest version of the endpoint list that a digest has named, and since when it is awaited.
     wire::StoreVersion updateVersion_;
+    /// EndpointList::hash() of that list.
+    std::uint64_t updateHash_ = 0;
     Instant updateAwaitedSince_{0};
     /// When changes that a digest has named were last requested from its sender.
     Instant updateRequestedAt_{0};
--- a/libs/wire/include/wire/StoreVersion.h
+++ b/libs/wire/include/wire/StoreVersion.h
@@ -14,7 +14,11 @@
     /// Number of the store's last change; 0 stands for no state at all.
     std::uint64_t revision = 0;
 
-    friend auto operator<=>(const StoreVersion &, const StoreVersion &) = default;
+    friend bool operator==(const StoreVersion &, const StoreVersion &) = default;
+    friend std::strong_ordering operator<=>(const StoreVersion &a, const StoreVersion &b)
+    {
+        return a.epoch == b.epoch ? a.revision <=> b.revision : a.epoch <=> b.epoch;
+    }
 };
 
 /// Returns the version as it is written to the log, for example "2/517".
