Tests of older lists notice again what they guard against

Mutants: with the order of versions taken out of EndpointList, two tests passed, since an endpoint that is known to be leaving stays so and a missing one stays listed for the grace period after a restore: their observations no longer depended on the list. They now also require that a removed endpoint stays gone, and that changes of another epoch make no endpoint leave.

--- a/libs/relay/tests/RestoredStoreTests.cpp
+++ b/libs/relay/tests/RestoredStoreTests.cpp
@@ -80,15 +80,16 @@
     STRCMP_EQUAL("draining", stateOf("low-a").c_str());
 }
 
-/// Reads overlap: the answer of before the restore arrives last and hides an endpoint that was listed since.
+/// Reads overlap: the answer of before the restore arrives last and brings back an endpoint that was removed since.
 TEST(AnInstanceWhoseStoreIsRestored, ignoresALateListOfTheEpochBefore)
 {
     const std::vector<EndpointEntry> before = bed.entries;
     restore();
-    bed.entries.push_back(RelayTestBed::deskEntry("desk-d", "zone-a"));
-    bed.advance(Ms(50));
+    bed.entries.pop_back();
+    bed.advance(Ms(2500));
+    STRCMP_EQUAL("gone", stateOf("desk-c").c_str());
     bed.kernel.onEndpoints(bed.now, before, {1, LastRevision + 50});
-    STRCMP_EQUAL("usable", stateOf("desk-d").c_str());
+    STRCMP_EQUAL("gone", stateOf("desk-c").c_str());
 }
 
 /// An instance that doesn't read the store learns of the restore by a digest alone, whose revision is lower than its own.
@@ -133,7 +134,7 @@
     bed.kernel.onPeerMessage(bed.now, digestOf({2, LastRevision + 5}));
     wire::FreshnessReply reply = wholeListWithout("desk-c", {2, LastRevision + 5});
     reply.changes->isComplete = false;
-    reply.changes->removed.push_back("low-a");
+    reply.changes->changed.front().draining = true;
     bed.kernel.onPeerMessage(bed.now, reply);
     STRCMP_EQUAL("usable", stateOf("low-a").c_str());
     LONGS_EQUAL(1, bed.driver.endpointRefreshes);
--- a/libs/relay/tests/StoreDutyTests.cpp
+++ b/libs/relay/tests/StoreDutyTests.cpp
@@ -160,9 +160,11 @@
 {
     const std::vector<EndpointEntry> before = bed.entries;
     bed.entries.front().draining = true;
+    bed.entries.pop_back();
     bed.kernel.onEndpoints(bed.now, bed.entries, {0, ++bed.storeRevision});
     bed.kernel.onEndpoints(bed.now, before, {0, bed.storeRevision - 1});
     STRCMP_EQUAL("draining", stateOf("low-a").c_str());
+    STRCMP_EQUAL("gone", stateOf("desk-c").c_str());
 }
 
 TEST(AnInstanceThatDoesNotReadTheStore, sendsOthersTheChangesSinceTheirRevision)
