--- a/libs/net/include/net/Http.h
+++ b/libs/net/include/net/Http.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,6 +21,9 @@
 /// compared as a whole, so the fields that it lists are forwarded.
 Headers endToEndHeaders(const Headers &headers, const std::vector<std::string_view> &excluded);
 
+/// Returns the time after which the sender closes the connection if it stays idle, by the Keep-Alive field; none if it states none.
+std::optional<std::chrono::seconds> keepAliveTimeoutIn(const Headers &headers);
+
 /// A complete HTTP request.
 struct HttpRequest {
     std::string method = "GET";
@@ -44,6 +49,9 @@
 /// Parses an address such as "127.0.0.1:8080". Returns port 0 if the text has no colon or no valid port; the host isn't checked.
 Address parseAddress(std::string_view text);
 
+/// Returns whether the address has a port, and an IP address as its host.
+bool isValid(const Address &address);
+
 /// Returns "host:port".
 std::string toString(const Address &address);
 
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -442,6 +442,15 @@
     STRCMP_EQUAL("ETag", passed.at(0).first.c_str());
 }
 
+TEST(AnHttpExchange, mayStateWhenItsConnectionIsClosed)
+{
+    CHECK(net::keepAliveTimeoutIn({{"keep-alive", "timeout=5, max=100"}}) == std::chrono::seconds(5));
+    CHECK(net::keepAliveTimeoutIn({{"Keep-Alive", "max=100,timeout=0"}}) == std::chrono::seconds(0));
+    for (const char *value : {"", "timeout", "timeout=", "timeout=-1", "timeout=99999999999", "max=3"}) {
+        CHECK(!net::keepAliveTimeoutIn({{"Keep-Alive", value}}));
+    }
+}
+
 TEST(AnHttpExchange, deliversChunksInOrder)
 {
     const auto result = server.get("/stream");
@@ -939,6 +948,15 @@
     CHECK(frame->bytes.ends_with("\r\n\r\n"));
 }
 
+/// Guards against an id that can't be read being taken for another one, after which events are dropped or sent twice.
+TEST(AnEventFrame, hasNoIdIfThatIsNoNumberOrTooLarge)
+{
+    for (const char *id : {"18446744073709551617", "99999999999999999999999", "1x2", "-4", "1 2", ""}) {
+        CHECK_TEXT(!net::firstEvent("id: " + std::string(id) + "\ndata: x\n\n")->hasId, id);
+    }
+    CHECK(net::firstEvent("id:18446744073709551614\r\ndata: x\r\n\r\n")->id == 18446744073709551614U);
+}
+
 TEST(AnEventFrame, mayLackAnId)
 {
     CHECK(!net::firstEvent(": comment\n\n")->hasId);
--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -70,6 +70,10 @@
     std::string faultAddress;
     /// Requests a second that the endpoint takes from all instances together; 0 if it names no limit.
     double requestLimit = 0;
+    /// The endpoint says that it is leaving: it finishes its open requests and must get no new ones.
+    bool leaving = false;
+    /// Time from the answer in which the endpoint wants no request from this instance; zero if it names none.
+    Ms retryAfter{0};
 };
 
 /// Why an attempt failed without a whole answer.
@@ -151,10 +155,11 @@
     /// Starts the shutdown; RelayDriver::exit() follows.
     void onStop(Instant now);
 
-    /// Takes the result of a read of the configuration that was sent at `sentAt`. Null means that the version is the one already known.
+    /// Takes the result of a read of the configuration that was sent at `sentAt`. Null means that the version is the one already known. An older version
+    /// than this or another instance holds changes nothing and doesn't confirm that the own one is current: the store may have been restored from a copy.
     void onConfig(Instant now, Instant sentAt, FleetConfigPtr config);
-    /// Takes a current list of all endpoints, which contains all changes up to `revision` of the store.
-    void onEndpoints(Instant now, const std::vector<EndpointEntry> &entries, std::uint64_t revision);
+    /// Takes a current list of all endpoints, which contains all changes up to `version` of the store.
+    void onEndpoints(Instant now, const std::vector<EndpointEntry> &entries, wire::StoreVersion version);
 
     /// Takes a current list of instances, which includes this one.
     void onInstances(Instant now, const std::vector<InstanceEntry> &instances);
@@ -183,9 +188,9 @@
     /// Takes the result of a detour. `faultAddress` is the address of the stage because of which it failed; empty if it is unknown.
     void onDetourAnswer(Instant now, AttemptId attempt, OrderOutcome outcome, const std::string &faultAddress);
     /// Takes the result of a read of the lease. Revision 0 means that there is no lease.
-    void onLeaseRead(Instant now, std::uint64_t revision, const LeaseRecord &record);
+    void onLeaseRead(Instant now, wire::StoreVersion version, const LeaseRecord &record);
     /// Takes the result of a write of the lease that was sent at `sentAt`. Revision 0 means that it failed or that its outcome is unknown.
-    void onLeaseWritten(Instant now, Instant sentAt, std::uint64_t revision);
+    void onLeaseWritten(Instant now, Instant sentAt, wire::StoreVersion version);
 
     const RelayCounters &counters() const;
     /// Returns all endpoints that were ever listed.
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -161,6 +161,46 @@
     return call.attemptCount > 0 && call.lastEvent == 0 && (call.isProbe || crashGuard.isConvicted(call.signatures));
 }
 
+std::string RelayKernel::Impl::retryText(Instant now, const Call &call)
+{
+    const RetryUsage usage = retries.usage(call.service->name, now);
+    return "runs " + std::to_string(countedRuns(call)) + " of " + std::to_string(call.route->maxAttempts) + ", retries " + std::to_string(usage.used) + " of "
+        + std::to_string(static_cast<std::uint64_t>(usage.allowed)) + ", reserve divided among " + std::to_string(usage.instances) + " instances";
+}
+
+bool RelayKernel::Impl::hasEnded(const Run &run) const
+{
+    const EndpointState &state = endpoints.at(run.first);
+    return state.entry.incarnation > run.incarnation || (!state.listed && isSilent(run.first));
+}
+
+std::uint32_t RelayKernel::Impl::countedRuns(const Call &call) const
+{
+    return static_cast<std::uint32_t>(std::count_if(call.runs.begin(), call.runs.end(), [&](const Run &run) { return !hasEnded(run); }));
+}
+
+bool RelayKernel::Impl::mayRunAgain(const Call &call) const
+{
+    return call.route->kind == RequestKind::AtMostOnce ? !call.mayHaveRun : countedRuns(call) < call.route->maxAttempts;
+}
+
+void RelayKernel::Impl::forgetRun(Call &call, AttemptId attempt)
+{
+    std::erase_if(call.runs, [&](const Run &run) { return run.attempt == attempt; });
+}
+
+bool RelayKernel::Impl::retryIsPermitted(Instant now, Call &call)
+{
+    if (retries.permits(call.service->name, now)) {
+        return true;
+    }
+    if (!call.retryWasRefused) {
+        call.retryWasRefused = true;
+        driver.record({"retry_refused", call.requestId, call.service->name, retryText(now, call)});
+    }
+    return false;
+}
+
 bool RelayKernel::Impl::mayRetry(Instant now, Call &call)
 {
     // A stream that may have run gets more attempts, since failing it loses the answer so far.
@@ -172,9 +212,8 @@
     if (isBarred(call)) {
         return false;
     }
-    const bool mayRunAgain = call.route->kind == RequestKind::AtMostOnce ? !call.mayHaveRun : call.runs < call.route->maxAttempts;
     const std::uint32_t attemptLimit = call.mayHaveRun && call.route->kind == RequestKind::Stream ? MaxResumedStreamAttempts : MaxAttempts;
-    return mayRunAgain && call.attemptCount < attemptLimit && retries.tryAcquire(call.service->name, now);
+    return mayRunAgain(call) && call.attemptCount < attemptLimit && retryIsPermitted(now, call);
 }
 
 AttemptId RelayKernel::Impl::startAttempt(Instant now, Call &call, Attempt attempt)
@@ -186,17 +225,23 @@
     std::vector<EndpointIndex> stages;
     stages.swap(attempt.stages);
     replaceStages(attempt, std::move(stages), std::move(attempt.layers));
+    attempt.incarnation = endpoints.at(attempt.stages.front()).entry.incarnation;
     attempts.emplace(id, std::move(attempt));
     call.attempts.push_back(id);
-    counters.retries += call.attemptCount > 0 ? 1 : 0;
+    if (call.attemptCount > 0) {
+        ++counters.retries;
+        retries.onRetry(call.service->name, now);
+        driver.record({"retry", call.requestId, call.service->name, retryText(now, call)});
+    }
     if (call.isProbe && call.attemptCount == 0) {
         crashGuard.onProbeSent(call.signatures, now);
         peers.expedite();
         driver.record({"crash_probe", call.requestId, endpoints.at(attempts.at(id).stages.front()).entry.id, crashGuard.evidenceText(call.signatures, now)});
     }
-    limits.onSent(attempts.at(id).stages.front(), now);
+    const EndpointIndex first = attempts.at(id).stages.front();
+    limits.onSent(first, now);
     ++call.attemptCount;
-    ++call.runs;
+    call.runs.push_back({id, first, endpoints.at(first).entry.incarnation});
     ++counters.attempts;
     return id;
 }
@@ -215,6 +260,7 @@
     dispatch.team = call.team;
     dispatch.timeLeft = std::chrono::duration_cast<Ms>(call.deadline - now);
     dispatch.priority = call.priority;
+    dispatch.freshConnection = call.route->kind == RequestKind::AtMostOnce || (call.route->kind == RequestKind::Stream && !call.route->isResumable);
     return dispatch;
 }
 
@@ -271,7 +317,7 @@
     impl_->dropAttempt(attempt);
     impl_->exclude(*call, first);
     if (failure == AttemptFailure::NotSent) {
-        --call->runs;
+        impl_->forgetRun(*call, attempt);
     } else {
         call->mayHaveRun = true;
     }
--- a/libs/relay/src/Digests.cpp
+++ b/libs/relay/src/Digests.cpp
@@ -25,7 +25,7 @@
         digest.limits = limits.reports(digest.scope == wire::DigestScope::Instance, now);
         digest.configVersion = known.configVersion;
         digest.endpointsHash = now - known.endpointsAt < UpdateLifetime ? known.endpointsHash : 0;
-        digest.endpointsRevision = known.endpointsRevision;
+        digest.endpointsVersion = known.endpointsVersion;
         digest.isStale = StoreDuty::isStale(now, known);
         driver.sendDigest(addresses, digest);
     }
@@ -34,10 +34,14 @@
 void RelayKernel::Impl::onDigest(Instant now, const wire::RelayDigest &digest)
 {
     peers.onDigest(digest, now);
-    retries.setInstances(peers.instances(now));
     for (const wire::SilentEndpoint &silent : digest.silent) {
         onSilenceReported(now, digest, silent);
     }
+    for (const wire::LeavingEndpoint &leaving : digest.leavingEndpoints) {
+        if (const auto index = endpoints.findHash(leaving.endpoint)) {
+            onLeaving(*index, leaving.incarnation, "from " + digest.instance);
+        }
+    }
     if (digest.scope == wire::DigestScope::Fleet) {
         recheckSilentEndpoints(now, digest);
     }
--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -35,23 +35,28 @@
 {
     const EndpointEntry known = state.entry;
     state.entry = entry;
+    state.listedAsDraining = entry.draining;
     if (entry.incarnation > known.incarnation) {
         state.silentCheckAt = Instant{0};
         state.pausedUntil = Instant{0};
         state.refusals = 0;
         state.silenceCount = 0;
         state.orderCount = 0;
-    } else if (entry.incarnation < known.incarnation || now < state.reportedAt + MaxListLag) {
+        return;
+    }
+    state.entry.draining = known.draining || entry.draining;
+    if (now < state.reportedAt + MaxListLag) {
         // The list is older than the endpoint's own report.
-        state.entry.incarnation = known.incarnation;
         state.entry.layers = known.layers;
         state.entry.modelVersion = known.modelVersion;
     }
 }
 
-void EndpointRegistry::onList(Instant now, const std::vector<EndpointEntry> &entries, bool afterOutage)
+void EndpointRegistry::onList(Instant now, const std::vector<EndpointEntry> &entries, std::uint64_t epoch, bool afterOutage)
 {
+    const bool mayLackEntries = afterOutage || (hasList_ && epoch != epoch_);
     hasList_ = true;
+    epoch_ = epoch;
     std::unordered_set<std::string> present;
     for (const EndpointEntry &entry : entries) {
         present.insert(entry.id);
@@ -62,7 +67,14 @@
             lastNewEndpointAt_ = now;
         }
         EndpointState &state = states_[found->second];
+        if (!isNew && entry.incarnation < state.entry.incarnation) {
+            continue;
+        }
+        const bool mayComeFromCopy = !isNew && !state.listed && entry.incarnation == state.entry.incarnation && epoch > state.unlistedEpoch;
         update(state, entry, now);
+        if (mayComeFromCopy) {
+            hold(found->second, now, ReturnGracePeriod);
+        }
         state.zone = zoneNumber(entry.zone);
         state.listed = true;
         state.keepListedUntil = Instant{0};
@@ -71,11 +83,22 @@
         if (!state.listed || present.contains(state.entry.id)) {
             continue;
         }
-        if (afterOutage && state.keepListedUntil.count() == 0) {
+        if (mayLackEntries && state.keepListedUntil.count() == 0) {
             state.keepListedUntil = now + ReturnGracePeriod;
         }
         state.listed = now < state.keepListedUntil;
+        state.unlistedEpoch = epoch;
+    }
+}
+
+bool EndpointRegistry::setLeaving(EndpointIndex index, std::uint64_t incarnation)
+{
+    EndpointEntry &entry = states_[index].entry;
+    if (entry.incarnation != incarnation || entry.draining) {
+        return false;
     }
+    entry.draining = true;
+    return true;
 }
 
 void EndpointRegistry::onReport(EndpointIndex index, const EndpointReport &report, Instant now)
@@ -83,7 +106,7 @@
     EndpointState &state = states_[index];
     state.silentCheckAt = Instant{0};
     state.silenceCount = 0;
-    state.pausedUntil = state.refusals == 0 ? Instant{0} : state.pausedUntil;
+    state.heldUntil = Instant{0};
     state.slowdown = std::max(1.0, report.slowdown);
     state.loading = report.loading;
     if (report.incarnation < state.entry.incarnation) {
@@ -104,24 +127,62 @@
     state.silentCheckAt = now + interval;
 }
 
-void EndpointRegistry::pauseAfterRefusal(EndpointIndex index, Instant now)
+void EndpointRegistry::pauseAfterRefusal(EndpointIndex index, Instant now, Ms minimum)
 {
     EndpointState &state = states_[index];
     // Refusals of attempts that were under way at the same time count as one.
     if (now >= state.pausedUntil) {
         state.refusals = std::min(state.refusals + 1, MaxRefusals);
     }
-    state.pausedUntil = now + RefusalPauseUnit * (1 << state.refusals);
+    state.pausedUntil = std::max(state.pausedUntil, now + std::max(minimum, RefusalPauseUnit * (1 << state.refusals)));
+    state.refusedAt = now;
 }
 
-void EndpointRegistry::pause(EndpointIndex index, Instant now, Ms duration)
+void EndpointRegistry::backOff(EndpointIndex index, Instant now, Ms duration)
 {
-    states_[index].pausedUntil = std::max(states_[index].pausedUntil, now + duration);
+    EndpointState &state = states_[index];
+    const Instant until = now + duration;
+    state.backoffUntil = state.backoffIncarnation == state.entry.incarnation ? std::max(state.backoffUntil, until) : until;
+    state.backoffFrom = now;
+    state.backoffIncarnation = state.entry.incarnation;
 }
 
-void EndpointRegistry::onAccepted(EndpointIndex index)
+Ms EndpointRegistry::backoffLeft(EndpointIndex index, Instant now) const
 {
-    states_[index].refusals = 0;
+    const EndpointState &state = states_[index];
+    const bool hasRestarted = state.backoffIncarnation != state.entry.incarnation && now >= state.backoffFrom + MaxListLag;
+    const bool isOver = now >= state.backoffUntil || hasRestarted;
+    return isOver ? Ms(0) : std::chrono::ceil<Ms>(state.backoffUntil - now);
+}
+
+std::optional<Ms> EndpointRegistry::returnsIn(EndpointIndex index, Instant now) const
+{
+    const EndpointState &state = states_[index];
+    const Ms left = backoffLeft(index, now);
+    const bool isSound = state.listed && !state.entry.draining && state.silentCheckAt.count() == 0;
+    return isSound && left.count() > 0 ? std::optional(left) : std::nullopt;
+}
+
+void EndpointRegistry::confirmBackoffs(Instant now)
+{
+    for (EndpointState &state : states_) {
+        if (now < state.backoffUntil && now < state.backoffFrom + MaxListLag) {
+            state.backoffIncarnation = state.entry.incarnation;
+        }
+    }
+}
+
+void EndpointRegistry::hold(EndpointIndex index, Instant now, Ms duration)
+{
+    states_[index].heldUntil = std::max(states_[index].heldUntil, now + duration);
+}
+
+void EndpointRegistry::onAccepted(EndpointIndex index, Instant sentAt)
+{
+    EndpointState &state = states_[index];
+    if (sentAt > state.refusedAt) {
+        state.refusals = 0;
+    }
 }
 
 void EndpointRegistry::forgetLayers(EndpointIndex index)
@@ -147,7 +208,7 @@
 bool EndpointRegistry::isUsable(EndpointIndex index, Instant now) const
 {
     const EndpointState &state = states_[index];
-    return state.listed && !state.entry.draining && state.silentCheckAt.count() == 0 && now >= state.pausedUntil;
+    return state.listed && !state.entry.draining && state.silentCheckAt.count() == 0 && now >= state.pausedUntil && now >= state.heldUntil;
 }
 
 std::optional<EndpointIndex> EndpointRegistry::find(const std::string &id) const
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -57,6 +57,7 @@
 void RelayKernel::Impl::tick(Instant now)
 {
     failExpiredCalls(now);
+    endpoints.confirmBackoffs(now);
     std::vector<CallId> open;
     open.reserve(calls.size());
     for (const auto &[id, call] : calls) {
@@ -77,6 +78,7 @@
     checkSlowEndpoints(now);
     checkCrashes(now);
     updateLimitShare(now);
+    retries.onInstances(peers.mostInstances(now), now);
     storeDuty.tick(now, known);
     planner.tick(now, config, storeDuty.mayTakeLease());
     sendDigests(now);
@@ -90,8 +92,9 @@
 {
     const bool afterOutage = listConfirmedAt.count() != 0 && now - listConfirmedAt > MinOutage;
     listConfirmedAt = now;
-    known.endpointsRevision = list.revision();
-    endpoints.onList(now, list.entries(), afterOutage);
+    known.endpointsVersion = list.version();
+    planner.onStoreEpoch(now, list.version().epoch);
+    endpoints.onList(now, list.entries(), list.version().epoch, afterOutage);
     const std::uint64_t hash = list.hash();
     if (hash != known.endpointsHash) {
         known.endpointsHash = hash;
@@ -105,14 +108,14 @@
     const std::string address = request.meshAddress.empty() ? peers.addressOf(request.instance) : request.meshAddress;
     auto reply = storeDuty.replyTo(request, now, known);
     if (reply && !address.empty()) {
-        reply->changes = list.changesSince(request.endpointsRevision);
+        reply->changes = list.changesSince(request.endpointsVersion);
         driver.sendFreshnessReply(address, *reply);
     }
 }
 
 void RelayKernel::Impl::onFreshnessReply(Instant now, const wire::FreshnessReply &reply)
 {
-    if (reply.changes && storeDuty.isReplyToMe(reply) && list.apply(*reply.changes, reply.endpointsRevision)) {
+    if (reply.changes && storeDuty.isReplyToMe(reply) && list.apply(*reply.changes, reply.endpointsVersion)) {
         applyEndpointList(now);
     }
     const Instant endpointsAtBefore = known.endpointsAt;
@@ -183,6 +186,7 @@
 void RelayKernel::onConfig(Instant now, Instant sentAt, FleetConfigPtr config)
 {
     Impl &impl = *impl_;
+    const std::uint64_t shown = config ? config->version : impl.known.configVersion;
     if (config && (!impl.config || config->version > impl.config->version)) {
         impl.routes = RouteTable(config);
         impl.config = std::move(config);
@@ -190,22 +194,33 @@
         impl.peers.expedite();
         impl.driver.record({"config_in_force", "", impl.settings.instance, "version " + std::to_string(impl.config->version)});
     }
-    impl.known.configAt = std::max(impl.known.configAt, sentAt);
+    if (!impl.config) {
+        return;
+    }
+    const std::uint64_t newest = std::max(impl.known.configVersion, impl.storeDuty.namedConfigVersion(now));
+    if (shown >= newest) {
+        impl.known.configAt = std::max(impl.known.configAt, sentAt);
+    } else {
+        impl.driver.record(
+            {"config_unconfirmed", "", impl.settings.instance, "the store shows version " + std::to_string(shown) + ", known is " + std::to_string(newest)});
+    }
     impl.updateReadiness(now);
 }
 
-void RelayKernel::onEndpoints(Instant now, const std::vector<EndpointEntry> &entries, std::uint64_t revision)
+void RelayKernel::onEndpoints(Instant now, const std::vector<EndpointEntry> &entries, wire::StoreVersion version)
 {
-    if (impl_->list.replace(entries, revision)) {
-        impl_->known.endpointsAt = now;
-        impl_->applyEndpointList(now);
+    const wire::StoreVersion before = impl_->list.version();
+    if (!impl_->list.replace(entries, version)) {
+        return impl_->driver.record({"endpoint_list_refused", "", "", "version " + toText(version) + " is older than " + toText(before)});
     }
+    impl_->known.endpointsAt = now;
+    impl_->applyEndpointList(now);
 }
 
 void RelayKernel::onInstances(Instant now, const std::vector<InstanceEntry> &instances)
 {
     impl_->peers.onInstances(instances);
-    impl_->retries.setInstances(impl_->peers.instances(now));
+    impl_->retries.onInstances(impl_->peers.mostInstances(now), now);
     if (!impl_->endpoints.hasList()) {
         impl_->sendDigests(now);
         impl_->storeDuty.tick(now, impl_->known);
@@ -246,6 +261,14 @@
         return;
     }
     const EndpointIndex first = found->second.stages.front();
+    if (head.leaving) {
+        impl_->onLeaving(first, found->second.incarnation, "in an answer to this instance");
+    }
+    if (head.retryAfter.count() > 0) {
+        impl_->endpoints.backOff(first, now, head.retryAfter);
+        const std::string &endpoint = impl_->endpoints.at(first).entry.id;
+        impl_->driver.record({"backoff_requested", "", endpoint, "no requests for " + std::to_string(head.retryAfter.count()) + " ms"});
+    }
     if (impl_->limits.onStated(first, head.requestLimit, now)) {
         impl_->recordLimit(first, head.requestLimit, "to this instance");
         impl_->peers.expedite();
@@ -280,14 +303,14 @@
     }
 }
 
-void RelayKernel::onLeaseRead(Instant now, std::uint64_t revision, const LeaseRecord &record)
+void RelayKernel::onLeaseRead(Instant now, wire::StoreVersion version, const LeaseRecord &record)
 {
-    impl_->planner.onLeaseRead(now, revision, record);
+    impl_->planner.onLeaseRead(now, version, record);
 }
 
-void RelayKernel::onLeaseWritten(Instant now, Instant sentAt, std::uint64_t revision)
+void RelayKernel::onLeaseWritten(Instant now, Instant sentAt, wire::StoreVersion version)
 {
-    impl_->planner.onLeaseWritten(now, sentAt, revision);
+    impl_->planner.onLeaseWritten(now, sentAt, version);
 }
 
 const RelayCounters &RelayKernel::counters() const
--- a/libs/relay/src/StoreDuty.cpp
+++ b/libs/relay/src/StoreDuty.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint64_t MaxFirstRequestNumber = 1ULL << 48;
 /// Minimum interval between reads of the endpoint list, and between requests, that updates from other instances cause.
 constexpr Ms RefreshPeriod{250};
+/// A version of the configuration counts as held by another instance for this time, several intervals between digests.
+constexpr Ms NamedVersionLifetime{3000};
 /// Changes that a digest has named and that have not arrived within this time are read from the store.
 constexpr Ms UpdateTimeout{350};
 /// A new instance requests the list of endpoints from others in this period. It reads the list itself if none has sent it within the timeout, since
@@ -58,7 +60,7 @@
         return join(now, known);
     }
     follow(isChosenReader || readers.empty() || isOwnKnowledgeStale, isChosenReader, now);
-    if (updateRevision_ > known.endpointsRevision && now >= updateAwaitedSince_ + UpdateTimeout) {
+    if (awaitsUpdate(known) && now >= updateAwaitedSince_ + UpdateTimeout) {
         updateAwaitedSince_ = now;
         refreshEndpoints(now);
     }
@@ -103,7 +105,7 @@
     nextRequest_ = now + RequestPeriod;
     const std::uint64_t number = nextRequestNumber_++;
     requestedAt_[number % requestedAt_.size()] = now;
-    driver_.sendFreshnessRequest(peers_.addressOf(instance), {ownId_, number, known.endpointsRevision, ownMeshAddress_});
+    driver_.sendFreshnessRequest(peers_.addressOf(instance), {ownId_, number, known.endpointsVersion, ownMeshAddress_});
 }
 
 std::optional<wire::FreshnessReply> StoreDuty::replyTo(const wire::FreshnessRequest &request, Instant now, const Knowledge &known) const
@@ -116,7 +118,7 @@
         return static_cast<std::uint64_t>(std::chrono::ceil<Ms>(now - at).count());
     };
     return wire::FreshnessReply{
-        request.number, known.configVersion, ageMs(known.configAt), known.endpointsHash, ageMs(known.endpointsAt), known.endpointsRevision, std::nullopt};
+        request.number, known.configVersion, ageMs(known.configAt), known.endpointsHash, ageMs(known.endpointsAt), known.endpointsVersion, std::nullopt};
 }
 
 bool StoreDuty::isReplyToMe(const wire::FreshnessReply &reply) const
@@ -133,35 +135,59 @@
     if (reply.configVersion == known.configVersion) {
         known.configAt = std::max(known.configAt, requestedAt - Instant(Ms(reply.configAgeMs)));
     }
-    if (reply.configVersion > known.configVersion) {
-        driver_.refreshConfig();
-    }
-    if (reply.endpointsHash == known.endpointsHash) {
+    onConfigNamed(reply.configVersion, now, known);
+    const bool isSameEpoch = reply.endpointsVersion.epoch == known.endpointsVersion.epoch;
+    if (isSameEpoch && reply.endpointsHash == known.endpointsHash) {
         known.endpointsAt = std::max(known.endpointsAt, requestedAt - Instant(Ms(reply.endpointsAgeMs)));
-    } else if (reply.endpointsRevision >= known.endpointsRevision) {
+    } else if (reply.endpointsVersion >= known.endpointsVersion) {
         refreshEndpoints(now); // The reply had no changes, or they did not lead to the same list.
     }
 }
 
 void StoreDuty::onStoreUpdate(const wire::RelayDigest &digest, Instant now, const Knowledge &known)
 {
-    if (digest.configVersion > known.configVersion) {
-        driver_.refreshConfig();
-    }
-    // A digest without a list, with the same content or without a later revision is no update.
-    if (digest.endpointsHash == 0 || digest.endpointsHash == known.endpointsHash || digest.endpointsRevision <= known.endpointsRevision) {
+    onConfigNamed(digest.configVersion, now, known);
+    // A digest without a list, with the same content or without a later version is no update. The same content in another epoch is one: the history of before
+    // doesn't lead on from it.
+    const bool isSameList = digest.endpointsHash == known.endpointsHash && digest.endpointsVersion.epoch == known.endpointsVersion.epoch;
+    if (digest.endpointsHash == 0 || isSameList || digest.endpointsVersion <= known.endpointsVersion) {
         return;
     }
-    if (updateRevision_ <= known.endpointsRevision) {
+    if (!awaitsUpdate(known)) {
         updateAwaitedSince_ = now;
     }
-    updateRevision_ = std::max(updateRevision_, digest.endpointsRevision);
+    if (digest.endpointsVersion > updateVersion_) {
+        updateVersion_ = digest.endpointsVersion;
+        updateHash_ = digest.endpointsHash;
+    }
     if (now >= updateRequestedAt_ + RefreshPeriod) {
         updateRequestedAt_ = now;
         sendRequest(digest.instance, now, known);
     }
 }
 
+bool StoreDuty::awaitsUpdate(const Knowledge &known) const
+{
+    const bool isSameList = updateHash_ == known.endpointsHash && updateVersion_.epoch == known.endpointsVersion.epoch;
+    return updateVersion_ > known.endpointsVersion && !isSameList;
+}
+
+void StoreDuty::onConfigNamed(std::uint64_t version, Instant now, const Knowledge &known)
+{
+    if (version >= namedConfigVersion(now)) {
+        namedConfigVersion_ = version;
+        configNamedAt_ = now;
+    }
+    if (version > known.configVersion) {
+        driver_.refreshConfig();
+    }
+}
+
+std::uint64_t StoreDuty::namedConfigVersion(Instant now) const
+{
+    return now < configNamedAt_ + NamedVersionLifetime ? namedConfigVersion_ : 0;
+}
+
 void StoreDuty::refreshEndpoints(Instant now)
 {
     if (now >= refreshedAt_ + RefreshPeriod) {
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -16,16 +16,27 @@
     std::uint32_t zone = 0;
     /// True while the endpoint is in the platform's list; otherwise it gets no new work.
     bool listed = false;
-    /// Set if the endpoint was missing from a list that was read after an outage of the store: it stays listed until this time. Zero otherwise.
+    /// The list itself shows that the endpoint is draining; `entry.draining` may be known earlier from the endpoint or from other instances.
+    bool listedAsDraining = false;
+    /// Epoch of the store in which the endpoint was last found to be no longer listed.
+    std::uint64_t unlistedEpoch = 0;
+    /// Set if the endpoint was missing from a list that was read after an outage or a restore of the store: it stays listed until this time. Zero otherwise.
     Instant keepListedUntil{0};
     /// Set while the endpoint is marked as silent: it gets no new work, and a report is requested from this time on. Zero if it isn't silent.
     Instant silentCheckAt{0};
     /// How often in a row it was marked as silent without a report in between.
     int silenceCount = 0;
-    /// The endpoint gets no new work until this time, since it refused work without running it, a report is awaited or others have found it silent.
+    /// The endpoint gets no new work until this time, since it refused work without running it. A report doesn't end that.
     Instant pausedUntil{0};
-    /// Refusals in a row, up to a maximum.
+    /// Refusals in a row, up to a maximum, and the time of the last one.
     int refusals = 0;
+    Instant refusedAt{0};
+    /// The endpoint gets no new work until this time or until it reports, since a report is awaited or others have found it silent.
+    Instant heldUntil{0};
+    /// The endpoint has asked for no requests from this instance until this time, when it said so, and its incarnation then. Zero if it hasn't.
+    Instant backoffUntil{0};
+    Instant backoffFrom{0};
+    std::uint64_t backoffIncarnation = 0;
     /// A report has been requested and neither arrived nor timed out.
     bool reportPending = false;
     Instant reportRequestedAt{0};
@@ -61,9 +72,14 @@
 class EndpointRegistry
 {
 public:
-    /// Takes a current list. After an outage of the store, entries that have expired meanwhile may be missing although their endpoints live; they stay
-    /// listed for a grace period.
-    void onList(Instant now, const std::vector<EndpointEntry> &entries, bool afterOutage);
+    /// Takes a current list of a store of that epoch. After an outage of the store, entries that have expired meanwhile may be missing although their
+    /// endpoints live, and so may new entries after a restore; they stay listed for a grace period. An entry that was removed before the restore and is
+    /// there again after it may come from the copy: its endpoint gets no new work until the grace period has passed, in which it would be removed again.
+    void onList(Instant now, const std::vector<EndpointEntry> &entries, std::uint64_t epoch, bool afterOutage);
+
+    /// Takes from the endpoint itself, or from another instance, that this incarnation of it is leaving. Returns false if that is known, or if the present
+    /// incarnation is another one.
+    bool setLeaving(EndpointIndex index, std::uint64_t incarnation);
 
     /// Takes an endpoint's own report and ends its mark as silent. A report of an older incarnation than the listed one changes no layers.
     void onReport(EndpointIndex index, const EndpointReport &report, Instant now);
@@ -72,14 +88,26 @@
     void setSilent(EndpointIndex index, Instant now);
 
     /// Gives the endpoint no new work for a pause that doubles with each refusal in a row, after it has refused work without running it, for lack of
-    /// capacity or since it is leaving.
-    void pauseAfterRefusal(EndpointIndex index, Instant now);
+    /// capacity or since it is leaving. The pause is at least as long as the endpoint has asked for.
+    void pauseAfterRefusal(EndpointIndex index, Instant now, Ms minimum = Ms(0));
+
+    /// Sends the endpoint no requests for a time that it has asked for itself. Neither a report nor an accepted request ends that, only a new incarnation.
+    void backOff(EndpointIndex index, Instant now, Ms duration);
+
+    /// Returns how much longer the endpoint wants no requests; zero if it takes them.
+    Ms backoffLeft(EndpointIndex index, Instant now) const;
+
+    /// Returns the same for an endpoint that is otherwise sound, so that it will take requests then; none for any other.
+    std::optional<Ms> returnsIn(EndpointIndex index, Instant now) const;
+
+    /// Takes an incarnation that is learned shortly after an endpoint's wish for the one that has stated it: the list lags behind.
+    void confirmBackoffs(Instant now);
 
-    /// Gives the endpoint no new work for at least the given time.
-    void pause(EndpointIndex index, Instant now, Ms duration);
+    /// Gives the endpoint no new work for at least the given time, or until it reports.
+    void hold(EndpointIndex index, Instant now, Ms duration);
 
-    /// Resets the number of refusals in a row, since the endpoint has accepted work.
-    void onAccepted(EndpointIndex index);
+    /// Resets the number of refusals in a row, since the endpoint has accepted work that was sent after the last of them.
+    void onAccepted(EndpointIndex index, Instant sentAt);
 
     /// Clears the layers of an endpoint that doesn't hold what it was expected to hold. It counts as empty until a report or list shows its layers.
     void forgetLayers(EndpointIndex index);
@@ -88,7 +116,7 @@
     void onPlainAnswer(EndpointIndex index, double latencyMs, Instant now);
     void onPlainFailure(EndpointIndex index, Instant now);
 
-    /// Returns true if the endpoint may get new work: listed, not draining, not silent and not paused.
+    /// Returns true if the endpoint may get new work: listed, not draining, not silent, and neither paused nor held.
     bool isUsable(EndpointIndex index, Instant now) const;
 
     /// Finds an endpoint by id, also one that is no longer listed.
@@ -127,7 +155,8 @@
     }
 
 private:
-    /// Takes a listed entry, but keeps newer state from the endpoint's own reports.
+    /// Takes a listed entry, but keeps newer state from the endpoint's own reports. Within one incarnation, leaving is final. An entry of an earlier
+    /// incarnation changes nothing.
     void update(EndpointState &state, const EndpointEntry &entry, Instant now);
 
     std::vector<EndpointState> states_;
@@ -136,6 +165,8 @@
     std::unordered_map<std::uint32_t, EndpointIndex> byHash_;
     std::unordered_map<std::string, std::uint32_t> zoneNumbers_;
     bool hasList_ = false;
+    /// Epoch of the store that the last list came from.
+    std::uint64_t epoch_ = 0;
     Instant lastNewEndpointAt_{0};
 };
 
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -19,6 +19,8 @@
     CallId call = 0;
     /// The endpoints that it passes through, first stage first; one for services without layers.
     std::vector<EndpointIndex> stages;
+    /// Incarnation of the first stage when the attempt was sent.
+    std::uint64_t incarnation = 0;
     /// The layers that each stage runs; empty for services without layers.
     std::vector<placement::LayerRange> layers;
     /// Stages that are still in prefill: they have not read the prompt, or the tokens generated so far, yet.
@@ -40,6 +42,18 @@
     /// Detours that were sent to its first stage, and whether the last one is unanswered.
     int detours = 0;
     bool detourPending = false;
+    /// The silent stage that was last reported to the crash guard.
+    std::optional<EndpointIndex> suspected;
+    /// It stays at a silent stage since no further attempt is permitted, which is logged once.
+    bool isKept = false;
+};
+
+/// An attempt that may run or have run at its first stage.
+struct Run {
+    AttemptId attempt = 0;
+    EndpointIndex first = 0;
+    /// Incarnation of the first stage when the attempt was sent. Engine endpoints start without layers, so that a later one would have refused it.
+    std::uint64_t incarnation = 0;
 };
 
 /// A caller's request that has been admitted and not yet answered completely.
@@ -77,13 +91,15 @@
     Instant maxEventInterval{0};
     /// Open attempts; more than one while a request is hedged.
     std::vector<AttemptId> attempts;
-    /// Attempts that may have run, open ones included. An attempt whose first stage fell silent is not counted: it ended with that endpoint.
-    std::uint32_t runs = 0;
+    /// Attempts that may have run, open ones included; see RelayKernel::Impl::countedRuns().
+    std::vector<Run> runs;
     /// All attempts so far.
     std::uint32_t attemptCount = 0;
     /// Attempts that were refused after the call may have run. The first is retried at once; each further one lengthens the delay before the next
     /// attempt.
     std::uint32_t refusals = 0;
+    /// The limit on retries has refused it one, which is logged once.
+    bool retryWasRefused = false;
     /// True once an attempt that may have run has ended, or an attempt has sent an event.
     bool mayHaveRun = false;
     /// Endpoints that further attempts of this call must not use, since they have failed or refused it or are running it.
@@ -98,7 +114,8 @@
     std::vector<EndpointIndex> indices;
     /// Prompt tokens that all instances together may have under way over the link between zones.
     double linkTokens = 0;
-    /// Shortest time until an endpoint with the first layers may get a request that its limit does not permit now; none if no limit stands in the way.
+    /// Shortest time until an endpoint with the first layers may get a request that its limit, or its wish to get none, does not permit now; none if neither
+    /// stands in the way.
     std::optional<Ms> limitWait;
 };
 
@@ -141,8 +158,21 @@
     void forward(Call &call, AttemptId attempt, int status);
     /// Leaves an endpoint out of all further attempts of a call.
     void exclude(Call &call, EndpointIndex index);
-    /// Returns true if a call may be dispatched now; each retry that it permits counts against the service's retry window.
+    /// Returns true if a call may be dispatched now. A retry counts against the service's retry window when it is sent.
     bool mayRetry(Instant now, Call &call);
+    /// Returns how many runs count against the route's maxAttempts: all but those whose endpoint is known to have ended since. One that is only silent may go
+    /// on, and still runs the request.
+    std::uint32_t countedRuns(const Call &call) const;
+    /// Returns true if the endpoint of a run is known to have ended since: it has a new incarnation, or it is silent and no longer listed.
+    bool hasEnded(const Run &run) const;
+    /// Returns true if the call may run once more, as its route permits.
+    bool mayRunAgain(const Call &call) const;
+    /// Forgets the run of an attempt that certainly did not run.
+    static void forgetRun(Call &call, AttemptId attempt);
+    /// Returns true if the service's retry window permits one more retry; logs the first refusal of a call.
+    bool retryIsPermitted(Instant now, Call &call);
+    /// Returns what the call's service has used of its retry window, as it is written to the log.
+    std::string retryText(Instant now, const Call &call);
     /// Returns true if the call must not be sent again, since requests like it are convicted of crashing endpoints and it has not begun.
     bool isBarred(const Call &call) const;
     /// Reports an attempt that broke at an endpoint to the crash guard: the request may have crashed the endpoint.
@@ -166,6 +196,8 @@
     void markSilent(Instant now, EndpointIndex index, const std::string &requestId, const std::string &evidence);
     /// Takes the loads, crash reports and endpoint states that another instance has sent.
     void onDigest(Instant now, const wire::RelayDigest &digest);
+    /// Takes from an endpoint itself, or from another instance, that an incarnation of it leaves: it gets no new requests, and the others are told.
+    void onLeaving(EndpointIndex endpoint, std::uint64_t incarnation, const std::string &origin);
     /// Writes to the log what an endpoint has said about the requests that it takes, and to whom.
     void recordLimit(EndpointIndex endpoint, double perSecond, const std::string &origin);
     /// Computes this instance's share of the limits that endpoints name.
@@ -192,7 +224,7 @@
     std::optional<EndpointIndex> choosePlain(Instant now, const Call &call);
     /// Forwards an answer, or retries the call if the answer is an error and the call may run again.
     void onPlainAnswer(Instant now, Call &call, AttemptId attempt, const AnswerHead &head);
-    /// Returns the shortest time until a usable endpoint that limits its requests is expected to take this call; none if none limits them.
+    /// Returns the shortest time until an endpoint that limits its requests, or wants none for a time, is expected to take this call; none if there is none.
     std::optional<Ms> plainLimitWait(Instant now, const Call &call) const;
     /// Retries a call after a failed attempt, or fails it with the given error; does nothing while another attempt is open.
     void retryPlainOrFail(Instant now, Call &call, base::ErrorKind kind, const std::string &detail);
@@ -224,13 +256,15 @@
     std::optional<EndpointIndex> silentStage(Instant now, const Attempt &attempt) const;
     /// Takes a stream off a silent stage: by a detour if possible, else by a new attempt if the route is resumable.
     void bypassStage(Instant now, Call &call, AttemptId attempt, EndpointIndex silent);
-    /// Replaces an attempt that passes through a silent stage by a new one without that stage.
+    /// Replaces an attempt that passes through a silent stage by a new one without that stage. The attempt stays if no further one is permitted.
     void moveStream(Instant now, Call &call, AttemptId attempt, EndpointIndex silent);
     /// Replaces the silent later stages, and the one at fault, by other endpoints while the first stage continues. Returns false if the first stage
     /// is among them, if there are no replacements, or if the attempt has had too many detours.
     bool detour(Instant now, Call &call, AttemptId attempt, std::optional<EndpointIndex> fault = std::nullopt);
     /// Logs the attempt's current detour and sends it to the first stage.
     void requestDetour(const Call &call, AttemptId attempt);
+    /// Leaves an attempt at its silent stage: that may go on, and what it runs then isn't lost. Logs it once.
+    void keepAttempt(const Call &call, AttemptId attempt, EndpointIndex silent);
     /// Aborts an attempt and starts a new one if the call may be retried, else fails the call.
     void replaceAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason);
     /// Returns the candidates of the call; those that are stages of the attempt already are marked as unusable.
--- a/libs/relay/src/details/StoreDuty.h
+++ b/libs/relay/src/details/StoreDuty.h
@@ -25,9 +25,9 @@
         /// Version of the configuration; 0 before the first one.
         std::uint64_t configVersion = 0;
         Instant configAt{0};
-        /// EndpointList::hash() and EndpointList::revision() of the known list of endpoints.
+        /// EndpointList::hash() and EndpointList::version() of the known list of endpoints.
         std::uint64_t endpointsHash = 0;
-        std::uint64_t endpointsRevision = 0;
+        wire::StoreVersion endpointsVersion;
         Instant endpointsAt{0};
     };
 
@@ -51,6 +51,9 @@
     /// Compares the knowledge that another instance's digest names with `known`, and requests what is newer.
     void onStoreUpdate(const wire::RelayDigest &digest, Instant now, const Knowledge &known);
 
+    /// Returns the highest version of the configuration that other instances have lately named; 0 if none has.
+    std::uint64_t namedConfigVersion(Instant now) const;
+
     /// Returns true if this instance is one of the few that may take the planner's lease, as far as it can tell.
     bool mayTakeLease() const
     {
@@ -64,6 +67,10 @@
     void follow(bool shouldFollow, bool isReader, Instant now);
     /// Sends a freshness request to an instance.
     void sendRequest(const std::string &instance, Instant now, const Knowledge &known);
+    /// Returns true if a digest has named a list that this instance lacks. A list of a lower version in the same epoch may have the same content.
+    bool awaitsUpdate(const Knowledge &known) const;
+    /// Takes a version of the configuration that another instance holds, and reads the store if it is newer than the own one.
+    void onConfigNamed(std::uint64_t version, Instant now, const Knowledge &known);
     /// Reads the list of endpoints from the store, unless it was read moments ago.
     void refreshEndpoints(Instant now);
 
@@ -75,8 +82,13 @@
     bool followsStore_ = false;
     bool mayTakeLease_ = false;
     Instant startedAt_{0};
-    /// The latest revision of the endpoint list that a digest has named, and since when it is awaited.
-    std::uint64_t updateRevision_ = 0;
+    /// The highest version of the configuration that other instances have named, and when one last did.
+    std::uint64_t namedConfigVersion_ = 0;
+    Instant configNamedAt_{0};
+    /// The latest version of the endpoint list that a digest has named, and since when it is awaited.
+    wire::StoreVersion updateVersion_;
+    /// EndpointList::hash() of that list.
+    std::uint64_t updateHash_ = 0;
     Instant updateAwaitedSince_{0};
     /// When changes that a digest has named were last requested from its sender.
     Instant updateRequestedAt_{0};
--- a/libs/relayhost/src/StoreFollower.cpp
+++ b/libs/relayhost/src/StoreFollower.cpp
@@ -12,7 +12,8 @@
 constexpr relay::Ms ConfigPeriod{900};
 /// Without changes, a watch of the endpoints ends after this time: its empty answer shows that the connection to the store still works.
 constexpr relay::Ms WatchTimeout{1700};
-/// Minimum period between the starts of two watches, so that changes in quick succession are handled together.
+/// Minimum period between the starts of two watches, so that changes in quick succession are handled together, and between two full lists after failed
+/// watches.
 constexpr relay::Ms MinWatchPeriod{250};
 /// The full list of endpoints is read again after this period, even if no watch has failed.
 constexpr relay::Ms FullListPeriod{10000};
@@ -97,11 +98,39 @@
     }
 }
 
+bool StoreFollower::noteEpoch(std::uint64_t epoch)
+{
+    const std::uint64_t before = epoch_.value_or(epoch);
+    epoch_ = std::max(before, epoch);
+    if (epoch <= before) {
+        return false;
+    }
+    handlers_.onEpoch(before, epoch);
+    return true;
+}
+
+void StoreFollower::takeEpoch(std::uint64_t epoch)
+{
+    if (noteEpoch(epoch) && !endpointsIdle_) {
+        listEndpoints();
+    }
+}
+
 void StoreFollower::runAt(relay::Instant due, std::function<void()> task)
 {
     loop_.after(std::max(relay::Instant(0), due - base::readBootTimeClock()), std::move(task));
 }
 
+void StoreFollower::continueAt(relay::Instant due, void (StoreFollower::*step)())
+{
+    const std::uint64_t number = endpointsRead_;
+    runAt(due, [this, number, step]() {
+        if (number == endpointsRead_) {
+            (this->*step)();
+        }
+    });
+}
+
 void StoreFollower::readConfig()
 {
     configIdle_ = false;
@@ -115,7 +144,10 @@
     if (!read.ok) {
         return runAt(retryTime(), [this]() { readConfig(); });
     }
-    handlers_.onConfig(sentAt, read.config);
+    takeEpoch(read.epoch);
+    if (read.config) {
+        handlers_.onConfig(sentAt, read.config);
+    }
     if (follows_) {
         return runAt(sentAt + ConfigPeriod, [this]() { readConfig(); });
     }
@@ -126,15 +158,22 @@
 {
     endpointsIdle_ = false;
     listedAt_ = base::readBootTimeClock();
-    client_->listEndpoints([this](const std::optional<EndpointListing> &listing) { onListing(listing); });
+    const std::uint64_t number = ++endpointsRead_;
+    client_->listEndpoints([this, number](const std::optional<EndpointListing> &listing) {
+        if (number == endpointsRead_) {
+            onListing(listing);
+        }
+    });
 }
 
 void StoreFollower::onListing(const std::optional<EndpointListing> &listing)
 {
     markReachable(listing.has_value());
-    if (!listing) {
-        return runAt(retryTime(), [this]() { listEndpoints(); });
+    const bool isOutdated = listing && epoch_ && listing->version.epoch < *epoch_;
+    if (!listing || isOutdated) {
+        return continueAt(retryTime(), &StoreFollower::listEndpoints);
     }
+    noteEpoch(listing->version.epoch);
     if (listing->damaged != damaged_) {
         damaged_ = listing->damaged;
         handlers_.onDamaged(damaged_);
@@ -143,7 +182,7 @@
     for (const relay::EndpointEntry &entry : listing->entries) {
         endpoints_[entry.id] = entry;
     }
-    revision_ = listing->revision;
+    version_ = listing->version;
     reportEndpoints();
     watchEndpoints();
 }
@@ -155,7 +194,7 @@
     for (const auto &[id, entry] : endpoints_) {
         entries.push_back(entry);
     }
-    handlers_.onEndpoints(std::move(entries), revision_);
+    handlers_.onEndpoints(std::move(entries), version_);
 }
 
 void StoreFollower::watchEndpoints()
@@ -168,13 +207,24 @@
     if (sentAt - listedAt_ >= FullListPeriod) {
         return listEndpoints();
     }
-    client_->watchEndpoints(revision_, WatchTimeout, [this, sentAt](const std::optional<EndpointChanges> &changes) { onChanges(sentAt, changes); });
+    const std::uint64_t number = ++endpointsRead_;
+    client_->watchEndpoints(version_.revision, WatchTimeout, [this, number, sentAt](const std::optional<EndpointChanges> &changes) {
+        if (number == endpointsRead_) {
+            onChanges(sentAt, changes);
+        }
+    });
 }
 
 void StoreFollower::onChanges(relay::Instant sentAt, const std::optional<EndpointChanges> &changes)
 {
-    if (!changes) {
-        return listEndpoints(); // The history was discarded, the watch was cut off or the store is unreachable: only the full list is current.
+    if (!changes || changes->version.epoch != version_.epoch) {
+        // The history was discarded, the watch was cut off, a change can't be read, or the store is unreachable or was restored: only the full list is current.
+        const relay::Instant due = listedAfterGapAt_ + MinWatchPeriod;
+        listedAfterGapAt_ = std::max(due, base::readBootTimeClock());
+        if (listedAfterGapAt_ > due) {
+            return listEndpoints();
+        }
+        return continueAt(due, &StoreFollower::listEndpoints);
     }
     for (const EndpointChange &change : changes->changes) {
         if (change.entry) {
@@ -183,21 +233,22 @@
             endpoints_.erase(change.id);
         }
     }
-    revision_ = changes->revision;
+    version_ = changes->version;
     reportEndpoints();
-    runAt(sentAt + MinWatchPeriod, [this]() { watchEndpoints(); });
+    continueAt(sentAt + MinWatchPeriod, &StoreFollower::watchEndpoints);
 }
 
 void StoreFollower::listInstances()
 {
-    client_->listInstances([this](const std::optional<std::vector<relay::InstanceEntry>> &instances) { onInstances(instances); });
+    client_->listInstances([this](const std::optional<InstanceListing> &instances) { onInstances(instances); });
 }
 
-void StoreFollower::onInstances(const std::optional<std::vector<relay::InstanceEntry>> &instances)
+void StoreFollower::onInstances(const std::optional<InstanceListing> &instances)
 {
     if (instances) {
+        takeEpoch(instances->epoch);
         registerInstance(*instances);
-        handlers_.onInstances(*instances);
+        handlers_.onInstances(instances->entries);
     }
     const bool isFirst = instancesPeriod_ == MinInstancesPeriod;
     const relay::Ms period = isRegistered_ || isFirst ? instancesPeriod_ : RegisterRetryPeriod;
@@ -205,12 +256,16 @@
     instancesPeriod_ = std::min(2 * instancesPeriod_, MaxInstancesPeriod);
 }
 
-void StoreFollower::registerInstance(const std::vector<relay::InstanceEntry> &known)
+void StoreFollower::registerInstance(const InstanceListing &listing)
 {
-    const bool isKnown = std::any_of(known.begin(), known.end(), [&](const relay::InstanceEntry &entry) {
+    if (listing.epoch < registeredEpoch_) {
+        return; // A late list from before a restore.
+    }
+    const bool isListed = std::any_of(listing.entries.begin(), listing.entries.end(), [&](const relay::InstanceEntry &entry) {
         return entry.id == own_.id && entry.meshAddress == own_.meshAddress && entry.zone == own_.zone;
     });
-    isRegistered_ = isRegistered_ || isKnown;
+    isRegistered_ = isListed || (isRegistered_ && listing.epoch == registeredEpoch_);
+    registeredEpoch_ = listing.epoch;
     if (!isRegistered_) {
         client_->registerInstance(own_, [this](bool registered) { isRegistered_ = registered; });
     }
@@ -221,6 +276,7 @@
     client_->readLease([this](const std::optional<LeaseReadResult> &lease) {
         markReachable(lease.has_value());
         if (lease) {
+            takeEpoch(lease->first.epoch);
             handlers_.onLease(*lease);
         }
     });
@@ -229,7 +285,10 @@
 void StoreFollower::writeLease(const relay::LeaseRecord &record, std::uint64_t expectedRevision)
 {
     const relay::Instant sentAt = base::readBootTimeClock();
-    client_->writeLease(record, expectedRevision, [this, sentAt](std::uint64_t revision) { handlers_.onLeaseWritten(sentAt, revision); });
+    client_->writeLease(record, expectedRevision, [this, sentAt](wire::StoreVersion version) {
+        takeEpoch(version.epoch);
+        handlers_.onLeaseWritten(sentAt, version);
+    });
 }
 
 } // namespace relayhost
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Result.h"
+#include "wire/StoreVersion.h"
 
 #include <chrono>
 #include <cstdint>
@@ -32,6 +33,13 @@
     std::uint64_t incarnation = 0;
 };
 
+/// An endpoint that leaves, in one of its incarnations.
+struct LeavingEndpoint {
+    /// endpointHash() of the endpoint's id.
+    std::uint32_t endpoint = 0;
+    std::uint64_t incarnation = 0;
+};
+
 /// An endpoint that recently reported that it works more slowly than its performance profile.
 struct SlowEndpoint {
     /// endpointHash() of the endpoint's id.
@@ -114,8 +122,8 @@
     std::uint64_t configVersion = 0;
     /// Hash of the list of endpoints that the sender knows; 0 if its knowledge is too old to be reported.
     std::uint64_t endpointsHash = 0;
-    /// Revision of the store up to which the sender knows the list of endpoints.
-    std::uint64_t endpointsRevision = 0;
+    /// Version of the store up to which the sender knows the list of endpoints.
+    StoreVersion endpointsVersion = {};
     /// The sender's knowledge of the store is stale; other instances don't rely on it.
     bool isStale = false;
     /// IP:port at which the sender receives messages, and its availability zone; empty if the sender is of a version that doesn't state them.
@@ -139,6 +147,8 @@
     std::vector<std::uint64_t> crashProbes = {};
     /// What endpoints have lately said to the instances within the scope about the requests that they take.
     std::vector<EndpointLimit> limits = {};
+    /// Endpoints that are known to leave although the list of endpoints doesn't show it.
+    std::vector<LeavingEndpoint> leavingEndpoints = {};
 };
 
 /// An entry of the store's list of endpoints.
@@ -172,6 +182,8 @@
     std::vector<EndpointRecord> changed;
     /// Ids of the entries that were removed.
     std::vector<std::string> removed;
+    /// `changed` is the whole list: what it doesn't name isn't listed.
+    bool isComplete = false;
 
     friend bool operator==(const EndpointListChanges &, const EndpointListChanges &) = default;
 };
@@ -182,8 +194,8 @@
     std::string instance;
     /// Number that the reply returns.
     std::uint64_t number = 0;
-    /// Revision of the store up to which the requesting instance knows the list of endpoints.
-    std::uint64_t endpointsRevision = 0;
+    /// Version of the store up to which the requesting instance knows the list of endpoints.
+    StoreVersion endpointsVersion = {};
     /// IP:port at which the requesting instance receives the reply; empty if it is of a version that doesn't state it.
     std::string meshAddress = {};
 };
@@ -198,8 +210,8 @@
     /// Hash of the list of endpoints that the instance knows.
     std::uint64_t endpointsHash = 0;
     std::uint64_t endpointsAgeMs = 0;
-    /// Revision of the store up to which the instance knows the list of endpoints.
-    std::uint64_t endpointsRevision = 0;
+    /// Version of the store up to which the instance knows the list of endpoints.
+    StoreVersion endpointsVersion = {};
     /// Changes since the revision in the request; none if the replying instance no longer knows all changes since then.
     std::optional<EndpointListChanges> changes = std::nullopt;
 };
