Test: a fleet whose sound endpoints fall silent for a second and go on

The virtual fleet had endpoints that crash, silently or not, but none that is silent and goes on, so that it could not show that silence was taken for an end. In the new schedules three of eight engine endpoints at a time are silent for 0.4 to 1.4 s. Other schedules are unchanged, draw by draw.

--- a/libs/relay/tests/FleetTests.cpp
+++ b/libs/relay/tests/FleetTests.cpp
@@ -54,3 +54,20 @@
     LONGS_EQUAL(one.totals().rejected, two.totals().rejected);
     LONGS_EQUAL(one.totals().detours, two.totals().detours);
 }
+
+/// Guards against requests that run on more endpoints than their routes allow, since sound endpoints that are silent for a second count as ended.
+TEST(AFleetUnderFaults, keepsToTheRunsOfARouteWhileSoundEndpointsFallSilent)
+{
+    constexpr std::uint64_t Schedules = 20;
+    for (std::uint64_t seed = 1; seed <= Schedules; ++seed) {
+        VirtualFleet fleet(seed);
+        fleet.pauseEnginesOnly();
+        fleet.runSchedule();
+        for (const std::string &violation : fleet.violations()) {
+            UtestShell::getCurrent()->print(("seed " + std::to_string(seed) + ", " + violation + "\n").c_str(), __FILE__, __LINE__);
+        }
+        CHECK(fleet.violations().empty());
+        CHECK(fleet.totals().faults > 0);
+        CHECK(fleet.totals().served > fleet.totals().calls / 2);
+    }
+}
--- a/libs/relay/tests/VirtualEndpoints.cpp
+++ b/libs/relay/tests/VirtualEndpoints.cpp
@@ -149,6 +149,10 @@
     if (!endpoint.alive || endpoint.entry.incarnation != incarnation || found == endpoint.runs.end()) {
         return;
     }
+    if (!isResponsive(endpoint)) {
+        return time_.after(std::chrono::ceil<Ms>(endpoint.pausedUntil - time_.now()),
+                           [this, id, incarnation, number]() { advanceRun(id, incarnation, number); });
+    }
     Run &run = found->second;
     const std::string node = instances_[run.instance]->node;
     const auto notify = [this, run, id, node](const std::function<void(relay::RelayKernel &)> &event) {
@@ -160,7 +164,7 @@
     };
     run.stalledOn.clear();
     for (const relay::Hop &hop : run.pipeline) {
-        if (!endpointAt(hop.address)->alive) {
+        if (!isResponsive(*endpointAt(hop.address))) {
             run.stalledOn = hop.address;
         }
     }
@@ -291,7 +295,7 @@
 std::optional<relay::EndpointReport> VirtualFleet::reportOf(const std::string &id)
 {
     const Endpoint &endpoint = *endpointNamed(id);
-    if (!endpoint.alive) {
+    if (!isResponsive(endpoint)) {
         return std::nullopt;
     }
     relay::EndpointReport report;
--- a/libs/relay/tests/VirtualFleet.cpp
+++ b/libs/relay/tests/VirtualFleet.cpp
@@ -123,6 +123,13 @@
 
 void VirtualFleet::scheduleFaults()
 {
+    if (pausesEnginesOnly_) {
+        constexpr Ms PausePeriod{600};
+        for (Ms at{0}; at < FaultPeriod; at += PausePeriod) {
+            time_.after(at, [this]() { pauseEngines(); });
+        }
+        return;
+    }
     const std::uint64_t faults = MinFaults + draw(FaultCountRange);
     for (std::uint64_t i = 0; i < faults; ++i) {
         time_.after(Ms(draw(static_cast<std::uint64_t>(FaultPeriod.count()))), [this]() { injectFault(); });
@@ -175,6 +182,21 @@
     }
 }
 
+void VirtualFleet::pauseEngines()
+{
+    constexpr int EnginesAtOnce = 3;
+    for (int i = 0; i < EnginesAtOnce; ++i) {
+        ++totals_.faults;
+        Endpoint &engine = *endpoints_[draw(EngineCount)];
+        engine.pausedUntil = std::max(engine.pausedUntil, time_.now() + Ms(400 + draw(1000)));
+    }
+}
+
+bool VirtualFleet::isResponsive(const Endpoint &endpoint) const
+{
+    return endpoint.alive && time_.now() >= endpoint.pausedUntil;
+}
+
 void VirtualFleet::crash(Endpoint &endpoint, bool silent)
 {
     if (!endpoint.alive) {
--- a/libs/relay/tests/VirtualFleet.h
+++ b/libs/relay/tests/VirtualFleet.h
@@ -21,6 +21,11 @@
 public:
     /// Creates the store, the endpoints and the instances; the instances start within the first 300 ms of virtual time.
     explicit VirtualFleet(std::uint64_t seed);
+    /// Makes all faults of the schedule pauses of sound engine endpoints: each is silent for a second or so and goes on.
+    void pauseEnginesOnly()
+    {
+        pausesEnginesOnly_ = true;
+    }
     ~VirtualFleet();
     VirtualFleet(const VirtualFleet &) = delete;
     VirtualFleet &operator=(const VirtualFleet &) = delete;
@@ -92,6 +97,8 @@
         bool delaysOrders = false;
         /// Answers of the endpoint may be lost after it has run the request.
         bool losesAnswers = false;
+        /// The endpoint is silent until then and goes on with its runs.
+        relay::Instant pausedUntil{0};
         /// Highest fencing number of the orders handled since the endpoint's start.
         std::uint64_t fence = 0;
         /// Number of orders begun since the endpoint's start.
@@ -149,6 +156,10 @@
     void scheduleFaults();
     /// Injects one fault of a random kind at random nodes.
     void injectFault();
+    /// Pauses some engine endpoints for a second or so.
+    void pauseEngines();
+    /// Returns true if the endpoint is alive and not paused.
+    bool isResponsive(const Endpoint &endpoint) const;
     /// Ends the endpoint's process and its runs. If `silent`, its connections hang. It restarts some seconds later, except for a limited number of engines,
     /// which are lost for good.
     void crash(Endpoint &endpoint, bool silent);
@@ -260,6 +271,7 @@
     /// By node: time of the latest crash or restart of an endpoint, or end of the latest partition or freeze of an instance, which may lie in the future.
     /// Kills of instances are not recorded here.
     std::map<std::string, relay::Instant> lastFaultAt_;
+    bool pausesEnginesOnly_ = false;
     /// Time of revocation, by key.
     std::map<std::string, relay::Instant> revokedKeys_;
     std::vector<std::unique_ptr<Caller>> callers_;
--- a/libs/relay/tests/VirtualInstance.cpp
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -287,7 +287,7 @@
     ++fleet_.totals_.detours;
     const auto serve = [this, detour]() -> std::optional<Answer> {
         const Endpoint *endpoint = fleet_.endpointNamed(detour.endpoint);
-        if (endpoint == nullptr || !endpoint->alive) {
+        if (endpoint == nullptr || !fleet_.isResponsive(*endpoint)) {
             return std::nullopt;
         }
         Answer answer;
