--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -260,6 +260,28 @@
     CHECK(bed.upperStage() != full);
 }
 
+/// Guards against pauses that never grow, since the answer to work that was taken before the refusal ends the row of refusals.
+TEST(AStream, isSentLessOftenToAnEndpointThatKeepsRefusingWhileItEndsEarlierWork)
+{
+    const auto callThrough = [&](const std::string &stage) {
+        do {
+            bed.call("/stream/x");
+        } while (bed.upperStage() != stage);
+    };
+    bed.call("/stream/x");
+    const std::string full = bed.upperStage();
+    const AttemptId early = bed.lastAttempt();
+    callThrough(full);
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {503, true, false, full});
+    bed.kernel.onEvent(bed.now, early, 1);
+    bed.advance(Ms(150));
+    callThrough(full);
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {503, true, false, full});
+    bed.advance(Ms(200));
+    bed.call("/stream/x");
+    CHECK(bed.upperStage() != full);
+}
+
 TEST(AStream, isRejectedAtOnceWithARetryDelayWhenALayerIsMissing)
 {
     for (EndpointEntry &entry : bed.entries) {
