--- a/libs/relay/src/PlannerDuty.cpp
+++ b/libs/relay/src/PlannerDuty.cpp
@@ -153,6 +153,10 @@
     version_ = version;
     record_ = record;
     seenAt_ = now;
+    const bool isOwnWrite = record.holder == instance_ && record.fence == written_.fence && version.epoch == writtenEpoch_;
+    if (isOwnWrite) {
+        adoptLease(record.fence, version); // A write whose outcome was unknown has taken place.
+    }
     if (record.fence > heldFence_) {
         validUntil_ = Instant{0}; // Another instance has taken the lease since.
     }
@@ -172,17 +176,22 @@
         driver_.readLease();
         return;
     }
-    const bool isNew = heldFence_ != written_.fence || heldEpoch_ != version.epoch;
     version_ = version;
     record_ = written_;
     seenAt_ = now;
-    heldFence_ = written_.fence;
-    heldEpoch_ = version.epoch;
+    adoptLease(written_.fence, version);
     if (!releasing_) {
         validUntil_ = sentAt + leaseLifetime_ - LeaseMargin;
     }
+}
+
+void PlannerDuty::adoptLease(std::uint64_t fence, wire::StoreVersion version)
+{
+    const bool isNew = heldFence_ != fence || heldEpoch_ != version.epoch;
+    heldFence_ = fence;
+    heldEpoch_ = version.epoch;
     if (isNew && !releasing_) {
-        driver_.record({"lease_taken", "", instance_, "fence " + std::to_string(heldFence_) + ", version " + toText(version)});
+        driver_.record({"lease_taken", "", instance_, "fence " + std::to_string(fence) + ", version " + toText(version)});
     }
 }
 
--- a/libs/relay/src/details/PlannerDuty.h
+++ b/libs/relay/src/details/PlannerDuty.h
@@ -61,6 +61,8 @@
     bool isLeaseFree(Instant now) const;
     /// Returns a fencing number that is higher than all known ones and all of earlier epochs.
     std::uint64_t nextFence() const;
+    /// Takes a lease of this instance that the store has confirmed in that version.
+    void adoptLease(std::uint64_t fence, wire::StoreVersion version);
     /// Starts a write of the lease.
     void write(const LeaseRecord &record, std::uint64_t expectedRevision);
     /// Drops pending orders that are carried out or obsolete, and requests the reports that are due for the others.
--- a/libs/relay/tests/RestoredLeaseTests.cpp
+++ b/libs/relay/tests/RestoredLeaseTests.cpp
@@ -172,3 +172,17 @@
     now += LeaseLifetime - Ms(700);
     CHECK(!kernel->isPlanner(now));
 }
+
+/// The store has carried out the write, but its answer was lost: the lease would lie unused until its end.
+TEST(ThePlannerOfARestoredStore, goesOnWithALeaseWhoseWriteWasNotAnswered)
+{
+    kernel->onLeaseRead(now, {1, 0}, {});
+    advance(Ms(50));
+    const LeaseRecord written = driver.leaseWrites.back().record;
+    kernel->onLeaseWritten(now, now, {});
+    kernel->onLeaseRead(now, {1, store.revision}, written);
+    const std::size_t before = driver.leaseWrites.size();
+    advance(Ms(100));
+    LONGS_EQUAL(before + 1, driver.leaseWrites.size());
+    UNSIGNED_LONGS_EQUAL(written.fence, driver.leaseWrites.back().record.fence);
+}
