A lease that isn't free yet is read at the usual interval

A read of an absent record made the next action due at once, as it would be taken then. After a restore it isn't free for a lifetime of 3 s, so that each instance that may take it read it at every tick: the new test isNotAwaitedWithAReadAtEachTick failed with more than 4 reads in 2.5 s. Now the next action is due at once only if there is one. Found by reading.

--- a/libs/relay/src/PlannerDuty.cpp
+++ b/libs/relay/src/PlannerDuty.cpp
@@ -160,7 +160,7 @@
     if (record.fence > heldFence_) {
         validUntil_ = Instant{0}; // Another instance has taken the lease since.
     }
-    if (version.revision == 0 || record.holder.empty() || record.holder == instance_) {
+    if (mayRenew(now) || isLeaseFree(now)) {
         nextLeaseAction_ = now;
     }
 }
--- a/libs/relay/tests/RestoredLeaseTests.cpp
+++ b/libs/relay/tests/RestoredLeaseTests.cpp
@@ -186,3 +186,20 @@
     LONGS_EQUAL(before + 1, driver.leaseWrites.size());
     UNSIGNED_LONGS_EQUAL(written.fence, driver.leaseWrites.back().record.fence);
 }
+
+/// A record that is absent but not free yet was read again at each tick, by each instance that may take the lease.
+TEST(ThePlannerOfARestoredStore, isNotAwaitedWithAReadAtEachTick)
+{
+    kernel->onLeaseRead(now, {1, 5}, {"other", 3, 1});
+    restore();
+    const int before = driver.leaseReads;
+    for (int i = 0; i < 50; ++i) {
+        const int reads = driver.leaseReads;
+        advance(Ms(50));
+        if (driver.leaseReads > reads) {
+            kernel->onLeaseRead(now, {2, 0}, {});
+        }
+    }
+    CHECK(driver.leaseReads - before <= 4);
+    CHECK(driver.leaseWrites.empty());
+}
