--- a/libs/relay/tests/RestoredLeaseTests.cpp
+++ b/libs/relay/tests/RestoredLeaseTests.cpp
@@ -172,3 +172,34 @@
     now += LeaseLifetime - Ms(700);
     CHECK(!kernel->isPlanner(now));
 }
+
+/// The store has carried out the write, but its answer was lost: the lease would lie unused until its end.
+TEST(ThePlannerOfARestoredStore, goesOnWithALeaseWhoseWriteWasNotAnswered)
+{
+    kernel->onLeaseRead(now, {1, 0}, {});
+    advance(Ms(50));
+    const LeaseRecord written = driver.leaseWrites.back().record;
+    kernel->onLeaseWritten(now, now, {});
+    kernel->onLeaseRead(now, {1, store.revision}, written);
+    const std::size_t before = driver.leaseWrites.size();
+    advance(Ms(100));
+    LONGS_EQUAL(before + 1, driver.leaseWrites.size());
+    UNSIGNED_LONGS_EQUAL(written.fence, driver.leaseWrites.back().record.fence);
+}
+
+/// A record that is absent but not free yet was read again at each tick, by each instance that may take the lease.
+TEST(ThePlannerOfARestoredStore, isNotAwaitedWithAReadAtEachTick)
+{
+    kernel->onLeaseRead(now, {1, 5}, {"other", 3, 1});
+    restore();
+    const int before = driver.leaseReads;
+    for (int i = 0; i < 50; ++i) {
+        const int reads = driver.leaseReads;
+        advance(Ms(50));
+        if (driver.leaseReads > reads) {
+            kernel->onLeaseRead(now, {2, 0}, {});
+        }
+    }
+    CHECK(driver.leaseReads - before <= 4);
+    CHECK(driver.leaseWrites.empty());
+}
