--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -145,7 +145,8 @@
         impl_->peers.expedite();
     }
     if (report->leaving) {
-        impl_->onLeaving(*index, report->incarnation, "in a report to this instance");
+        const std::uint64_t incarnation = report->incarnation == 0 ? state.entry.incarnation : report->incarnation; // A report may state none.
+        impl_->onLeaving(*index, incarnation, "in a report to this instance");
     }
     impl_->planner.onReport(now, *index, true);
     for (const StalledRequest &stalled : report->stalled) {
--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -31,17 +31,27 @@
     return state.failureRatio * std::exp2(-ageMs / FailureHalfLifeMs);
 }
 
+void EndpointRegistry::beginIncarnation(EndpointState &state)
+{
+    state.entry.draining = false;
+    state.listedAsDraining = false;
+    state.silentCheckAt = Instant{0};
+    state.silenceCount = 0;
+    state.pausedUntil = Instant{0};
+    state.refusals = 0;
+    state.orderCount = 0;
+}
+
 void EndpointRegistry::update(EndpointState &state, const EndpointEntry &entry, Instant now)
 {
+    const bool isNewIncarnation = entry.incarnation != state.entry.incarnation;
+    if (isNewIncarnation) {
+        beginIncarnation(state);
+    }
     const EndpointEntry known = state.entry;
     state.entry = entry;
     state.listedAsDraining = entry.draining;
-    if (entry.incarnation > known.incarnation) {
-        state.silentCheckAt = Instant{0};
-        state.pausedUntil = Instant{0};
-        state.refusals = 0;
-        state.silenceCount = 0;
-        state.orderCount = 0;
+    if (isNewIncarnation) {
         return;
     }
     state.entry.draining = known.draining || entry.draining;
@@ -67,7 +77,8 @@
             lastNewEndpointAt_ = now;
         }
         EndpointState &state = states_[found->second];
-        if (!isNew && entry.incarnation < state.entry.incarnation) {
+        // An entry of an earlier incarnation is old, unless this very store has listed the later one before: then the endpoint's clock has gone back.
+        if (!isNew && entry.incarnation < state.entry.incarnation && state.incarnationListedIn != epoch) {
             continue;
         }
         const bool mayComeFromCopy = !isNew && !state.listed && entry.incarnation == state.entry.incarnation && epoch > state.unlistedEpoch;
@@ -76,6 +87,7 @@
             hold(found->second, now, ReturnGracePeriod);
         }
         state.zone = zoneNumber(entry.zone);
+        state.incarnationListedIn = epoch;
         state.listed = true;
         state.keepListedUntil = Instant{0};
     }
@@ -91,6 +103,14 @@
     }
 }
 
+void EndpointRegistry::endGracePeriods(Instant now)
+{
+    for (EndpointState &state : states_) {
+        const bool isMissing = state.keepListedUntil.count() != 0;
+        state.listed = state.listed && (!isMissing || now < state.keepListedUntil);
+    }
+}
+
 bool EndpointRegistry::setLeaving(EndpointIndex index, std::uint64_t incarnation)
 {
     EndpointEntry &entry = states_[index].entry;
@@ -112,6 +132,10 @@
     if (report.incarnation < state.entry.incarnation) {
         return; // The report is older than the list.
     }
+    if (report.incarnation > state.entry.incarnation) {
+        beginIncarnation(state);
+        state.incarnationListedIn.reset();
+    }
     state.entry.incarnation = report.incarnation;
     state.orderCount = report.orderCount;
     state.reportedAt = now;
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -74,6 +74,7 @@
             hedge(now, *found->second);
         }
     }
+    endpoints.endGracePeriods(now);
     checkSilentEndpoints(now);
     checkSlowEndpoints(now);
     checkCrashes(now);
@@ -260,6 +261,9 @@
     if (found == impl_->attempts.end() || !(head.verified || head.notRun)) {
         return;
     }
+    if (head.status == MisdirectedStatus) {
+        return; // Perhaps another endpoint has answered, at an address that is in use again.
+    }
     const EndpointIndex first = found->second.stages.front();
     if (head.leaving) {
         impl_->onLeaving(first, found->second.incarnation, "in an answer to this instance");
--- a/libs/relay/src/StoreDuty.cpp
+++ b/libs/relay/src/StoreDuty.cpp
@@ -20,6 +20,8 @@
 constexpr Ms RefreshPeriod{250};
 /// A version of the configuration counts as held by another instance for this time, several intervals between digests.
 constexpr Ms NamedVersionLifetime{3000};
+/// A list that no digest names any longer isn't waited for beyond this time, several intervals between digests.
+constexpr Ms NamedListLifetime{3000};
 /// Changes that a digest has named and that have not arrived within this time are read from the store.
 constexpr Ms UpdateTimeout{350};
 /// A new instance requests the list of endpoints from others in this period. It reads the list itself if none has sent it within the timeout, since
@@ -60,7 +62,7 @@
         return join(now, known);
     }
     follow(isChosenReader || readers.empty() || isOwnKnowledgeStale, isChosenReader, now);
-    if (awaitsUpdate(known) && now >= updateAwaitedSince_ + UpdateTimeout) {
+    if (awaitsUpdate(now, known) && now >= updateAwaitedSince_ + UpdateTimeout) {
         updateAwaitedSince_ = now;
         refreshEndpoints(now);
     }
@@ -153,10 +155,12 @@
     if (digest.endpointsHash == 0 || isSameList || digest.endpointsVersion <= known.endpointsVersion) {
         return;
     }
-    if (!awaitsUpdate(known)) {
+    if (!awaitsUpdate(now, known)) {
+        updateVersion_ = {};
         updateAwaitedSince_ = now;
     }
-    if (digest.endpointsVersion > updateVersion_) {
+    if (digest.endpointsVersion >= updateVersion_) {
+        updateNamedAt_ = now;
         updateVersion_ = digest.endpointsVersion;
         updateHash_ = digest.endpointsHash;
     }
@@ -166,8 +170,11 @@
     }
 }
 
-bool StoreDuty::awaitsUpdate(const Knowledge &known) const
+bool StoreDuty::awaitsUpdate(Instant now, const Knowledge &known) const
 {
+    if (now >= updateNamedAt_ + NamedListLifetime) {
+        return false;
+    }
     const bool isSameList = updateHash_ == known.endpointsHash && updateVersion_.epoch == known.endpointsVersion.epoch;
     return updateVersion_ > known.endpointsVersion && !isSameList;
 }
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -26,9 +26,6 @@
 constexpr Ms ResumePeriod{50};
 /// An attempt without an event is checked only after this multiple of the predicted time to the first token.
 constexpr double MaxFirstTokenRatio = 3.0;
-/// Status of an endpoint that doesn't hold the layers that the pipeline expects of it.
-constexpr int MisdirectedStatus = 421;
-
 /// A new stream is rejected if it would wait for others longer than this part of its caller's patience: the caller might leave before the first event,
 /// and those that come after it would wait longer still.
 constexpr double MaxWaitRatio = 0.5;
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -2,6 +2,7 @@
 
 #include "details/RecentFailures.h"
 
+#include <optional>
 #include <unordered_map>
 
 namespace relay {
@@ -18,6 +19,8 @@
     bool listed = false;
     /// The list itself shows that the endpoint is draining; `entry.draining` may be known earlier from the endpoint or from other instances.
     bool listedAsDraining = false;
+    /// Epoch of the store whose list last showed this incarnation; none while only the endpoint's own report has shown it.
+    std::optional<std::uint64_t> incarnationListedIn;
     /// Epoch of the store in which the endpoint was last found to be no longer listed.
     std::uint64_t unlistedEpoch = 0;
     /// Set if the endpoint was missing from a list that was read after an outage or a restore of the store: it stays listed until this time. Zero otherwise.
@@ -77,6 +80,9 @@
     /// there again after it may come from the copy: its endpoint gets no new work until the grace period has passed, in which it would be removed again.
     void onList(Instant now, const std::vector<EndpointEntry> &entries, std::uint64_t epoch, bool afterOutage);
 
+    /// Ends the grace periods that are over: an endpoint that is still missing from the list then is gone, also if the list doesn't change any more.
+    void endGracePeriods(Instant now);
+
     /// Takes from the endpoint itself, or from another instance, that this incarnation of it is leaving. Returns false if that is known, or if the present
     /// incarnation is another one.
     bool setLeaving(EndpointIndex index, std::uint64_t incarnation);
@@ -155,6 +161,8 @@
     }
 
 private:
+    /// Forgets what is known of the endpoint's process before, since another one has taken its place.
+    static void beginIncarnation(EndpointState &state);
     /// Takes a listed entry, but keeps newer state from the endpoint's own reports. Within one incarnation, leaving is final. An entry of an earlier
     /// incarnation changes nothing.
     void update(EndpointState &state, const EndpointEntry &entry, Instant now);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -14,6 +14,9 @@
 
 namespace relay {
 
+/// Status of an endpoint that isn't the one that the request names, or doesn't hold the layers that the pipeline expects of it.
+inline constexpr int MisdirectedStatus = 421;
+
 /// An open attempt: one dispatch of a call to an endpoint or a pipeline.
 struct Attempt {
     CallId call = 0;
--- a/libs/relay/src/details/StoreDuty.h
+++ b/libs/relay/src/details/StoreDuty.h
@@ -68,7 +68,7 @@
     /// Sends a freshness request to an instance.
     void sendRequest(const std::string &instance, Instant now, const Knowledge &known);
     /// Returns true if a digest has named a list that this instance lacks. A list of a lower version in the same epoch may have the same content.
-    bool awaitsUpdate(const Knowledge &known) const;
+    bool awaitsUpdate(Instant now, const Knowledge &known) const;
     /// Takes a version of the configuration that another instance holds, and reads the store if it is newer than the own one.
     void onConfigNamed(std::uint64_t version, Instant now, const Knowledge &known);
     /// Reads the list of endpoints from the store, unless it was read moments ago.
@@ -85,8 +85,9 @@
     /// The highest version of the configuration that other instances have named, and when one last did.
     std::uint64_t namedConfigVersion_ = 0;
     Instant configNamedAt_{0};
-    /// The latest version of the endpoint list that a digest has named, and since when it is awaited.
+    /// The latest version of the endpoint list that a digest has named, when one last did, and since when it is awaited.
     wire::StoreVersion updateVersion_;
+    Instant updateNamedAt_{0};
     /// EndpointList::hash() of that list.
     std::uint64_t updateHash_ = 0;
     Instant updateAwaitedSince_{0};
--- a/libs/relay/tests/LeavingEndpointTests.cpp
+++ b/libs/relay/tests/LeavingEndpointTests.cpp
@@ -220,3 +220,63 @@
     bed.kernel.onPeerMessage(bed.now, digest);
     STRCMP_EQUAL("usable", stateOf("desk-a").c_str());
 }
+
+/// Guards against an endpoint that is lost to the fleet for good, since its next process inherits that the one before was leaving.
+TEST(AnEndpointThatLeaves, isSoundAgainOnceAReportHasShownItsNextIncarnation)
+{
+    entry("low-a").draining = true;
+    bed.advance(Ms(50));
+    STRCMP_EQUAL("draining", stateOf("low-a").c_str());
+    EndpointReport report;
+    report.incarnation = 2;
+    report.layers = {0, RelayTestBed::HalfLayers};
+    bed.kernel.onReport(bed.now, "low-a", report);
+    entry("low-a").draining = false;
+    entry("low-a").incarnation = 2;
+    bed.advance(Ms(3000));
+    STRCMP_EQUAL("usable", stateOf("low-a").c_str());
+    LONGS_EQUAL(0, bed.driver.digests.back().leavingEndpoints.size());
+}
+
+/// Guards against an endpoint that is never used again after its host's clock was set back: its later process has the lower incarnation.
+TEST(AnEndpointThatLeaves, isSoundAgainOnceTheSameStoreListsALowerIncarnation)
+{
+    entry("desk-a").incarnation = 5000;
+    bed.advance(Ms(50));
+    entry("desk-a").draining = true;
+    bed.advance(Ms(50));
+    entry("desk-a").incarnation = 4000;
+    entry("desk-a").draining = false;
+    bed.advance(Ms(3000));
+    STRCMP_EQUAL("usable", stateOf("desk-a").c_str());
+}
+
+/// Guards against new requests to an endpoint whose report says that it leaves and states no incarnation.
+TEST(AnEndpointThatLeaves, isBelievedInAReportWithoutIncarnation)
+{
+    EndpointReport report;
+    report.layers = {0, RelayTestBed::HalfLayers};
+    report.leaving = true;
+    bed.kernel.onReport(bed.now, "low-a", report);
+    STRCMP_EQUAL("draining", stateOf("low-a").c_str());
+}
+
+/// Guards against a sound endpoint that is lost because another one at an address in use again says that it leaves itself.
+TEST(AnEndpointThatLeaves, isNotTheOneThatTheRequestNamed)
+{
+    AnswerHead head{421, true, false, ""};
+    head.leaving = true;
+    bed.kernel.onHead(bed.now, sendTo("desk-a"), head);
+    STRCMP_EQUAL("usable", stateOf("desk-a").c_str());
+}
+
+/// Guards against requests to an endpoint that is gone, on instances that get no further list because the list doesn't change.
+TEST(AnEndpointThatLeaves, isGoneAfterItsGracePeriodAlsoWithoutAnotherList)
+{
+    restore();
+    remove("desk-a");
+    bed.advance(Ms(50));
+    STRCMP_EQUAL("usable", stateOf("desk-a").c_str());
+    bed.advance(Ms(5000), false);
+    STRCMP_EQUAL("gone", stateOf("desk-a").c_str());
+}
--- a/libs/relay/tests/RestoredStoreTests.cpp
+++ b/libs/relay/tests/RestoredStoreTests.cpp
@@ -155,3 +155,13 @@
     bed.kernel.onPeerMessage(bed.now, wire::FreshnessRequest{"two", 2});
     CHECK(bed.driver.freshnessReplies.back().second.endpointsAgeMs >= 5000);
 }
+
+/// Guards against reads of the store without end for a list that one instance has named once and that does not exist.
+TEST(AnInstanceWhoseStoreIsRestored, readsAFewTimesForAListThatNobodyNamesAnyLonger)
+{
+    constexpr int MaxReads = 12;
+    bed.kernel.onPeerMessage(bed.now, digestOf({4000000, 5}));
+    const auto before = bed.driver.endpointRefreshes;
+    bed.advance(Ms(60000));
+    CHECK(bed.driver.endpointRefreshes - before <= MaxReads);
+}
