Test: instances that were listed within the window count among those that share the reserve

The mutant relay-reserve-follows-the-view was not noticed: in the other tests all instances stay listed. The new test fails with it and passes with the code as it is.

--- a/libs/relay/tests/RetryLimitTests.cpp
+++ b/libs/relay/tests/RetryLimitTests.cpp
@@ -136,6 +136,28 @@
     CHECK(retries > settings.retryRatio * Calls);
 }
 
+/// Guards against a share that grows at once when instances vanish from the list, which may have used up theirs.
+TEST(TheLimitOnRetries, countsInstancesThatWereListedWithinTheWindow)
+{
+    constexpr double Instances = 8;
+    constexpr int Calls = 100;
+    RelayTestBed bed;
+    std::vector<InstanceEntry> listed;
+    for (const char *id : {"one", "two", "three", "four", "five", "six", "seven", "eight"}) {
+        listed.push_back({id, std::string(id) + ":7000"});
+    }
+    bed.kernel.onInstances(bed.now, listed);
+    bed.advance(Ms(100));
+    bed.kernel.onInstances(bed.now, {listed[0], listed[1]});
+    bed.advance(settings.retryWindow / 2);
+    for (int i = 0; i < Calls; ++i) {
+        bed.call("/read/x");
+        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    }
+    const auto retries = static_cast<double>(bed.driver.sent.size()) - Calls;
+    CHECK(retries <= settings.retryRatio * Calls + settings.retryReserve / Instances);
+}
+
 /// Guards against a limit that refuses what is left of the reserve to a fleet in which nothing happens.
 TEST(TheLimitOnRetries, givesOutTheReserveToInstancesThatStayUp)
 {
