--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -72,6 +72,8 @@
     double requestLimit = 0;
     /// The endpoint says that it is leaving: it finishes its open requests and must get no new ones.
     bool leaving = false;
+    /// Time from the answer in which the endpoint wants no request from this instance; zero if it names none.
+    Ms retryAfter{0};
 };
 
 /// Why an attempt failed without a whole answer.
