A lingering connection ends also if its time ends together with the arrival of input

Found by the independent review: after a hold-up of the process the timer that ends the wait and the read that it should end are ready together; it cancelled nothing, and the next read had no timer, so that the connection stayed open and the stop waited for it. The timer now leaves a mark that the loop looks at. The new test failed before (not finished after 10 s).

--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -146,7 +146,8 @@
 
 bool Connection::isUnfinished() const
 {
-    return !isIdle_ || hasInput();
+    // A closed connection may exist for a moment, until its last operations have ended.
+    return socket_.is_open() && (!isIdle_ || hasInput());
 }
 
 asio::awaitable<bool> Connection::serveRequest()
@@ -284,13 +285,18 @@
     char scratch[4096];
     beast::error_code error;
     socket_.shutdown(tcp::socket::shutdown_send, error);
-    while (!error) {
-        timeout_.start(LingerTime, shared_from_this(), [this]() { cancelOperations(); });
-        while (!error) {
+    bool goesOn = !error;
+    while (goesOn) {
+        lingerIsOver_ = false;
+        timeout_.start(LingerTime, shared_from_this(), [this]() {
+            lingerIsOver_ = true;
+            cancelOperations();
+        });
+        while (!error && !lingerIsOver_) {
             co_await socket_.async_read_some(asio::buffer(scratch), asio::redirect_error(asio::use_awaitable, error));
         }
-        const bool isStillSending = error == asio::error::operation_aborted && unacknowledgedBytes(socket_) > 0;
-        error = isStillSending ? beast::error_code() : error;
+        goesOn = lingerIsOver_ && unacknowledgedBytes(socket_) > 0;
+        error = {};
     }
     timeout_.stop();
 }
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -111,6 +111,8 @@
     bool broken_ = false;
     /// It waits for the first bytes of a request.
     bool isIdle_ = false;
+    /// The client has had its time to close its side, in linger().
+    bool lingerIsOver_ = false;
     /// When it began to wait for a request.
     IdleTimeouts::Clock::time_point idleSince_;
 };
--- a/libs/net/tests/ServerStopTests.cpp
+++ b/libs/net/tests/ServerStopTests.cpp
@@ -161,3 +161,17 @@
     client.close();
     CHECK(server.waitUntilFinished());
 }
+
+/// Guards against a connection that waits for ever, and holds the process, if the client sends something while the process is held up at its end.
+TEST(AConnectionOfAServerThatStops, isFinishedAlthoughInputArrivesTogetherWithTheEndOfItsTime)
+{
+    constexpr std::chrono::milliseconds LongerThanItWaits{1300};
+    RawClient client(server.address());
+    client.send("GET /whole HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    client.receiveAll();
+    server.stallDuring([&]() {
+        std::this_thread::sleep_for(LongerThanItWaits);
+        client.send("x");
+    });
+    CHECK(server.waitUntilFinished());
+}
