--- a/libs/net/tests/HttpClientTests.cpp
+++ b/libs/net/tests/HttpClientTests.cpp
@@ -104,7 +104,7 @@
 {
     std::vector<net::CallFailure> failures;
 
-    void run(net::ClientCall call)
+    void makeCall(net::ClientCall call)
     {
         net::EventLoop loop;
         net::HttpClient client(loop);
@@ -129,7 +129,7 @@
 TEST(ACallThatCannotBeSent, failsOnlyAfterItWasStarted)
 {
     for (const char *host : {"300.1.2.3", "host", "", "10.0.0.1\r\nX: 1", "[::1]"}) {
-        run({{host, 80}, {}});
+        makeCall({{host, 80}, {}});
         CHECK(failures.back() == net::CallFailure::NotSent);
     }
     LONGS_EQUAL(5, failures.size());
@@ -141,13 +141,13 @@
     net::ClientCall trace{server.address(), {"TRACE", "/", {}, "a body"}};
     net::ClientCall longHeader{server.address(), {"GET", "/", {{"X-Long", std::string(100000, 'x')}}, ""}};
     for (const net::ClientCall &call : {trace, longHeader}) {
-        run(call);
+        makeCall(call);
         CHECK(!failures.empty());
         CHECK(failures.back() == net::CallFailure::NotSent);
     }
     // The server listens, and has seen neither of them.
     LONGS_EQUAL(0, server.connections());
-    run({server.address(), {}});
+    makeCall({server.address(), {}});
     LONGS_EQUAL(2, failures.size());
     LONGS_EQUAL(1, server.connections());
 }
--- a/libs/relayhost/tests/StoreFollowerTests.cpp
+++ b/libs/relayhost/tests/StoreFollowerTests.cpp
@@ -152,14 +152,14 @@
 TEST(AFollowerOfTheStore, pausesBetweenGapsInQuickSuccession)
 {
     constexpr std::size_t Gaps = 40;
-    client->lists.at(0)(EndpointListing{{entry("a")}, 40, 1});
+    client->lists.at(0)(EndpointListing{{entry("a")}, {0, 40}, 1});
     // All gaps come at once, unless the machine holds up the test in each round.
     while (client->lists.size() < Gaps && client->watches.size() == client->lists.size()) {
         client->watches.back()(std::nullopt);
         if (client->lists.size() == client->watches.size()) {
             break; // The list is read later.
         }
-        client->lists.back()(EndpointListing{{entry("a")}, 40, 1});
+        client->lists.back()(EndpointListing{{entry("a")}, {0, 40}, 1});
     }
     CHECK(client->lists.size() < Gaps);
     client->onList = [this]() {
