Doc comments of the restore and leaving code: three were wrong, several missing

FreshnessReply said that there are no changes if not all are known, but the whole list is sent then (the comment in Records.proto is right); two comments still said "revision" for a store version.

In RetryWindow::permits() a local name hid the function that it calls.

--- a/libs/json/src/JsonPieces.cpp
+++ b/libs/json/src/JsonPieces.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
+/// Characters that may stand between the tokens of JSON text.
 constexpr std::string_view Blanks = " \t\r\n";
 
+/// Returns the text without the blanks at its ends.
 std::string_view trimmed(std::string_view text)
 {
     text.remove_prefix(std::min(text.find_first_not_of(Blanks), text.size()));
@@ -52,7 +54,8 @@
     return std::string_view::npos;
 }
 
-/// Returns the parts between the brackets that the text begins and ends with.
+/// Returns the parts, separated by commas, between the brackets that the text begins and ends with; none if the text has no such brackets, or if quotes or
+/// brackets in it don't match. Parts may be empty, but blank text between the brackets has no part.
 std::optional<std::vector<std::string_view>> cut(std::string_view text, char open, char close)
 {
     text = trimmed(text);
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -85,6 +85,7 @@
 
 namespace {
 
+/// Returns the request of a call as the HTTP library takes it; moves the body out of the call.
 http::request<http::string_body> toMessage(ClientCall &call)
 {
     http::request<http::string_body> message;
@@ -114,6 +115,7 @@
     }
 }
 
+/// Returns why a call has ended without a whole response.
 CallFailure failureOf(const RunningCall &running)
 {
     if (!running.sent) {
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -85,6 +85,7 @@
     void queue(const std::string &data);
     /// Marks the response as complete; queued output is still written.
     void finish();
+    /// Closes the socket, marks the response as ended and wakes writeQueued().
     void close();
 
     std::shared_ptr<HttpServer::Impl> server_;
--- a/libs/net/src/details/IdleConnections.h
+++ b/libs/net/src/details/IdleConnections.h
@@ -72,6 +72,7 @@
     }
 
 private:
+    /// A connection, and the time until which it may be used again.
     struct Entry {
         Connection connection;
         Time closeAt;
@@ -81,6 +82,7 @@
     static constexpr Ms ServerTimeoutMargin{500};
     static constexpr Ms SweepPeriod{1000};
 
+    /// Drops the connections whose time has passed.
     void sweep(Time now)
     {
         sweptAt_ = now;
@@ -92,6 +94,7 @@
 
     std::size_t maxPerAddress_;
     Ms maxIdleTime_;
+    /// Connections by address, the one that was kept last at the end.
     std::unordered_map<std::string, std::vector<Entry>> entries_;
     /// When the connections whose time has passed were last dropped.
     Time sweptAt_{};
--- a/libs/net/src/details/OperationTimeout.h
+++ b/libs/net/src/details/OperationTimeout.h
@@ -34,6 +34,7 @@
         });
     }
 
+    /// Ends the timeout, since its operation has ended: the action doesn't run any more.
     void stop()
     {
         ++operation_;
--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -136,7 +136,7 @@
     virtual void forward(CallId call, AttemptId attempt) = 0;
     /// Starts the answer of a stream with the status and headers of the attempt's answer.
     virtual void beginStream(CallId call, AttemptId attempt) = 0;
-    /// Ends a stream as complete, as the attempt's has ended, and with it the call.
+    /// Ends the stream to the caller as complete, and with it the call, after the attempt's answer has ended.
     virtual void endStream(CallId call, AttemptId attempt) = 0;
     /// Aborts a stream so that the caller can't mistake it for complete, and ends the call.
     virtual void breakStream(CallId call) = 0;
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -78,6 +78,7 @@
     /// Takes a current list of a store of that epoch. After an outage of the store, entries that have expired meanwhile may be missing although their
     /// endpoints live, and so may new entries after a restore; they stay listed for a grace period. An entry that was removed before the restore and is
     /// there again after it may come from the copy: its endpoint gets no new work until the grace period has passed, in which it would be removed again.
+    /// An entry of an earlier incarnation than the known one changes nothing, unless the last list with the known one was of the same epoch.
     void onList(Instant now, const std::vector<EndpointEntry> &entries, std::uint64_t epoch, bool afterOutage);
 
     /// Ends the grace periods that are over: an endpoint that is still missing from the list then is gone, also if the list doesn't change any more.
@@ -122,7 +123,8 @@
     void onPlainAnswer(EndpointIndex index, double latencyMs, Instant now);
     void onPlainFailure(EndpointIndex index, Instant now);
 
-    /// Returns true if the endpoint may get new work: listed, not draining, not silent, and neither paused nor held.
+    /// Returns true if the endpoint may get new work: listed, not draining, not silent, and neither paused nor held. A time in which it wants no requests,
+    /// see backOff(), isn't considered: it may still be a later stage of a pipeline.
     bool isUsable(EndpointIndex index, Instant now) const;
 
     /// Finds an endpoint by id, also one that is no longer listed.
@@ -163,8 +165,8 @@
 private:
     /// Forgets what is known of the endpoint's process before, since another one has taken its place.
     static void beginIncarnation(EndpointState &state);
-    /// Takes a listed entry, but keeps newer state from the endpoint's own reports. Within one incarnation, leaving is final. An entry of an earlier
-    /// incarnation changes nothing.
+    /// Takes a listed entry, but keeps newer state from the endpoint's own reports. Within one incarnation, leaving is final. An entry of another incarnation
+    /// is taken as a whole; onList() has left out those that are old.
     void update(EndpointState &state, const EndpointEntry &entry, Instant now);
 
     std::vector<EndpointState> states_;
--- a/libs/relay/src/details/RetryWindow.h
+++ b/libs/relay/src/details/RetryWindow.h
@@ -60,8 +60,8 @@
     /// Returns true if the limit permits one more retry.
     bool permits(const std::string &service, Instant now)
     {
-        const RetryUsage usage = this->usage(service, now);
-        return static_cast<double>(usage.used) + 1 <= usage.allowed;
+        const RetryUsage current = usage(service, now);
+        return static_cast<double>(current.used) + 1 <= current.allowed;
     }
 
     /// Counts a retry that is sent.
--- a/libs/relayhost/include/relayhost/CallerResponse.h
+++ b/libs/relayhost/include/relayhost/CallerResponse.h
@@ -26,6 +26,7 @@
 class CallerResponse
 {
 public:
+    /// Prepares the response to the request of an exchange; sends nothing yet. The server must outlive this object.
     CallerResponse(Server &server, net::ExchangeId exchange)
         : server_(server)
         , exchange_(exchange)
@@ -93,13 +94,16 @@
     }
 
 private:
+    /// What was sent of the response.
     enum class State {
         None,
+        /// The status and headers of a stream, and perhaps some events.
         Streaming,
         /// Nothing more is sent.
         Ended,
     };
 
+    /// Returns true if a stream has begun that belongs to the attempt.
     bool isWriter(relay::AttemptId attempt) const
     {
         return state_ == State::Streaming && attempt == writer_;
@@ -108,6 +112,7 @@
     Server &server_;
     net::ExchangeId exchange_;
     State state_ = State::None;
+    /// The attempt that the stream belongs to.
     relay::AttemptId writer_ = 0;
 };
 
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -96,6 +96,7 @@
     void tick();
     /// Applies the settings file if its text has changed. If the new text is invalid, the previous settings stay in use.
     void rereadSettings();
+    /// Passes a caller's request to the kernel as a new call whose id is that of the exchange; rejects it if it is malformed.
     void onRequest(net::ExchangeId exchange, net::HttpRequest request);
     /// Forgets a call whose exchange has ended, and logs it unless it was answered.
     void onExchangeEnded(net::ExchangeId exchange, net::ExchangeEnd end);
@@ -109,9 +110,13 @@
     void recordMisfit(relay::CallId call, const std::string &part);
     /// Adds the time to the first event, or since the previous forwarding of events, to the latency metrics.
     void recordEventLatency(relay::CallId call);
+    /// Takes the status and headers of an attempt's answer, and passes what they say to the kernel.
     void onHead(relay::AttemptId id, const std::string &endpoint, int status, const net::Headers &headers);
+    /// Takes a part of the body of an attempt's answer. Of a stream, forwards the complete events that the kernel permits.
     void onData(relay::AttemptId id, const std::string &data);
+    /// Passes the end of an attempt's answer to the kernel.
     void onEnd(relay::AttemptId id);
+    /// Tells the kernel that an attempt has ended without a whole answer.
     void onFailure(relay::AttemptId id, net::CallFailure failure);
     /// Returns the metrics in the Prometheus text format.
     std::string metricsText() const;
--- a/libs/relayhost/include/relayhost/StoreFollower.h
+++ b/libs/relayhost/include/relayhost/StoreFollower.h
@@ -66,18 +66,27 @@
     /// Runs the next step of following the endpoints at that time, unless a read or watch has been started meanwhile.
     void continueAt(relay::Instant due, void (StoreFollower::*step)());
 
+    /// Starts a read of the configuration.
     void readConfig();
+    /// Reports a configuration that was read, and schedules the next read while the store is followed.
     void onConfig(relay::Instant sentAt, const ConfigReadResult &read);
+    /// Starts a read of the full list of endpoints.
     void listEndpoints();
+    /// Reports a full list and watches it for changes; repeats the read later if it has failed or the list is of an earlier epoch than known.
     void onListing(const std::optional<EndpointListing> &listing);
+    /// Starts a watch for the changes after the known version, or a read of the full list if that is due; does nothing unless the store is followed.
     void watchEndpoints();
+    /// Applies and reports changes, and schedules the next watch; reads the full list instead if the changes don't continue the known one.
     void onChanges(relay::Instant sentAt, const std::optional<EndpointChanges> &changes);
     /// Returns when a failed read is repeated.
     relay::Instant retryTime();
+    /// Reports all known endpoints and their version.
     void reportEndpoints();
     /// Adds this instance to the list of instances, unless its entry is there or was written in the list's epoch: the list may be seconds old.
     void registerInstance(const InstanceListing &listing);
+    /// Starts a read of the list of instances.
     void listInstances();
+    /// Reports the list of instances, registers this one if necessary, and schedules the next read.
     void onInstances(const std::optional<InstanceListing> &instances);
     /// Takes the epoch of the store that an answer names; returns true and reports it if it is later than known.
     bool noteEpoch(std::uint64_t epoch);
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -176,7 +176,7 @@
     friend bool operator==(const EndpointRecord &, const EndpointRecord &) = default;
 };
 
-/// The changes of the list of endpoints between two revisions of the store.
+/// The changes of the list of endpoints between two versions of the store, or the whole list.
 struct EndpointListChanges {
     /// New and changed entries, in their present form.
     std::vector<EndpointRecord> changed;
@@ -188,7 +188,7 @@
     friend bool operator==(const EndpointListChanges &, const EndpointListChanges &) = default;
 };
 
-/// Requests from an instance the age of its knowledge of the store, and the changes of the list of endpoints since a revision.
+/// Requests from an instance the age of its knowledge of the store, and the changes of the list of endpoints since a version of the store.
 struct FreshnessRequest {
     /// Id of the requesting instance.
     std::string instance;
@@ -212,7 +212,8 @@
     std::uint64_t endpointsAgeMs = 0;
     /// Version of the store up to which the instance knows the list of endpoints.
     StoreVersion endpointsVersion = {};
-    /// Changes since the revision in the request; none if the replying instance no longer knows all changes since then.
+    /// Changes since the version in the request, or the whole list if the replying instance doesn't know all of them. None if it knows no list, or only one
+    /// of an earlier epoch than that of the request.
     std::optional<EndpointListChanges> changes = std::nullopt;
 };
 
--- a/trefoilport/src/details/FairQueue.h
+++ b/trefoilport/src/details/FairQueue.h
@@ -62,8 +62,8 @@
     /// The queued calls of one team, class and model.
     struct Flow {
         std::deque<QueuedCall> calls;
-        /// Virtual finish time of the first call. If the flow is empty, the one of the last served call, or the start time of a later call that
-        /// left unserved.
+        /// Virtual finish time of the first call. If the flow is empty: that of the last served call, or the virtual start time of the last call if that has
+        /// left the queue unserved.
         double finishTag = 0;
         /// Virtual start time of the first call.
         double startTag = 0;
