The incarnation that an attempt was sent to is kept once, in its run

A newcomer finds the same number, with the same comment, in Attempt and in Run and wonders when they differ: never, since both were set in startAttempt() and a detour doesn't replace the first stage. The run outlives the attempt, so that it keeps the number; onHead() asks for it. Every open attempt has a run: it is forgotten only together with the attempt.

--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -184,6 +184,12 @@
     return call.route->kind == RequestKind::AtMostOnce ? !call.mayHaveRun : countedRuns(call) < call.route->maxAttempts;
 }
 
+std::uint64_t RelayKernel::Impl::incarnationOf(AttemptId attempt) const
+{
+    const std::vector<Run> &runs = calls.at(attempts.at(attempt).call)->runs;
+    return std::find_if(runs.begin(), runs.end(), [&](const Run &run) { return run.attempt == attempt; })->incarnation;
+}
+
 void RelayKernel::Impl::forgetRun(Call &call, AttemptId attempt)
 {
     std::erase_if(call.runs, [&](const Run &run) { return run.attempt == attempt; });
@@ -225,7 +231,6 @@
     std::vector<EndpointIndex> stages;
     stages.swap(attempt.stages);
     replaceStages(attempt, std::move(stages), std::move(attempt.layers));
-    attempt.incarnation = endpoints.at(attempt.stages.front()).entry.incarnation;
     attempts.emplace(id, std::move(attempt));
     call.attempts.push_back(id);
     if (call.attemptCount > 0) {
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -266,7 +266,7 @@
     }
     const EndpointIndex first = found->second.stages.front();
     if (head.leaving) {
-        impl_->onLeaving(first, found->second.incarnation, "in an answer to this instance");
+        impl_->onLeaving(first, impl_->incarnationOf(attempt), "in an answer to this instance");
     }
     if (head.retryAfter.count() > 0) {
         impl_->endpoints.backOff(first, now, head.retryAfter);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -22,8 +22,6 @@
     CallId call = 0;
     /// The endpoints that it passes through, first stage first; one for services without layers.
     std::vector<EndpointIndex> stages;
-    /// Incarnation of the first stage when the attempt was sent.
-    std::uint64_t incarnation = 0;
     /// The layers that each stage runs; empty for services without layers.
     std::vector<placement::LayerRange> layers;
     /// Stages that are still in prefill: they have not read the prompt, or the tokens generated so far, yet.
@@ -94,7 +92,7 @@
     Instant maxEventInterval{0};
     /// Open attempts; more than one while a request is hedged.
     std::vector<AttemptId> attempts;
-    /// Attempts that may have run, open ones included; see RelayKernel::Impl::countedRuns().
+    /// Attempts that may have run, all open ones included; see RelayKernel::Impl::countedRuns().
     std::vector<Run> runs;
     /// All attempts so far.
     std::uint32_t attemptCount = 0;
@@ -170,6 +168,8 @@
     bool hasEnded(const Run &run) const;
     /// Returns true if the call may run once more, as its route permits.
     bool mayRunAgain(const Call &call) const;
+    /// Returns the incarnation of an open attempt's first stage when the attempt was sent. Each open attempt has a run, which names it.
+    std::uint64_t incarnationOf(AttemptId attempt) const;
     /// Forgets the run of an attempt that certainly did not run.
     static void forgetRun(Call &call, AttemptId attempt);
     /// Returns true if the service's retry window permits one more retry; logs the first refusal of a call.
