The client's exchange is split into sending and receiving

At 53 lines a newcomer lost the state of the connection in the middle: whether it was kept, and until where a call may still be repeated. Doc comments for the two parts; nothing else changes.

--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -74,6 +74,9 @@
     /// Makes the exchange of one call, from the connection to the end of the response. Returns false if that fails; then the connection can't be used any
     /// more. Throws what a handler or the HTTP library throws.
     asio::awaitable<bool> exchange(ClientCall &call, const ClientHandlers &handlers, std::shared_ptr<RunningCall> state);
+    /// Reads the response of a call whose request was sent, after the responses to other requests on a kept connection, and keeps the connection if it can be
+    /// used again. Returns false if that fails. Throws what a handler throws.
+    asio::awaitable<bool> receive(const ClientCall &call, const ClientHandlers &handlers, RunningCall &state, bool isKept);
     /// Starts the timer of the total timeout.
     static void startTimer(const ClientCall &call, const std::shared_ptr<RunningCall> &state);
 
@@ -242,13 +245,11 @@
 
 asio::awaitable<bool> HttpClient::Impl::exchange(ClientCall &call, const ClientHandlers &handlers, std::shared_ptr<RunningCall> state)
 {
-    const std::string key = toString(call.address);
     if (state->cancelled) {
         co_return false;
     }
-    const bool isHeadRequest = call.request.method == "HEAD";
     const auto message = toMessage(call);
-    auto idleSocket = call.freshConnection ? nullptr : takeIdle(key);
+    auto idleSocket = call.freshConnection ? nullptr : takeIdle(toString(call.address));
     if (idleSocket) {
         state->socket = idleSocket;
     } else if (!co_await connect(call, state)) {
@@ -269,12 +270,17 @@
     if (isKept && handlers.onKeptConnection) {
         handlers.onKeptConnection();
     }
+    co_return co_await receive(call, handlers, *state, isKept);
+}
+
+asio::awaitable<bool> HttpClient::Impl::receive(const ClientCall &call, const ClientHandlers &handlers, RunningCall &state, bool isKept)
+{
     beast::flat_buffer buffer;
     for (int strays = 0; strays <= MaxStrayResponses; ++strays) {
         Parser parser;
         parser.body_limit(call.bodyLimit);
-        parser.skip(isHeadRequest);
-        const auto headers = co_await readHead(*state->socket, buffer, parser);
+        parser.skip(call.request.method == "HEAD");
+        const auto headers = co_await readHead(*state.socket, buffer, parser);
         if (!headers) {
             co_return false;
         }
@@ -282,14 +288,14 @@
         if (!isStray) {
             handlers.onHead(parser.get().result_int(), *headers);
         }
-        if (!co_await readBody(*state, buffer, parser, isStray ? DropData : handlers.onData)) {
+        if (!co_await readBody(state, buffer, parser, isStray ? DropData : handlers.onData)) {
             co_return false;
         }
         if (!isStray) {
             // Bytes after the response belong to no request. The next call would read them as its response, so the connection isn't reused.
             const bool isClean = strays == 0 && buffer.size() == 0;
             if (parser.get().keep_alive() && !parser.need_eof() && !call.freshConnection && isClean) {
-                idle.keep(key, state->socket, std::chrono::steady_clock::now(), keepAliveTimeoutIn(*headers));
+                idle.keep(toString(call.address), state.socket, std::chrono::steady_clock::now(), keepAliveTimeoutIn(*headers));
             }
             co_return true;
         }
