--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -35,11 +35,53 @@
 
 namespace {
 
+/// Returns a number of tokens in the unit of the wire, rounded to the nearest.
 std::uint32_t toContextUnits(std::uint64_t tokens)
 {
     return static_cast<std::uint32_t>((tokens + TokensPerContextUnit / 2) / TokensPerContextUnit);
 }
 
+/// Copies what the sender knows for and against the causes of crashes.
+void fillCrashNews(trefoilport::pb::RelayDigest &out, const RelayDigest &digest)
+{
+    for (const CrashReport &crashReport : digest.crashReports) {
+        out.add_strike(crashReport.signature);
+        out.add_strike_crash(crashReport.crash);
+        out.add_strike_age(static_cast<std::uint32_t>(crashReport.age / CrashAgeUnit));
+    }
+    for (const CrashRefutation &refutation : digest.crashRefutations) {
+        out.add_refuted(refutation.signature);
+        out.add_refuted_crash(refutation.crash);
+    }
+    for (const std::uint64_t signature : digest.crashProbes) {
+        out.add_probed(signature);
+    }
+}
+
+/// Copies the fields that describe whose loads the digest counts.
+void fillScope(trefoilport::pb::RelayDigest &out, const RelayDigest &digest)
+{
+    out.set_mesh_address(digest.meshAddress);
+    out.set_zone(digest.zone);
+    if (digest.scope != DigestScope::Instance) {
+        out.set_scope(static_cast<std::uint32_t>(digest.scope));
+        out.set_counted_instances(digest.countedInstances);
+        out.set_known_instances(digest.knownInstances);
+    }
+    out.set_to_aggregator(digest.toAggregator);
+    out.set_requests_fleet_loads(digest.requestsFleetLoads);
+    for (const FailingEndpoint &failing : digest.failing) {
+        out.add_failing(failing.endpoint);
+        out.add_failing_answers(static_cast<std::uint32_t>(std::lround(failing.answers * EighthsPerWhole)));
+        out.add_failing_failures(static_cast<std::uint32_t>(std::lround(failing.failures * EighthsPerWhole)));
+    }
+    for (const Aggregator &aggregator : digest.aggregators) {
+        out.add_aggregator(aggregator.instance);
+        out.add_aggregator_address(aggregator.meshAddress);
+    }
+}
+
+/// Copies the whole digest.
 void fill(trefoilport::pb::RelayDigest &out, const RelayDigest &digest)
 {
     out.set_config_version(digest.configVersion);
@@ -73,41 +115,13 @@
         out.add_slow(slow.endpoint);
         out.add_slowness_tenths(static_cast<std::uint32_t>(slow.slowdown * TenthsPerWhole));
     }
-    for (const CrashReport &crashReport : digest.crashReports) {
-        out.add_strike(crashReport.signature);
-        out.add_strike_crash(crashReport.crash);
-        out.add_strike_age(static_cast<std::uint32_t>(crashReport.age / CrashAgeUnit));
-    }
-    for (const CrashRefutation &refutation : digest.crashRefutations) {
-        out.add_refuted(refutation.signature);
-        out.add_refuted_crash(refutation.crash);
-    }
-    for (const std::uint64_t signature : digest.crashProbes) {
-        out.add_probed(signature);
-    }
+    fillCrashNews(out, digest);
     for (const EndpointLimit &limit : digest.limits) {
         out.add_limited(limit.endpoint);
         out.add_limit_hundredths(limit.perSecond > 0 ? std::max(1U, static_cast<std::uint32_t>(std::lround(limit.perSecond * HundredthsPerWhole))) : 0);
         out.add_limit_age(static_cast<std::uint32_t>(limit.age / LimitAgeUnit));
     }
-    out.set_mesh_address(digest.meshAddress);
-    out.set_zone(digest.zone);
-    if (digest.scope != DigestScope::Instance) {
-        out.set_scope(static_cast<std::uint32_t>(digest.scope));
-        out.set_counted_instances(digest.countedInstances);
-        out.set_known_instances(digest.knownInstances);
-    }
-    out.set_to_aggregator(digest.toAggregator);
-    out.set_requests_fleet_loads(digest.requestsFleetLoads);
-    for (const FailingEndpoint &failing : digest.failing) {
-        out.add_failing(failing.endpoint);
-        out.add_failing_answers(static_cast<std::uint32_t>(std::lround(failing.answers * EighthsPerWhole)));
-        out.add_failing_failures(static_cast<std::uint32_t>(std::lround(failing.failures * EighthsPerWhole)));
-    }
-    for (const Aggregator &aggregator : digest.aggregators) {
-        out.add_aggregator(aggregator.instance);
-        out.add_aggregator_address(aggregator.meshAddress);
-    }
+    fillScope(out, digest);
 }
 
 /// Copies the fields that describe whose loads the digest counts. Versions before 0.4.0 don't send them: their digests count the sender's own requests.
