--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -44,6 +44,30 @@
     return arrival.timeLimit.count() > 0 ? arrival.timeLimit : DefaultTimeLimit;
 }
 
+/// Returns the call of an arrival as far as the arrival, its route and its team determine it.
+std::unique_ptr<Call> makeCall(Instant now, const CallArrival &arrival, const Route &route, const Team &team)
+{
+    auto call = std::make_unique<Call>();
+    call->id = arrival.call;
+    call->requestId = arrival.requestId;
+    call->route = &route;
+    call->team = team.name;
+    call->priority = team.priority.value_or(route.priority);
+    call->arrivedAt = now;
+    call->callerDeadline = now + timeLimitOf(arrival);
+    call->deadline = call->callerDeadline;
+    if (route.timeout.count() > 0 && now + route.timeout < call->deadline) {
+        call->deadline = now + route.timeout;
+        call->routeTimeoutIsEarlier = true;
+    }
+    call->promptTokens = arrival.promptTokens;
+    call->answerTokens = arrival.answerTokens > 0 ? arrival.answerTokens : AssumedAnswerTokens;
+    call->lastEventId = arrival.lastEventId;
+    call->lastEvent = eventNumber(arrival.lastEventId);
+    call->lastDeliveredAt = now;
+    return call;
+}
+
 } // namespace
 
 bool RelayKernel::Impl::configIsCurrent(Instant now, Ms limit) const
@@ -120,32 +144,20 @@
         return refuse(base::ErrorKind::NoEndpoint, "the route's service is not configured; " + configAge);
     }
 
-    auto owned = std::make_unique<Call>();
-    Call &call = *owned;
-    call.id = arrival.call;
-    call.requestId = arrival.requestId;
-    call.signatures = std::move(signatures);
-    call.isProbe = verdict == CrashGuard::Verdict::Probe;
-    call.config = config;
-    call.route = route;
-    call.service = &*service;
-    call.team = team.name;
-    call.priority = team.priority.value_or(route->priority);
-    call.arrivedAt = now;
-    call.callerDeadline = now + timeLimitOf(arrival);
-    call.deadline = call.callerDeadline;
-    if (route->timeout.count() > 0 && now + route->timeout < call.deadline) {
-        call.deadline = now + route->timeout;
-        call.routeTimeoutIsEarlier = true;
-    }
-    call.promptTokens = arrival.promptTokens;
-    call.answerTokens = arrival.answerTokens > 0 ? arrival.answerTokens : AssumedAnswerTokens;
-    call.lastEventId = arrival.lastEventId;
-    call.lastEvent = eventNumber(arrival.lastEventId);
-    call.lastDeliveredAt = now;
-    calls.emplace(call.id, std::move(owned));
-    retries.onRequest(service->name, now);
-    if (route->kind == RequestKind::Stream) {
+    auto call = makeCall(now, arrival, *route, team);
+    call->signatures = std::move(signatures);
+    call->isProbe = verdict == CrashGuard::Verdict::Probe;
+    call->config = config;
+    call->service = &*service;
+    start(now, std::move(call));
+}
+
+void RelayKernel::Impl::start(Instant now, std::unique_ptr<Call> admitted)
+{
+    Call &call = *admitted;
+    calls.emplace(call.id, std::move(admitted));
+    retries.onRequest(call.service->name, now);
+    if (call.route->kind == RequestKind::Stream) {
         startStream(now, call);
     } else {
         startPlain(now, call);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -130,6 +130,8 @@
     // Admission.
     /// Admits a request and starts its first attempt, or rejects it.
     void admit(Instant now, const CallArrival &arrival);
+    /// Registers an admitted call and starts its first attempt.
+    void start(Instant now, std::unique_ptr<Call> admitted);
     /// Answers a caller with an error. If a repeat can help, the answer states a retry delay that fits into `timeLeft`, the time until the
     /// caller's deadline. `busyFor` is the time for which the endpoints are expected to have no room; the callers are spread over as much time after it.
     void reject(CallId call, const std::string &requestId, Ms timeLeft, base::ErrorKind kind, const std::string &detail, Ms busyFor = Ms(0));
