--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -78,7 +78,7 @@
         }
         EndpointState &state = states_[found->second];
         // An entry of an earlier incarnation is old, unless this very store has listed the later one before: then the endpoint's clock has gone back.
-        if (!isNew && entry.incarnation < state.entry.incarnation && state.incarnationListedIn != epoch) {
+        if (!isNew && entry.incarnation < state.entry.incarnation && state.incarnationEpoch != epoch) {
             continue;
         }
         const bool mayComeFromCopy = !isNew && !state.listed && entry.incarnation == state.entry.incarnation && epoch > state.unlistedEpoch;
@@ -87,7 +87,7 @@
             hold(found->second, now, ReturnGracePeriod);
         }
         state.zone = zoneNumber(entry.zone);
-        state.incarnationListedIn = epoch;
+        state.incarnationEpoch = epoch;
         state.listed = true;
         state.keepListedUntil = Instant{0};
     }
@@ -134,7 +134,7 @@
     }
     if (report.incarnation > state.entry.incarnation) {
         beginIncarnation(state);
-        state.incarnationListedIn.reset();
+        state.incarnationEpoch.reset();
     }
     state.entry.incarnation = report.incarnation;
     state.orderCount = report.orderCount;
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -20,7 +20,7 @@
     /// The list itself shows that the endpoint is draining; `entry.draining` may be known earlier from the endpoint or from other instances.
     bool listedAsDraining = false;
     /// Epoch of the store whose list last showed this incarnation; none while only the endpoint's own report has shown it.
-    std::optional<std::uint64_t> incarnationListedIn;
+    std::optional<std::uint64_t> incarnationEpoch;
     /// Epoch of the store in which the endpoint was last found to be no longer listed.
     std::uint64_t unlistedEpoch = 0;
     /// Set if the endpoint was missing from a list that was read after an outage or a restore of the store: it stays listed until this time. Zero otherwise.
