Logs: a failed attempt says on what connection, and how far its answer came

What was missing: the lines of a failed attempt told neither whether its connection had carried other requests nor whether the answer broke off before its header, within it, or after so many bytes of the body.

Change: the HTTP client counts as it reads and passes CallProgress to onFailure; attempt_failed ends with it. RelayHost can be asked to stop, and for its address, by a test in the same process.

Evidence: netTests ACallThatFails.saysHowFarItCame.

--- a/bench/Load.cpp
+++ b/bench/Load.cpp
@@ -229,7 +229,7 @@
         handlers.onEnd = [this, call]() {
             finish(*call);
         };
-        handlers.onFailure = [this, call](net::CallFailure failure) {
+        handlers.onFailure = [this, call](net::CallFailure failure, const net::CallProgress &) {
             if (failure == net::CallFailure::NotSent && call->attempts < targets_.size()) {
                 send(call);
             } else {
--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace net {
@@ -24,6 +25,29 @@
     Cancelled,
 };
 
+/// How much of a response was received.
+enum class ResponsePart {
+    Nothing,
+    /// A part of the header.
+    Header,
+    /// The header, and perhaps a part of the body.
+    Body,
+};
+
+/// How far a call came before it failed, for logs.
+struct CallProgress {
+    /// The call used a connection that had carried other calls before.
+    bool isOnKeptConnection = false;
+    ResponsePart part = ResponsePart::Nothing;
+    /// Bytes of the body that were received, without the chunk framing.
+    std::uint64_t bodyBytes = 0;
+    /// The length of the body that the header states, if it states one.
+    std::optional<std::uint64_t> statedBytes;
+};
+
+/// Returns a phrase such as "kept connection, 512 of 800 bytes of the body".
+std::string toText(const CallProgress &progress);
+
 /// Identifies a call of one client; 0 is never used.
 using ClientCallId = std::uint64_t;
 
@@ -55,7 +79,7 @@
     std::function<void(std::string data)> onData;
     /// The response has been received completely.
     std::function<void()> onEnd;
-    std::function<void(CallFailure)> onFailure;
+    std::function<void(CallFailure, const CallProgress &)> onFailure;
 };
 
 /// An HTTP/1.1 client with a pool of kept-alive connections per address. Call all members in the loop's thread.
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -30,6 +30,7 @@
     bool sent = false;
     /// The connection isn't the call's any more. The total timeout may have passed just before that, with its handler still to come.
     bool ended = false;
+    CallProgress progress;
 };
 
 void closeSocket(tcp::socket &socket)
@@ -76,7 +77,7 @@
     asio::awaitable<bool> exchange(ClientCall &call, const ClientHandlers &handlers, std::shared_ptr<RunningCall> state);
     /// Reads the response of a call whose request was sent, after the responses to other requests on a kept connection, and keeps the connection if it can be
     /// used again. Returns false if that fails. Throws what a handler throws.
-    asio::awaitable<bool> receive(const ClientCall &call, const ClientHandlers &handlers, RunningCall &state, bool isKept);
+    asio::awaitable<bool> receive(const ClientCall &call, const ClientHandlers &handlers, RunningCall &state);
     /// Starts the timer of the total timeout.
     static void startTimer(const ClientCall &call, const std::shared_ptr<RunningCall> &state);
 
@@ -133,16 +134,22 @@
 using Parser = http::response_parser<http::buffer_body>;
 using DataHandler = std::function<void(std::string data)>;
 
+std::optional<std::uint64_t> toOptional(const boost::optional<std::uint64_t> &value)
+{
+    return value ? std::optional(*value) : std::nullopt;
+}
+
 /// Takes the body of a response that is skipped.
 const DataHandler DropData = [](const std::string &) {
 };
 
-/// Reads the header of a response; none if that fails.
-asio::awaitable<std::optional<Headers>> readHead(tcp::socket &socket, beast::flat_buffer &buffer, Parser &parser)
+/// Reads one header; none if that fails.
+asio::awaitable<std::optional<Headers>> readHeader(RunningCall &state, beast::flat_buffer &buffer, Parser &parser)
 {
     beast::error_code error;
-    co_await http::async_read_header(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_read_header(*state.socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
+        state.progress.part = parser.got_some() || buffer.size() > 0 ? ResponsePart::Header : state.progress.part;
         co_return std::nullopt;
     }
     Headers headers;
@@ -163,6 +170,7 @@
         parser.get().body().more = true;
         co_await http::async_read_some(*state.socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         const std::size_t receivedBytes = chunk.size() - parser.get().body().size;
+        state.progress.bodyBytes += receivedBytes;
         if (receivedBytes > 0 && !state.cancelled) {
             onData(chunk.substr(0, receivedBytes));
         }
@@ -240,7 +248,7 @@
         co_return;
     }
     closeSocket(*state->socket);
-    handlers.onFailure(failureOf(*state));
+    handlers.onFailure(failureOf(*state), state->progress);
 }
 
 asio::awaitable<bool> HttpClient::Impl::exchange(ClientCall &call, const ClientHandlers &handlers, std::shared_ptr<RunningCall> state)
@@ -252,6 +260,7 @@
     auto idleSocket = call.freshConnection ? nullptr : takeIdle(toString(call.address));
     if (idleSocket) {
         state->socket = idleSocket;
+        state->progress.isOnKeptConnection = true;
     } else if (!co_await connect(call, state)) {
         co_return false;
     }
@@ -266,26 +275,27 @@
         co_return false;
     }
 
-    const bool isKept = idleSocket != nullptr;
-    if (isKept && handlers.onKeptConnection) {
+    if (state->progress.isOnKeptConnection && handlers.onKeptConnection) {
         handlers.onKeptConnection();
     }
-    co_return co_await receive(call, handlers, *state, isKept);
+    co_return co_await receive(call, handlers, *state);
 }
 
-asio::awaitable<bool> HttpClient::Impl::receive(const ClientCall &call, const ClientHandlers &handlers, RunningCall &state, bool isKept)
+asio::awaitable<bool> HttpClient::Impl::receive(const ClientCall &call, const ClientHandlers &handlers, RunningCall &state)
 {
     beast::flat_buffer buffer;
     for (int strays = 0; strays <= MaxStrayResponses; ++strays) {
         Parser parser;
         parser.body_limit(call.bodyLimit);
         parser.skip(call.request.method == "HEAD");
-        const auto headers = co_await readHead(*state.socket, buffer, parser);
+        const auto headers = co_await readHeader(state, buffer, parser);
         if (!headers) {
             co_return false;
         }
-        const bool isStray = isKept && call.isStray && call.isStray(*headers);
+        const bool isStray = state.progress.isOnKeptConnection && call.isStray && call.isStray(*headers);
         if (!isStray) {
+            state.progress.part = ResponsePart::Body;
+            state.progress.statedBytes = toOptional(parser.content_length());
             handlers.onHead(parser.get().result_int(), *headers);
         }
         if (!co_await readBody(state, buffer, parser, isStray ? DropData : handlers.onData)) {
@@ -299,10 +309,26 @@
             }
             co_return true;
         }
+        state.progress.bodyBytes = 0;
     }
     co_return false;
 }
 
+std::string toText(const CallProgress &progress)
+{
+    const std::string connection = progress.isOnKeptConnection ? "kept connection, " : "new connection, ";
+    switch (progress.part) {
+    case ResponsePart::Nothing:
+        return connection + "nothing received";
+    case ResponsePart::Header:
+        return connection + "a part of the header received";
+    case ResponsePart::Body:
+        break;
+    }
+    const std::string stated = progress.statedBytes ? " of " + std::to_string(*progress.statedBytes) : "";
+    return connection + std::to_string(progress.bodyBytes) + stated + " bytes of the body received";
+}
+
 HttpClient::HttpClient(EventLoop &loop)
     : impl_(std::make_shared<Impl>(loop))
 {
@@ -342,7 +368,9 @@
     handlers.onEnd = [response, onResponse = std::move(onResponse)]() {
         onResponse(std::move(*response));
     };
-    handlers.onFailure = std::move(onFailure);
+    handlers.onFailure = [onFailure = std::move(onFailure)](CallFailure failure, const CallProgress &) {
+        onFailure(failure);
+    };
     return start(std::move(call), std::move(handlers));
 }
 
--- a/libs/net/tests/HttpClientTests.cpp
+++ b/libs/net/tests/HttpClientTests.cpp
@@ -166,7 +166,7 @@
     handlers.onEnd = [&]() {
         loop.stop();
     };
-    handlers.onFailure = [&](net::CallFailure failure) {
+    handlers.onFailure = [&](net::CallFailure failure, const net::CallProgress &) {
         failures.push_back(failure);
         loop.stop();
     };
@@ -251,3 +251,41 @@
     LONGS_EQUAL(1, calls.failures.size());
     CHECK(calls.failures.at(0) == net::CallFailure::Broken);
 }
+
+/// Guards against a failed call of which nobody can tell later where its answer broke off, and on what connection.
+TEST_GROUP(ACallThatFails){/// Makes calls until one fails, and returns how far that one came.
+                           static std::string progressOver(std::vector<std::string> answers){ScriptedServer server(std::move(answers));
+net::EventLoop loop;
+net::HttpClient client(loop);
+std::string text;
+std::function<void()> startCall = [&]() {
+    net::ClientCall call{server.address(), {}};
+    call.totalTimeout = std::chrono::seconds(60);
+    net::ClientHandlers handlers;
+    handlers.onHead = [](int, const net::Headers &) {
+    };
+    handlers.onData = [](const std::string &) {
+    };
+    handlers.onEnd = startCall;
+    handlers.onFailure = [&](net::CallFailure, const net::CallProgress &progress) {
+        text = net::toText(progress);
+        loop.stop();
+    };
+    client.start(call, handlers);
+};
+startCall();
+loop.run();
+return text;
+}
+}
+;
+
+TEST(ACallThatFails, saysHowFarItCame)
+{
+    STRCMP_EQUAL("new connection, nothing received", progressOver({""}).c_str());
+    STRCMP_EQUAL("new connection, a part of the header received", progressOver({"HTTP/1.1 200 OK\r\nX-"}).c_str());
+    STRCMP_EQUAL("new connection, 3 of 8 bytes of the body received", progressOver({"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nabc"}).c_str());
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const std::string cut = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
+    STRCMP_EQUAL("kept connection, 3 bytes of the body received", progressOver({whole, cut}).c_str());
+}
--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -178,8 +178,8 @@
     bool onEvent(Instant now, AttemptId attempt, std::uint64_t eventId);
     /// Handles the end of a stream that the endpoint has ended properly, after a complete event.
     void onStreamEnd(Instant now, AttemptId attempt);
-    /// Handles the end of an attempt without a whole answer.
-    void onFailure(Instant now, AttemptId attempt, AttemptFailure failure);
+    /// Handles the end of an attempt without a whole answer. `progress` says for the log how far it came.
+    void onFailure(Instant now, AttemptId attempt, AttemptFailure failure, const std::string &progress = {});
 
     /// Takes the result of a report request; none if the endpoint did not answer in time.
     void onReport(Instant now, const std::string &endpoint, const std::optional<EndpointReport> &report);
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -304,7 +304,7 @@
     }
 }
 
-void RelayKernel::onFailure(Instant now, AttemptId attempt, AttemptFailure failure)
+void RelayKernel::onFailure(Instant now, AttemptId attempt, AttemptFailure failure, const std::string &progress)
 {
     Call *call = impl_->callOf(attempt);
     if (call == nullptr) {
@@ -315,7 +315,7 @@
         + (failure == AttemptFailure::NotSent        ? " could not be reached"
                : failure == AttemptFailure::TimedOut ? " did not answer in time"
                                                      : " broke off");
-    impl_->driver.record({"attempt_failed", call->requestId, impl_->endpoints.at(first).entry.id, detail});
+    impl_->driver.record({"attempt_failed", call->requestId, impl_->endpoints.at(first).entry.id, progress.empty() ? detail : detail + "; " + progress});
     if (failure == AttemptFailure::Broken) {
         impl_->suspectCrash(now, *call, first);
     }
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -27,6 +27,12 @@
     /// Registers the instance in the store and serves until the kernel calls exit().
     void run();
 
+    /// Begins the shutdown, after which run() returns once all answers have reached their callers. Any thread may call this.
+    void requestStop();
+
+    /// Returns the address on which callers' requests are accepted, with the actual port.
+    net::Address callersAddress() const;
+
     void send(relay::Dispatch dispatch) override;
     void cancel(relay::AttemptId attempt) override;
     void reject(relay::CallId call, const relay::Rejection &rejection) override;
@@ -116,8 +122,8 @@
     void onData(relay::AttemptId id, const std::string &data);
     /// Passes the end of an attempt's answer to the kernel.
     void onEnd(relay::AttemptId id);
-    /// Tells the kernel that an attempt has ended without a whole answer.
-    void onFailure(relay::AttemptId id, net::CallFailure failure);
+    /// Tells the kernel that an attempt has ended without a whole answer, and how far it came.
+    void onFailure(relay::AttemptId id, net::CallFailure failure, const std::string &progress);
     /// Returns the metrics in the Prometheus text format.
     std::string metricsText() const;
     /// Returns the state of the instance as JSON, for operators.
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -73,8 +73,8 @@
     handlers.onEnd = [this, id]() {
         onEnd(id);
     };
-    handlers.onFailure = [this, id](net::CallFailure failure) {
-        onFailure(id, failure);
+    handlers.onFailure = [this, id](net::CallFailure failure, const net::CallProgress &progress) {
+        onFailure(id, failure, net::toText(progress));
     };
     attempts_[id].call = dispatch.call;
     attempts_[id].mayStream = dispatch.isStream;
@@ -175,7 +175,7 @@
         if (attempt->second.body.empty()) {
             kernel_.onStreamEnd(now(), id);
         } else {
-            kernel_.onFailure(now(), id, relay::AttemptFailure::Broken);
+            kernel_.onFailure(now(), id, relay::AttemptFailure::Broken, "its answer ended within an event");
         }
     } else {
         const auto call = calls_.find(attempt->second.call);
@@ -185,10 +185,10 @@
     attempts_.erase(id);
 }
 
-void RelayHost::onFailure(relay::AttemptId id, net::CallFailure failure)
+void RelayHost::onFailure(relay::AttemptId id, net::CallFailure failure, const std::string &progress)
 {
     if (attempts_.erase(id) > 0) {
-        kernel_.onFailure(now(), id, failureOf(failure));
+        kernel_.onFailure(now(), id, failureOf(failure), progress);
     }
 }
 
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -194,6 +194,16 @@
     record({"stopped", "", settings_.relay.instance, ""});
 }
 
+void RelayHost::requestStop()
+{
+    loop_.post([this]() { kernel_.onStop(now()); });
+}
+
+net::Address RelayHost::callersAddress() const
+{
+    return callerServer_->address();
+}
+
 void RelayHost::tick()
 {
     if (stopRequested && !stopNotified_) {
--- a/programs/trefoilportd/EndpointsDuty.cpp
+++ b/programs/trefoilportd/EndpointsDuty.cpp
@@ -157,7 +157,7 @@
         const RunningAttempt &running = found->second;
         fail(attempt, running.status == 200 ? wire::AttemptFailure::Inconsistent : failureOfResponse(running.status, running.headers));
     };
-    handlers.onFailure = [this, attempt](net::CallFailure failure) {
+    handlers.onFailure = [this, attempt](net::CallFailure failure, const net::CallProgress &) {
         if (running_.count(attempt) > 0) {
             fail(attempt, toAttemptFailure(failure));
         }
