HTTP client: interim headers are skipped, not taken for the response

What callers saw: 502 for a request that its endpoint ran and answered, bookings included, if the endpoint sent a header of status 100 to 199 first; and 200 was never given, so no rule of whole answers broke. The connection was kept for other requests while the real answer was still to come on it.

Cause: the parser of the library treats an interim header as a whole response without a body, and so did we.

Ruled out: a header that is cut at any byte, also after an interim one, never counted as whole (it ends with 'partial message').

Evidence: netTests AnInterimHeader failed on the code before (the body was empty; a lone interim header counted as a response); it passes now. At most 16 are skipped, so that they can't hold a call for ever; a switch of protocols, which no request asks for, fails the call.

--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -28,7 +28,7 @@
 /// How much of a response was received.
 enum class ResponsePart {
     Nothing,
-    /// A part of the header.
+    /// A part of the header, or an interim one only.
     Header,
     /// The header, and perhaps a part of the body.
     Body,
@@ -73,7 +73,7 @@
 struct ClientHandlers {
     /// The call uses a connection that has carried other calls before. Called before onHead; may be null.
     std::function<void()> onKeptConnection;
-    /// The status line and the header fields have been received.
+    /// The status line and the header fields have been received. Interim headers (status 100 to 199) are skipped.
     std::function<void(int status, const Headers &)> onHead;
     /// A part of the body has been received, with the chunk framing removed.
     std::function<void(std::string data)> onData;
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
 /// Responses to other requests that are skipped before the response to a call.
 constexpr int MaxStrayResponses = 4;
+/// Interim headers that are skipped before the header of the response.
+constexpr int MaxInterimHeaders = 16;
 
 /// The state of a call as far as cancel() and the total timeout use it.
 struct RunningCall {
@@ -159,6 +161,27 @@
     co_return headers;
 }
 
+/// Reads the header of a response, after interim ones, with a new parser for each; none if that fails. A server that switches to another protocol, which no
+/// request asks for, gives no response.
+asio::awaitable<std::optional<Headers>> readFinalHeader(const ClientCall &call, RunningCall &state, beast::flat_buffer &buffer, std::optional<Parser> &parser)
+{
+    for (int interim = 0; interim <= MaxInterimHeaders; ++interim) {
+        parser.emplace();
+        parser->body_limit(call.bodyLimit);
+        parser->skip(call.request.method == "HEAD");
+        auto headers = co_await readHeader(state, buffer, *parser);
+        const bool isInterim = headers && http::to_status_class(parser->get().result_int()) == http::status_class::informational;
+        if (!isInterim) {
+            co_return headers;
+        }
+        state.progress.part = ResponsePart::Header;
+        if (parser->get().result() == http::status::switching_protocols) {
+            break;
+        }
+    }
+    co_return std::nullopt;
+}
+
 /// Reads the body of a response and passes on each part. Returns false if that fails or the call was cancelled.
 asio::awaitable<bool> readBody(RunningCall &state, beast::flat_buffer &buffer, Parser &parser, const DataHandler &onData)
 {
@@ -285,26 +308,24 @@
 {
     beast::flat_buffer buffer;
     for (int strays = 0; strays <= MaxStrayResponses; ++strays) {
-        Parser parser;
-        parser.body_limit(call.bodyLimit);
-        parser.skip(call.request.method == "HEAD");
-        const auto headers = co_await readHeader(state, buffer, parser);
+        std::optional<Parser> parser;
+        const auto headers = co_await readFinalHeader(call, state, buffer, parser);
         if (!headers) {
             co_return false;
         }
         const bool isStray = state.progress.isOnKeptConnection && call.isStray && call.isStray(*headers);
         if (!isStray) {
             state.progress.part = ResponsePart::Body;
-            state.progress.statedBytes = toOptional(parser.content_length());
-            handlers.onHead(parser.get().result_int(), *headers);
+            state.progress.statedBytes = toOptional(parser->content_length());
+            handlers.onHead(parser->get().result_int(), *headers);
         }
-        if (!co_await readBody(state, buffer, parser, isStray ? DropData : handlers.onData)) {
+        if (!co_await readBody(state, buffer, *parser, isStray ? DropData : handlers.onData)) {
             co_return false;
         }
         if (!isStray) {
             // Bytes after the response belong to no request. The next call would read them as its response, so the connection isn't reused.
             const bool isClean = strays == 0 && buffer.size() == 0;
-            if (parser.get().keep_alive() && !parser.need_eof() && !call.freshConnection && isClean) {
+            if (parser->get().keep_alive() && !parser->need_eof() && !call.freshConnection && isClean) {
                 idle.keep(toString(call.address), state.socket, std::chrono::steady_clock::now(), keepAliveTimeoutIn(*headers));
             }
             co_return true;
--- a/libs/net/tests/HttpClientTests.cpp
+++ b/libs/net/tests/HttpClientTests.cpp
@@ -289,3 +289,35 @@
     const std::string cut = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
     STRCMP_EQUAL("kept connection, 3 bytes of the body received", progressOver({whole, cut}).c_str());
 }
+
+/// Guards against an interim header (status 100 to 199) that is taken for the whole response: the caller got an error, and the connection was used again while
+/// the response was still to come.
+TEST_GROUP(AnInterimHeader)
+{
+    CallsInTurn calls;
+};
+
+TEST(AnInterimHeader, isSkipped)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    ScriptedServer server(
+        {interim + "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nwhole", "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 0\r\n\r\n"});
+    calls.make(server.address(), 2);
+    LONGS_EQUAL(0, calls.failures.size());
+    STRCMP_EQUAL("whole", calls.bodies.at(0).c_str());
+    STRCMP_EQUAL("2", calls.ids.at(1).c_str());
+}
+
+TEST(AnInterimHeader, isNoResponseIfNothingFollowsIt)
+{
+    std::string many;
+    for (int i = 0; i < 1000; ++i) {
+        many += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    for (const std::string &answer : {std::string("HTTP/1.1 100 Continue\r\n\r\n"), many, std::string("HTTP/1.1 101 Switching Protocols\r\n\r\n")}) {
+        ScriptedServer server({answer});
+        calls.make(server.address(), 1);
+        CHECK(calls.bodies.empty());
+        CHECK(calls.failures.back() == net::CallFailure::Broken);
+    }
+}
