A stream that is cut ends after the events that were queued, not before them

What callers saw: a stream that may not be resumed, answered with a length and broken off within its second event, ended without a header, though its first event was whole; the same answer in chunks gave header and event. A caller that could have gone on after that event had nothing to go on from. The same at the end of a grace period, where open streams are cut.

Cause: HttpServer::abort() closed the socket at once and dropped what this turn of the event loop had queued. With a length, the client hands over the last bytes and the end in one turn; chunks come in two.

Ruled out: the kernel (it had forwarded the event) and the HTTP client (it had passed on all bytes).

Change: abort() writes what is queued, then ends the connection without the end of the response, so that it stays visibly incomplete.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -116,7 +116,8 @@
     /// Sends the last chunk of a chunked response and ends the exchange.
     void endStream(ExchangeId id);
 
-    /// Closes the connection without ending the response, so that the client recognizes it as incomplete. onAbort isn't called.
+    /// Closes the connection without ending the response, so that the client recognizes it as incomplete. Parts that were queued before are written; onAbort
+    /// isn't called.
     void abort(ExchangeId id);
 
     /// Replaces the limits. A connection that already reads a request keeps the header and body limits for this request. One that waits for a request does
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -125,7 +125,13 @@
 void Connection::abort()
 {
     server_->endExchange(id_, ExchangeEnd::Aborted);
-    close();
+    if (ended_ || output_.empty()) {
+        return close();
+    }
+    // The client can use what is queued. Then the connection ends without the end of the response.
+    keepAlive_ = false;
+    ended_ = true;
+    wakeTimer_.cancel();
 }
 
 void Connection::close()
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -23,7 +23,7 @@
     void begin(int status, const Headers &headers);
     void chunk(const std::string &data);
     void end();
-    /// Ends the exchange in the middle of its response and closes the connection, without onAbort.
+    /// Ends the exchange in the middle of its response, without onAbort. Closes the connection once the parts that were queued are written.
     void abort();
 
     /// Closes the connection unless a request is being read or answered.
--- a/libs/net/tests/HttpServerTests.cpp
+++ b/libs/net/tests/HttpServerTests.cpp
@@ -66,6 +66,15 @@
     LONGS_EQUAL(1, server.aborts());
 }
 
+/// Guards against events being dropped that the client could have had before its stream is cut.
+TEST(AnExchangeThatGoesWrong, isCutVisiblyAfterThePartsThatWereQueuedBefore)
+{
+    const std::string answer = answerTo("/cut");
+    STRCMP_CONTAINS("1\r\nc\r\n", answer.c_str());
+    CHECK(answer.find("0\r\n\r\n") == std::string::npos);
+    CHECK(server.nextEnd() == net::ExchangeEnd::Aborted);
+}
+
 TEST(AnExchangeThatGoesWrong, isCutVisiblyInsteadOfEndingAnAnswerThatHasNotBegun)
 {
     STRCMP_EQUAL("", answerTo("/end").c_str());
