A further attempt of a request goes over a new connection

What callers saw: 502 for an idempotent request or a stream that no endpoint ran: both of its attempts, all that its route permits, were written to connections that their endpoints were just closing.

Cause: each attempt took any kept connection, also the second, which is the last.

Change: only the first attempt of a request may use a kept connection. Retries are within the limit on retries, so that the new connections are too.

--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -41,8 +41,8 @@
     bool isStream = false;
     /// Id of the last event that the caller has received; empty at the start of a stream.
     std::string lastEventId;
-    /// The attempt must be sent over a new connection. The endpoint may close a reused one while the request is being written, which leaves
-    /// unknown whether the request ran.
+    /// The attempt must be sent over a new connection. The endpoint may close a kept one while the request is being written, which leaves unknown whether the
+    /// request ran; and on one that has carried an attempt of the same call, a late second answer to that attempt bears the id of this one.
     bool freshConnection = false;
     /// 0 is the highest.
     int priority = 0;
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -265,7 +265,8 @@
     dispatch.team = call.team;
     dispatch.timeLeft = std::chrono::duration_cast<Ms>(call.deadline - now);
     dispatch.priority = call.priority;
-    dispatch.freshConnection = call.route->kind == RequestKind::AtMostOnce || (call.route->kind == RequestKind::Stream && !call.route->isResumable);
+    const bool runsOnce = call.route->kind == RequestKind::AtMostOnce || (call.route->kind == RequestKind::Stream && !call.route->isResumable);
+    dispatch.freshConnection = runsOnce || call.attemptCount > 1;
     return dispatch;
 }
 
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -39,6 +39,16 @@
     LONGS_EQUAL(3, bed.driver.sent.size());
 }
 
+/// Guards against a late second copy of an attempt's refusal that is taken for the answer to the next attempt of the same call, whose id it bears.
+TEST(AStream, isRetriedOverANewConnection)
+{
+    bed.startStream(0);
+    CHECK(!bed.driver.sent.back().freshConnection);
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {503, true, false, ""});
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(bed.driver.sent.back().freshConnection);
+}
+
 /// Guards against a damaged id of the last event that counts as the highest one, after which all events are dropped as received.
 TEST(AStream, beginsAnewIfTheLastEventOfItsCallerIsNoNumber)
 {
