Planned stop: requests are taken only if they can end in time, and the process ends with no request half way

Cause: the steps of the shutdown were constants that fit a grace period of 8 s only (requests were refused from 2.5 s on, open ones failed 0.6 s before the end: with 3 s these times cross); nothing compared a request's expected duration with the time left; the listening socket stayed open until the process was gone; and the grace period was counted from the tick that found the signal, up to 0.1 s late.

Change: StopSchedule derives the steps from the grace period. A request that can't have run is rejected as 'stopping' (503, not run) if one and a half times its predicted duration (an endpoint's usual latency; prompt and answer length of a stream) doesn't fit, also before a late retry. Once no request is open, the listening socket and idle connections are closed, and then the process ends when the last answer is delivered. The grace period counts from the tick before the one that finds the signal.

Both errors: a request whose endpoints are slower than predicted may still be cut; one that would have been faster is rejected, at an instance to which the balancer sends no new connections, and its caller may go elsewhere at once.

--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -168,6 +168,8 @@
     virtual void setReady(bool ready) = 0;
     /// Closes idle connections of callers, and the others after their current answer.
     virtual void closeConnections() = 0;
+    /// Accepts no more connections of callers, and closes idle ones again.
+    virtual void stopAccepting() = 0;
     /// Returns the number of callers' connections on which a request is being read or an answer is not written in full.
     virtual std::size_t unfinishedExchanges() const = 0;
     /// Ends the process. Called when no work is left, or shortly before the platform would kill the process.
--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -1,6 +1,7 @@
 #include "details/KernelImpl.h"
 
 #include "base/Hash.h"
+#include "base/Time.h"
 
 #include <algorithm>
 #include <charconv>
@@ -13,8 +14,6 @@
 constexpr Ms DefaultTimeLimit{30000};
 /// Expected length of the answer if the caller states none.
 constexpr std::uint32_t AssumedAnswerTokens = 200;
-/// Time from the request to stop after which new requests are rejected; by then they arrive only over connections that are open already.
-constexpr Ms RefuseAfter{2500};
 /// Maximum age of a configuration that proves that a key or a route doesn't exist. With an older one the answer is "unconfirmed".
 constexpr Ms MaxConclusiveAge{1800};
 /// Retry delays of rejected callers are spread evenly over [MinRetryAfter, MinRetryAfter + RetryAfterJitterMs), later and over more time while there is no
@@ -23,6 +22,9 @@
 constexpr std::uint64_t RetryAfterJitterMs = 700;
 /// A retry delay is at most the time that the caller still has, divided by this.
 constexpr int RetryAfterDivisor = 3;
+/// An instance that stops sends a request to an endpoint only if this multiple of its predicted duration, and at least that time, is left for it.
+constexpr double RunTimeMarginRatio = 1.5;
+constexpr Ms MinRunTime{300};
 /// API keys are accepted until the age of the configuration is this far below `maxRevocationDelay`.
 constexpr Ms RevocationMargin{500};
 /// Fraction of `maxRevocationDelay` that the configuration's age may reach before the instance answers readiness checks with "not ready", so that the
@@ -107,7 +109,7 @@
     if (!config || known.configAt.count() == 0 || !endpoints.hasList()) {
         return refuse(base::ErrorKind::Unconfirmed, "no current configuration has been read yet");
     }
-    if (stopping && now - stopAt > RefuseAfter) {
+    if (stopping && now - stopAt >= stopScheduleOf(settings.gracePeriod).refuseAfter) {
         return refuse(base::ErrorKind::Stopping, "this instance is shutting down");
     }
     const std::string configAge =
@@ -152,6 +154,16 @@
     start(now, std::move(call));
 }
 
+bool RelayKernel::Impl::canEndBeforeStop(Instant now, const Call &call, double predictedMs) const
+{
+    if (!stopping || call.mayHaveRun || !call.attempts.empty()) {
+        return true;
+    }
+    const Instant failAt = stopAt + stopScheduleOf(settings.gracePeriod).failAfter;
+    const Instant needed = std::max(base::boundedMs(predictedMs * RunTimeMarginRatio), MinRunTime);
+    return now + needed <= failAt || call.deadline <= failAt;
+}
+
 void RelayKernel::Impl::start(Instant now, std::unique_ptr<Call> admitted)
 {
     Call &call = *admitted;
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -79,6 +79,9 @@
         }
         return fail(now, call, base::ErrorKind::NoEndpoint, "no usable endpoint of service '" + call.service->name + "'");
     }
+    if (!canEndBeforeStop(now, call, endpoints.at(*endpoint).latencyMs)) {
+        return fail(now, call, base::ErrorKind::Stopping, "this instance stops before the answer would be whole");
+    }
     Attempt attempt;
     attempt.stages = {*endpoint};
     const AttemptId id = startAttempt(now, call, std::move(attempt));
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -11,14 +11,6 @@
 
 /// If the endpoint list was not confirmed for longer than this, the next one counts as read after an outage of the store.
 constexpr Ms MinOutage{2700};
-/// Time from the request to stop until connections are closed: by then the balancer sends no new requests.
-constexpr Ms CloseConnectionsAfter{2500};
-/// The process keeps running for at least this time after the request to stop, even if it is idle.
-constexpr Ms MinStopDuration{2800};
-/// Open calls are failed this long before the platform would kill the process.
-constexpr Ms StopMargin{600};
-/// The process ends this long before the platform would kill it, whatever is still being written.
-constexpr Ms ExitMargin{200};
 
 } // namespace
 
@@ -137,18 +129,25 @@
 
 void RelayKernel::Impl::continueStopping(Instant now)
 {
+    const StopSchedule schedule = stopScheduleOf(settings.gracePeriod);
     const Instant elapsed = now - stopAt;
-    if (!connectionsClosed && elapsed >= CloseConnectionsAfter) {
+    if (!connectionsClosed && elapsed >= schedule.refuseAfter) {
         connectionsClosed = true;
         driver.closeConnections();
     }
-    if (elapsed >= settings.gracePeriod - StopMargin) {
+    if (elapsed >= schedule.failAfter) {
         while (!calls.empty()) {
             fail(now, *calls.begin()->second, base::ErrorKind::Stopping, "this instance has to stop now");
         }
     }
-    const bool isIdle = calls.empty() && driver.unfinishedExchanges() == 0;
-    if (!exited && ((isIdle && elapsed >= MinStopDuration) || elapsed >= settings.gracePeriod - ExitMargin)) {
+    const bool hasEnded = calls.empty() && elapsed >= schedule.minDuration;
+    if (hasEnded && !listenerClosed) {
+        // Callers that come back at once would otherwise always have a request under way, also when the process ends.
+        listenerClosed = true;
+        driver.stopAccepting();
+    }
+    const bool isDelivered = hasEnded && driver.unfinishedExchanges() == 0;
+    if (!exited && (isDelivered || elapsed >= schedule.exitAfter)) {
         exited = true;
         driver.exit();
     }
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -92,6 +92,9 @@
         const Ms wait = base::boundedMs(pipeline.waitMs);
         return rejectForLoad(now, call, wait, "predicted wait " + std::to_string(wait.count()) + " ms");
     }
+    if (!canEndBeforeStop(now, call, pipeline.firstTokenMs + call.answerTokens * pipeline.tokenMs)) {
+        return fail(now, call, base::ErrorKind::Stopping, "this instance stops before the stream would end");
+    }
     Attempt attempt;
     for (const placement::PipelineStage &stage : pipeline.stages) {
         attempt.stages.push_back(indices[stage.holder]);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -8,6 +8,7 @@
 #include "details/RequestLimits.h"
 #include "details/RetryWindow.h"
 #include "details/RouteTable.h"
+#include "details/StopSchedule.h"
 #include "details/StoreDuty.h"
 #include "placement/PipelineChooser.h"
 #include "relay/RelayKernel.h"
@@ -130,6 +131,9 @@
     // Admission.
     /// Admits a request and starts its first attempt, or rejects it.
     void admit(Instant now, const CallArrival &arrival);
+    /// Returns false if the instance stops and would have to break off the call, which can't have run yet, if it took that long from now on. Such a call is
+    /// better rejected: its caller may repeat it elsewhere. One whose deadline comes before gets its answer in time in any case.
+    bool canEndBeforeStop(Instant now, const Call &call, double predictedMs) const;
     /// Registers an admitted call and starts its first attempt.
     void start(Instant now, std::unique_ptr<Call> admitted);
     /// Answers a caller with an error. If a repeat can help, the answer states a retry delay that fits into `timeLeft`, the time until the
@@ -334,8 +338,9 @@
 
     bool ready = false;
     bool stopping = false;
-    /// RelayDriver::closeConnections() and RelayDriver::exit() were called.
+    /// RelayDriver::closeConnections(), RelayDriver::stopAccepting() and RelayDriver::exit() were called.
     bool connectionsClosed = false;
+    bool listenerClosed = false;
     bool exited = false;
     /// When the shutdown began.
     Instant stopAt{0};
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -108,6 +108,10 @@
     {
         connectionsClosed = true;
     }
+    void stopAccepting() override
+    {
+        accepting = false;
+    }
     std::size_t unfinishedExchanges() const override
     {
         return unfinished;
@@ -158,6 +162,7 @@
     int leaseReads = 0;
     bool ready = false;
     bool connectionsClosed = false;
+    bool accepting = true;
     bool exited = false;
 };
 
--- a/libs/relay/tests/VirtualInstance.cpp
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -414,6 +414,10 @@
 {
 }
 
+void VirtualFleet::Driver::stopAccepting()
+{
+}
+
 std::size_t VirtualFleet::Driver::unfinishedExchanges() const
 {
     return 0; // Answers arrive at once.
--- a/libs/relay/tests/VirtualInstance.h
+++ b/libs/relay/tests/VirtualInstance.h
@@ -58,6 +58,7 @@
     void refreshEndpoints() override;
     void setReady(bool ready) override;
     void closeConnections() override;
+    void stopAccepting() override;
     std::size_t unfinishedExchanges() const override;
     void exit() override;
     void record(const relay::Decision &decision) override;
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -54,6 +54,7 @@
     void refreshEndpoints() override;
     void setReady(bool ready) override;
     void closeConnections() override;
+    void stopAccepting() override;
     std::size_t unfinishedExchanges() const override;
     void exit() override;
     void record(const relay::Decision &decision) override;
@@ -158,6 +159,8 @@
     record::Latency plainAnswerLatency_;
     /// Callers' requests that were read and whose answers were not written in full, for whatever reason.
     std::uint64_t unansweredExchanges_ = 0;
+    /// Time of the last tick; zero before the first.
+    relay::Instant lastTickAt_{0};
     /// Time at which the settings file was last read.
     relay::Instant settingsReadAt_{0};
     /// Readiness checks are answered with 200 if this is set, otherwise with 503.
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -380,6 +380,12 @@
     callerServer_->closeConnections();
 }
 
+void RelayHost::stopAccepting()
+{
+    callerServer_->stopAccepting();
+    callerServer_->closeConnections();
+}
+
 std::size_t RelayHost::unfinishedExchanges() const
 {
     return callerServer_->unfinishedConnections();
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Time.h"
 
+#include <algorithm>
 #include <atomic>
 #include <charconv>
 #include <csignal>
@@ -14,10 +15,12 @@
 
 namespace {
 
-/// Period of the tick while calls are open.
+/// Period of the tick while calls are open, or the instance stops.
 constexpr relay::Ms BusyTickPeriod{50};
 /// Period of the tick while no call is open.
 constexpr relay::Ms IdleTickPeriod{100};
+/// The request to stop counts as at most this much older than the tick that finds it.
+constexpr relay::Ms MaxStopNoticeDelay = 2 * IdleTickPeriod;
 /// The settings file is checked for changes once in this period.
 constexpr relay::Ms SettingsCheckPeriod{2000};
 /// Capacity of the mesh's ring of messages to other instances; further messages wait outside it.
@@ -206,16 +209,20 @@
 
 void RelayHost::tick()
 {
+    const relay::Instant time = now();
     if (stopRequested && !stopNotified_) {
         stopNotified_ = true;
-        kernel_.onStop(now());
+        // The signal has come since the last tick. The platform counts the grace period from then; a process that was frozen meanwhile can't know how long.
+        kernel_.onStop(std::max(lastTickAt_, time - MaxStopNoticeDelay));
     }
+    lastTickAt_ = time;
     if (reloadRequested.exchange(false) || now() - settingsReadAt_ >= SettingsCheckPeriod) {
         rereadSettings();
     }
     kernel_.onTick(now());
     mesh_.flush();
-    loop_.after(kernel_.openCalls() > 0 ? BusyTickPeriod : IdleTickPeriod, [this]() { tick(); });
+    const bool isBusy = kernel_.openCalls() > 0 || stopNotified_;
+    loop_.after(isBusy ? BusyTickPeriod : IdleTickPeriod, [this]() { tick(); });
 }
 
 void RelayHost::rereadSettings()
