Planned stop: rejected callers return as soon as the balancer sends them elsewhere

What callers saw: a request that a stopping instance rejected came back 250 to 950 ms later, as from endpoints without room, although the other instances would have served it at once; with targets of 100 to 500 ms it was late for that alone. With a short grace period it could come back to the same instance, while the balancer still sent new connections there.

Cause: one retry delay for all rejections.

Change: a stopping instance states the time until the balancer has taken it out, and up to 100 ms to spread callers.

Evidence: relayTests AnInstanceThatStops.sendsCallersElsewhereAsSoonAsTheBalancerDoes and letsNobodyReturnBeforeTheBalancerKnows; the delays of the code before (250 to 950 ms whatever the time since the request to stop) satisfy neither.

--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -20,6 +20,8 @@
 /// room.
 constexpr Ms MinRetryAfter{250};
 constexpr std::uint64_t RetryAfterJitterMs = 700;
+/// Callers that a stopping instance rejects are spread over this time only: the instances that they come to have room.
+constexpr std::uint64_t StopRetryJitterMs = 100;
 /// A retry delay is at most the time that the caller still has, divided by this.
 constexpr int RetryAfterDivisor = 3;
 /// An instance that stops sends a request to an endpoint only if this multiple of its predicted duration, and at least that time, is left for it.
@@ -87,14 +89,26 @@
     return Ms(static_cast<std::int64_t>(ReadinessRatio * static_cast<double>(settings.maxRevocationDelay.count())));
 }
 
-void RelayKernel::Impl::reject(CallId call, const std::string &requestId, Ms timeLeft, base::ErrorKind kind, const std::string &detail, Ms busyFor)
+Ms RelayKernel::Impl::retryDelay(Ms busyFor)
+{
+    const std::uint64_t jitterMs = RetryAfterJitterMs + static_cast<std::uint64_t>(busyFor.count());
+    return MinRetryAfter + busyFor + Ms(nextRandom() % jitterMs);
+}
+
+Ms RelayKernel::Impl::stopRetryDelay(Instant now)
+{
+    const Ms elapsed = std::chrono::duration_cast<Ms>(now - stopAt);
+    const Ms untilReturn = std::max(Ms{0}, stopScheduleOf(settings.gracePeriod).returnAfter - elapsed);
+    return untilReturn + Ms(1 + nextRandom() % StopRetryJitterMs);
+}
+
+void RelayKernel::Impl::reject(Instant now, CallId call, const std::string &requestId, Ms timeLeft, base::ErrorKind kind, const std::string &detail, Ms busyFor)
 {
     ++counters.rejected;
     Rejection rejection{kind, detail, Ms{0}};
     if (base::errorAnswer(kind).retriable) {
         const Ms maxRetryAfter = std::max(Ms{0}, timeLeft / RetryAfterDivisor);
-        const std::uint64_t jitterMs = RetryAfterJitterMs + static_cast<std::uint64_t>(busyFor.count());
-        rejection.retryAfter = std::min(maxRetryAfter, MinRetryAfter + busyFor + Ms(nextRandom() % jitterMs));
+        rejection.retryAfter = std::min(maxRetryAfter, kind == base::ErrorKind::Stopping ? stopRetryDelay(now) : retryDelay(busyFor));
     }
     driver.reject(call, rejection);
     driver.record({"rejected", requestId, std::string(base::nameOf(kind)), detail});
@@ -104,7 +118,7 @@
 {
     ++counters.calls;
     const auto refuse = [&](base::ErrorKind kind, const std::string &detail) {
-        reject(arrival.call, arrival.requestId, timeLimitOf(arrival), kind, detail);
+        reject(now, arrival.call, arrival.requestId, timeLimitOf(arrival), kind, detail);
     };
     if (!config || known.configAt.count() == 0 || !endpoints.hasList()) {
         return refuse(base::ErrorKind::Unconfirmed, "no current configuration has been read yet");
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -116,7 +116,7 @@
         const bool mayHaveRun = call.mayHaveRun || !call.attempts.empty();
         const base::ErrorKind reportedKind = saysNotRun && mayHaveRun ? base::ErrorKind::UpstreamBroken : kind;
         cancelAttempts(call);
-        reject(id, call.requestId, std::chrono::duration_cast<Ms>(call.callerDeadline - now), reportedKind, detail);
+        reject(now, id, call.requestId, std::chrono::duration_cast<Ms>(call.callerDeadline - now), reportedKind, detail);
     }
     close(id);
 }
--- a/libs/relay/src/StopSchedule.cpp
+++ b/libs/relay/src/StopSchedule.cpp
@@ -27,6 +27,7 @@
     schedule.exitAfter = gracePeriod - std::min(ExitMargin, gracePeriod / ExitMarginDivisor);
     schedule.failAfter = gracePeriod - std::min(FailMargin, gracePeriod / FailMarginDivisor);
     schedule.refuseAfter = std::min(BalancerNotice, schedule.failAfter / AcceptDivisor);
+    schedule.returnAfter = std::min(BalancerNotice, gracePeriod);
     schedule.minDuration = std::min(IdleStopTime, schedule.failAfter);
     return schedule;
 }
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -128,7 +128,7 @@
     }
     const CallId id = call.id;
     counters.failed += call.attemptCount > 0 ? 1 : 0;
-    reject(id, call.requestId, std::chrono::duration_cast<Ms>(call.callerDeadline - now), base::ErrorKind::Overloaded, reason, wait);
+    reject(now, id, call.requestId, std::chrono::duration_cast<Ms>(call.callerDeadline - now), base::ErrorKind::Overloaded, reason, wait);
     close(id);
 }
 
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -138,7 +138,11 @@
     void start(Instant now, std::unique_ptr<Call> admitted);
     /// Answers a caller with an error. If a repeat can help, the answer states a retry delay that fits into `timeLeft`, the time until the
     /// caller's deadline. `busyFor` is the time for which the endpoints are expected to have no room; the callers are spread over as much time after it.
-    void reject(CallId call, const std::string &requestId, Ms timeLeft, base::ErrorKind kind, const std::string &detail, Ms busyFor = Ms(0));
+    void reject(Instant now, CallId call, const std::string &requestId, Ms timeLeft, base::ErrorKind kind, const std::string &detail, Ms busyFor = Ms(0));
+    /// Returns the retry delay for a rejected caller while the endpoints have no room for that long.
+    Ms retryDelay(Ms busyFor);
+    /// Returns the retry delay for a caller that this instance rejects because it stops: until the balancer sends the caller to another one.
+    Ms stopRetryDelay(Instant now);
     /// Returns true if there is a configuration that was confirmed as current no longer ago than the limit.
     bool configIsCurrent(Instant now, Ms limit) const;
     /// Returns the maximum age of the configuration at which API keys are accepted.
--- a/libs/relay/tests/StopTests.cpp
+++ b/libs/relay/tests/StopTests.cpp
@@ -209,3 +209,33 @@
     bed.advance(Ms(50));
     CHECK(bed.driver.exited);
 }
+
+/// Guards against callers that lose time on their way from an instance that stops to one that serves them at once.
+TEST(AnInstanceThatStops, sendsCallersElsewhereAsSoonAsTheBalancerDoes)
+{
+    const auto retryDelayNow = [&]() {
+        bed.call("/read/x");
+        CHECK(lastRejection() == base::ErrorKind::Stopping);
+        return bed.driver.rejected.back().rejection.retryAfter;
+    };
+    bed.kernel.onStop(bed.now);
+    bed.advance(Ms(3000));
+    for (int i = 0; i < 50; ++i) {
+        const Ms delay = retryDelayNow();
+        CHECK(delay > Ms(0));
+        CHECK(delay <= Ms(100));
+    }
+}
+
+/// Guards against a caller that comes back while the balancer may still send it to the same instance.
+TEST(AnInstanceThatStops, letsNobodyReturnBeforeTheBalancerKnows)
+{
+    RelaySettings settings = RelayTestBed::settings();
+    settings.gracePeriod = Ms(3000);
+    bed.kernel.onSettings(settings);
+    bed.kernel.onStop(bed.now);
+    bed.advance(Ms(1500));
+    bed.call("/read/x");
+    CHECK(lastRejection() == base::ErrorKind::Stopping);
+    CHECK(bed.driver.rejected.back().rejection.retryAfter > Ms(1000));
+}
