A stream isn't continued by an endpoint that begins a new run

Cause: an event that the caller seems to have was dropped whatever it showed. For an endpoint that repeats one of its own events that is right; as the first event of an attempt that was to go on, it is proof of another run.

Change: an attempt whose first event lies before the one that it was to go on after, or is the first of any run, is given up (not_resumed); the stream is resumed elsewhere if its route permits, else cut visibly. One that repeats the last event first is tolerated as before.

--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -228,6 +228,7 @@
     attempt.call = call.id;
     attempt.sentAt = now;
     attempt.lastProgressAt = now;
+    attempt.resumedAfter = call.lastEvent;
     std::vector<EndpointIndex> stages;
     stages.swap(attempt.stages);
     replaceStages(attempt, std::move(stages), std::move(attempt.layers));
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -30,6 +30,8 @@
 /// and those that come after it would wait longer still.
 constexpr double MaxWaitRatio = 0.5;
 
+/// Id of the first event of a run.
+constexpr std::uint64_t FirstEventId = 1;
 /// Statuses from this one on count as failures of the endpoint.
 constexpr int FirstFailureStatus = 500;
 
@@ -48,6 +50,13 @@
     return std::max(minimum, base::boundedMs(predictedMs));
 }
 
+/// Returns whether the first event of an attempt shows a run from the beginning although the attempt was to go on after an event, 0 if there was none. An
+/// endpoint may repeat that event, unless it is the first one of any run.
+bool isNewRun(std::uint64_t firstEvent, std::uint64_t resumedAfter)
+{
+    return resumedAfter > 0 && (firstEvent < resumedAfter || firstEvent <= FirstEventId);
+}
+
 /// Returns why there is no pipeline over layers [0, `layers`): the first layer that no candidate holds, or else a lack of memory.
 std::string noPipelineReason(const std::vector<placement::LayerHolder> &holders, std::uint32_t layers)
 {
@@ -292,6 +301,22 @@
     retryStreamOrFail(now, call, reason);
 }
 
+void RelayKernel::Impl::giveUpNewRun(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId)
+{
+    const Attempt &openAttempt = attempts.at(attempt);
+    const EndpointIndex first = openAttempt.stages.front();
+    const std::string &endpoint = endpoints.at(first).entry.id;
+    driver.record({"not_resumed",
+                   call.requestId,
+                   endpoint,
+                   "asked for what follows event " + std::to_string(openAttempt.resumedAfter) + ", it began with event " + std::to_string(eventId)});
+    call.mayHaveRun = true;
+    exclude(call, first);
+    driver.cancel(attempt);
+    dropAttempt(attempt);
+    retryStreamOrFail(now, call, endpoint + " has begun a new run instead of resuming the stream");
+}
+
 void RelayKernel::Impl::moveStreams(Instant now)
 {
     std::vector<AttemptId> open;
@@ -318,6 +343,10 @@
         return false;
     }
     Attempt &openAttempt = impl_->attempts.at(attempt);
+    if (!openAttempt.hasEvents && isNewRun(eventId, openAttempt.resumedAfter)) {
+        impl_->giveUpNewRun(now, *call, attempt, eventId);
+        return false;
+    }
     openAttempt.lastProgressAt = now;
     if (!openAttempt.hasEvents) {
         impl_->endpoints.at(openAttempt.stages.front()).recent.onAnswer(false, now);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -41,6 +41,8 @@
     /// Predicted time between two events.
     double predictedEventIntervalMs = 0;
     bool hasEvents = false;
+    /// Number of the last event that the caller had when it was sent; 0 if it had none.
+    std::uint64_t resumedAfter = 0;
     /// Detours that were sent to its first stage, and whether the last one is unanswered.
     int detours = 0;
     bool detourPending = false;
@@ -280,6 +282,9 @@
     void keepAttempt(const Call &call, AttemptId attempt, EndpointIndex silent);
     /// Aborts an attempt and starts a new one if the call may be retried, else fails the call.
     void replaceAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason);
+    /// Gives up an attempt that was to resume a stream and whose first event shows a run from the beginning: its events and those of the run before don't
+    /// belong together. Resumes the stream elsewhere if it may be retried, else fails it.
+    void giveUpNewRun(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId);
     /// Returns the candidates of the call; those that are stages of the attempt already are marked as unusable.
     Candidates replacementCandidates(Instant now, const Call &call, const Attempt &attempt);
     /// Returns a pipeline of other endpoints over the layers of the stages [first, end) of an attempt; `first` is above 0. It has no stages if there is
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -49,6 +49,66 @@
     CHECK(bed.driver.sent.back().freshConnection);
 }
 
+/// Guards against pieces of two runs in one answer: an endpoint that ignores from where a stream is to go on begins a new run, whose first events the caller
+/// seems to have already.
+TEST(AStream, isNotContinuedByAnEndpointThatBeginsANewRun)
+{
+    const CallId stream = bed.startStream(3);
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    STRCMP_EQUAL("3", bed.driver.sent.back().lastEventId.c_str());
+    const AttemptId second = bed.lastAttempt();
+    CHECK(!bed.kernel.onEvent(bed.now, second, 1));
+    CHECK(bed.driver.wasCancelled(second));
+    // Both attempts that the route permits may have run, so that the stream is cut.
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    LONGS_EQUAL(stream, bed.driver.brokenStreams.back());
+    CHECK(!bed.kernel.onEvent(bed.now, second, 4));
+}
+
+/// The same after one event only, where the new run's first event can't be told from a repeated one.
+TEST(AStream, isNotContinuedByANewRunAfterItsFirstEvent)
+{
+    const CallId stream = bed.startStream(1);
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    CHECK(!bed.kernel.onEvent(bed.now, bed.lastAttempt(), 1));
+    CHECK(!bed.kernel.onEvent(bed.now, bed.lastAttempt(), 2));
+    LONGS_EQUAL(stream, bed.driver.brokenStreams.back());
+}
+
+/// Guards against the other error: an endpoint that goes on where it was asked to, and sends an event of its own run twice.
+TEST(AStream, isContinuedByAnEndpointThatRepeatsAnEventOfItsOwn)
+{
+    const CallId stream = bed.startStream(3);
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 4));
+    CHECK(!bed.kernel.onEvent(bed.now, bed.lastAttempt(), 4));
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 5));
+    bed.kernel.onStreamEnd(bed.now, bed.lastAttempt());
+    LONGS_EQUAL(stream, bed.driver.endedStreams.back());
+}
+
+/// The same where the caller itself resumes a stream that another instance has begun.
+TEST(AStream, isNotResumedForItsCallerByAnEndpointThatBeginsANewRun)
+{
+    CallArrival arrival;
+    arrival.call = ++bed.lastCall;
+    arrival.requestId = "resumed";
+    arrival.host = "api.example";
+    arrival.path = "/stream/x";
+    arrival.keySha256 = "key-a";
+    arrival.timeLimit = Ms(20000);
+    arrival.lastEventId = "12";
+    arrival.promptTokens = 500;
+    arrival.answerTokens = 100;
+    arrival.fingerprint = arrival.call;
+    bed.kernel.onCall(bed.now, arrival);
+    CHECK(!bed.kernel.onEvent(bed.now, bed.lastAttempt(), 1));
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    STRCMP_EQUAL("12", bed.driver.sent.back().lastEventId.c_str());
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 13));
+}
+
 /// Guards against a damaged id of the last event that counts as the highest one, after which all events are dropped as received.
 TEST(AStream, beginsAnewIfTheLastEventOfItsCallerIsNoNumber)
 {
