A begun stream waits for endpoints without layers as it does for a pipeline

What callers saw: a stream of a service without layers, begun and then broken off by its endpoint, was cut as soon as no other endpoint could take it up at that moment (each pauses for some tenths of a second after a refusal), though its caller would have waited for seconds. Streams that pass through pipelines waited.

Change: waitsForEndpoints() serves both.

Evidence: relayTests AStream.waitsForAnEndpointWithoutLayersAsForAPipeline failed on the code before: the stream was cut at the second refusal.

--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -74,6 +74,9 @@
 {
     const auto endpoint = choosePlain(now, call);
     if (!endpoint) {
+        if (waitsForEndpoints(now, call)) {
+            return;
+        }
         if (const auto wait = plainLimitWait(now, call)) {
             return rejectForLoad(now, call, *wait, "the endpoints limit their requests");
         }
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -86,8 +86,7 @@
     // An attempt that comes too late for its caller would only delay the others.
     const bool isTooLate = call.attemptCount > 0 && pipeline.waitMs > patienceLeftMs(now, call);
     if (pipeline.stages.empty() || isTooLate) {
-        if (call.attemptCount > 0 && now - call.lastDeliveredAt < call.route->callerPatience - AbandonMargin && call.mayHaveRun) {
-            call.nextCheckAt = now + ResumePeriod; // There may be a pipeline in time before the caller leaves.
+        if (waitsForEndpoints(now, call)) {
             return;
         }
         if (limitWait && !isTooLate) {
@@ -124,6 +123,16 @@
     driver.send(std::move(dispatch));
 }
 
+bool RelayKernel::Impl::waitsForEndpoints(Instant now, Call &call)
+{
+    const bool isInTime = now - call.lastDeliveredAt < call.route->callerPatience - AbandonMargin;
+    if (call.route->kind != RequestKind::Stream || call.attemptCount == 0 || !call.mayHaveRun || !isInTime) {
+        return false;
+    }
+    call.nextCheckAt = now + ResumePeriod;
+    return true;
+}
+
 double RelayKernel::Impl::patienceLeftMs(Instant now, const Call &call)
 {
     const Instant patience = call.route->callerPatience - (now - call.lastDeliveredAt);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -250,6 +250,8 @@
     /// Dispatches a call to the pipeline with the lowest cost; waits or fails the call if there is no pipeline. Calls startPlain() if the service has no
     /// layers.
     void startStream(Instant now, Call &call);
+    /// Lets a stream that may have run wait for endpoints that take it up again, if its caller waits that long; false if it can't wait.
+    bool waitsForEndpoints(Instant now, Call &call);
     /// Returns the time that is left until the caller abandons its stream for lack of events.
     static double patienceLeftMs(Instant now, const Call &call);
     /// Rejects a call that would have to wait that long: for the prefill of others, or for endpoints that limit their requests.
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -109,6 +109,29 @@
     CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 13));
 }
 
+/// Guards against streams of services without layers being cut, though their callers still wait, while all endpoints pause for a moment.
+TEST(AStream, waitsForAnEndpointWithoutLayersAsForAPipeline)
+{
+    auto config = std::make_shared<FleetConfig>(*RelayTestBed::config(2));
+    config->routes[0].services = {{"desk", 1}};
+    bed.kernel.onConfig(bed.now, bed.now, config);
+    const CallId stream = bed.startStream(3);
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    AnswerHead refusal{503, true, false, ""};
+    refusal.retryAfter = Ms(600);
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), refusal);
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), refusal);
+    bed.advance(Ms(400));
+    LONGS_EQUAL(0, bed.driver.brokenStreams.size());
+    const std::size_t sentBefore = bed.driver.sent.size();
+    bed.advance(Ms(1000));
+    LONGS_EQUAL(sentBefore + 1, bed.driver.sent.size());
+    STRCMP_EQUAL("3", bed.driver.sent.back().lastEventId.c_str());
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 4));
+    bed.kernel.onStreamEnd(bed.now, bed.lastAttempt());
+    LONGS_EQUAL(stream, bed.driver.endedStreams.back());
+}
+
 /// Guards against a damaged id of the last event that counts as the highest one, after which all events are dropped as received.
 TEST(AStream, beginsAnewIfTheLastEventOfItsCallerIsNoNumber)
 {
