Planned stop: a stream that can be resumed is taken even if it may outlast its instance

A stream that can be resumed and is cut goes on elsewhere behind its last event.

Change: the predicted duration counts only for requests that lose something: bookings, plain requests, streams that can't be resumed.

Evidence: the test of the predicted stream now checks both kinds.

--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -170,7 +170,8 @@
 
 bool RelayKernel::Impl::canEndBeforeStop(Instant now, const Call &call, double predictedMs) const
 {
-    if (!stopping || call.mayHaveRun || !call.attempts.empty()) {
+    const bool canBeResumed = call.route->kind == RequestKind::Stream && call.route->isResumable;
+    if (!stopping || canBeResumed || call.mayHaveRun || !call.attempts.empty()) {
         return true;
     }
     const Instant failAt = stopAt + stopScheduleOf(settings.gracePeriod).failAfter;
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -134,7 +134,8 @@
     /// Admits a request and starts its first attempt, or rejects it.
     void admit(Instant now, const CallArrival &arrival);
     /// Returns false if the instance stops and would have to break off the call, which can't have run yet, if it took that long from now on. Such a call is
-    /// better rejected: its caller may repeat it elsewhere. One whose deadline comes before gets its answer in time in any case.
+    /// better rejected: its caller may repeat it elsewhere. One whose deadline comes before gets its answer in time in any case, and a stream that can be
+    /// resumed loses nothing when it is cut.
     bool canEndBeforeStop(Instant now, const Call &call, double predictedMs) const;
     /// Registers an admitted call and starts its first attempt.
     void start(Instant now, std::unique_ptr<Call> admitted);
--- a/libs/relay/tests/StopTests.cpp
+++ b/libs/relay/tests/StopTests.cpp
@@ -158,24 +158,33 @@
     LONGS_EQUAL(4, bed.driver.sent.size());
 }
 
-/// A stream's duration is predicted from the lengths of its prompt and answer.
-TEST(AnInstanceThatStops, rejectsAStreamThatIsPredictedToOutlastIt)
+/// A stream's duration is predicted from the lengths of its prompt and answer. One that can be resumed is taken whatever its length: when it is cut, its caller
+/// goes on elsewhere behind the last event.
+TEST(AnInstanceThatStops, rejectsAStreamThatIsPredictedToOutlastItUnlessItCanBeResumed)
 {
+    const auto callLongStream = [&]() {
+        CallArrival arrival;
+        arrival.call = ++bed.lastCall;
+        arrival.requestId = "request-" + std::to_string(arrival.call);
+        arrival.host = "api.example";
+        arrival.path = "/stream/x";
+        arrival.keySha256 = "key-a";
+        arrival.timeLimit = Ms(60000);
+        arrival.promptTokens = 500;
+        arrival.answerTokens = 40000;
+        arrival.fingerprint = arrival.call;
+        bed.kernel.onCall(bed.now, arrival);
+    };
     bed.kernel.onStop(bed.now);
-    bed.startStream(1);
-    LONGS_EQUAL(1, bed.driver.sent.size());
-    CallArrival arrival;
-    arrival.call = ++bed.lastCall;
-    arrival.requestId = "long";
-    arrival.host = "api.example";
-    arrival.path = "/stream/x";
-    arrival.keySha256 = "key-a";
-    arrival.timeLimit = Ms(60000);
-    arrival.promptTokens = 500;
-    arrival.answerTokens = 40000;
-    arrival.fingerprint = arrival.call;
-    bed.kernel.onCall(bed.now, arrival);
+    callLongStream();
     LONGS_EQUAL(1, bed.driver.sent.size());
+    auto config = std::make_shared<FleetConfig>(*RelayTestBed::config(2));
+    config->routes[0].isResumable = false;
+    bed.kernel.onConfig(bed.now, bed.now, config);
+    bed.startStream(1);
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    callLongStream();
+    LONGS_EQUAL(2, bed.driver.sent.size());
     CHECK(lastRejection() == base::ErrorKind::Stopping);
 }
 
