The daemon's own interface: the process ends when its last answers are delivered

Change: at its end the duty rejects what the kernel has not taken (503, not run), closes the listening socket and idle connections, and runs until no connection is unfinished, 5 s at most.

Evidence: trefoilportdTests TheCallersOfADaemonThatEnds: both tests failed on the code before (a cut answer; nothing at all) and pass now; tests/process/shutdown.sh passes.

--- a/programs/trefoilportd/CallersDuty.cpp
+++ b/programs/trefoilportd/CallersDuty.cpp
@@ -13,8 +13,9 @@
 
 /// How often events that met a full ring are moved into it.
 constexpr std::chrono::milliseconds FlushPeriod{50};
-/// How long the event loop runs on after stop(), so that the last answers reach the callers.
-constexpr std::chrono::milliseconds FinalAnswersGracePeriod{200};
+/// How long the event loop runs on after stop() at most, so that the last answers reach the callers, and how often it looks whether they have.
+constexpr std::chrono::milliseconds FinalAnswersTimeout{5000};
+constexpr std::chrono::milliseconds FinalAnswersPeriod{20};
 const std::string BearerPrefix = "Bearer ";
 
 net::ServerLimits limitsOf(const settings::DaemonSettings &settings)
@@ -110,10 +111,33 @@
 {
     loop_.post([this]() {
         handleActions();
-        loop_.after(FinalAnswersGracePeriod, [this]() { loop_.stop(); });
+        stopping_ = true;
+        rejectOpenCalls();
+        server_.stopAccepting();
+        server_.closeConnections();
+        endWhenDelivered(base::readClocks().mono + FinalAnswersTimeout);
     });
 }
 
+void CallersDuty::rejectOpenCalls()
+{
+    std::vector<net::ExchangeId> unanswered;
+    for (const auto &[id, call] : openCalls_) {
+        unanswered.push_back(id);
+    }
+    for (const net::ExchangeId id : unanswered) {
+        carryOut(AnswerFailure{id, {base::ErrorKind::Stopping, "this instance is shutting down"}});
+    }
+}
+
+void CallersDuty::endWhenDelivered(base::Instant deadline)
+{
+    if (server_.unfinishedConnections() == 0 || base::readClocks().mono >= deadline) {
+        return loop_.stop();
+    }
+    loop_.after(FinalAnswersPeriod, [this, deadline]() { endWhenDelivered(deadline); });
+}
+
 void CallersDuty::flushPeriodically()
 {
     rings_.fromCallers.flush();
@@ -125,6 +149,9 @@
     const std::string path = request.target.substr(0, request.target.find('?'));
     OpenCall &call = openCalls_[id];
     call.arrivedAt = base::readClocks().mono;
+    if (stopping_) {
+        return carryOut(AnswerFailure{id, {base::ErrorKind::Stopping, "this instance is shutting down"}});
+    }
     if (path == "/healthz") {
         server_.respond(id, textResponse(200, "ok\n"));
         openCalls_.erase(id);
--- a/programs/trefoilportd/CallersDuty.h
+++ b/programs/trefoilportd/CallersDuty.h
@@ -32,7 +32,8 @@
     /// Runs the event loop in the calling thread until stop().
     void run();
 
-    /// Ends run() from any thread, after a grace period in which the answers queued by then are still sent.
+    /// Ends run() from any thread, once all answers that the kernel has given have reached their callers, or after some seconds. The kernel must have ended:
+    /// requests that it hasn't taken are rejected.
     void stop();
 
 private:
@@ -57,6 +58,10 @@
     void onCompletion(net::ExchangeId id, const net::HttpRequest &request, const std::string &keySha256, bool chat);
     /// Passes a call to a plain service to the kernel: any request whose path is none of the router's own.
     void onService(net::ExchangeId id, net::HttpRequest request, const std::string &keySha256);
+    /// Rejects the calls that the kernel has not answered: they were never taken, since it answers all that it knows before it ends.
+    void rejectOpenCalls();
+    /// Ends the event loop when all answers are delivered, at the deadline at the latest.
+    void endWhenDelivered(base::Instant deadline);
     void handleActions();
     void flushPeriodically();
     void carryOut(const trefoilport::AnswerToken &action);
@@ -86,6 +91,8 @@
     record::Latency firstTokenLatency_;
     /// Time between consecutive tokens of a completion.
     record::Latency interTokenLatency_;
+    /// stop() was called.
+    bool stopping_ = false;
     /// Whether /readyz answers 200 instead of 503.
     bool ready_ = false;
 };
--- /dev/null
+++ b/programs/trefoilportd/tests/CallersDutyTests.cpp
@@ -0,0 +1,114 @@
+#include "CallersDuty.h"
+
+#include "net/HttpClient.h"
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <array>
+#include <thread>
+
+#include <sys/socket.h>
+#include <sys/time.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace trefoilport;
+using boost::asio::ip::tcp;
+
+/// Guards against answers that are lost because the process ends before they are written.
+TEST_GROUP(TheCallersOfADaemonThatEnds)
+{
+    /// More than the buffers of a connection hold.
+    static constexpr std::size_t LongAnswerBytes = 16 * 1024 * 1024;
+
+    settings::DaemonSettings settings;
+    DaemonRings rings{1024};
+    timeline::EventLog events{16};
+    std::optional<CallersDuty> duty;
+    std::thread thread;
+    boost::asio::io_context io;
+
+    void setup() override
+    {
+        settings.listen = "127.0.0.1:0";
+        duty.emplace(settings, rings, events);
+        thread = std::thread([this]() { duty->run(); });
+    }
+
+    void teardown() override
+    {
+        end();
+    }
+
+    /// Stops the duty as the process does at its end.
+    void end()
+    {
+        if (thread.joinable()) {
+            duty->stop();
+            thread.join();
+            duty.reset();
+        }
+    }
+
+    /// Sends a request for a plain service over a new connection.
+    tcp::socket request()
+    {
+        tcp::socket socket(io);
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), duty->address().port});
+        const timeval readTimeout{5, 0};
+        ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &readTimeout, sizeof readTimeout);
+        boost::asio::write(socket, boost::asio::buffer(std::string("GET /timetable/x HTTP/1.1\r\nHost: a\r\n\r\n")));
+        return socket;
+    }
+
+    /// Waits for the event of a request, and returns the id of its call.
+    CallId takeArrival()
+    {
+        Event event;
+        while (!rings.fromCallers.pop(event) || !std::holds_alternative<ServiceCallArrived>(event)) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        return std::get<ServiceCallArrived>(event).call;
+    }
+
+    /// Returns all bytes received until the connection ends, or nothing comes for some seconds.
+    static std::string receiveAll(tcp::socket & socket)
+    {
+        std::string received;
+        std::array<char, 65536> part{};
+        for (ssize_t bytes = 1; bytes > 0;) {
+            bytes = ::recv(socket.native_handle(), part.data(), part.size(), 0);
+            received.append(part.data(), static_cast<std::size_t>(std::max<ssize_t>(0, bytes)));
+        }
+        return received;
+    }
+};
+
+TEST(TheCallersOfADaemonThatEnds, getAnAnswerThatTheyReadSlowly)
+{
+    tcp::socket caller = request();
+    AnswerService answer;
+    answer.call = takeArrival();
+    answer.answer.status = 200;
+    answer.answer.body = std::string(LongAnswerBytes, 'x');
+    rings.toCallers.push(answer);
+    std::string received;
+    std::thread reader([&]() {
+        std::this_thread::sleep_for(std::chrono::milliseconds(600));
+        received = receiveAll(caller);
+    });
+    end();
+    reader.join();
+    CHECK(received.size() > LongAnswerBytes);
+}
+
+TEST(TheCallersOfADaemonThatEnds, areToldThatTheirRequestHasNotRunIfTheKernelHasNotTakenIt)
+{
+    tcp::socket caller = request();
+    takeArrival();
+    end();
+    const std::string received = receiveAll(caller);
+    STRCMP_CONTAINS("503", received.c_str());
+    STRCMP_CONTAINS("\"ran\":\"no\"", received.c_str());
+}
