--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -50,6 +50,18 @@
     return best;
 }
 
+bool RelayKernel::Impl::hasEndpointLeft(const Call &call) const
+{
+    for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
+        const EndpointState &state = endpoints.at(i);
+        const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
+        if (state.entry.service == call.service->name && state.listed && !state.entry.draining && !isExcluded) {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::optional<Ms> RelayKernel::Impl::plainLimitWait(Instant now, const Call &call) const
 {
     std::optional<Ms> shortest;
@@ -74,7 +86,7 @@
 {
     const auto endpoint = choosePlain(now, call);
     if (!endpoint) {
-        if (waitsForEndpoints(now, call)) {
+        if (hasEndpointLeft(call) && waitsForEndpoints(now, call)) {
             return;
         }
         if (const auto wait = plainLimitWait(now, call)) {
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -251,6 +251,8 @@
     /// Dispatches a call to the pipeline with the lowest cost; waits or fails the call if there is no pipeline. Calls startPlain() if the service has no
     /// layers.
     void startStream(Instant now, Call &call);
+    /// Returns whether a service without layers has an endpoint that the call may use, at once or after a pause.
+    bool hasEndpointLeft(const Call &call) const;
     /// Lets a stream that may have run wait for endpoints that take it up again, if its caller waits that long; false if it can't wait.
     bool waitsForEndpoints(Instant now, Call &call);
     /// Returns the time that is left until the caller abandons its stream for lack of events.
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -132,6 +132,22 @@
     LONGS_EQUAL(stream, bed.driver.endedStreams.back());
 }
 
+/// Guards against the other error: a caller that waits though no endpoint is left that could take up its stream.
+TEST(AStream, isCutAtOnceIfItHasNoEndpointLeft)
+{
+    auto config = std::make_shared<FleetConfig>(*RelayTestBed::config(2));
+    config->routes[0].services = {{"desk", 1}};
+    config->routes[0].maxAttempts = 4;
+    bed.kernel.onConfig(bed.now, bed.now, config);
+    const CallId stream = bed.startStream(3);
+    for (int i = 0; i < 3; ++i) {
+        CHECK(bed.driver.brokenStreams.empty());
+        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    }
+    LONGS_EQUAL(3, bed.driver.sent.size());
+    LONGS_EQUAL(stream, bed.driver.brokenStreams.back());
+}
+
 /// Guards against a damaged id of the last event that counts as the highest one, after which all events are dropped as received.
 TEST(AStream, beginsAnewIfTheLastEventOfItsCallerIsNoNumber)
 {
