--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -1,5 +1,6 @@
 #include "details/Connection.h"
 
+#include "details/RequestFraming.h"
 #include "details/ResponseText.h"
 
 #include <linux/sockios.h>
@@ -17,6 +18,18 @@
 /// Time that the client has to close its side after the last response has reached it.
 constexpr std::chrono::seconds LingerTime{1};
 
+/// Version number of HTTP/1.1 in the HTTP library.
+constexpr unsigned Http11 = 11;
+
+Headers headersOf(const http::fields &fields)
+{
+    Headers headers;
+    for (const auto &field : fields) {
+        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    return headers;
+}
+
 /// Returns the number of bytes that were written but not acknowledged by the peer; 0 if that is unknown.
 int unacknowledgedBytes(tcp::socket &socket)
 {
@@ -203,6 +216,11 @@
     beast::error_code error;
     startReadTimeout(server_->limits.requestTimeout);
     co_await http::async_read_header(socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    // Taken before the body: the parser adds the fields behind a body in chunks to those of the header.
+    headers_ = headersOf(parser.get());
+    if (!error && !hasClearEnd(headers_, parser.get().version() >= Http11)) {
+        error = http::error::bad_transfer_encoding;
+    }
     if (!error && !parser.is_done()) {
         startReadTimeout(server_->limits.requestTimeout);
         co_await http::async_read(socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
@@ -237,10 +255,7 @@
     isHead_ = message.method() == http::verb::head;
     keepAlive_ = message.keep_alive();
     server_->exchanges[id_] = shared_from_this();
-    HttpRequest request{std::string(message.method_string()), std::string(message.target()), {}, std::move(message.body())};
-    for (const auto &field : message) {
-        request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
+    HttpRequest request{std::string(message.method_string()), std::string(message.target()), std::move(headers_), std::move(message.body())};
     try {
         server_->handlers.onRequest(id_, std::move(request));
     } catch (const std::exception &exception) {
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -96,6 +96,8 @@
     OperationTimeout timeout_;
     /// Received bytes that aren't parsed yet.
     boost::beast::flat_buffer buffer_;
+    /// Header fields of the request that is being read.
+    Headers headers_;
     /// Response bytes that aren't passed to the socket yet.
     std::string output_;
     /// The current exchange, or the last one.
--- a/libs/net/tests/SmallServer.h
+++ b/libs/net/tests/SmallServer.h
@@ -58,8 +58,8 @@
     return limits;
 }
 
-/// A server that answers /whole with a complete response, /large with a long one and /stream with three chunks, closes the connection in the middle of the
-/// response to /cut, and never answers /silent.
+/// A server that answers /whole with a complete response, /fields with the header fields, /large with a long response and /stream with three chunks, closes the
+/// connection in the middle of the response to /cut, and never answers /silent.
 class SmallServer
 {
 public:
@@ -245,6 +245,14 @@
             server_->respond(id, {204, {}, "body"});
             return;
         }
+        if (request.target == "/fields") {
+            std::string text;
+            for (const auto &[name, value] : request.headers) {
+                text += name + "=" + value + ";";
+            }
+            server_->respond(id, {200, {}, text});
+            return;
+        }
         if (request.target == "/end") {
             server_->endStream(id);
             return;
