--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -132,7 +132,7 @@
 
 void RelayKernel::Impl::exclude(Call &call, EndpointIndex index)
 {
-    if (std::find(call.excluded.begin(), call.excluded.end(), index) == call.excluded.end()) {
+    if (!call.isExcluded(index)) {
         call.excluded.push_back(index);
     }
 }
--- a/libs/relay/src/Candidates.cpp
+++ b/libs/relay/src/Candidates.cpp
@@ -26,7 +26,6 @@
     const std::uint32_t instances = peers.instances(now).value_or(1);
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         const EndpointState &state = endpoints.at(i);
-        const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
         if (state.entry.service != call.service->name || state.entry.layers.empty()) {
             continue;
         }
@@ -34,7 +33,7 @@
         if (backoff) {
             found.limitWait = std::min(found.limitWait.value_or(*backoff), *backoff);
         }
-        if (isExcluded || !endpoints.isUsable(i, now)) {
+        if (call.isExcluded(i) || !endpoints.isUsable(i, now)) {
             continue;
         }
         const std::uint32_t kind = placement::kindIndex(*call.service->engine, state.entry.accelerator);
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -33,9 +33,8 @@
     double bestCost = 0;
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         const EndpointState &state = endpoints.at(i);
-        const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
         const bool isUsable = endpoints.isUsable(i, now) && endpoints.backoffLeft(i, now).count() == 0;
-        if (state.entry.service != call.service->name || isExcluded || !isUsable || !limits.maySend(i, nextFraction(), now)) {
+        if (state.entry.service != call.service->name || call.isExcluded(i) || !isUsable || !limits.maySend(i, nextFraction(), now)) {
             continue;
         }
         const double latency = state.latencyMs > 0 ? state.latencyMs : AssumedLatencyRatio * target;
@@ -54,8 +53,7 @@
 {
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         const EndpointState &state = endpoints.at(i);
-        const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
-        if (state.entry.service == call.service->name && state.listed && !state.entry.draining && !isExcluded) {
+        if (state.entry.service == call.service->name && state.listed && !state.entry.draining && !call.isExcluded(i)) {
             return true;
         }
     }
@@ -74,8 +72,7 @@
             continue;
         }
         const Ms wait = limits.expectedWait(i, now);
-        const bool isExcluded = std::find(call.excluded.begin(), call.excluded.end(), i) != call.excluded.end();
-        if (!isExcluded && endpoints.isUsable(i, now) && wait.count() > 0) {
+        if (!call.isExcluded(i) && endpoints.isUsable(i, now) && wait.count() > 0) {
             shortest = std::min(shortest.value_or(wait), wait);
         }
     }
--- /dev/null
+++ b/libs/relay/src/StreamMoves.cpp
@@ -0,0 +1,155 @@
+#include "base/Time.h"
+#include "details/KernelImpl.h"
+
+#include <algorithm>
+
+namespace relay {
+
+namespace {
+
+/// A stream is checked once it has had no event for this time, or for a multiple of the predicted interval between its events if that is longer.
+constexpr Ms CheckAfterEventGap{150};
+constexpr double MaxEventIntervalRatio = 2.0;
+/// Before its first event, an attempt is checked after this time at the earliest.
+constexpr Ms CheckAfterDispatch{350};
+/// Time between two checks of a stream without progress.
+constexpr Ms CheckPeriod{100};
+/// The reports of all stages of a late stream are requested to see whether they are slow, at most once in this period.
+constexpr Ms StageReportPeriod{1200};
+/// A stream whose pipeline has a silent stage is moved once it has had no event for this time.
+constexpr Ms SilentStageTimeout{75};
+/// A stream that has had events but none for this time is moved if its first stage makes progress with other streams meanwhile.
+constexpr Ms StalledStreamTimeout{1200};
+/// An attempt without an event is checked only after this multiple of the predicted time to the first token.
+constexpr double MaxFirstTokenRatio = 3.0;
+
+/// Returns the time without an event after which an attempt is checked.
+Instant eventTimeout(const Attempt &attempt)
+{
+    const Ms minimum = attempt.hasEvents ? CheckAfterEventGap : CheckAfterDispatch;
+    const double predictedMs =
+        attempt.hasEvents ? MaxEventIntervalRatio * attempt.predictedEventIntervalMs : MaxFirstTokenRatio * attempt.predictedFirstTokenMs;
+    return std::max(minimum, base::boundedMs(predictedMs));
+}
+
+} // namespace
+
+void RelayKernel::Impl::watchStream(Instant now, Call &call)
+{
+    if (now < call.nextCheckAt) {
+        return;
+    }
+    if (call.attempts.empty()) {
+        // The retry was permitted some time ago.
+        if (isBarred(call)) {
+            return fail(now, call, base::ErrorKind::PromptPartQuarantined, "requests like it have crashed endpoints meanwhile");
+        }
+        return retryIsPermitted(now, call) ? startStream(now, call) : fail(now, call, base::ErrorKind::Overloaded, "the limit on retries is used up");
+    }
+    const AttemptId id = call.attempts.front();
+    const Attempt &attempt = attempts.at(id);
+    if (const auto silent = silentStage(now, attempt)) {
+        return bypassStage(now, call, id, *silent);
+    }
+    const Instant silence = now - attempt.lastProgressAt;
+    if (silence < eventTimeout(attempt)) {
+        return;
+    }
+    call.nextCheckAt = now + CheckPeriod;
+    const EndpointIndex first = attempt.stages.front();
+    requestReport(now, first);
+    for (const EndpointIndex stage : attempt.stages) {
+        requestReport(now, stage, StageReportPeriod);
+    }
+    // A stream that waits for its prefill, or whose first stage delays all its streams, would only wait longer on other endpoints.
+    const bool othersProgress = endpoints.at(first).lastEventAt > attempt.lastProgressAt + Instant(StalledStreamTimeout) / 2;
+    if (silence < StalledStreamTimeout || !call.route->isResumable || !attempt.hasEvents || !othersProgress) {
+        return;
+    }
+    call.mayHaveRun = true;
+    if (!mayRunAgain(call)) {
+        return; // The route permits no further attempt.
+    }
+    replaceAttempt(now, call, id, "no progress for " + std::to_string(silence / Ms(1)) + " ms");
+}
+
+std::optional<EndpointIndex> RelayKernel::Impl::silentStage(Instant now, const Attempt &attempt) const
+{
+    if (now - attempt.lastProgressAt < SilentStageTimeout) {
+        return std::nullopt;
+    }
+    const auto found = std::find_if(attempt.stages.begin(), attempt.stages.end(), [&](EndpointIndex stage) { return isSilent(stage); });
+    return found == attempt.stages.end() ? std::nullopt : std::optional(*found);
+}
+
+void RelayKernel::Impl::bypassStage(Instant now, Call &call, AttemptId attempt, EndpointIndex silent)
+{
+    Attempt &openAttempt = attempts.at(attempt);
+    const bool isFirst = silent == openAttempt.stages.front();
+    if (!isFirst && openAttempt.detourPending) {
+        return;
+    }
+    if (openAttempt.suspected != silent) {
+        openAttempt.suspected = silent;
+        suspectCrash(now, call, silent);
+    }
+    if (!isFirst && detour(now, call, attempt)) {
+        return;
+    }
+    if (call.route->isResumable) {
+        moveStream(now, call, attempt, silent);
+    }
+}
+
+void RelayKernel::Impl::moveStream(Instant now, Call &call, AttemptId attempt, EndpointIndex silent)
+{
+    if (!isBarred(call) && !mayRetry(now, call)) {
+        return keepAttempt(call, attempt, silent);
+    }
+    exclude(call, silent);
+    replaceAttempt(now, call, attempt, endpoints.at(silent).entry.id + " is silent");
+}
+
+void RelayKernel::Impl::keepAttempt(const Call &call, AttemptId attempt, EndpointIndex silent)
+{
+    Attempt &openAttempt = attempts.at(attempt);
+    if (!openAttempt.isKept) {
+        openAttempt.isKept = true;
+        driver.record(
+            {"stream_kept",
+             call.requestId,
+             endpoints.at(silent).entry.id,
+             "silent, but no further attempt is permitted; runs " + std::to_string(countedRuns(call)) + " of " + std::to_string(call.route->maxAttempts)});
+    }
+}
+
+void RelayKernel::Impl::replaceAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason)
+{
+    call.mayHaveRun = true;
+    const EndpointIndex first = attempts.at(attempt).stages.front();
+    driver.record({"stream_moved", call.requestId, endpoints.at(first).entry.id, reason});
+    driver.cancel(attempt);
+    dropAttempt(attempt);
+    retryStreamOrFail(now, call, reason);
+}
+
+void RelayKernel::Impl::moveStreams(Instant now)
+{
+    std::vector<AttemptId> open;
+    open.reserve(attempts.size());
+    for (const auto &[id, attempt] : attempts) {
+        open.push_back(id);
+    }
+    std::sort(open.begin(), open.end());
+    for (const AttemptId id : open) {
+        Call *call = callOf(id);
+        if (call == nullptr || call->route->kind != RequestKind::Stream) {
+            continue;
+        }
+        if (const auto silent = silentStage(now, attempts.at(id))) {
+            bypassStage(now, *call, id, *silent);
+        }
+    }
+}
+
+} // namespace relay
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -13,6 +13,8 @@
 #include "placement/PipelineChooser.h"
 #include "relay/RelayKernel.h"
 
+#include <algorithm>
+
 namespace relay {
 
 /// Status of an endpoint that isn't the one that the request names, or doesn't hold the layers that the pipeline expects of it.
@@ -108,6 +110,10 @@
     bool mayHaveRun = false;
     /// Endpoints that further attempts of this call must not use, since they have failed or refused it or are running it.
     std::vector<EndpointIndex> excluded;
+    bool isExcluded(EndpointIndex endpoint) const
+    {
+        return std::find(excluded.begin(), excluded.end(), endpoint) != excluded.end();
+    }
     /// Earliest time of the next check of a stream without progress, or of the next attempt to resume it.
     Instant nextCheckAt{0};
 };
@@ -123,8 +129,8 @@
     std::optional<Ms> limitWait;
 };
 
-/// State of the kernel. Its functions are defined in several files: Admission, Calls, PlainCalls, StreamCalls, Candidates, Detours, EndpointHealth, Digests
-/// and RelayKernel.
+/// State of the kernel. Its functions are defined in several files: Admission, Calls, PlainCalls, StreamCalls, StreamMoves, Candidates, Detours,
+/// EndpointHealth, Digests and RelayKernel.
 struct RelayKernel::Impl {
     Impl(RelaySettings relaySettings, RelayDriver &relayDriver);
     /// Passes the settings on to the parts.
--- a/libs/relay/src/details/RefusalShare.h
+++ b/libs/relay/src/details/RefusalShare.h
@@ -9,8 +9,8 @@
 
 /// The share of the requests sent to an endpoint lately that it refused without running them, smoothed over requests and over time.
 ///
-/// An endpoint that refuses now and then among many that it takes is sound, and pausing it would lose what it would take; one that refuses most is full, leaving
-/// or out of order. Where requests are rare, the latest one decides.
+/// An endpoint that refuses now and then among many that it takes is sound, and pausing it would lose what it would take; one that refuses most is full,
+/// leaving or out of order. Where requests are rare, the latest one decides.
 class RefusalShare
 {
 public:
@@ -32,7 +32,8 @@
     }
 
 private:
-    /// Weight of the latest of many requests: small enough that some refusals in a row by chance don't count as most, large enough to find a full endpoint soon.
+    /// Weight of the latest of many requests: small enough that some refusals in a row by chance don't count as most, large enough to find a full endpoint
+    /// soon.
     static constexpr double MinWeight = 0.0625;
     /// Time after which an earlier request counts half.
     static constexpr std::chrono::duration<double> HalfLife = Ms(300);
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -268,18 +268,28 @@
         return entry;
     }
 
-    /// Makes a call with the next id. If `fingerprint` is 0, the call gets its id as fingerprint, so that it counts as a different request.
-    relay::CallId call(const std::string &path, const std::string &key = "key-a", relay::Ms timeLimit = relay::Ms(20000), std::uint64_t fingerprint = 0)
+    /// Returns a request with the next id, for tests that change more than call() can.
+    relay::CallArrival nextArrival(const std::string &path)
     {
         relay::CallArrival arrival;
         arrival.call = ++lastCall;
         arrival.requestId = "request-" + std::to_string(lastCall);
         arrival.host = "api.example";
         arrival.path = path;
-        arrival.keySha256 = key;
-        arrival.timeLimit = timeLimit;
+        arrival.keySha256 = "key-a";
+        arrival.timeLimit = relay::Ms(20000);
         arrival.promptTokens = 500;
         arrival.answerTokens = 100;
+        arrival.fingerprint = lastCall;
+        return arrival;
+    }
+
+    /// Makes a call with the next id. If `fingerprint` is 0, the call gets its id as fingerprint, so that it counts as a different request.
+    relay::CallId call(const std::string &path, const std::string &key = "key-a", relay::Ms timeLimit = relay::Ms(20000), std::uint64_t fingerprint = 0)
+    {
+        relay::CallArrival arrival = nextArrival(path);
+        arrival.keySha256 = key;
+        arrival.timeLimit = timeLimit;
         arrival.fingerprint = fingerprint != 0 ? fingerprint : lastCall;
         kernel.onCall(now, arrival);
         return lastCall;
--- a/libs/relay/tests/StopTests.cpp
+++ b/libs/relay/tests/StopTests.cpp
@@ -163,16 +163,9 @@
 TEST(AnInstanceThatStops, rejectsAStreamThatIsPredictedToOutlastItUnlessItCanBeResumed)
 {
     const auto callLongStream = [&]() {
-        CallArrival arrival;
-        arrival.call = ++bed.lastCall;
-        arrival.requestId = "request-" + std::to_string(arrival.call);
-        arrival.host = "api.example";
-        arrival.path = "/stream/x";
-        arrival.keySha256 = "key-a";
+        CallArrival arrival = bed.nextArrival("/stream/x");
         arrival.timeLimit = Ms(60000);
-        arrival.promptTokens = 500;
         arrival.answerTokens = 40000;
-        arrival.fingerprint = arrival.call;
         bed.kernel.onCall(bed.now, arrival);
     };
     bed.kernel.onStop(bed.now);
