--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -1,5 +1,6 @@
 #include "details/Connection.h"
 
+#include "details/HeaderFields.h"
 #include "details/MessageEnd.h"
 #include "details/ResponseText.h"
 
@@ -18,15 +19,6 @@
 /// Time that the client has to close its side after the last response has reached it.
 constexpr std::chrono::seconds LingerTime{1};
 
-Headers headersOf(const http::fields &fields)
-{
-    Headers headers;
-    for (const auto &field : fields) {
-        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
-    return headers;
-}
-
 /// Returns the number of bytes that were written but not acknowledged by the peer; 0 if that is unknown.
 int unacknowledgedBytes(tcp::socket &socket)
 {
--- a/libs/net/src/ResponseReader.cpp
+++ b/libs/net/src/ResponseReader.cpp
@@ -1,5 +1,6 @@
 #include "details/ResponseReader.h"
 
+#include "details/HeaderFields.h"
 #include "details/MessageEnd.h"
 
 namespace net {
@@ -24,11 +25,7 @@
         progress_.part = parser_->got_some() || buffer_.size() > 0 ? ResponsePart::Header : progress_.part;
         co_return std::nullopt;
     }
-    Headers headers;
-    for (const auto &field : parser_->get()) {
-        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
-    co_return headers;
+    co_return headersOf(parser_->get());
 }
 
 asio::awaitable<std::optional<Headers>> ResponseReader::readHeader()
--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -152,7 +152,7 @@
     state.silentCheckAt = now + interval;
 }
 
-void EndpointRegistry::pauseAfterRefusal(EndpointIndex index, Instant now, Ms minimum)
+void EndpointRegistry::onRefused(EndpointIndex index, Instant now, Ms minimum)
 {
     EndpointState &state = states_[index];
     state.refusalShare.onOutcome(true, now);
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -112,7 +112,7 @@
     const double latency = msBetween(attempts.at(attempt).sentAt, now);
     if (head.notRun) {
         driver.record({"attempt_refused", call.requestId, endpoints.at(endpoint).entry.id, "status " + std::to_string(head.status)});
-        endpoints.pauseAfterRefusal(endpoint, now, head.retryAfter);
+        endpoints.onRefused(endpoint, now, head.retryAfter);
         exclude(call, endpoint);
         forgetRun(call, attempt);
         dropAttempt(attempt);
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -140,7 +140,7 @@
         endpoints.forgetLayers(atFault);
     } else {
         // The time that the first stage asks for isn't that of another stage, whose refusal it passes on.
-        endpoints.pauseAfterRefusal(atFault, now, atFault == first ? head.retryAfter : Ms(0));
+        endpoints.onRefused(atFault, now, atFault == first ? head.retryAfter : Ms(0));
     }
     if (endpoints.backoffLeft(atFault, now).count() == 0) {
         requestReport(now, atFault);
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -98,7 +98,7 @@
 
     /// Takes note that the endpoint has refused work without running it, for lack of capacity or since it is leaving. If it refuses most of what it is sent, it
     /// gets no new work for a pause that doubles with each refusal in a row. The pause is at least as long as the endpoint has asked for.
-    void pauseAfterRefusal(EndpointIndex index, Instant now, Ms minimum = Ms(0));
+    void onRefused(EndpointIndex index, Instant now, Ms minimum = Ms(0));
 
     /// Sends the endpoint no requests for a time that it has asked for itself. Neither a report nor an accepted request ends that, only a new incarnation.
     void backOff(EndpointIndex index, Instant now, Ms duration);
