--- a/libs/net/tests/HttpClientTests.cpp
+++ b/libs/net/tests/HttpClientTests.cpp
@@ -97,6 +97,33 @@
     }
 };
 
+/// Makes calls until one fails, and returns how far that one came.
+std::string progressOver(std::vector<std::string> answers)
+{
+    ScriptedServer server(std::move(answers));
+    net::EventLoop loop;
+    net::HttpClient client(loop);
+    std::string text;
+    std::function<void()> startCall = [&]() {
+        net::ClientCall call{server.address(), {}};
+        call.totalTimeout = std::chrono::seconds(60);
+        net::ClientHandlers handlers;
+        handlers.onHead = [](int, const net::Headers &) {
+        };
+        handlers.onData = [](const std::string &) {
+        };
+        handlers.onEnd = startCall;
+        handlers.onFailure = [&](net::CallFailure, const net::CallProgress &progress) {
+            text = net::toText(progress);
+            loop.stop();
+        };
+        client.start(call, handlers);
+    };
+    startCall();
+    loop.run();
+    return text;
+}
+
 } // namespace
 
 /// Guards against a driver that is called back before it knows the call, and against calls whose state is never freed.
@@ -253,32 +280,7 @@
 }
 
 /// Guards against a failed call of which nobody can tell later where its answer broke off, and on what connection.
-TEST_GROUP(ACallThatFails){/// Makes calls until one fails, and returns how far that one came.
-                           static std::string progressOver(std::vector<std::string> answers){ScriptedServer server(std::move(answers));
-net::EventLoop loop;
-net::HttpClient client(loop);
-std::string text;
-std::function<void()> startCall = [&]() {
-    net::ClientCall call{server.address(), {}};
-    call.totalTimeout = std::chrono::seconds(60);
-    net::ClientHandlers handlers;
-    handlers.onHead = [](int, const net::Headers &) {
-    };
-    handlers.onData = [](const std::string &) {
-    };
-    handlers.onEnd = startCall;
-    handlers.onFailure = [&](net::CallFailure, const net::CallProgress &progress) {
-        text = net::toText(progress);
-        loop.stop();
-    };
-    client.start(call, handlers);
-};
-startCall();
-loop.run();
-return text;
-}
-}
-;
+TEST_GROUP(ACallThatFails){};
 
 TEST(ACallThatFails, saysHowFarItCame)
 {
--- a/libs/net/tests/SmallServer.h
+++ b/libs/net/tests/SmallServer.h
@@ -248,7 +248,7 @@
         if (request.target == "/fields") {
             std::string text;
             for (const auto &[name, value] : request.headers) {
-                text += name + "=" + value + ";";
+                text.append(name).append("=").append(value).append(";");
             }
             server_->respond(id, {200, {}, text});
             return;
