--- a/libs/relay/src/CrashGuard.cpp
+++ b/libs/relay/src/CrashGuard.cpp
@@ -34,6 +34,7 @@
 void CrashGuard::onBroken(Signatures signatures, EndpointIndex endpoint, Instant now)
 {
     if (brokenAttempts_.size() >= MaxBrokenAttempts) {
+        droppedAttempts_.push_back({brokenAttempts_.front().endpoint, std::nullopt});
         brokenAttempts_.pop_front();
     }
     brokenAttempts_.push_back({{signatures.begin(), signatures.end()}, endpoint, endpoints_.at(endpoint).entry.incarnation, now});
@@ -52,32 +53,46 @@
     news_.refutations.insert(news_.refutations.end(), refutations.begin(), refutations.end());
 }
 
-std::vector<wire::CrashReport> CrashGuard::tick(Instant now)
+std::vector<SettledAttempt> CrashGuard::tick(Instant now)
 {
-    std::vector<wire::CrashReport> confirmed;
+    std::vector<SettledAttempt> settled = std::exchange(droppedAttempts_, {});
     std::erase_if(brokenAttempts_, [&](const BrokenAttempt &broken) {
-        const EndpointState &state = endpoints_.at(broken.endpoint);
-        const bool hasRestarted = state.entry.incarnation > broken.incarnation;
-        const bool hasCrashed = hasRestarted || state.silentCheckAt.count() != 0;
-        if (!hasCrashed) {
-            return now >= broken.brokenAt + ConfirmTimeout;
-        }
-        const std::uint64_t crash = base::mixBits(base::hashOf(state.entry.id) ^ broken.incarnation);
-        if (!hasRestarted) {
-            addInferredCrash({crash, broken.endpoint, broken.incarnation, now});
-        }
-        for (const std::uint64_t signature : broken.signatures) {
-            if (suspect(signature, crash, broken.brokenAt, now)) {
-                confirmed.push_back({signature, crash, std::chrono::duration_cast<Ms>(now - broken.brokenAt)});
-            }
+        const std::optional<CrashSign> sign = signOf(broken);
+        if (!sign && now < broken.brokenAt + ConfirmTimeout) {
+            return false;
         }
+        settled.push_back({broken.endpoint, sign, sign ? confirm(broken, *sign, now) : std::vector<wire::CrashReport>{}});
         return true;
     });
-    news_.reports.insert(news_.reports.end(), confirmed.begin(), confirmed.end());
     refuteWrongCrashes(now);
     evidence_.expire(now);
     std::erase_if(probedAt_, [&](const auto &entry) { return now >= entry.second + ProbeTimeout; });
-    return confirmed;
+    return settled;
+}
+
+std::optional<CrashSign> CrashGuard::signOf(const BrokenAttempt &broken) const
+{
+    const EndpointState &state = endpoints_.at(broken.endpoint);
+    if (state.entry.incarnation > broken.incarnation) {
+        return CrashSign::Restarted;
+    }
+    return state.silentCheckAt.count() != 0 ? std::optional(CrashSign::Silent) : std::nullopt;
+}
+
+std::vector<wire::CrashReport> CrashGuard::confirm(const BrokenAttempt &broken, CrashSign sign, Instant now)
+{
+    const std::uint64_t crash = base::mixBits(base::hashOf(endpoints_.at(broken.endpoint).entry.id) ^ broken.incarnation);
+    if (sign != CrashSign::Restarted) {
+        addInferredCrash({crash, broken.endpoint, broken.incarnation, now});
+    }
+    std::vector<wire::CrashReport> reports;
+    for (const std::uint64_t signature : broken.signatures) {
+        if (suspect(signature, crash, broken.brokenAt, now)) {
+            reports.push_back({signature, crash, std::chrono::duration_cast<Ms>(now - broken.brokenAt)});
+        }
+    }
+    news_.reports.insert(news_.reports.end(), reports.begin(), reports.end());
+    return reports;
 }
 
 void CrashGuard::addInferredCrash(const InferredCrash &inferred)
--- a/libs/relay/src/Digests.cpp
+++ b/libs/relay/src/Digests.cpp
@@ -59,9 +59,18 @@
 
 void RelayKernel::Impl::checkCrashes(Instant now)
 {
-    for (const wire::CrashReport &report : crashGuard.tick(now)) {
-        driver.record(
-            {"crash_strike", "", std::to_string(report.signature), "crash " + std::to_string(report.crash) + ", an endpoint crashed on this request"});
+    for (const SettledAttempt &attempt : crashGuard.tick(now)) {
+        const std::string &endpoint = endpoints.at(attempt.endpoint).entry.id;
+        if (!attempt.sign) {
+            driver.record({"crash_unconfirmed", "", endpoint, "a broken attempt is forgotten, since the endpoint has shown no sign of a crash"});
+        }
+        for (const wire::CrashReport &report : attempt.reports) {
+            driver.record({"crash_strike",
+                           "",
+                           std::to_string(report.signature),
+                           "crash " + std::to_string(report.crash) + ", " + endpoint
+                               + " crashed on this request: " + std::string(base::nameIn(CrashSignNames, *attempt.sign))});
+        }
     }
     if (crashGuard.hasNews()) {
         peers.expedite();
--- a/libs/relay/src/details/CrashGuard.h
+++ b/libs/relay/src/details/CrashGuard.h
@@ -11,6 +11,29 @@
 /// The signatures of a request, that of its whole content first.
 using Signatures = std::span<const std::uint64_t>;
 
+/// By which sign an endpoint is known to have crashed.
+enum class CrashSign {
+    /// It is there again in a later incarnation.
+    Restarted,
+    /// It doesn't answer this instance, which may also be due to the network.
+    Silent,
+};
+
+/// Names of the signs in the log.
+inline constexpr base::EnumNames<CrashSign, 2> CrashSignNames = {{
+    {CrashSign::Restarted, "restarted"},
+    {CrashSign::Silent, "silent"},
+}};
+
+/// What has become of a broken attempt.
+struct SettledAttempt {
+    EndpointIndex endpoint = 0;
+    /// None if its endpoint showed no sign of a crash in time, or other broken attempts have taken its place.
+    std::optional<CrashSign> sign;
+    /// The new suspicions that it has led to.
+    std::vector<wire::CrashReport> reports = {};
+};
+
 /// What an instance has to tell the others about crashes.
 struct CrashNews {
     std::vector<wire::CrashReport> reports;
@@ -60,8 +83,8 @@
     /// Refutes all that speaks against these signatures, since an endpoint has begun to answer such a request.
     void onServed(Signatures signatures, Instant now);
 
-    /// Confirms or drops the broken attempts that wait for confirmation; returns the confirmed crashes.
-    std::vector<wire::CrashReport> tick(Instant now);
+    /// Confirms or drops the broken attempts that wait for confirmation; returns those.
+    std::vector<SettledAttempt> tick(Instant now);
 
     /// Takes over a report of another instance. Returns false if it is known, or is refuted by what this instance knows.
     bool onReport(const wire::CrashReport &report, Instant now);
@@ -115,6 +138,10 @@
 
     /// Adds a suspicion, unless a request with the signature has begun since the crash; returns true if it is new.
     bool suspect(std::uint64_t signature, std::uint64_t crash, Instant crashedAt, Instant now);
+    /// Returns the sign by which the endpoint of a broken attempt is known to have crashed since; none if there is none.
+    std::optional<CrashSign> signOf(const BrokenAttempt &broken) const;
+    /// Adds the suspicions that follow from a broken attempt whose endpoint has crashed; returns the new ones.
+    std::vector<wire::CrashReport> confirm(const BrokenAttempt &broken, CrashSign sign, Instant now);
     /// Remembers a crash until the endpoint shows whether it has happened.
     void addInferredCrash(const InferredCrash &inferred);
     /// Refutes the crashes of endpoints that have proved to be alive in the same incarnation.
@@ -126,8 +153,9 @@
 
     const EndpointRegistry &endpoints_;
     std::uint64_t ownHash_ = 0;
-    /// Broken attempts that wait for confirmation, oldest first.
+    /// Broken attempts that wait for confirmation, oldest first, and those that had to make room for them since the last tick.
     std::deque<BrokenAttempt> brokenAttempts_;
+    std::vector<SettledAttempt> droppedAttempts_;
     std::deque<InferredCrash> inferredCrashes_;
     ServedSignatures served_;
     CrashEvidence evidence_{served_};
