--- /dev/null
+++ b/libs/relay/tests/CrashSignTests.cpp
@@ -0,0 +1,46 @@
+#include "FakeDriver.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace relay;
+
+/// One request crashes each plain endpoint that runs it, and its caller sends it again.
+TEST_GROUP(ARequestThatCrashesPlainEndpoints)
+{
+    static constexpr std::uint64_t Fingerprint = 777;
+    /// Time from a crash until the endpoint's entry is no longer listed, and until its successor is.
+    static constexpr Ms EntryLifetime{3000};
+
+    RelayTestBed bed;
+    int successors = 0;
+
+    /// Sends the request and lets its endpoint crash; returns the endpoint's id.
+    std::string crashOne()
+    {
+        bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+        const std::string endpoint = bed.driver.sent.back().endpoint;
+        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+        return endpoint;
+    }
+
+    /// Lists a new process under an id and an address of its own in place of that endpoint.
+    void replace(const std::string &endpoint)
+    {
+        std::erase_if(bed.entries, [&](const EndpointEntry &entry) { return entry.id == endpoint; });
+        bed.entries.push_back(RelayTestBed::deskEntry("successor-" + std::to_string(++successors), "zone-a"));
+    }
+};
+
+/// Guards against a request crashing one plain endpoint after the other, since no crash of an endpoint that comes back under another id is ever confirmed.
+TEST(ARequestThatCrashesPlainEndpoints, isRejectedAfterThreeOfThemThatComeBackUnderNewIds)
+{
+    for (int i = 0; i < 3; ++i) {
+        const std::string endpoint = crashOne();
+        bed.advance(EntryLifetime);
+        replace(endpoint);
+        bed.advance(Ms(1000));
+    }
+    LONGS_EQUAL(3, bed.driver.sent.size());
+    bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+    LONGS_EQUAL(3, bed.driver.sent.size());
+}
