--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -98,6 +98,26 @@
     {OrderOutcome::NoAnswer, "no_answer"},
 }};
 
+/// What a check of an endpoint has found at its address.
+enum class CheckOutcome {
+    /// The endpoint answered; perhaps in a later incarnation under the same id.
+    Answered,
+    /// Another process answered, so that this one has ended.
+    Replaced,
+    /// No connection could be made: the process has ended, or the network doesn't reach it.
+    Unreachable,
+    /// A connection was made, and no answer came in time.
+    NoAnswer,
+};
+
+/// Names of the outcomes in the log.
+inline constexpr base::EnumNames<CheckOutcome, 4> CheckOutcomeNames = {{
+    {CheckOutcome::Answered, "answered"},
+    {CheckOutcome::Replaced, "replaced"},
+    {CheckOutcome::Unreachable, "unreachable"},
+    {CheckOutcome::NoAnswer, "no_answer"},
+}};
+
 /// The planner's lease, as it is kept in the store.
 struct LeaseRecord {
     /// The instance that holds it; empty once it has been released.
@@ -142,6 +162,9 @@
     virtual void breakStream(CallId call) = 0;
     /// Requests an endpoint's report; the result goes to RelayKernel::onReport().
     virtual void readReport(const std::string &endpoint, const std::string &address) = 0;
+    /// Asks an endpoint, over a new connection, whether it is there; the result goes to RelayKernel::onCheck(). `healthPath` is the URL path of its health
+    /// check.
+    virtual void checkEndpoint(const std::string &endpoint, const std::string &address, const std::string &healthPath) = 0;
     /// Sends a placement order; the result goes to RelayKernel::onOrderAnswer().
     virtual void sendOrder(const PlacementOrder &order) = 0;
     /// Sends a detour to the first stage; the result goes to RelayKernel::onDetourAnswer().
--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -107,6 +107,8 @@
     std::uint64_t streamsEnded = 0;
     /// Reports that were requested from endpoints, except by the planner for orders that are not yet known to be carried out.
     std::uint64_t reports = 0;
+    /// Checks of endpoints without reports.
+    std::uint64_t checks = 0;
     /// Placement orders that were answered or timed out.
     std::uint64_t orders = 0;
     /// Calls whose caller left before the end.
@@ -183,6 +185,8 @@
 
     /// Takes the result of a report request; none if the endpoint did not answer in time.
     void onReport(Instant now, const std::string &endpoint, const std::optional<EndpointReport> &report);
+    /// Takes the result of a check of an endpoint.
+    void onCheck(Instant now, const std::string &endpoint, CheckOutcome outcome);
     /// Takes the result of a placement order.
     void onOrderAnswer(Instant now, const std::string &endpoint, OrderOutcome outcome);
     /// Takes the result of a detour. `faultAddress` is the address of the stage because of which it failed; empty if it is unknown.
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -153,6 +153,7 @@
     if (!hasBegun) {
         driver.record({"crash_suspected", call.requestId, endpoints.at(endpoint).entry.id, suspectText(call)});
         crashGuard.onBroken(call.signatures, endpoint, now);
+        requestSign(now, endpoint);
     }
 }
 
@@ -338,6 +339,9 @@
         impl_->retryStreamOrFail(now, *call, detail);
     } else {
         impl_->endpoints.onPlainFailure(first, now);
+        if (failure == AttemptFailure::NotSent) {
+            impl_->endpoints.at(first).foundGoneAt = now;
+        }
         impl_->retryPlainOrFail(now, *call, failure == AttemptFailure::NotSent ? base::ErrorKind::NoEndpoint : base::ErrorKind::UpstreamBroken, detail);
     }
 }
--- a/libs/relay/src/CrashGuard.cpp
+++ b/libs/relay/src/CrashGuard.cpp
@@ -76,6 +76,12 @@
     if (state.entry.incarnation > broken.incarnation) {
         return CrashSign::Restarted;
     }
+    if (!state.listed && !state.entry.draining) {
+        return CrashSign::Unlisted;
+    }
+    if (state.foundGoneAt >= broken.brokenAt) {
+        return CrashSign::Gone;
+    }
     return state.silentCheckAt.count() != 0 ? std::optional(CrashSign::Silent) : std::nullopt;
 }
 
@@ -83,7 +89,7 @@
 {
     const std::uint64_t crash = base::mixBits(base::hashOf(endpoints_.at(broken.endpoint).entry.id) ^ broken.incarnation);
     if (sign != CrashSign::Restarted) {
-        addInferredCrash({crash, broken.endpoint, broken.incarnation, now});
+        addInferredCrash({crash, broken.endpoint, broken.incarnation, now, Instant{0}});
     }
     std::vector<wire::CrashReport> reports;
     for (const std::uint64_t signature : broken.signatures) {
@@ -106,17 +112,39 @@
 
 void CrashGuard::refuteWrongCrashes(Instant now)
 {
-    std::erase_if(inferredCrashes_, [&](const InferredCrash &inferred) {
+    std::erase_if(inferredCrashes_, [&](InferredCrash &inferred) {
         const EndpointState &state = endpoints_.at(inferred.endpoint);
+        if (inferred.answeredAt.count() == 0 && state.answeredAt > inferred.inferredAt) {
+            inferred.answeredAt = now;
+        }
         const bool hasRestarted = state.entry.incarnation > inferred.incarnation;
-        const bool livesOn = !hasRestarted && state.silentCheckAt.count() == 0 && state.reportedAt > inferred.inferredAt;
-        if (livesOn) {
+        const bool isWrong = !hasRestarted && livesOn(inferred, state, now);
+        if (isWrong) {
             addRefutations(evidence_.refuteCrash(inferred.crash));
         }
-        return hasRestarted || livesOn || now >= inferred.inferredAt + RefuteTimeout;
+        return hasRestarted || isWrong || now >= inferred.inferredAt + RefuteTimeout;
     });
 }
 
+bool CrashGuard::livesOn(const InferredCrash &inferred, const EndpointState &state, Instant now)
+{
+    const bool hasReported = state.silentCheckAt.count() == 0 && state.reportedAt > inferred.inferredAt;
+    // An answer doesn't name the incarnation that gave it; by then the list would show a later one.
+    const bool isStillListed = state.listed && inferred.answeredAt.count() != 0 && now >= inferred.answeredAt + MaxListLag;
+    return hasReported || isStillListed;
+}
+
+std::vector<EndpointIndex> CrashGuard::doubtfulEndpoints() const
+{
+    std::vector<EndpointIndex> doubtful;
+    for (const InferredCrash &inferred : inferredCrashes_) {
+        if (inferred.answeredAt.count() == 0) {
+            doubtful.push_back(inferred.endpoint);
+        }
+    }
+    return doubtful;
+}
+
 bool CrashGuard::suspect(std::uint64_t signature, std::uint64_t crash, Instant crashedAt, Instant now)
 {
     if (!evidence_.add(signature, crash, crashedAt)) {
--- a/libs/relay/src/Digests.cpp
+++ b/libs/relay/src/Digests.cpp
@@ -8,6 +8,8 @@
 
 /// A digest names the endpoint list only if the list was known to be current no longer ago than this.
 constexpr Ms UpdateLifetime{1000};
+/// A sign of life is looked for once in this period of an endpoint that is taken for crashed without proof.
+constexpr Ms DoubtPeriod{1000};
 
 } // namespace
 
@@ -72,6 +74,12 @@
                                + " crashed on this request: " + std::string(base::nameIn(CrashSignNames, *attempt.sign))});
         }
     }
+    for (const EndpointIndex endpoint : crashGuard.doubtfulEndpoints()) {
+        // Those that give reports are asked anyway while they are silent.
+        if (endpoints.at(endpoint).entry.accelerator.empty()) {
+            requestSign(now, endpoint, DoubtPeriod);
+        }
+    }
     if (crashGuard.hasNews()) {
         peers.expedite();
     }
--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -34,6 +34,41 @@
     driver.readReport(state.entry.id, state.entry.address);
 }
 
+void RelayKernel::Impl::requestSign(Instant now, EndpointIndex index, Ms period)
+{
+    EndpointState &state = endpoints.at(index);
+    if (!state.entry.accelerator.empty()) {
+        return requestReport(now, index, period);
+    }
+    if (!config || state.reportPending || now < state.reportRequestedAt + period) {
+        return;
+    }
+    const auto service = std::find_if(config->services.begin(), config->services.end(), [&](const Service &each) { return each.name == state.entry.service; });
+    if (service == config->services.end()) {
+        return;
+    }
+    state.reportPending = true;
+    state.reportRequestedAt = now;
+    ++counters.checks;
+    driver.checkEndpoint(state.entry.id, state.entry.address, service->healthPath);
+}
+
+void RelayKernel::onCheck(Instant now, const std::string &endpoint, CheckOutcome outcome)
+{
+    const auto index = impl_->endpoints.find(endpoint);
+    if (!index) {
+        return;
+    }
+    EndpointState &state = impl_->endpoints.at(*index);
+    state.reportPending = false;
+    if (outcome == CheckOutcome::Answered) {
+        state.answeredAt = now;
+    } else if (outcome != CheckOutcome::NoAnswer) {
+        state.foundGoneAt = now;
+    }
+    impl_->driver.record({"endpoint_checked", "", endpoint, std::string(base::nameIn(CheckOutcomeNames, outcome))});
+}
+
 void RelayKernel::Impl::checkSilentEndpoints(Instant now)
 {
     const bool isVerifier = peers.isVerifier(now);
--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -13,8 +13,6 @@
 /// The interval between report requests to a silent endpoint doubles from the minimum up to the maximum.
 constexpr Ms MinReportInterval{300};
 constexpr Ms MaxReportInterval{1500};
-/// Longest time from a change at an endpoint to the list that shows it: a heartbeat, the store's lag and one read of the list.
-constexpr Ms MaxListLag{2700};
 /// The pause after refusals is this times 2 to the power of the number of refusals in a row, which is counted up to the maximum.
 constexpr Ms RefusalPauseUnit{75};
 constexpr int MaxRefusals = 5;
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -264,6 +264,7 @@
         return; // Perhaps another endpoint has answered, at an address that is in use again.
     }
     const EndpointIndex first = found->second.stages.front();
+    impl_->endpoints.at(first).answeredAt = now;
     if (head.leaving) {
         impl_->onLeaving(first, impl_->incarnationOf(attempt), "in an answer to this instance");
     }
--- a/libs/relay/src/details/CrashGuard.h
+++ b/libs/relay/src/details/CrashGuard.h
@@ -15,13 +15,19 @@
 enum class CrashSign {
     /// It is there again in a later incarnation.
     Restarted,
+    /// The platform no longer lists it, although it wasn't leaving: it may be back under another id.
+    Unlisted,
+    /// This instance found no process, or another one, at its address. The first may also be due to the network.
+    Gone,
     /// It doesn't answer this instance, which may also be due to the network.
     Silent,
 };
 
 /// Names of the signs in the log.
-inline constexpr base::EnumNames<CrashSign, 2> CrashSignNames = {{
+inline constexpr base::EnumNames<CrashSign, 4> CrashSignNames = {{
     {CrashSign::Restarted, "restarted"},
+    {CrashSign::Unlisted, "unlisted"},
+    {CrashSign::Gone, "gone"},
     {CrashSign::Silent, "silent"},
 }};
 
@@ -49,7 +55,7 @@
 
 /// Detects what crashes the endpoints: a request that is repeated, or a prompt part that requests share.
 ///
-/// A broken attempt alone proves nothing: it counts as a crash only if its endpoint restarts or falls silent shortly afterwards, and no longer if it
+/// A broken attempt alone proves nothing: it counts as a crash only if its endpoint shows a sign of one shortly afterwards (CrashSign), and no longer if it
 /// turns out to have lived on. Each crash counts once, whichever instances report it. A request that begins to be answered proves that its signatures don't
 /// crash endpoints. Both kinds of evidence are exchanged by all instances (CrashEvidence).
 ///
@@ -86,6 +92,9 @@
     /// Confirms or drops the broken attempts that wait for confirmation; returns those.
     std::vector<SettledAttempt> tick(Instant now);
 
+    /// Returns the endpoints that are taken for crashed without proof: a sign of life of them is wanted.
+    std::vector<EndpointIndex> doubtfulEndpoints() const;
+
     /// Takes over a report of another instance. Returns false if it is known, or is refuted by what this instance knows.
     bool onReport(const wire::CrashReport &report, Instant now);
     /// Takes over a refutation of another instance. Returns false if it is known.
@@ -128,12 +137,14 @@
         std::uint64_t incarnation = 0;
         Instant brokenAt{0};
     };
-    /// A crash that was inferred from an endpoint's silence, with the incarnation that the endpoint had then.
+    /// A crash that was inferred from what an endpoint doesn't do, with the incarnation that the endpoint had then.
     struct InferredCrash {
         std::uint64_t crash = 0;
         EndpointIndex endpoint = 0;
         std::uint64_t incarnation = 0;
         Instant inferredAt{0};
+        /// When the endpoint, perhaps in a later incarnation that isn't listed yet, first answered this instance afterwards; zero if it hasn't.
+        Instant answeredAt{0};
     };
 
     /// Adds a suspicion, unless a request with the signature has begun since the crash; returns true if it is new.
@@ -146,6 +157,8 @@
     void addInferredCrash(const InferredCrash &inferred);
     /// Refutes the crashes of endpoints that have proved to be alive in the same incarnation.
     void refuteWrongCrashes(Instant now);
+    /// Returns whether the endpoint of an inferred crash has proved to be alive in the same incarnation.
+    static bool livesOn(const InferredCrash &inferred, const EndpointState &state, Instant now);
     /// Returns true if the time has come to probe a signature and this instance is one of those whose turn it is.
     bool mayProbe(std::uint64_t signature, const CrashEvidence::Conviction &conviction, std::uint32_t instances, Instant delay, Instant now) const;
     /// Adds refutations to the news for the other instances.
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -8,6 +8,9 @@
 
 namespace relay {
 
+/// Longest time from a change at an endpoint to the list that shows it: a heartbeat, the store's lag and one read of the list.
+inline constexpr Ms MaxListLag{2700};
+
 /// Handle of an endpoint in the registry, valid for the lifetime of the registry.
 using EndpointIndex = std::uint32_t;
 
@@ -45,6 +48,9 @@
     /// A report has been requested and neither arrived nor timed out.
     bool reportPending = false;
     Instant reportRequestedAt{0};
+    /// When it last answered this instance, and when this instance last found no process, or another one, at its address.
+    Instant answeredAt{0};
+    Instant foundGoneAt{0};
     /// Time of the last report, after which the list shows an older state for a while. Also advanced to a time shortly
     /// before the present when a digest names the endpoint as slow, and set to the time of an order to move to other layers.
     Instant reportedAt{0};
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -212,8 +212,10 @@
     std::string pipelineText(const Attempt &attempt) const;
     /// Fails the calls whose deadline has passed.
     void failExpiredCalls(Instant now);
-    /// Requests an endpoint's report, unless one is pending or was requested within the period.
+    /// Requests an endpoint's report, unless one is pending or was requested within the period. Endpoints without an accelerator give none.
     void requestReport(Instant now, EndpointIndex index, Ms period = Ms(120));
+    /// Looks for a sign of life of an endpoint that may have crashed: by its report, or by a check if it gives none. Limited like requestReport().
+    void requestSign(Instant now, EndpointIndex index, Ms period = Ms(120));
     /// Marks an endpoint as silent and moves the streams that pass through it; the evidence is written to the log.
     void markSilent(Instant now, EndpointIndex index, const std::string &requestId, const std::string &evidence);
     /// Takes the loads, crash reports and endpoint states that another instance has sent.
--- a/libs/relay/tests/CrashSignTests.cpp
+++ b/libs/relay/tests/CrashSignTests.cpp
@@ -31,6 +31,50 @@
     }
 };
 
+/// Guards against endpoints crashing while the list that would show it is late or the store is away: nothing is found at their addresses.
+TEST(ARequestThatCrashesPlainEndpoints, isRejectedWhileTheListIsLate)
+{
+    for (int i = 0; i < 3; ++i) {
+        const std::string endpoint = crashOne();
+        STRCMP_EQUAL(endpoint.c_str(), bed.driver.checks.back().c_str());
+        bed.kernel.onCheck(bed.now, endpoint, CheckOutcome::Unreachable);
+        bed.advance(Ms(100), false);
+    }
+    bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+    LONGS_EQUAL(3, bed.driver.sent.size());
+}
+
+/// Guards against a request being blamed for connections that break although the endpoints live on.
+TEST(ARequestThatCrashesPlainEndpoints, isNotMistakenForOneWhoseEndpointsAnswerAfterwards)
+{
+    for (int i = 0; i < 3; ++i) {
+        const std::string endpoint = crashOne();
+        bed.kernel.onCheck(bed.now, endpoint, CheckOutcome::Answered);
+        bed.advance(Ms(100));
+    }
+    bed.advance(Ms(10000));
+    bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+    LONGS_EQUAL(4, bed.driver.sent.size());
+}
+
+/// Guards against a verdict that stands although its endpoints turn out to have been out of reach only.
+TEST(ARequestThatCrashesPlainEndpoints, isNotMistakenForOneWhoseEndpointsWereOutOfReach)
+{
+    std::vector<std::string> lost;
+    for (int i = 0; i < 3; ++i) {
+        lost.push_back(crashOne());
+        bed.kernel.onCheck(bed.now, lost.back(), CheckOutcome::Unreachable);
+        bed.advance(Ms(100));
+    }
+    bed.advance(Ms(1500));
+    for (const std::string &endpoint : lost) {
+        bed.kernel.onCheck(bed.now, endpoint, CheckOutcome::Answered);
+    }
+    bed.advance(Ms(3000));
+    bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+    LONGS_EQUAL(4, bed.driver.sent.size());
+}
+
 /// Guards against a request crashing one plain endpoint after the other, since no crash of an endpoint that comes back under another id is ever confirmed.
 TEST(ARequestThatCrashesPlainEndpoints, isRejectedAfterThreeOfThemThatComeBackUnderNewIds)
 {
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -53,6 +53,10 @@
     {
         reportRequests.push_back(endpoint);
     }
+    void checkEndpoint(const std::string &endpoint, const std::string &, const std::string &) override
+    {
+        checks.push_back(endpoint);
+    }
     void sendOrder(const relay::PlacementOrder &order) override
     {
         orders.push_back(order);
@@ -142,6 +146,8 @@
     std::vector<relay::CallId> brokenStreams;
     /// Ids of the endpoints from which a report was requested.
     std::vector<std::string> reportRequests;
+    /// Ids of the endpoints that were checked.
+    std::vector<std::string> checks;
     std::vector<relay::PlacementOrder> orders;
     std::vector<relay::Detour> detours;
     std::vector<LeaseWrite> leaseWrites;
--- a/libs/relay/tests/VirtualInstance.cpp
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -260,6 +260,20 @@
         [this, endpoint](const auto &report) { self().kernel->onReport(fleet_.time_.now(), endpoint, report); });
 }
 
+void VirtualFleet::Driver::checkEndpoint(const std::string &endpoint, const std::string &, const std::string &)
+{
+    const auto serve = [this, endpoint]() -> std::optional<relay::CheckOutcome> {
+        const Endpoint *checked = fleet_.endpointNamed(endpoint);
+        if (checked == nullptr || (!checked->alive && !checked->silent)) {
+            return relay::CheckOutcome::Unreachable;
+        }
+        return fleet_.isResponsive(*checked) ? std::optional(relay::CheckOutcome::Answered) : std::nullopt;
+    };
+    fleet_.query<relay::CheckOutcome>(index_, endpoint, EndpointTimeout, serve, [this, endpoint](const auto &outcome) {
+        self().kernel->onCheck(fleet_.time_.now(), endpoint, outcome.value_or(relay::CheckOutcome::NoAnswer));
+    });
+}
+
 void VirtualFleet::Driver::sendOrder(const relay::PlacementOrder &order)
 {
     const auto serve = [this, order]() -> std::optional<relay::OrderOutcome> {
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -41,6 +41,7 @@
     void endStream(relay::CallId call, relay::AttemptId attempt) override;
     void breakStream(relay::CallId call) override;
     void readReport(const std::string &endpoint, const std::string &address) override;
+    void checkEndpoint(const std::string &endpoint, const std::string &address, const std::string &healthPath) override;
     void sendOrder(const relay::PlacementOrder &order) override;
     void sendDetour(const relay::Detour &detour) override;
     void readLease() override;
@@ -97,7 +98,7 @@
                              relay::Ms timeout,
                              bool freshConnection,
                              std::function<void(const net::HttpResponse &)> onResponse,
-                             std::function<void()> onFailure);
+                             std::function<void(net::CallFailure)> onFailure);
 
     /// Does the periodic work and schedules itself again.
     void tick();
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -263,7 +263,7 @@
                                     relay::Ms timeout,
                                     bool freshConnection,
                                     std::function<void(const net::HttpResponse &)> onResponse,
-                                    std::function<void()> onFailure)
+                                    std::function<void(net::CallFailure)> onFailure)
 {
     net::ClientCall call;
     call.address = net::parseAddress(address);
@@ -274,7 +274,7 @@
     call.isStray = [this](const net::Headers &headers) {
         return dialect_.answerIdOf(headers, "") == AnswerId::Other;
     };
-    endpointClient_.fetch(std::move(call), std::move(onResponse), [onFailure = std::move(onFailure)](net::CallFailure) { onFailure(); });
+    endpointClient_.fetch(std::move(call), std::move(onResponse), std::move(onFailure));
 }
 
 void RelayHost::readReport(const std::string &endpoint, const std::string &address)
@@ -285,7 +285,23 @@
         ReportTimeout,
         false,
         [this, endpoint](const net::HttpResponse &response) { kernel_.onReport(now(), endpoint, dialect_.decodeReport(response)); },
-        [this, endpoint]() { kernel_.onReport(now(), endpoint, std::nullopt); });
+        [this, endpoint](net::CallFailure) { kernel_.onReport(now(), endpoint, std::nullopt); });
+}
+
+void RelayHost::checkEndpoint(const std::string &endpoint, const std::string &address, const std::string &healthPath)
+{
+    sendEndpointRequest(
+        address,
+        dialect_.encodeHealthRequest(endpoint, healthPath),
+        ReportTimeout,
+        true,
+        [this, endpoint](const net::HttpResponse &response) {
+            kernel_.onCheck(now(), endpoint, dialect_.isHealthOf(endpoint, response) ? relay::CheckOutcome::Answered : relay::CheckOutcome::Replaced);
+        },
+        [this, endpoint](net::CallFailure failure) {
+            const bool isConnected = failure != net::CallFailure::NotSent;
+            kernel_.onCheck(now(), endpoint, isConnected ? relay::CheckOutcome::NoAnswer : relay::CheckOutcome::Unreachable);
+        });
 }
 
 void RelayHost::sendOrder(const relay::PlacementOrder &order)
@@ -297,7 +313,7 @@
         OrderTimeout,
         true,
         [this, endpoint](const net::HttpResponse &response) { kernel_.onOrderAnswer(now(), endpoint, dialect_.decodeOrderAnswer(response.status)); },
-        [this, endpoint]() { kernel_.onOrderAnswer(now(), endpoint, relay::OrderOutcome::NoAnswer); });
+        [this, endpoint](net::CallFailure) { kernel_.onOrderAnswer(now(), endpoint, relay::OrderOutcome::NoAnswer); });
 }
 
 void RelayHost::sendDetour(const relay::Detour &detour)
@@ -311,7 +327,7 @@
         [this, attempt](const net::HttpResponse &response) {
             kernel_.onDetourAnswer(now(), attempt, dialect_.decodeOrderAnswer(response.status), dialect_.decodeDetourFault(response));
         },
-        [this, attempt]() { kernel_.onDetourAnswer(now(), attempt, relay::OrderOutcome::NoAnswer, ""); });
+        [this, attempt](net::CallFailure) { kernel_.onDetourAnswer(now(), attempt, relay::OrderOutcome::NoAnswer, ""); });
 }
 
 void RelayHost::readLease()
