--- a/libs/relay/tests/CrashSignTests.cpp
+++ b/libs/relay/tests/CrashSignTests.cpp
@@ -75,6 +75,26 @@
     LONGS_EQUAL(4, bed.driver.sent.size());
 }
 
+/// Guards against a wrong crash that is taken back covering up the true one of the same process: the request was under way when the endpoint was out of reach.
+TEST(ARequestThatCrashesPlainEndpoints, isRejectedAlthoughItWasWronglyBlamedBefore)
+{
+    for (int i = 0; i < 3; ++i) {
+        const std::string endpoint = crashOne();
+        bed.kernel.onCheck(bed.now, endpoint, CheckOutcome::Unreachable);
+        bed.advance(Ms(500));
+        bed.kernel.onCheck(bed.now, endpoint, CheckOutcome::Answered);
+        bed.advance(Ms(4000));
+    }
+    for (int i = 0; i < 3; ++i) {
+        const std::string endpoint = crashOne();
+        bed.kernel.onCheck(bed.now, endpoint, CheckOutcome::Unreachable);
+        bed.advance(Ms(500));
+    }
+    LONGS_EQUAL(6, bed.driver.sent.size());
+    bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+    LONGS_EQUAL(6, bed.driver.sent.size());
+}
+
 /// Guards against a request crashing one plain endpoint after the other, since no crash of an endpoint that comes back under another id is ever confirmed.
 TEST(ARequestThatCrashesPlainEndpoints, isRejectedAfterThreeOfThemThatComeBackUnderNewIds)
 {
