--- a/libs/relay/src/CrashEvidence.cpp
+++ b/libs/relay/src/CrashEvidence.cpp
@@ -35,13 +35,14 @@
     return interval;
 }
 
-CrashEvidence::Suspicion *CrashEvidence::find(std::uint64_t signature, std::uint64_t crash)
+CrashEvidence::Suspicion *CrashEvidence::find(std::uint64_t signature, std::uint64_t crash, std::uint64_t inference)
 {
     const auto found = suspicions_.find(signature);
     if (found == suspicions_.end()) {
         return nullptr;
     }
-    const auto suspicion = std::find_if(found->second.begin(), found->second.end(), [&](const Suspicion &entry) { return entry.crash == crash; });
+    const auto suspicion =
+        std::find_if(found->second.begin(), found->second.end(), [&](const Suspicion &entry) { return entry.crash == crash && entry.inference == inference; });
     return suspicion == found->second.end() ? nullptr : &*suspicion;
 }
 
@@ -58,66 +59,78 @@
     return true;
 }
 
-bool CrashEvidence::add(std::uint64_t signature, std::uint64_t crash, Instant crashedAt)
+bool CrashEvidence::add(std::uint64_t signature, const Suspicion &suspicion)
 {
-    if (Suspicion *known = find(signature, crash)) {
+    if (Suspicion *known = find(signature, suspicion.crash, suspicion.inference)) {
         // The report that came fastest tells best when the crash happened.
-        known->crashedAt = std::min(known->crashedAt, crashedAt);
+        known->crashedAt = std::min(known->crashedAt, suspicion.crashedAt);
         return false;
     }
-    if (!insert(suspicions_[signature], {crash, crashedAt, false})) {
+    if (refutationOf(signature, suspicion.crash, suspicion.inference) || !insert(suspicions_[signature], suspicion)) {
         return false;
     }
     limitSignatures();
-    if (openSuspicions(suspicions_[signature]) >= ConvictingCrashes) {
+    if (openCrashes(suspicions_[signature]).size() >= ConvictingCrashes) {
         update();
     }
     return true;
 }
 
-std::size_t CrashEvidence::openSuspicions(const Suspicions &suspicions)
+std::map<std::uint64_t, Instant> CrashEvidence::openCrashes(const Suspicions &suspicions)
 {
-    return static_cast<std::size_t>(std::count_if(suspicions.begin(), suspicions.end(), [](const Suspicion &entry) { return !entry.isRefuted; }));
+    std::map<std::uint64_t, Instant> crashes;
+    for (const Suspicion &suspicion : suspicions) {
+        if (!suspicion.isRefuted) {
+            const auto [crash, isNew] = crashes.try_emplace(suspicion.crash, suspicion.crashedAt);
+            crash->second = std::min(crash->second, suspicion.crashedAt);
+        }
+    }
+    return crashes;
 }
 
-bool CrashEvidence::refute(std::uint64_t signature, std::uint64_t crash, Instant now)
+bool CrashEvidence::refute(const wire::CrashRefutation &refutation, Instant now)
 {
-    if (Suspicion *known = find(signature, crash)) {
-        const bool isNew = !known->isRefuted;
+    if (refutationOf(refutation.signature, refutation.crash, refutation.inference)) {
+        return false;
+    }
+    Suspicions &suspicions = suspicions_[refutation.signature];
+    if (refutation.inference == 0) {
+        for (Suspicion &suspicion : suspicions) {
+            suspicion.isRefuted = suspicion.isRefuted || suspicion.crash == refutation.crash;
+        }
+    }
+    if (Suspicion *known = find(refutation.signature, refutation.crash, refutation.inference)) {
         known->isRefuted = true;
-        updateIfConvicted();
-        return isNew;
+    } else {
+        insert(suspicions, {refutation.crash, refutation.inference, now, true});
     }
-    const bool isNew = insert(suspicions_[signature], {crash, now, true});
     limitSignatures();
-    return isNew;
+    updateIfConvicted();
+    return true;
 }
 
 std::vector<wire::CrashRefutation> CrashEvidence::refuteAll(std::uint64_t signature)
 {
-    std::vector<wire::CrashRefutation> refuted;
     const auto found = suspicions_.find(signature);
     if (found == suspicions_.end()) {
-        return refuted;
+        return {};
     }
-    for (Suspicion &suspicion : found->second) {
-        if (!suspicion.isRefuted) {
-            suspicion.isRefuted = true;
-            refuted.push_back({signature, suspicion.crash});
-        }
+    std::vector<wire::CrashRefutation> refuted;
+    for (const auto &[crash, crashedAt] : openCrashes(found->second)) {
+        refuted.push_back({signature, crash});
+        refute(refuted.back(), crashedAt);
     }
-    updateIfConvicted();
     return refuted;
 }
 
-std::vector<wire::CrashRefutation> CrashEvidence::refuteCrash(std::uint64_t crash)
+std::vector<wire::CrashRefutation> CrashEvidence::refuteInference(std::uint64_t crash, std::uint64_t inference)
 {
     std::vector<wire::CrashRefutation> refuted;
     for (auto &[signature, suspicions] : suspicions_) {
         for (Suspicion &suspicion : suspicions) {
-            if (suspicion.crash == crash && !suspicion.isRefuted) {
+            if (suspicion.crash == crash && suspicion.inference == inference && !suspicion.isRefuted) {
                 suspicion.isRefuted = true;
-                refuted.push_back({signature, crash});
+                refuted.push_back({signature, crash, inference});
             }
         }
     }
@@ -125,11 +138,17 @@
     return refuted;
 }
 
-bool CrashEvidence::isRefuted(std::uint64_t signature, std::uint64_t crash) const
+std::optional<wire::CrashRefutation> CrashEvidence::refutationOf(std::uint64_t signature, std::uint64_t crash, std::uint64_t inference) const
 {
     const auto found = suspicions_.find(signature);
-    return found != suspicions_.end()
-        && std::any_of(found->second.begin(), found->second.end(), [&](const Suspicion &entry) { return entry.crash == crash && entry.isRefuted; });
+    if (found == suspicions_.end()) {
+        return std::nullopt;
+    }
+    const auto covers = [&](const Suspicion &entry) {
+        return entry.isRefuted && entry.crash == crash && (entry.inference == inference || entry.inference == 0);
+    };
+    const auto refuted = std::find_if(found->second.begin(), found->second.end(), covers);
+    return refuted == found->second.end() ? std::nullopt : std::optional(wire::CrashRefutation{signature, crash, refuted->inference});
 }
 
 const CrashEvidence::Conviction *CrashEvidence::conviction(std::uint64_t signature) const
@@ -147,7 +166,7 @@
     for (const auto &[signature, conviction] : convictions_) {
         for (const Suspicion &suspicion : suspicions_.at(signature)) {
             if (!suspicion.isRefuted) {
-                reports.push_back({signature, suspicion.crash, std::chrono::duration_cast<Ms>(now - suspicion.crashedAt)});
+                reports.push_back({signature, suspicion.crash, std::chrono::duration_cast<Ms>(now - suspicion.crashedAt), suspicion.inference});
             }
         }
     }
@@ -197,23 +216,18 @@
     struct Candidate {
         std::uint64_t signature = 0;
         bool wasServed = false;
-        std::vector<const Suspicion *> suspicions;
+        std::map<std::uint64_t, Instant> crashes;
 
         /// Candidates of the same rank can't be told from each other.
         std::pair<bool, std::size_t> rank() const
         {
-            return {!wasServed, suspicions.size()};
+            return {!wasServed, crashes.size()};
         }
     };
     std::vector<Candidate> candidates;
     for (const auto &[signature, suspicions] : suspicions_) {
-        Candidate candidate{signature, served_.isKnown(signature), {}};
-        for (const Suspicion &suspicion : suspicions) {
-            if (!suspicion.isRefuted) {
-                candidate.suspicions.push_back(&suspicion);
-            }
-        }
-        if (candidate.suspicions.size() >= ConvictingCrashes) {
+        Candidate candidate{signature, served_.isKnown(signature), openCrashes(suspicions)};
+        if (candidate.crashes.size() >= ConvictingCrashes) {
             candidates.push_back(std::move(candidate));
         }
     }
@@ -227,19 +241,19 @@
             explained.insert(explainedBySameRank.begin(), explainedBySameRank.end());
         }
         previous = &candidate;
-        std::vector<Instant> crashes;
-        for (const Suspicion *suspicion : candidate.suspicions) {
-            if (!explained.contains(suspicion->crash)) {
-                crashes.push_back(suspicion->crashedAt);
+        std::vector<Instant> unexplained;
+        for (const auto &[crash, crashedAt] : candidate.crashes) {
+            if (!explained.contains(crash)) {
+                unexplained.push_back(crashedAt);
             }
         }
-        if (crashes.size() < ConvictingCrashes) {
+        if (unexplained.size() < ConvictingCrashes) {
             continue;
         }
-        std::sort(crashes.begin(), crashes.end());
-        convictions_.emplace(candidate.signature, convictionBy(crashes, candidate.wasServed));
-        for (const Suspicion *suspicion : candidate.suspicions) {
-            explainedBySameRank.insert(suspicion->crash);
+        std::sort(unexplained.begin(), unexplained.end());
+        convictions_.emplace(candidate.signature, convictionBy(unexplained, candidate.wasServed));
+        for (const auto &[crash, crashedAt] : candidate.crashes) {
+            explainedBySameRank.insert(crash);
         }
     }
 }
--- a/libs/relay/src/CrashGuard.cpp
+++ b/libs/relay/src/CrashGuard.cpp
@@ -29,6 +29,7 @@
 void CrashGuard::configure(const RelaySettings &settings)
 {
     ownHash_ = base::hashOf(settings.node);
+    processHash_ = base::hashOf(settings.instance);
 }
 
 void CrashGuard::onBroken(Signatures signatures, EndpointIndex endpoint, Instant now)
@@ -88,26 +89,30 @@
 std::vector<wire::CrashReport> CrashGuard::confirm(const BrokenAttempt &broken, CrashSign sign, Instant now)
 {
     const std::uint64_t crash = base::mixBits(base::hashOf(endpoints_.at(broken.endpoint).entry.id) ^ broken.incarnation);
-    if (sign != CrashSign::Restarted) {
-        addInferredCrash({crash, broken.endpoint, broken.incarnation, now, Instant{0}});
-    }
+    const std::uint64_t inference = sign == CrashSign::Restarted ? 0 : infer(broken, crash, now);
     std::vector<wire::CrashReport> reports;
     for (const std::uint64_t signature : broken.signatures) {
-        if (suspect(signature, crash, broken.brokenAt, now)) {
-            reports.push_back({signature, crash, std::chrono::duration_cast<Ms>(now - broken.brokenAt)});
+        if (suspect(signature, {crash, inference, broken.brokenAt}, now)) {
+            reports.push_back({signature, crash, std::chrono::duration_cast<Ms>(now - broken.brokenAt), inference});
         }
     }
     news_.reports.insert(news_.reports.end(), reports.begin(), reports.end());
     return reports;
 }
 
-void CrashGuard::addInferredCrash(const InferredCrash &inferred)
+std::uint64_t CrashGuard::infer(const BrokenAttempt &broken, std::uint64_t crash, Instant now)
 {
-    const bool isKnown =
-        std::any_of(inferredCrashes_.begin(), inferredCrashes_.end(), [&](const InferredCrash &known) { return known.crash == inferred.crash; });
-    if (!isKnown) {
-        inferredCrashes_.push_back(inferred);
+    const EndpointState &state = endpoints_.at(broken.endpoint);
+    const auto known = std::find_if(inferredCrashes_.begin(), inferredCrashes_.end(), [&](const InferredCrash &inferred) {
+        const bool hasShownLife = state.answeredAt > inferred.inferredAt || state.reportedAt > inferred.inferredAt;
+        return inferred.crash == crash && !hasShownLife;
+    });
+    if (known != inferredCrashes_.end()) {
+        return known->inference;
     }
+    const std::uint64_t inference = base::mixBits(processHash_ + ++inferences_);
+    inferredCrashes_.push_back({crash, inference, broken.endpoint, broken.incarnation, now, Instant{0}});
+    return inference;
 }
 
 void CrashGuard::refuteWrongCrashes(Instant now)
@@ -120,7 +125,7 @@
         const bool hasRestarted = state.entry.incarnation > inferred.incarnation;
         const bool isWrong = !hasRestarted && livesOn(inferred, state, now);
         if (isWrong) {
-            addRefutations(evidence_.refuteCrash(inferred.crash));
+            addRefutations(evidence_.refuteInference(inferred.crash, inferred.inference));
         }
         return hasRestarted || isWrong || now >= inferred.inferredAt + RefuteTimeout;
     });
@@ -145,32 +150,32 @@
     return doubtful;
 }
 
-bool CrashGuard::suspect(std::uint64_t signature, std::uint64_t crash, Instant crashedAt, Instant now)
+bool CrashGuard::suspect(std::uint64_t signature, const CrashEvidence::Suspicion &suspicion, Instant now)
 {
-    if (!evidence_.add(signature, crash, crashedAt)) {
+    if (!evidence_.add(signature, suspicion)) {
         return false;
     }
-    if (!served_.wasServedAfter(signature, crashedAt)) {
+    if (!served_.wasServedAfter(signature, suspicion.crashedAt)) {
         return true;
     }
-    evidence_.refute(signature, crash, now);
-    news_.refutations.push_back({signature, crash});
+    evidence_.refute({signature, suspicion.crash}, now);
+    news_.refutations.push_back({signature, suspicion.crash});
     return false;
 }
 
 bool CrashGuard::onReport(const wire::CrashReport &report, Instant now)
 {
     // The sender doesn't know of the refutation.
-    if (evidence_.isRefuted(report.signature, report.crash)) {
-        news_.refutations.push_back({report.signature, report.crash});
+    if (const auto refutation = evidence_.refutationOf(report.signature, report.crash, report.inference)) {
+        news_.refutations.push_back(*refutation);
         return false;
     }
-    return suspect(report.signature, report.crash, now - Instant(report.age), now);
+    return suspect(report.signature, {report.crash, report.inference, now - Instant(report.age)}, now);
 }
 
 bool CrashGuard::onRefutation(const wire::CrashRefutation &refutation, Instant now)
 {
-    return evidence_.refute(refutation.signature, refutation.crash, now);
+    return evidence_.refute(refutation, now);
 }
 
 bool CrashGuard::onProbe(std::uint64_t signature, Instant now)
--- a/libs/relay/src/details/CrashEvidence.h
+++ b/libs/relay/src/details/CrashEvidence.h
@@ -4,6 +4,8 @@
 #include "relay/RelayKernel.h"
 #include "wire/RelayDigest.h"
 
+#include <map>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -12,8 +14,9 @@
 /// What is known for and against the signatures of requests as causes of crashes. A signature is a hash of something that requests may have in
 /// common: the content of a whole request, or a part of its prompt.
 ///
-/// The evidence is a set that only grows: a suspicion is a signature and a crash, and a refutation names the suspicion that it removes for good. So it
-/// doesn't matter in which order, how often and by which way reports of other instances arrive, and the clocks of instances needn't agree.
+/// The evidence is a set that only grows: a suspicion is a signature, a crash and, unless the crash is certain, the inference of it by one instance; a
+/// refutation names the suspicion, or all those of a crash, that it removes for good. So it doesn't matter in which order, how often and by which way
+/// reports of other instances arrive, and the clocks of instances needn't agree.
 ///
 /// A signature is convicted once several crashes speak against it that no refutation removes and that no other convicted signature explains.
 /// Those that this instance has never seen served are considered first, then those with more crashes: a part of prompts that was sound so far is
@@ -23,8 +26,9 @@
 public:
     /// A crash that a signature is suspected of.
     struct Suspicion {
-        /// Value of wire::CrashReport::crash.
+        /// Values of wire::CrashReport::crash and wire::CrashReport::inference.
         std::uint64_t crash = 0;
+        std::uint64_t inference = 0;
         /// When the endpoint crashed, as far as this instance knows.
         Instant crashedAt{0};
         bool isRefuted = false;
@@ -49,16 +53,16 @@
     }
 
     /// Adds a suspicion. Returns true if it is new and not refuted already.
-    bool add(std::uint64_t signature, std::uint64_t crash, Instant crashedAt);
-    /// Refutes a suspicion, also one that has not arrived yet. Returns true if that is new.
-    bool refute(std::uint64_t signature, std::uint64_t crash, Instant now);
-    /// Refutes all suspicions of a signature that are known by now; returns them.
+    bool add(std::uint64_t signature, const Suspicion &suspicion);
+    /// Refutes a suspicion, or without an inference all those of the crash, also if they have not arrived yet. Returns true if that is new.
+    bool refute(const wire::CrashRefutation &refutation, Instant now);
+    /// Refutes all crashes that a signature is suspected of by now; returns the refutations.
     std::vector<wire::CrashRefutation> refuteAll(std::uint64_t signature);
-    /// Refutes the crash for all signatures that are suspected of it, since it has not happened; returns the refuted suspicions.
-    std::vector<wire::CrashRefutation> refuteCrash(std::uint64_t crash);
+    /// Refutes an inference of a crash for all signatures that are suspected by it, since it was wrong; returns the refutations.
+    std::vector<wire::CrashRefutation> refuteInference(std::uint64_t crash, std::uint64_t inference);
 
-    /// Returns true if there is a suspicion of this crash that is refuted.
-    bool isRefuted(std::uint64_t signature, std::uint64_t crash) const;
+    /// Returns the refutation that covers a suspicion; none if there is none.
+    std::optional<wire::CrashRefutation> refutationOf(std::uint64_t signature, std::uint64_t crash, std::uint64_t inference) const;
     /// Returns the conviction of a signature; null if it isn't convicted.
     const Conviction *conviction(std::uint64_t signature) const;
     const std::unordered_map<std::uint64_t, Conviction> &convictions() const
@@ -74,14 +78,14 @@
 private:
     using Suspicions = std::vector<Suspicion>;
 
-    /// Returns the suspicion of this crash; null if there is none.
-    Suspicion *find(std::uint64_t signature, std::uint64_t crash);
+    /// Returns the suspicion of this crash by this inference; null if there is none.
+    Suspicion *find(std::uint64_t signature, std::uint64_t crash, std::uint64_t inference);
     /// Adds a suspicion to a list that is limited in length: a refuted one makes room. Returns false if there is no room.
     static bool insert(Suspicions &suspicions, const Suspicion &suspicion);
     /// Drops the signature with the oldest last crash if there are too many.
     void limitSignatures();
-    /// Returns the number of suspicions that are not refuted.
-    static std::size_t openSuspicions(const Suspicions &suspicions);
+    /// Returns the crashes that are not refuted, each with the time that its earliest suspicion names.
+    static std::map<std::uint64_t, Instant> openCrashes(const Suspicions &suspicions);
     /// Decides again which signatures are convicted.
     void update();
     /// Does so if any is: less evidence convicts no other signature unless it ends the conviction of one that explained its crashes.
--- a/libs/relay/src/details/CrashGuard.h
+++ b/libs/relay/src/details/CrashGuard.h
@@ -140,6 +140,8 @@
     /// A crash that was inferred from what an endpoint doesn't do, with the incarnation that the endpoint had then.
     struct InferredCrash {
         std::uint64_t crash = 0;
+        /// Value of wire::CrashReport::inference.
+        std::uint64_t inference = 0;
         EndpointIndex endpoint = 0;
         std::uint64_t incarnation = 0;
         Instant inferredAt{0};
@@ -148,13 +150,14 @@
     };
 
     /// Adds a suspicion, unless a request with the signature has begun since the crash; returns true if it is new.
-    bool suspect(std::uint64_t signature, std::uint64_t crash, Instant crashedAt, Instant now);
+    bool suspect(std::uint64_t signature, const CrashEvidence::Suspicion &suspicion, Instant now);
     /// Returns the sign by which the endpoint of a broken attempt is known to have crashed since; none if there is none.
     std::optional<CrashSign> signOf(const BrokenAttempt &broken) const;
     /// Adds the suspicions that follow from a broken attempt whose endpoint has crashed; returns the new ones.
     std::vector<wire::CrashReport> confirm(const BrokenAttempt &broken, CrashSign sign, Instant now);
-    /// Remembers a crash until the endpoint shows whether it has happened.
-    void addInferredCrash(const InferredCrash &inferred);
+    /// Infers a crash from a broken attempt, and remembers it until the endpoint shows whether it has happened. Returns the number of the inference: that of
+    /// an earlier one if the endpoint has shown no life since.
+    std::uint64_t infer(const BrokenAttempt &broken, std::uint64_t crash, Instant now);
     /// Refutes the crashes of endpoints that have proved to be alive in the same incarnation.
     void refuteWrongCrashes(Instant now);
     /// Returns whether the endpoint of an inferred crash has proved to be alive in the same incarnation.
@@ -165,11 +168,14 @@
     void addRefutations(const std::vector<wire::CrashRefutation> &refutations);
 
     const EndpointRegistry &endpoints_;
+    /// Hashes of the name of this instance and of this process.
     std::uint64_t ownHash_ = 0;
+    std::uint64_t processHash_ = 0;
     /// Broken attempts that wait for confirmation, oldest first, and those that had to make room for them since the last tick.
     std::deque<BrokenAttempt> brokenAttempts_;
     std::vector<SettledAttempt> droppedAttempts_;
     std::deque<InferredCrash> inferredCrashes_;
+    std::uint64_t inferences_ = 0;
     ServedSignatures served_;
     CrashEvidence evidence_{served_};
     /// When a probe of a signature was last sent by any instance.
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -65,14 +65,19 @@
     std::uint64_t crash = 0;
     /// Time since the crash when the report was sent; encoding rounds it down to a tenth of a second. Zero if the sender doesn't state it.
     std::chrono::milliseconds age{0};
+    /// Identifies the inference by which one instance takes the endpoint for crashed, so that it can be taken back alone: the same incarnation may crash later.
+    /// Zero if the crash is certain, or the sender is of a version that doesn't state it.
+    std::uint64_t inference = 0;
 
     friend bool operator==(const CrashReport &, const CrashReport &) = default;
 };
 
-/// States that requests with a signature have not caused a crash.
+/// States that requests with a signature have not caused a crash, or that it was inferred wrongly.
 struct CrashRefutation {
     std::uint64_t signature = 0;
     std::uint64_t crash = 0;
+    /// The inference that was wrong; zero if the requests are innocent of the crash, however it is known.
+    std::uint64_t inference = 0;
 
     friend bool operator==(const CrashRefutation &, const CrashRefutation &) = default;
 };
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -48,10 +48,12 @@
         out.add_strike(crashReport.signature);
         out.add_strike_crash(crashReport.crash);
         out.add_strike_age(static_cast<std::uint32_t>(crashReport.age / CrashAgeUnit));
+        out.add_strike_inference(crashReport.inference);
     }
     for (const CrashRefutation &refutation : digest.crashRefutations) {
         out.add_refuted(refutation.signature);
         out.add_refuted_crash(refutation.crash);
+        out.add_refuted_inference(refutation.inference);
     }
     for (const std::uint64_t signature : digest.crashProbes) {
         out.add_probed(signature);
@@ -146,10 +148,12 @@
 {
     for (int i = 0; i < in.strike_size(); ++i) {
         const std::uint32_t ageUnits = in.strike_age_size() > 0 ? in.strike_age(i) : 0;
-        digest.crashReports.push_back({in.strike(i), in.strike_crash(i), ageUnits * CrashAgeUnit});
+        const std::uint64_t inference = in.strike_inference_size() > 0 ? in.strike_inference(i) : 0;
+        digest.crashReports.push_back({in.strike(i), in.strike_crash(i), ageUnits * CrashAgeUnit, inference});
     }
     for (int i = 0; i < in.refuted_size(); ++i) {
-        digest.crashRefutations.push_back({in.refuted(i), in.refuted_crash(i)});
+        const std::uint64_t inference = in.refuted_inference_size() > 0 ? in.refuted_inference(i) : 0;
+        digest.crashRefutations.push_back({in.refuted(i), in.refuted_crash(i), inference});
     }
     digest.crashProbes.assign(in.probed().begin(), in.probed().end());
 }
@@ -166,7 +170,9 @@
     const bool listSizesMatch = in.open_requests_size() == in.endpoint_size() && in.context_size() == in.endpoint_size()
         && in.silent_incarnation_size() == in.silent_size() && in.slowness_tenths_size() == in.slow_size() && in.strike_crash_size() == in.strike_size()
         && (in.strike_age_size() == 0 || in.strike_age_size() == in.strike_size()) && in.refuted_crash_size() == in.refuted_size()
-        && in.limit_hundredths_size() == in.limited_size() && in.limit_age_size() == in.limited_size() && in.aggregator_address_size() == in.aggregator_size()
+        && (in.strike_inference_size() == 0 || in.strike_inference_size() == in.strike_size())
+        && (in.refuted_inference_size() == 0 || in.refuted_inference_size() == in.refuted_size()) && in.limit_hundredths_size() == in.limited_size()
+        && in.limit_age_size() == in.limited_size() && in.aggregator_address_size() == in.aggregator_size()
         && in.leaving_incarnation_size() == in.leaving_endpoint_size() && in.failing_answers_size() == in.failing_size()
         && in.failing_failures_size() == in.failing_size() && in.pending_prefill_size() == in.pending_position_size()
         && in.pending_link_size() == in.pending_position_size();
--- a/libs/wire/tests/CodecTests.cpp
+++ b/libs/wire/tests/CodecTests.cpp
@@ -91,8 +91,8 @@
 TEST(ARelayDigest, carriesWhatIsKnownForAndAgainstTheCausesOfCrashes)
 {
     wire::RelayDigest sent{"one", false, {}, {}, {}, {}, 0, 0};
-    sent.crashReports = {{11, 1, std::chrono::milliseconds(1500)}, {12, 2, std::chrono::milliseconds(0)}};
-    sent.crashRefutations = {{11, 3}, {13, 4}};
+    sent.crashReports = {{11, 1, std::chrono::milliseconds(1500)}, {12, 2, std::chrono::milliseconds(0), 77}};
+    sent.crashRefutations = {{11, 3}, {13, 4, 78}};
     sent.crashProbes = {11};
     const auto received = std::get<wire::RelayDigest>(base::valueOf(wire::decodeRelayMessage(wire::encode(sent))));
     CHECK(received.crashReports == sent.crashReports);
