--- a/libs/relay/tests/CrashSignTests.cpp
+++ b/libs/relay/tests/CrashSignTests.cpp
@@ -75,6 +75,29 @@
     LONGS_EQUAL(4, bed.driver.sent.size());
 }
 
+/// Guards against a verdict being forgotten for want of room, and against the process ending since its evidence is gone: its last crash is old because it
+/// works, and other suspicions are many while an instance is cut off.
+TEST(ARequestThatCrashesPlainEndpoints, staysRejectedWhileThousandsOfOtherRequestsAreSuspected)
+{
+    constexpr std::uint64_t Others = 3000;
+    wire::RelayDigest digest;
+    digest.instance = "two";
+    digest.crashReports = {{Fingerprint, 1, Ms(0)}, {Fingerprint, 2, Ms(0)}, {Fingerprint, 3, Ms(0)}};
+    bed.kernel.onPeerMessage(bed.now, digest);
+    for (std::uint64_t i = 0; i < Others; ++i) {
+        digest.crashReports = {{10'000 + i, 100 + i % 8, Ms(0)}};
+        bed.now += Ms(1);
+        bed.kernel.onPeerMessage(bed.now, digest);
+    }
+    try {
+        bed.advance(Ms(500));
+    } catch (const std::out_of_range &) {
+        FAIL("a verdict names evidence that has been dropped");
+    }
+    bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+    LONGS_EQUAL(0, bed.driver.sent.size());
+}
+
 /// Guards against a wrong crash that is taken back covering up the true one of the same process: the request was under way when the endpoint was out of reach.
 TEST(ARequestThatCrashesPlainEndpoints, isRejectedAlthoughItWasWronglyBlamedBefore)
 {
