--- a/libs/relay/src/CrashEvidence.cpp
+++ b/libs/relay/src/CrashEvidence.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t ConvictingCrashes = 3;
 /// Crashes of one signature that are told from each other.
 constexpr std::size_t MaxCrashes = 32;
-/// Signatures that are remembered. A crash with many open requests names many.
+/// Signatures that are remembered. A crash with many open requests names many; those with the least evidence are dropped first.
 constexpr std::size_t MaxSignatures = 1024;
 /// Suspicions are forgotten this long after the last crash, those of a convicted signature after twice the interval to its next probe if that is longer.
 constexpr Ms SuspicionLifetime{120000};
@@ -192,16 +192,21 @@
     if (suspicions_.size() <= MaxSignatures) {
         return;
     }
-    const auto lastCrashAt = [](const Suspicions &suspicions) {
+    // A quarantine that works has an old last crash, and many requests are suspected of a single crash: what counts first is how much speaks against each.
+    const auto worth = [](const Suspicions &suspicions) {
         Instant last{0};
         for (const Suspicion &suspicion : suspicions) {
             last = std::max(last, suspicion.crashedAt);
         }
-        return last;
+        return std::pair(std::min(openCrashes(suspicions).size(), ConvictingCrashes), last);
     };
-    const auto oldest =
-        std::min_element(suspicions_.begin(), suspicions_.end(), [&](const auto &a, const auto &b) { return lastCrashAt(a.second) < lastCrashAt(b.second); });
-    suspicions_.erase(oldest);
+    const auto least =
+        std::min_element(suspicions_.begin(), suspicions_.end(), [&](const auto &a, const auto &b) { return worth(a.second) < worth(b.second); });
+    const bool wasConvicted = convictions_.contains(least->first);
+    suspicions_.erase(least);
+    if (wasConvicted) {
+        update();
+    }
 }
 
 void CrashEvidence::updateIfConvicted()
--- a/libs/relay/src/details/CrashEvidence.h
+++ b/libs/relay/src/details/CrashEvidence.h
@@ -82,7 +82,7 @@
     Suspicion *find(std::uint64_t signature, std::uint64_t crash, std::uint64_t inference);
     /// Adds a suspicion to a list that is limited in length: a refuted one makes room. Returns false if there is no room.
     static bool insert(Suspicions &suspicions, const Suspicion &suspicion);
-    /// Drops the signature with the oldest last crash if there are too many.
+    /// Drops the signature with the fewest crashes, and of those the one with the oldest last crash, if there are too many.
     void limitSignatures();
     /// Returns the crashes that are not refuted, each with the time that its earliest suspicion names.
     static std::map<std::uint64_t, Instant> openCrashes(const Suspicions &suspicions);
