--- a/libs/relay/tests/CrashSignTests.cpp
+++ b/libs/relay/tests/CrashSignTests.cpp
@@ -131,3 +131,49 @@
     bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
     LONGS_EQUAL(3, bed.driver.sent.size());
 }
+
+/// All endpoints leave an instance unanswered, while it reaches the store and the other instances.
+TEST_GROUP(AnInstanceThatReachesNoEndpoint)
+{
+    RelayTestBed bed;
+    std::size_t answeredChecks = 0;
+    std::size_t answeredReports = 0;
+
+    /// Lets time pass in which nothing that the instance asks of endpoints is answered.
+    void advance(Ms duration)
+    {
+        constexpr Ms Step{50};
+        for (Ms elapsed{0}; elapsed < duration; elapsed += Step) {
+            for (; answeredChecks < bed.driver.checks.size(); ++answeredChecks) {
+                bed.kernel.onCheck(bed.now, bed.driver.checks[answeredChecks], CheckOutcome::Unreachable);
+            }
+            for (; answeredReports < bed.driver.reportRequests.size(); ++answeredReports) {
+                bed.kernel.onReport(bed.now, bed.driver.reportRequests[answeredReports], std::nullopt);
+            }
+            bed.advance(Step);
+        }
+    }
+
+    std::size_t reportedCrashes() const
+    {
+        std::size_t reported = 0;
+        for (const wire::RelayDigest &digest : bed.driver.digests) {
+            reported += digest.crashReports.size();
+        }
+        return reported;
+    }
+};
+
+/// Guards against an instance that is cut off from endpoints making evidence out of its own cut, which the others would reject sound requests for.
+TEST(AnInstanceThatReachesNoEndpoint, blamesNoRequestForThat)
+{
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        bed.call(i % 2 == 0 ? "/book/x" : "/stream/x", "key-a", Ms(1000), 777 + i % 2);
+        if (bed.driver.sent.size() > i / 2) {
+            bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+        }
+        advance(Ms(200));
+    }
+    LONGS_EQUAL(0, reportedCrashes());
+    LONGS_EQUAL(0, bed.kernel.quarantine(bed.now).size());
+}
