--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -98,6 +98,15 @@
     {OrderOutcome::NoAnswer, "no_answer"},
 }};
 
+/// A check whether an endpoint is there.
+struct EndpointCheck {
+    /// Id and IP:port of the endpoint.
+    std::string endpoint;
+    std::string address;
+    /// URL path of its health check; empty if it gives reports, which are to be asked for instead: they need no room.
+    std::string healthPath;
+};
+
 /// What a check of an endpoint has found at its address.
 enum class CheckOutcome {
     /// The endpoint answered; perhaps in a later incarnation under the same id.
@@ -162,9 +171,8 @@
     virtual void breakStream(CallId call) = 0;
     /// Requests an endpoint's report; the result goes to RelayKernel::onReport().
     virtual void readReport(const std::string &endpoint, const std::string &address) = 0;
-    /// Asks an endpoint, over a new connection, whether it is there; the result goes to RelayKernel::onCheck(). `healthPath` is the URL path of its health
-    /// check.
-    virtual void checkEndpoint(const std::string &endpoint, const std::string &address, const std::string &healthPath) = 0;
+    /// Asks an endpoint over a new connection; the result goes to RelayKernel::onCheck().
+    virtual void checkEndpoint(const EndpointCheck &check) = 0;
     /// Sends a placement order; the result goes to RelayKernel::onOrderAnswer().
     virtual void sendOrder(const PlacementOrder &order) = 0;
     /// Sends a detour to the first stage; the result goes to RelayKernel::onDetourAnswer().
--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -72,6 +72,8 @@
     double requestLimit = 0;
     /// The endpoint says that it is leaving: it finishes its open requests and must get no new ones.
     bool leaving = false;
+    /// The answer came over a connection that was made for this attempt.
+    bool isOnNewConnection = true;
     /// Time from the answer in which the endpoint wants no request from this instance; zero if it names none.
     Ms retryAfter{0};
 };
@@ -107,7 +109,7 @@
     std::uint64_t streamsEnded = 0;
     /// Reports that were requested from endpoints, except by the planner for orders that are not yet known to be carried out.
     std::uint64_t reports = 0;
-    /// Checks of endpoints without reports.
+    /// Checks of endpoints over new connections.
     std::uint64_t checks = 0;
     /// Placement orders that were answered or timed out.
     std::uint64_t orders = 0;
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -152,7 +152,7 @@
     const bool hasBegun = call.route->kind == RequestKind::Stream && call.lastEvent > 0;
     if (!hasBegun) {
         driver.record({"crash_suspected", call.requestId, endpoints.at(endpoint).entry.id, suspectText(call)});
-        crashGuard.onBroken(call.signatures, endpoint, now);
+        crashGuard.onBroken(call.signatures, endpoint, reach.isCutOff(), now);
         requestSign(now, endpoint);
     }
 }
@@ -319,6 +319,7 @@
                : failure == AttemptFailure::TimedOut ? " did not answer in time"
                                                      : " broke off");
     impl_->driver.record({"attempt_failed", call->requestId, impl_->endpoints.at(first).entry.id, progress.empty() ? detail : detail + "; " + progress});
+    impl_->reach.onFailed(first, now);
     if (failure == AttemptFailure::Broken) {
         impl_->suspectCrash(now, *call, first);
     }
--- a/libs/relay/src/CrashGuard.cpp
+++ b/libs/relay/src/CrashGuard.cpp
@@ -32,13 +32,20 @@
     processHash_ = base::hashOf(settings.instance);
 }
 
-void CrashGuard::onBroken(Signatures signatures, EndpointIndex endpoint, Instant now)
+void CrashGuard::onBroken(Signatures signatures, EndpointIndex endpoint, bool isCutOff, Instant now)
 {
     if (brokenAttempts_.size() >= MaxBrokenAttempts) {
         droppedAttempts_.push_back({brokenAttempts_.front().endpoint, std::nullopt});
         brokenAttempts_.pop_front();
     }
-    brokenAttempts_.push_back({{signatures.begin(), signatures.end()}, endpoint, endpoints_.at(endpoint).entry.incarnation, now});
+    brokenAttempts_.push_back({{signatures.begin(), signatures.end()}, endpoint, endpoints_.at(endpoint).entry.incarnation, now, isCutOff});
+}
+
+void CrashGuard::distrustSince(Instant since)
+{
+    for (BrokenAttempt &broken : brokenAttempts_) {
+        broken.isCutOff = broken.isCutOff || broken.brokenAt >= since;
+    }
 }
 
 void CrashGuard::onServed(Signatures signatures, Instant now)
@@ -54,11 +61,11 @@
     news_.refutations.insert(news_.refutations.end(), refutations.begin(), refutations.end());
 }
 
-std::vector<SettledAttempt> CrashGuard::tick(Instant now)
+std::vector<SettledAttempt> CrashGuard::tick(bool mayInfer, Instant now)
 {
     std::vector<SettledAttempt> settled = std::exchange(droppedAttempts_, {});
     std::erase_if(brokenAttempts_, [&](const BrokenAttempt &broken) {
-        const std::optional<CrashSign> sign = signOf(broken);
+        const std::optional<CrashSign> sign = signOf(broken, mayInfer);
         if (!sign && now < broken.brokenAt + ConfirmTimeout) {
             return false;
         }
@@ -71,7 +78,7 @@
     return settled;
 }
 
-std::optional<CrashSign> CrashGuard::signOf(const BrokenAttempt &broken) const
+std::optional<CrashSign> CrashGuard::signOf(const BrokenAttempt &broken, bool mayInfer) const
 {
     const EndpointState &state = endpoints_.at(broken.endpoint);
     if (state.entry.incarnation > broken.incarnation) {
@@ -80,6 +87,9 @@
     if (!state.listed && !state.entry.draining) {
         return CrashSign::Unlisted;
     }
+    if (!mayInfer || broken.isCutOff) {
+        return std::nullopt;
+    }
     if (state.foundGoneAt >= broken.brokenAt) {
         return CrashSign::Gone;
     }
--- a/libs/relay/src/Digests.cpp
+++ b/libs/relay/src/Digests.cpp
@@ -24,6 +24,12 @@
         digest.crashReports = news.reports;
         digest.crashRefutations = news.refutations;
         digest.crashProbes = news.probes;
+        if (reach.isInDoubt()) {
+            // What this instance finds of endpoints may be due to its own network.
+            digest.silent.clear();
+            digest.slow.clear();
+            digest.failing.clear();
+        }
         digest.limits = limits.reports(digest.scope == wire::DigestScope::Instance, now);
         digest.configVersion = known.configVersion;
         digest.endpointsHash = now - known.endpointsAt < UpdateLifetime ? known.endpointsHash : 0;
@@ -61,7 +67,7 @@
 
 void RelayKernel::Impl::checkCrashes(Instant now)
 {
-    for (const SettledAttempt &attempt : crashGuard.tick(now)) {
+    for (const SettledAttempt &attempt : crashGuard.tick(!reach.isInDoubt(), now)) {
         const std::string &endpoint = endpoints.at(attempt.endpoint).entry.id;
         if (!attempt.sign) {
             driver.record({"crash_unconfirmed", "", endpoint, "a broken attempt is forgotten, since the endpoint has shown no sign of a crash"});
--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -34,48 +34,13 @@
     driver.readReport(state.entry.id, state.entry.address);
 }
 
-void RelayKernel::Impl::requestSign(Instant now, EndpointIndex index, Ms period)
-{
-    EndpointState &state = endpoints.at(index);
-    if (!state.entry.accelerator.empty()) {
-        return requestReport(now, index, period);
-    }
-    if (!config || state.reportPending || now < state.reportRequestedAt + period) {
-        return;
-    }
-    const auto service = std::find_if(config->services.begin(), config->services.end(), [&](const Service &each) { return each.name == state.entry.service; });
-    if (service == config->services.end()) {
-        return;
-    }
-    state.reportPending = true;
-    state.reportRequestedAt = now;
-    ++counters.checks;
-    driver.checkEndpoint(state.entry.id, state.entry.address, service->healthPath);
-}
-
-void RelayKernel::onCheck(Instant now, const std::string &endpoint, CheckOutcome outcome)
-{
-    const auto index = impl_->endpoints.find(endpoint);
-    if (!index) {
-        return;
-    }
-    EndpointState &state = impl_->endpoints.at(*index);
-    state.reportPending = false;
-    if (outcome == CheckOutcome::Answered) {
-        state.answeredAt = now;
-    } else if (outcome != CheckOutcome::NoAnswer) {
-        state.foundGoneAt = now;
-    }
-    impl_->driver.record({"endpoint_checked", "", endpoint, std::string(base::nameIn(CheckOutcomeNames, outcome))});
-}
-
 void RelayKernel::Impl::checkSilentEndpoints(Instant now)
 {
     const bool isVerifier = peers.isVerifier(now);
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         EndpointState &state = endpoints.at(i);
         if (state.listed && state.silentCheckAt.count() != 0 && now >= state.silentCheckAt) {
-            requestReport(now, i, isVerifier ? MinReportPeriod : UserReportPeriod);
+            requestSign(now, i, isVerifier ? MinReportPeriod : UserReportPeriod);
         }
     }
 }
@@ -164,6 +129,7 @@
     EndpointState &state = impl_->endpoints.at(*index);
     state.reportPending = false;
     if (!report) {
+        impl_->reach.onFailed(*index, now);
         if (state.silentCheckAt.count() == 0) {
             impl_->markSilent(now, *index, "", "no answer to a question for its state");
         } else {
@@ -172,6 +138,7 @@
         impl_->planner.onReport(now, *index, false);
         return;
     }
+    impl_->onHeard(now, *index, false);
     const double slowdownBefore = state.slowdown;
     impl_->endpoints.onReport(*index, *report, now);
     if ((state.slowdown >= MinSlowdown) != (slowdownBefore >= MinSlowdown)) {
--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -122,10 +122,8 @@
 
 void EndpointRegistry::onReport(EndpointIndex index, const EndpointReport &report, Instant now)
 {
+    endSilence(index);
     EndpointState &state = states_[index];
-    state.silentCheckAt = Instant{0};
-    state.silenceCount = 0;
-    state.heldUntil = Instant{0};
     state.slowdown = std::max(1.0, report.slowdown);
     state.loading = report.loading;
     if (report.incarnation < state.entry.incarnation) {
@@ -142,6 +140,14 @@
     state.entry.modelVersion = report.modelVersion;
 }
 
+void EndpointRegistry::endSilence(EndpointIndex index)
+{
+    EndpointState &state = states_[index];
+    state.silentCheckAt = Instant{0};
+    state.silenceCount = 0;
+    state.heldUntil = Instant{0};
+}
+
 void EndpointRegistry::setSilent(EndpointIndex index, Instant now)
 {
     EndpointState &state = states_[index];
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -33,6 +33,7 @@
     peers.configure(settings);
     storeDuty.configure(settings);
     crashGuard.configure(settings);
+    reach.configure(settings.seed);
 }
 
 std::uint64_t RelayKernel::Impl::nextRandom()
@@ -69,6 +70,7 @@
     endpoints.endGracePeriods(now);
     checkSilentEndpoints(now);
     checkSlowEndpoints(now);
+    checkReach(now);
     checkCrashes(now);
     updateLimitShare(now);
     retries.onInstances(peers.mostInstances(now), now);
@@ -264,7 +266,7 @@
         return; // Perhaps another endpoint has answered, at an address that is in use again.
     }
     const EndpointIndex first = found->second.stages.front();
-    impl_->endpoints.at(first).answeredAt = now;
+    impl_->onHeard(now, first, head.isOnNewConnection);
     if (head.leaving) {
         impl_->onLeaving(first, impl_->incarnationOf(attempt), "in an answer to this instance");
     }
@@ -285,6 +287,7 @@
     if (call == nullptr) {
         return;
     }
+    impl_->onHeard(now, impl_->attempts.at(attempt).stages.front(), head.isOnNewConnection);
     if (call->route->kind == RequestKind::Stream) {
         impl_->onStreamRefused(now, *call, attempt, head);
     } else {
--- a/libs/relay/src/details/CrashGuard.h
+++ b/libs/relay/src/details/CrashGuard.h
@@ -83,14 +83,18 @@
     void configure(const RelaySettings &settings);
 
     /// Records that the endpoint may have crashed on a request with these signatures: the attempt has lost its connection to the endpoint, or the endpoint
-    /// has fallen silent.
-    void onBroken(Signatures signatures, EndpointIndex endpoint, Instant now);
+    /// has fallen silent. If this instance is cut off from all endpoints, that alone doesn't show a crash.
+    void onBroken(Signatures signatures, EndpointIndex endpoint, bool isCutOff, Instant now);
+
+    /// Takes that this instance has been cut off from all endpoints since that time: what broke off since then shows no crash by itself.
+    void distrustSince(Instant since);
 
     /// Refutes all that speaks against these signatures, since an endpoint has begun to answer such a request.
     void onServed(Signatures signatures, Instant now);
 
-    /// Confirms or drops the broken attempts that wait for confirmation; returns those.
-    std::vector<SettledAttempt> tick(Instant now);
+    /// Confirms or drops the broken attempts that wait for confirmation; returns those. While `mayInfer` is false, crashes aren't inferred from what endpoints
+    /// don't do: this instance may be cut off from them.
+    std::vector<SettledAttempt> tick(bool mayInfer, Instant now);
 
     /// Returns the endpoints that are taken for crashed without proof: a sign of life of them is wanted.
     std::vector<EndpointIndex> doubtfulEndpoints() const;
@@ -136,6 +140,8 @@
         EndpointIndex endpoint = 0;
         std::uint64_t incarnation = 0;
         Instant brokenAt{0};
+        /// This instance was cut off from all endpoints then.
+        bool isCutOff = false;
     };
     /// A crash that was inferred from what an endpoint doesn't do, with the incarnation that the endpoint had then.
     struct InferredCrash {
@@ -152,7 +158,7 @@
     /// Adds a suspicion, unless a request with the signature has begun since the crash; returns true if it is new.
     bool suspect(std::uint64_t signature, const CrashEvidence::Suspicion &suspicion, Instant now);
     /// Returns the sign by which the endpoint of a broken attempt is known to have crashed since; none if there is none.
-    std::optional<CrashSign> signOf(const BrokenAttempt &broken) const;
+    std::optional<CrashSign> signOf(const BrokenAttempt &broken, bool mayInfer) const;
     /// Adds the suspicions that follow from a broken attempt whose endpoint has crashed; returns the new ones.
     std::vector<wire::CrashReport> confirm(const BrokenAttempt &broken, CrashSign sign, Instant now);
     /// Infers a crash from a broken attempt, and remembers it until the endpoint shows whether it has happened. Returns the number of the inference: that of
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -99,7 +99,11 @@
     /// Takes an endpoint's own report and ends its mark as silent. A report of an older incarnation than the listed one changes no layers.
     void onReport(EndpointIndex index, const EndpointReport &report, Instant now);
 
-    /// Marks the endpoint as silent: it gets no new work until it has reported. Each mark in a row delays the next report request further.
+    /// Ends the mark as silent of an endpoint that gives no reports, since it has answered.
+    void endSilence(EndpointIndex index);
+
+    /// Marks the endpoint as silent: it gets no new work until it has reported, or answered if it gives no reports. Each mark in a row delays the next report
+    /// request further.
     void setSilent(EndpointIndex index, Instant now);
 
     /// Takes note that the endpoint has refused work without running it, for lack of capacity or since it is leaving. If it refuses most of what it is sent, it
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -2,6 +2,7 @@
 
 #include "details/CrashGuard.h"
 #include "details/EndpointList.h"
+#include "details/EndpointReach.h"
 #include "details/EndpointRegistry.h"
 #include "details/PeerLoads.h"
 #include "details/PlannerDuty.h"
@@ -130,7 +131,7 @@
 };
 
 /// State of the kernel. Its functions are defined in several files: Admission, Calls, PlainCalls, StreamCalls, StreamMoves, Candidates, Detours,
-/// EndpointHealth, Digests and RelayKernel.
+/// EndpointHealth, ReachChecks, Digests and RelayKernel.
 struct RelayKernel::Impl {
     Impl(RelaySettings relaySettings, RelayDriver &relayDriver);
     /// Passes the settings on to the parts.
@@ -216,6 +217,8 @@
     void requestReport(Instant now, EndpointIndex index, Ms period = Ms(120));
     /// Looks for a sign of life of an endpoint that may have crashed: by its report, or by a check if it gives none. Limited like requestReport().
     void requestSign(Instant now, EndpointIndex index, Ms period = Ms(120));
+    /// Checks an endpoint over a new connection.
+    void checkDirectly(EndpointIndex endpoint);
     /// Marks an endpoint as silent and moves the streams that pass through it; the evidence is written to the log.
     void markSilent(Instant now, EndpointIndex index, const std::string &requestId, const std::string &evidence);
     /// Takes the loads, crash reports and endpoint states that another instance has sent.
@@ -241,6 +244,17 @@
     /// Asks an endpoint that another instance has marked as silent for its report, or gives it no new work for now.
     void onSilenceReported(Instant now, const wire::RelayDigest &digest, const wire::SilentEndpoint &silent);
 
+    // Reach: whether this instance is cut off from all endpoints.
+    /// Returns the listed endpoints that aren't leaving.
+    std::vector<EndpointIndex> endpointsInService() const;
+    /// Takes note that an endpoint has answered.
+    void onHeard(Instant now, EndpointIndex endpoint, bool isOnNewConnection);
+    /// Decides whether this instance is cut off, and makes the checks that this takes.
+    void checkReach(Instant now);
+    /// Does what follows from the beginning and the end of a cut.
+    void onCutOff(Instant now);
+    void onReachAgain(Instant now);
+
     // Calls to services without layers.
     /// Dispatches a call to the endpoint with the lowest estimated cost, or fails it if none is usable.
     void startPlain(Instant now, Call &call);
@@ -342,6 +356,7 @@
     /// When this instance's share of the endpoints' limits was last computed.
     Instant shareUpdatedAt{0};
     CrashGuard crashGuard;
+    EndpointReach reach;
     RelayCounters counters;
 
     /// The configuration in use; null before the first.
--- a/libs/relay/tests/CrashEvidenceTests.cpp
+++ b/libs/relay/tests/CrashEvidenceTests.cpp
@@ -358,12 +358,14 @@
     for (int i = 0; i < 3; ++i) {
         bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
         lost.push_back(bed.driver.sent.back().endpoint);
+        bed.unreachable.insert(lost.back());
         bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
         bed.kernel.onReport(bed.now, lost.back(), std::nullopt);
         bed.advance(Ms(100));
     }
     bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
     LONGS_EQUAL(3, bed.driver.sent.size());
+    bed.unreachable.clear();
     for (const std::string &endpoint : lost) {
         EndpointReport report;
         report.incarnation = 1;
--- a/libs/relay/tests/CrashSignTests.cpp
+++ b/libs/relay/tests/CrashSignTests.cpp
@@ -37,8 +37,8 @@
     for (int i = 0; i < 3; ++i) {
         const std::string endpoint = crashOne();
         STRCMP_EQUAL(endpoint.c_str(), bed.driver.checks.back().c_str());
-        bed.kernel.onCheck(bed.now, endpoint, CheckOutcome::Unreachable);
-        bed.advance(Ms(100), false);
+        bed.unreachable.insert(endpoint);
+        bed.advance(Ms(300), false);
     }
     bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
     LONGS_EQUAL(3, bed.driver.sent.size());
@@ -48,9 +48,8 @@
 TEST(ARequestThatCrashesPlainEndpoints, isNotMistakenForOneWhoseEndpointsAnswerAfterwards)
 {
     for (int i = 0; i < 3; ++i) {
-        const std::string endpoint = crashOne();
-        bed.kernel.onCheck(bed.now, endpoint, CheckOutcome::Answered);
-        bed.advance(Ms(100));
+        crashOne();
+        bed.advance(Ms(300));
     }
     bed.advance(Ms(10000));
     bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
@@ -60,17 +59,15 @@
 /// Guards against a verdict that stands although its endpoints turn out to have been out of reach only.
 TEST(ARequestThatCrashesPlainEndpoints, isNotMistakenForOneWhoseEndpointsWereOutOfReach)
 {
-    std::vector<std::string> lost;
     for (int i = 0; i < 3; ++i) {
-        lost.push_back(crashOne());
-        bed.kernel.onCheck(bed.now, lost.back(), CheckOutcome::Unreachable);
-        bed.advance(Ms(100));
+        bed.unreachable.insert(crashOne());
+        bed.advance(Ms(300));
     }
     bed.advance(Ms(1500));
-    for (const std::string &endpoint : lost) {
-        bed.kernel.onCheck(bed.now, endpoint, CheckOutcome::Answered);
-    }
-    bed.advance(Ms(3000));
+    bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+    LONGS_EQUAL(3, bed.driver.sent.size());
+    bed.unreachable.clear();
+    bed.advance(Ms(5000));
     bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
     LONGS_EQUAL(4, bed.driver.sent.size());
 }
@@ -102,15 +99,13 @@
 TEST(ARequestThatCrashesPlainEndpoints, isRejectedAlthoughItWasWronglyBlamedBefore)
 {
     for (int i = 0; i < 3; ++i) {
-        const std::string endpoint = crashOne();
-        bed.kernel.onCheck(bed.now, endpoint, CheckOutcome::Unreachable);
+        bed.unreachable.insert(crashOne());
         bed.advance(Ms(500));
-        bed.kernel.onCheck(bed.now, endpoint, CheckOutcome::Answered);
-        bed.advance(Ms(4000));
+        bed.unreachable.clear();
+        bed.advance(Ms(5000));
     }
     for (int i = 0; i < 3; ++i) {
-        const std::string endpoint = crashOne();
-        bed.kernel.onCheck(bed.now, endpoint, CheckOutcome::Unreachable);
+        bed.unreachable.insert(crashOne());
         bed.advance(Ms(500));
     }
     LONGS_EQUAL(6, bed.driver.sent.size());
@@ -136,17 +131,16 @@
 TEST_GROUP(AnInstanceThatReachesNoEndpoint)
 {
     RelayTestBed bed;
-    std::size_t answeredChecks = 0;
     std::size_t answeredReports = 0;
 
     /// Lets time pass in which nothing that the instance asks of endpoints is answered.
     void advance(Ms duration)
     {
+        for (const EndpointEntry &entry : bed.entries) {
+            bed.unreachable.insert(entry.id);
+        }
         constexpr Ms Step{50};
         for (Ms elapsed{0}; elapsed < duration; elapsed += Step) {
-            for (; answeredChecks < bed.driver.checks.size(); ++answeredChecks) {
-                bed.kernel.onCheck(bed.now, bed.driver.checks[answeredChecks], CheckOutcome::Unreachable);
-            }
             for (; answeredReports < bed.driver.reportRequests.size(); ++answeredReports) {
                 bed.kernel.onReport(bed.now, bed.driver.reportRequests[answeredReports], std::nullopt);
             }
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -3,6 +3,7 @@
 #include "relay/RelayKernel.h"
 
 #include <algorithm>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -53,9 +54,9 @@
     {
         reportRequests.push_back(endpoint);
     }
-    void checkEndpoint(const std::string &endpoint, const std::string &, const std::string &) override
+    void checkEndpoint(const relay::EndpointCheck &check) override
     {
-        checks.push_back(endpoint);
+        checks.push_back(check.endpoint);
     }
     void sendOrder(const relay::PlacementOrder &order) override
     {
@@ -331,6 +332,16 @@
                 kernel.onEndpoints(now, entries, {storeEpoch, ++storeRevision});
             }
             kernel.onTick(now);
+            answerChecks();
+        }
+    }
+
+    /// Answers the checks that the kernel has made, as the endpoints would.
+    void answerChecks()
+    {
+        for (; answeredChecks < driver.checks.size(); ++answeredChecks) {
+            const std::string &endpoint = driver.checks[answeredChecks];
+            kernel.onCheck(now, endpoint, unreachable.contains(endpoint) ? relay::CheckOutcome::Unreachable : relay::CheckOutcome::Answered);
         }
     }
 
@@ -350,6 +361,9 @@
         deskEntry("desk-b", "zone-b"),
         deskEntry("desk-c", "zone-c"),
     };
+    /// Endpoints at whose addresses a check finds nothing.
+    std::set<std::string> unreachable;
+    std::size_t answeredChecks = 0;
     std::uint64_t storeRevision = 0;
     /// Epoch of the store in advance().
     std::uint64_t storeEpoch = 0;
--- a/libs/relay/tests/InstanceFleet.cpp
+++ b/libs/relay/tests/InstanceFleet.cpp
@@ -178,6 +178,10 @@
             report.layers = endpoint.entry.layers;
             instance->kernel->onReport(now, endpoint.entry.id, report);
         }
+        for (; instance->answeredChecks < instance->driver.checks.size(); ++instance->answeredChecks) {
+            const Endpoint &endpoint = endpointOf(instance->driver.checks[instance->answeredChecks]);
+            instance->kernel->onCheck(now, endpoint.entry.id, endpoint.downUntil.count() != 0 ? CheckOutcome::Unreachable : CheckOutcome::Answered);
+        }
     }
 }
 
--- a/libs/relay/tests/InstanceFleet.h
+++ b/libs/relay/tests/InstanceFleet.h
@@ -45,6 +45,7 @@
         std::size_t deliveredDigests = 0;
         std::size_t processedDispatches = 0;
         std::size_t answeredReports = 0;
+        std::size_t answeredChecks = 0;
         std::size_t processedRejections = 0;
         /// No digest reaches it or leaves it.
         bool isCutOff = false;
--- a/libs/relay/tests/VirtualInstance.cpp
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -260,8 +260,9 @@
         [this, endpoint](const auto &report) { self().kernel->onReport(fleet_.time_.now(), endpoint, report); });
 }
 
-void VirtualFleet::Driver::checkEndpoint(const std::string &endpoint, const std::string &, const std::string &)
+void VirtualFleet::Driver::checkEndpoint(const relay::EndpointCheck &check)
 {
+    const std::string endpoint = check.endpoint;
     const auto serve = [this, endpoint]() -> std::optional<relay::CheckOutcome> {
         const Endpoint *checked = fleet_.endpointNamed(endpoint);
         if (checked == nullptr || (!checked->alive && !checked->silent)) {
--- a/libs/relay/tests/VirtualInstance.h
+++ b/libs/relay/tests/VirtualInstance.h
@@ -45,7 +45,7 @@
     void endStream(relay::CallId call, relay::AttemptId attempt) override;
     void breakStream(relay::CallId call) override;
     void readReport(const std::string &endpoint, const std::string &address) override;
-    void checkEndpoint(const std::string &endpoint, const std::string &address, const std::string &healthPath) override;
+    void checkEndpoint(const relay::EndpointCheck &check) override;
     void sendOrder(const relay::PlacementOrder &order) override;
     void sendDetour(const relay::Detour &detour) override;
     void readLease() override;
--- a/libs/relayhost/include/relayhost/Dialect.h
+++ b/libs/relayhost/include/relayhost/Dialect.h
@@ -53,8 +53,8 @@
     virtual std::optional<relay::EndpointReport> decodeReport(const net::HttpResponse &response) const = 0;
     /// Returns the request for the health check, at that URL path, of the endpoint with this id.
     virtual net::HttpRequest encodeHealthRequest(const std::string &endpoint, const std::string &path) const = 0;
-    /// Returns whether the answer to a health check comes from that endpoint, however healthy it is.
-    virtual bool isHealthOf(const std::string &endpoint, const net::HttpResponse &response) const = 0;
+    /// Returns whether the answer to a health check or a report request comes from that endpoint, however healthy it is.
+    virtual bool isFromEndpoint(const std::string &endpoint, const net::HttpResponse &response) const = 0;
     /// Returns the request that carries a placement order.
     virtual net::HttpRequest encodeOrder(const relay::PlacementOrder &order) const = 0;
     /// Returns the outcome of a placement order or a detour by the HTTP status of its answer.
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -107,6 +107,7 @@
     relay::AnswerHead head = dialect_.decodeAnswer(attempt.status, attempt.headers, requestId);
     const bool mayAnswerAnother = attempt.isOnKeptConnection && dialect_.answerIdOf(attempt.headers, requestId) != AnswerId::Own;
     head.notRun = head.notRun && !mayAnswerAnother;
+    head.isOnNewConnection = !attempt.isOnKeptConnection;
     return head;
 }
 
@@ -288,15 +289,16 @@
         [this, endpoint](net::CallFailure) { kernel_.onReport(now(), endpoint, std::nullopt); });
 }
 
-void RelayHost::checkEndpoint(const std::string &endpoint, const std::string &address, const std::string &healthPath)
+void RelayHost::checkEndpoint(const relay::EndpointCheck &check)
 {
+    const std::string endpoint = check.endpoint;
     sendEndpointRequest(
-        address,
-        dialect_.encodeHealthRequest(endpoint, healthPath),
+        check.address,
+        check.healthPath.empty() ? dialect_.encodeReportRequest(endpoint) : dialect_.encodeHealthRequest(endpoint, check.healthPath),
         ReportTimeout,
         true,
         [this, endpoint](const net::HttpResponse &response) {
-            kernel_.onCheck(now(), endpoint, dialect_.isHealthOf(endpoint, response) ? relay::CheckOutcome::Answered : relay::CheckOutcome::Replaced);
+            kernel_.onCheck(now(), endpoint, dialect_.isFromEndpoint(endpoint, response) ? relay::CheckOutcome::Answered : relay::CheckOutcome::Replaced);
         },
         [this, endpoint](net::CallFailure failure) {
             const bool isConnected = failure != net::CallFailure::NotSent;
