--- a/libs/relay/tests/CrashSignTests.cpp
+++ b/libs/relay/tests/CrashSignTests.cpp
@@ -1,5 +1,7 @@
 #include "FakeDriver.h"
 
+#include "base/Hash.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace relay;
@@ -127,6 +129,44 @@
     LONGS_EQUAL(3, bed.driver.sent.size());
 }
 
+/// Another instance, which is cut off from some endpoints only, infers that they have crashed on a request, and says so.
+TEST_GROUP(AnInstanceThatHearsOfCrashes)
+{
+    static constexpr std::uint64_t Fingerprint = 777;
+
+    RelayTestBed bed;
+
+    void hearOfCrashes()
+    {
+        wire::RelayDigest digest;
+        digest.instance = "two";
+        std::uint64_t inference = 90;
+        for (const char *desk : {"desk-a", "desk-b", "desk-c"}) {
+            digest.crashReports.push_back({Fingerprint, base::mixBits(base::hashOf(desk) ^ 1), Ms(0), ++inference});
+        }
+        bed.kernel.onPeerMessage(bed.now, digest);
+    }
+};
+
+/// Guards against sound requests being rejected everywhere because one instance has lost its way to some endpoints.
+TEST(AnInstanceThatHearsOfCrashes, rejectsNoRequestIfTheEndpointsAnswerIt)
+{
+    hearOfCrashes();
+    bed.advance(Ms(200));
+    bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+    LONGS_EQUAL(1, bed.driver.sent.size());
+}
+
+/// Guards against true evidence being doubted for long.
+TEST(AnInstanceThatHearsOfCrashes, rejectsTheRequestIfNothingIsFoundThere)
+{
+    bed.unreachable = {"desk-a", "desk-b", "desk-c"};
+    hearOfCrashes();
+    bed.advance(Ms(200));
+    bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+    LONGS_EQUAL(0, bed.driver.sent.size());
+}
+
 /// All endpoints leave an instance unanswered, while it reaches the store and the other instances.
 TEST_GROUP(AnInstanceThatReachesNoEndpoint)
 {
