--- a/libs/relay/src/CrashEvidence.cpp
+++ b/libs/relay/src/CrashEvidence.cpp
@@ -1,6 +1,7 @@
 #include "details/CrashEvidence.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace relay {
 
@@ -36,6 +37,11 @@
 }
 
 CrashEvidence::Suspicion *CrashEvidence::find(std::uint64_t signature, std::uint64_t crash, std::uint64_t inference)
+{
+    return const_cast<Suspicion *>(std::as_const(*this).find(signature, crash, inference));
+}
+
+const CrashEvidence::Suspicion *CrashEvidence::find(std::uint64_t signature, std::uint64_t crash, std::uint64_t inference) const
 {
     const auto found = suspicions_.find(signature);
     if (found == suspicions_.end()) {
@@ -151,6 +157,11 @@
     return refuted == found->second.end() ? std::nullopt : std::optional(wire::CrashRefutation{signature, crash, refuted->inference});
 }
 
+bool CrashEvidence::isKnown(std::uint64_t signature, const Suspicion &suspicion) const
+{
+    return find(signature, suspicion.crash, suspicion.inference) != nullptr;
+}
+
 const CrashEvidence::Conviction *CrashEvidence::conviction(std::uint64_t signature) const
 {
     if (convictions_.empty()) {
--- a/libs/relay/src/CrashGuard.cpp
+++ b/libs/relay/src/CrashGuard.cpp
@@ -24,6 +24,17 @@
 /// A request with several convicted signatures tells little about each of them: it is probed only after this multiple of the interval.
 constexpr int AmbiguousProbeFactor = 3;
 
+/// Time in which an endpoint that lives answers another instance that asks it after a report. No process that has crashed is back so soon.
+constexpr Ms VerifyTimeout{500};
+/// Further reports count at once.
+constexpr std::size_t MaxUnverifiedReports = 1024;
+
+/// Returns the number of a crash, by which all instances name it alike.
+std::uint64_t crashOf(const std::string &endpoint, std::uint64_t incarnation)
+{
+    return base::mixBits(base::hashOf(endpoint) ^ incarnation);
+}
+
 } // namespace
 
 void CrashGuard::configure(const RelaySettings &settings)
@@ -73,6 +84,7 @@
         return true;
     });
     refuteWrongCrashes(now);
+    settleUnverified(now);
     evidence_.expire(now);
     std::erase_if(probedAt_, [&](const auto &entry) { return now >= entry.second + ProbeTimeout; });
     return settled;
@@ -98,7 +110,7 @@
 
 std::vector<wire::CrashReport> CrashGuard::confirm(const BrokenAttempt &broken, CrashSign sign, Instant now)
 {
-    const std::uint64_t crash = base::mixBits(base::hashOf(endpoints_.at(broken.endpoint).entry.id) ^ broken.incarnation);
+    const std::uint64_t crash = crashOf(endpoints_.at(broken.endpoint).entry.id, broken.incarnation);
     const std::uint64_t inference = sign == CrashSign::Restarted ? 0 : infer(broken, crash, now);
     std::vector<wire::CrashReport> reports;
     for (const std::uint64_t signature : broken.signatures) {
@@ -152,6 +164,9 @@
 std::vector<EndpointIndex> CrashGuard::doubtfulEndpoints() const
 {
     std::vector<EndpointIndex> doubtful;
+    for (const UnverifiedReport &report : unverifiedReports_) {
+        doubtful.push_back(report.endpoint);
+    }
     for (const InferredCrash &inferred : inferredCrashes_) {
         if (inferred.answeredAt.count() == 0) {
             doubtful.push_back(inferred.endpoint);
@@ -180,7 +195,50 @@
         news_.refutations.push_back(*refutation);
         return false;
     }
-    return suspect(report.signature, {report.crash, report.inference, now - Instant(report.age)}, now);
+    const CrashEvidence::Suspicion suspicion{report.crash, report.inference, now - Instant(report.age)};
+    const auto endpoint = report.inference != 0 ? endpointOf(report.crash) : std::nullopt;
+    if (!endpoint || unverifiedReports_.size() >= MaxUnverifiedReports) {
+        return suspect(report.signature, suspicion, now);
+    }
+    const auto isSame = [&](const UnverifiedReport &known) {
+        return known.signature == report.signature && known.suspicion.crash == report.crash && known.suspicion.inference == report.inference;
+    };
+    const bool isKnown = evidence_.isKnown(report.signature, suspicion) || std::any_of(unverifiedReports_.begin(), unverifiedReports_.end(), isSame);
+    if (!isKnown) {
+        unverifiedReports_.push_back({report.signature, suspicion, *endpoint, now});
+    }
+    return !isKnown;
+}
+
+std::optional<EndpointIndex> CrashGuard::endpointOf(std::uint64_t crash) const
+{
+    for (EndpointIndex i = 0; i < endpoints_.size(); ++i) {
+        const EndpointState &state = endpoints_.at(i);
+        if (state.listed && crashOf(state.entry.id, state.entry.incarnation) == crash) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+void CrashGuard::settleUnverified(Instant now)
+{
+    std::erase_if(unverifiedReports_, [&](const UnverifiedReport &report) {
+        const EndpointState &state = endpoints_.at(report.endpoint);
+        const bool isSameIncarnation = crashOf(state.entry.id, state.entry.incarnation) == report.suspicion.crash;
+        if (isSameIncarnation && state.answeredAt > report.receivedAt) {
+            const wire::CrashRefutation refutation{report.signature, report.suspicion.crash, report.suspicion.inference};
+            evidence_.refute(refutation, now);
+            news_.refutations.push_back(refutation);
+            return true;
+        }
+        const bool isConfirmed = !isSameIncarnation || !state.listed || state.foundGoneAt >= report.receivedAt || state.silentCheckAt.count() != 0;
+        if (!isConfirmed && now < report.receivedAt + VerifyTimeout) {
+            return false;
+        }
+        suspect(report.signature, report.suspicion, now);
+        return true;
+    });
 }
 
 bool CrashGuard::onRefutation(const wire::CrashRefutation &refutation, Instant now)
--- a/libs/relay/src/Digests.cpp
+++ b/libs/relay/src/Digests.cpp
@@ -8,8 +8,8 @@
 
 /// A digest names the endpoint list only if the list was known to be current no longer ago than this.
 constexpr Ms UpdateLifetime{1000};
-/// A sign of life is looked for once in this period of an endpoint that is taken for crashed without proof.
-constexpr Ms DoubtPeriod{1000};
+/// A sign of life of an endpoint that is taken for crashed without proof is looked for once in this period.
+constexpr Ms DoubtPeriod{700};
 
 } // namespace
 
@@ -81,8 +81,7 @@
         }
     }
     for (const EndpointIndex endpoint : crashGuard.doubtfulEndpoints()) {
-        // Those that give reports are asked anyway while they are silent.
-        if (endpoints.at(endpoint).entry.accelerator.empty()) {
+        if (peers.isVerifier(now) || endpoints.at(endpoint).openRequests > 0) {
             requestSign(now, endpoint, DoubtPeriod);
         }
     }
@@ -97,7 +96,10 @@
     for (const wire::CrashReport &report : digest.crashReports) {
         if (crashGuard.onReport(report, now)) {
             fresh.reports.push_back(report);
-            driver.record({"crash_report_taken", "", std::to_string(report.signature), "crash " + std::to_string(report.crash) + ", from " + digest.instance});
+            driver.record({"crash_report_taken",
+                           "",
+                           std::to_string(report.signature),
+                           "crash " + std::to_string(report.crash) + (report.inference != 0 ? ", inferred" : "") + ", from " + digest.instance});
         }
     }
     for (const wire::CrashRefutation &refutation : digest.crashRefutations) {
--- a/libs/relay/src/details/CrashEvidence.h
+++ b/libs/relay/src/details/CrashEvidence.h
@@ -63,6 +63,8 @@
 
     /// Returns the refutation that covers a suspicion; none if there is none.
     std::optional<wire::CrashRefutation> refutationOf(std::uint64_t signature, std::uint64_t crash, std::uint64_t inference) const;
+    /// Returns whether a suspicion is known, refuted or not.
+    bool isKnown(std::uint64_t signature, const Suspicion &suspicion) const;
     /// Returns the conviction of a signature; null if it isn't convicted.
     const Conviction *conviction(std::uint64_t signature) const;
     const std::unordered_map<std::uint64_t, Conviction> &convictions() const
@@ -80,6 +82,7 @@
 
     /// Returns the suspicion of this crash by this inference; null if there is none.
     Suspicion *find(std::uint64_t signature, std::uint64_t crash, std::uint64_t inference);
+    const Suspicion *find(std::uint64_t signature, std::uint64_t crash, std::uint64_t inference) const;
     /// Adds a suspicion to a list that is limited in length: a refuted one makes room. Returns false if there is no room.
     static bool insert(Suspicions &suspicions, const Suspicion &suspicion);
     /// Drops the signature with the fewest crashes, and of those the one with the oldest last crash, if there are too many.
--- a/libs/relay/src/details/CrashGuard.h
+++ b/libs/relay/src/details/CrashGuard.h
@@ -99,7 +99,8 @@
     /// Returns the endpoints that are taken for crashed without proof: a sign of life of them is wanted.
     std::vector<EndpointIndex> doubtfulEndpoints() const;
 
-    /// Takes over a report of another instance. Returns false if it is known, or is refuted by what this instance knows.
+    /// Takes over a report of another instance. Returns false if it is known, or is refuted by what this instance knows. A crash that is only inferred counts
+    /// once this instance finds a sign of it too, or none of life in time.
     bool onReport(const wire::CrashReport &report, Instant now);
     /// Takes over a refutation of another instance. Returns false if it is known.
     bool onRefutation(const wire::CrashRefutation &refutation, Instant now);
@@ -155,6 +156,18 @@
         Instant answeredAt{0};
     };
 
+    /// A report of another instance about a crash that it has inferred, while this instance looks for a sign of life of the endpoint.
+    struct UnverifiedReport {
+        std::uint64_t signature = 0;
+        CrashEvidence::Suspicion suspicion;
+        EndpointIndex endpoint = 0;
+        Instant receivedAt{0};
+    };
+
+    /// Returns the endpoint whose present incarnation a crash belongs to; none if it is none that this instance knows.
+    std::optional<EndpointIndex> endpointOf(std::uint64_t crash) const;
+    /// Decides on the reports whose endpoints have shown a sign by now, or none in time.
+    void settleUnverified(Instant now);
     /// Adds a suspicion, unless a request with the signature has begun since the crash; returns true if it is new.
     bool suspect(std::uint64_t signature, const CrashEvidence::Suspicion &suspicion, Instant now);
     /// Returns the sign by which the endpoint of a broken attempt is known to have crashed since; none if there is none.
@@ -181,6 +194,7 @@
     std::deque<BrokenAttempt> brokenAttempts_;
     std::vector<SettledAttempt> droppedAttempts_;
     std::deque<InferredCrash> inferredCrashes_;
+    std::deque<UnverifiedReport> unverifiedReports_;
     std::uint64_t inferences_ = 0;
     ServedSignatures served_;
     CrashEvidence evidence_{served_};
