--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -157,6 +157,16 @@
     }
 }
 
+void RelayKernel::Impl::suspectLateCrash(Instant now, const Call &call)
+{
+    if (call.lastEvent > 0) {
+        return;
+    }
+    for (const AttemptId attempt : call.attempts) {
+        crashGuard.onBroken(call.signatures, attempts.at(attempt).stages.front(), reach.isCutOff(), now);
+    }
+}
+
 bool RelayKernel::Impl::isBarred(const Call &call) const
 {
     return call.attemptCount > 0 && call.lastEvent == 0 && (call.isProbe || crashGuard.isConvicted(call.signatures));
@@ -302,6 +312,7 @@
     }
     for (const CallId id : due) {
         Call &call = *calls.at(id);
+        suspectLateCrash(now, call);
         const bool neverSent = !call.mayHaveRun && call.attempts.empty();
         fail(now, call, neverSent ? base::ErrorKind::DeadlineUnreachable : base::ErrorKind::UpstreamTimeout, "no whole answer within the time limit");
     }
@@ -320,7 +331,9 @@
                                                      : " broke off");
     impl_->driver.record({"attempt_failed", call->requestId, impl_->endpoints.at(first).entry.id, progress.empty() ? detail : detail + "; " + progress});
     impl_->reach.onFailed(first, now);
-    if (failure == AttemptFailure::Broken) {
+    if (failure == AttemptFailure::TimedOut) {
+        impl_->suspectLateCrash(now, *call);
+    } else if (failure == AttemptFailure::Broken) {
         impl_->suspectCrash(now, *call, first);
     }
     impl_->dropAttempt(attempt);
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -245,13 +245,14 @@
     impl_->admit(now, arrival);
 }
 
-void RelayKernel::onCallerGone(Instant, CallId call)
+void RelayKernel::onCallerGone(Instant now, CallId call)
 {
     const auto found = impl_->calls.find(call);
     if (found == impl_->calls.end()) {
         return;
     }
     ++impl_->counters.callersGone;
+    impl_->suspectLateCrash(now, *found->second);
     impl_->driver.record({"caller_gone", found->second->requestId, "", ""});
     impl_->close(call);
 }
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -200,6 +200,8 @@
     bool isBarred(const Call &call) const;
     /// Reports an attempt that broke at an endpoint to the crash guard: the request may have crashed the endpoint.
     void suspectCrash(Instant now, const Call &call, EndpointIndex endpoint);
+    /// Reports the endpoints of a call that ends without an answer: if one of them turns out to have crashed, the connection may have hung since then.
+    void suspectLateCrash(Instant now, const Call &call);
     /// Returns what identifies a call as a possible cause of a crash, as it is written to the log.
     static std::string suspectText(const Call &call);
     /// Registers an attempt, adds its load to its stages and counts it; returns its id. The caller dispatches it.
--- a/libs/relay/tests/CrashSignTests.cpp
+++ b/libs/relay/tests/CrashSignTests.cpp
@@ -46,6 +46,24 @@
     LONGS_EQUAL(3, bed.driver.sent.size());
 }
 
+/// Guards against a crash behind a silent connection that nobody is blamed for: the request waits until its time is up, or its caller leaves.
+TEST(ARequestThatCrashesPlainEndpoints, isRejectedIfItsConnectionsHangWhileTheEndpointsCrash)
+{
+    for (int i = 0; i < 3; ++i) {
+        const CallId call = bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+        const std::string endpoint = bed.driver.sent.back().endpoint;
+        bed.advance(Ms(500));
+        if (i % 2 == 0) {
+            bed.kernel.onCallerGone(bed.now, call);
+        }
+        bed.advance(Ms(700));
+        replace(endpoint);
+        bed.advance(Ms(500));
+    }
+    bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+    LONGS_EQUAL(3, bed.driver.sent.size());
+}
+
 /// Guards against a request being blamed for connections that break although the endpoints live on.
 TEST(ARequestThatCrashesPlainEndpoints, isNotMistakenForOneWhoseEndpointsAnswerAfterwards)
 {
