--- a/libs/relay/tests/InstanceFleet.cpp
+++ b/libs/relay/tests/InstanceFleet.cpp
@@ -114,6 +114,7 @@
     }
     lastPartOfCall_[{instance, arrival.call}] = lastPart;
     requestTimes_.push_back(now);
+    asked_[{instance, arrival.call}] = {now, false};
     instances[instance]->kernel->onCall(now, arrival);
 }
 
@@ -128,6 +129,8 @@
     }
     deliverDigests();
     answerReports();
+    answerChecks();
+    cutRuns();
     beginRuns();
     processDispatches();
     ++storeRevision_;
@@ -141,6 +144,7 @@
     }
     processDispatches();
     collectRejections();
+    collectBegunStreams();
 }
 
 InstanceFleet::Endpoint &InstanceFleet::endpointOf(const std::string &id)
@@ -169,7 +173,7 @@
     for (const auto &instance : instances) {
         for (; instance->answeredReports < instance->driver.reportRequests.size(); ++instance->answeredReports) {
             const Endpoint &endpoint = endpointOf(instance->driver.reportRequests[instance->answeredReports]);
-            if (endpoint.downUntil.count() != 0) {
+            if (endpoint.downUntil.count() != 0 || instance->endpointCut != EndpointCut::None) {
                 instance->kernel->onReport(now, endpoint.entry.id, std::nullopt);
                 continue;
             }
@@ -178,9 +182,46 @@
             report.layers = endpoint.entry.layers;
             instance->kernel->onReport(now, endpoint.entry.id, report);
         }
+    }
+}
+
+void InstanceFleet::answerChecks()
+{
+    for (const auto &instance : instances) {
         for (; instance->answeredChecks < instance->driver.checks.size(); ++instance->answeredChecks) {
             const Endpoint &endpoint = endpointOf(instance->driver.checks[instance->answeredChecks]);
-            instance->kernel->onCheck(now, endpoint.entry.id, endpoint.downUntil.count() != 0 ? CheckOutcome::Unreachable : CheckOutcome::Answered);
+            CheckOutcome outcome = endpoint.downUntil.count() != 0 ? CheckOutcome::Unreachable : CheckOutcome::Answered;
+            if (instance->endpointCut != EndpointCut::None) {
+                outcome = instance->endpointCut == EndpointCut::Silent ? CheckOutcome::NoAnswer : CheckOutcome::Unreachable;
+            }
+            instance->kernel->onCheck(now, endpoint.entry.id, outcome);
+        }
+    }
+}
+
+void InstanceFleet::cutRuns()
+{
+    std::vector<Run> reset;
+    std::erase_if(runs_, [&](const Run &run) {
+        const EndpointCut cut = instances[run.instance]->endpointCut;
+        if (cut == EndpointCut::Reset) {
+            reset.push_back(run);
+        }
+        return cut != EndpointCut::None;
+    });
+    for (const Run &run : reset) {
+        instances[run.instance]->kernel->onFailure(now, run.attempt, AttemptFailure::Broken);
+    }
+}
+
+void InstanceFleet::collectBegunStreams()
+{
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+        Instance &instance = *instances[i];
+        for (; instance.processedStreams < instance.driver.begunStreams.size(); ++instance.processedStreams) {
+            if (const auto asked = asked_.find({i, instance.driver.begunStreams[instance.processedStreams]}); asked != asked_.end()) {
+                asked->second.hasBegun = true;
+            }
         }
     }
 }
@@ -200,7 +241,10 @@
                 instance.kernel->onAnswer(now, dispatch.attempt, error);
                 continue;
             }
-            if (endpointOf(dispatch.endpoint).downUntil.count() != 0) {
+            if (instance.endpointCut == EndpointCut::Silent) {
+                continue;
+            }
+            if (endpointOf(dispatch.endpoint).downUntil.count() != 0 || instance.endpointCut == EndpointCut::Reset) {
                 instance.kernel->onFailure(now, dispatch.attempt, AttemptFailure::NotSent);
                 continue;
             }
@@ -318,6 +362,18 @@
     return static_cast<std::size_t>(std::count_if(retryTimes_.begin(), retryTimes_.end(), [&](Instant at) { return at >= since; }));
 }
 
+std::pair<std::size_t, std::size_t> InstanceFleet::begunOf(std::size_t instance, Instant since, Instant until) const
+{
+    std::pair<std::size_t, std::size_t> counts;
+    for (const auto &[key, asked] : asked_) {
+        if (key.first == instance && asked.at >= since && asked.at < until) {
+            ++counts.first;
+            counts.second += asked.hasBegun ? 1 : 0;
+        }
+    }
+    return counts;
+}
+
 std::size_t InstanceFleet::begunSince(std::uint64_t lastPart, Instant since) const
 {
     return static_cast<std::size_t>(
--- a/libs/relay/tests/InstanceFleet.h
+++ b/libs/relay/tests/InstanceFleet.h
@@ -19,6 +19,15 @@
     /// Time from the crash of an endpoint to its return.
     static constexpr relay::Ms RestartTime{2000};
 
+    /// How an instance is cut off from all endpoints.
+    enum class EndpointCut {
+        None,
+        /// What it asks stays unanswered.
+        Silent,
+        /// Its connections are reset, and new ones are refused.
+        Reset,
+    };
+
     /// An endpoint, its listed entry included.
     struct Endpoint {
         relay::EndpointEntry entry;
@@ -47,8 +56,11 @@
         std::size_t answeredReports = 0;
         std::size_t answeredChecks = 0;
         std::size_t processedRejections = 0;
+        std::size_t processedStreams = 0;
         /// No digest reaches it or leaves it.
         bool isCutOff = false;
+        /// Whether it reaches the endpoints; it reaches the store and the other instances all the while.
+        EndpointCut endpointCut = EndpointCut::None;
         /// Its process has ended.
         bool isDown = false;
     };
@@ -90,6 +102,8 @@
     std::size_t maxSentTo(std::size_t endpoint, relay::Instant since, relay::Ms span) const;
     /// Returns the time of the n-th crash by the fatal part, counted from 1; none if there were fewer.
     std::optional<relay::Instant> fatalCrash(std::size_t n) const;
+    /// Returns how many requests were made through an instance within that time, and how many of them have begun to be answered.
+    std::pair<std::size_t, std::size_t> begunOf(std::size_t instance, relay::Instant since, relay::Instant until) const;
     /// Returns how many requests with that last part have got their first event from that time on.
     std::size_t begunSince(std::uint64_t lastPart, relay::Instant since) const;
     /// Returns by how many the retries within any span of that length exceed `ratio` times the requests of that span, or of one that ends up to a span
@@ -113,6 +127,11 @@
         std::uint64_t lastPart = 0;
         std::string endpoint;
     };
+    /// A request and its caller's view of it.
+    struct Asked {
+        relay::Instant at{0};
+        bool hasBegun = false;
+    };
     struct Quarantined {
         relay::Instant at{0};
         std::size_t instance = 0;
@@ -124,6 +143,10 @@
     void deliverDigests();
     void processDispatches();
     void answerReports();
+    void answerChecks();
+    /// Ends or forgets the runs of instances that are cut off from the endpoints.
+    void cutRuns();
+    void collectBegunStreams();
     void collectRejections();
     void beginRuns();
     void crash(Endpoint &endpoint);
@@ -131,6 +154,7 @@
 
     std::vector<Run> runs_;
     std::map<std::pair<std::size_t, relay::CallId>, std::uint64_t> lastPartOfCall_;
+    std::map<std::pair<std::size_t, relay::CallId>, Asked> asked_;
     std::vector<Observation> sent_;
     std::vector<Observation> begun_;
     std::vector<relay::Instant> requestTimes_;
