--- a/libs/net/include/net/Http.h
+++ b/libs/net/include/net/Http.h
@@ -16,6 +16,9 @@
 /// Returns the value of the first field with this name, or an empty view if there is none.
 std::string_view headerIn(const Headers &headers, std::string_view name);
 
+/// Removes all header fields with that name, whatever their case.
+void removeHeader(Headers &headers, std::string_view name);
+
 /// Returns the fields that an intermediary forwards: all but those that concern the connection or the message framing (RFC 9110, section 7.6.1),
 /// Host and Expect, the field that the Connection field names, and those named in `excluded`. A Connection field that lists several names is
 /// compared as a whole, so the fields that it lists are forwarded.
--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -53,6 +53,11 @@
     return {};
 }
 
+void removeHeader(Headers &headers, std::string_view name)
+{
+    std::erase_if(headers, [&](const auto &field) { return equalsIgnoringCase(field.first, name); });
+}
+
 Headers endToEndHeaders(const Headers &headers, const std::vector<std::string_view> &excluded)
 {
     constexpr std::array<std::string_view, 10> HopByHop = {
--- a/libs/relay/include/relay/Endpoint.h
+++ b/libs/relay/include/relay/Endpoint.h
@@ -38,6 +38,8 @@
     std::string meshAddress;
     /// Its availability zone; empty if the entry doesn't state it.
     std::string zone = {};
+    /// IP:port at which it takes requests from the other instances; empty if it is of a version that takes none.
+    std::string handOverAddress = {};
 };
 
 /// A request that makes no progress at the reporting endpoint because it waits for another endpoint of its pipeline.
--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -48,6 +48,23 @@
     int priority = 0;
 };
 
+/// A request that the driver is to hand over to another instance, which serves it as one of its own.
+struct HandOver {
+    AttemptId attempt = 0;
+    CallId call = 0;
+    /// Name of the other instance, and IP:port at which it takes requests.
+    std::string instance;
+    std::string address;
+    /// Time until the call's deadline.
+    Ms timeLeft{0};
+    /// Values of Dispatch.
+    bool isStream = false;
+    std::string lastEventId;
+    bool freshConnection = false;
+    /// Runs of the request that count against its route's limit already.
+    std::uint32_t runs = 0;
+};
+
 /// An error answer that the router gives itself. Its HTTP status follows from the kind.
 struct Rejection {
     base::ErrorKind kind = base::ErrorKind::Internal;
@@ -157,7 +174,9 @@
 
     /// Sends an attempt. Its course is reported by onAnswer(), onEvent(), onStreamEnd() or onFailure() of the kernel.
     virtual void send(Dispatch dispatch) = 0;
-    /// Aborts an attempt; nothing more is reported about it.
+    /// Hands a request over to another instance. Its course is reported as that of an attempt, except for onHead().
+    virtual void handOver(HandOver order) = 0;
+    /// Aborts an attempt or a hand-over; nothing more is reported about it.
     virtual void cancel(AttemptId attempt) = 0;
     /// Ends a call with an error answer by the router itself.
     virtual void reject(CallId call, const Rejection &rejection) = 0;
--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -3,6 +3,7 @@
 #include "relay/RelayDriver.h"
 
 #include <memory>
+#include <optional>
 
 namespace relay {
 
@@ -18,6 +19,8 @@
     std::string zone;
     /// IP:port at which it receives messages from the other instances.
     std::string meshAddress;
+    /// IP:port at which it takes requests from the other instances; empty if it takes none.
+    std::string handOverAddress;
     /// No instance may accept an API key for longer than this after the key was revoked.
     Ms maxRevocationDelay{5000};
     /// The platform kills the process this long after its request to stop.
@@ -57,6 +60,9 @@
     std::uint64_t fingerprint = 0;
     /// Hashes of the ids of those parts of its prompt that other requests may share.
     std::vector<std::uint64_t> sharedPromptParts;
+    /// Another instance has handed it over, so that it isn't handed over again; and the runs that count against its route's limit already.
+    bool isHandedOver = false;
+    std::uint32_t priorRuns = 0;
 };
 
 /// What the kernel needs to know of an endpoint's answer.
@@ -76,6 +82,9 @@
     bool isOnNewConnection = true;
     /// Time from the answer in which the endpoint wants no request from this instance; zero if it names none.
     Ms retryAfter{0};
+    /// Of a hand-over: why the other instance could not serve the request, and the retry delay that it names. None if it answers for an endpoint.
+    std::optional<base::ErrorKind> peerError = std::nullopt;
+    Ms peerRetryAfter{0};
 };
 
 /// Why an attempt failed without a whole answer.
@@ -113,6 +122,9 @@
     std::uint64_t checks = 0;
     /// Placement orders that were answered or timed out.
     std::uint64_t orders = 0;
+    /// Hand-overs to other instances, and calls that other instances have handed over.
+    std::uint64_t handedOver = 0;
+    std::uint64_t takenOver = 0;
     /// Calls whose caller left before the end.
     std::uint64_t callersGone = 0;
 };
--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -154,6 +154,9 @@
         return refuse(base::ErrorKind::PromptPartQuarantined,
                       "requests with a part of this prompt have crashed endpoints; " + crashGuard.evidenceText(signatures, now));
     }
+    if (reach.isCutOff() && (arrival.isHandedOver || !handOverPeers.hasAny(now))) {
+        return refuse(base::ErrorKind::NoEndpoint, "this instance reaches no endpoint");
+    }
     const std::string &serviceName = serviceOf(*route, base::hashOf(arrival.requestId));
     const auto service = std::find_if(config->services.begin(), config->services.end(), [&](const Service &entry) { return entry.name == serviceName; });
     if (service == config->services.end()) {
@@ -162,7 +165,10 @@
 
     auto call = makeCall(now, arrival, *route, team);
     call->signatures = std::move(signatures);
-    call->isProbe = verdict == CrashGuard::Verdict::Probe;
+    // Another instance that takes the request decides for itself whether it is the turn of that one.
+    call->isProbe = verdict == CrashGuard::Verdict::Probe && !reach.isCutOff();
+    call->isHandedOver = arrival.isHandedOver;
+    call->priorRuns = arrival.priorRuns;
     call->config = config;
     call->service = &*service;
     start(now, std::move(call));
@@ -183,7 +189,11 @@
 {
     Call &call = *admitted;
     calls.emplace(call.id, std::move(admitted));
-    retries.onRequest(call.service->name, now);
+    counters.takenOver += call.isHandedOver ? 1 : 0;
+    if (call.isHandedOver || !reach.isCutOff()) {
+        // The instance that a request is handed over to counts it.
+        retries.onRequest(call.service->name, now);
+    }
     if (call.route->kind == RequestKind::Stream) {
         startStream(now, call);
     } else {
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -89,6 +89,10 @@
         driver.cancel(attempt);
         dropAttempt(attempt);
     }
+    if (const auto handedOver = call.handOver) {
+        driver.cancel(*handedOver);
+        dropHandOver(*handedOver);
+    }
 }
 
 void RelayKernel::Impl::close(CallId call)
@@ -113,7 +117,7 @@
         // An error that says "not run" may be given only if no attempt can have run.
         const bool saysNotRun = base::errorAnswer(kind).ran == base::HasRun::No;
         // An attempt that is still open may be running at this moment.
-        const bool mayHaveRun = call.mayHaveRun || !call.attempts.empty();
+        const bool mayHaveRun = call.mayHaveRun || isUnderWay(call);
         const base::ErrorKind reportedKind = saysNotRun && mayHaveRun ? base::ErrorKind::UpstreamBroken : kind;
         cancelAttempts(call);
         reject(now, id, call.requestId, std::chrono::duration_cast<Ms>(call.callerDeadline - now), reportedKind, detail);
@@ -187,7 +191,7 @@
 
 std::uint32_t RelayKernel::Impl::countedRuns(const Call &call) const
 {
-    return static_cast<std::uint32_t>(std::count_if(call.runs.begin(), call.runs.end(), [&](const Run &run) { return !hasEnded(run); }));
+    return call.priorRuns + static_cast<std::uint32_t>(std::count_if(call.runs.begin(), call.runs.end(), [&](const Run &run) { return !hasEnded(run); }));
 }
 
 bool RelayKernel::Impl::mayRunAgain(const Call &call) const
@@ -277,8 +281,7 @@
     dispatch.team = call.team;
     dispatch.timeLeft = std::chrono::duration_cast<Ms>(call.deadline - now);
     dispatch.priority = call.priority;
-    const bool runsOnce = call.route->kind == RequestKind::AtMostOnce || (call.route->kind == RequestKind::Stream && !call.route->isResumable);
-    dispatch.freshConnection = runsOnce || call.attemptCount > 1;
+    dispatch.freshConnection = runsOnce(*call.route) || call.attemptCount > 1;
     return dispatch;
 }
 
@@ -313,13 +316,16 @@
     for (const CallId id : due) {
         Call &call = *calls.at(id);
         suspectLateCrash(now, call);
-        const bool neverSent = !call.mayHaveRun && call.attempts.empty();
+        const bool neverSent = !call.mayHaveRun && !isUnderWay(call);
         fail(now, call, neverSent ? base::ErrorKind::DeadlineUnreachable : base::ErrorKind::UpstreamTimeout, "no whole answer within the time limit");
     }
 }
 
 void RelayKernel::onFailure(Instant now, AttemptId attempt, AttemptFailure failure, const std::string &progress)
 {
+    if (Call *handedOver = impl_->callOfHandOver(attempt)) {
+        return impl_->onHandOverFailed(now, *handedOver, attempt, failure);
+    }
     Call *call = impl_->callOf(attempt);
     if (call == nullptr) {
         return;
--- a/libs/relay/src/Digests.cpp
+++ b/libs/relay/src/Digests.cpp
@@ -30,6 +30,7 @@
             digest.slow.clear();
             digest.failing.clear();
         }
+        digest.reachesNoEndpoint = reach.isCutOff();
         digest.limits = limits.reports(digest.scope == wire::DigestScope::Instance, now);
         digest.configVersion = known.configVersion;
         digest.endpointsHash = now - known.endpointsAt < UpdateLifetime ? known.endpointsHash : 0;
@@ -42,6 +43,7 @@
 void RelayKernel::Impl::onDigest(Instant now, const wire::RelayDigest &digest)
 {
     peers.onDigest(digest, now);
+    handOverPeers.onDigest(digest, now);
     for (const wire::SilentEndpoint &silent : digest.silent) {
         onSilenceReported(now, digest, silent);
     }
--- /dev/null
+++ b/libs/relay/src/HandOvers.cpp
@@ -0,0 +1,187 @@
+#include "base/Time.h"
+#include "details/KernelImpl.h"
+
+namespace relay {
+
+namespace {
+
+/// Other instances that a request is handed over to one after the other if each of them refuses it.
+constexpr std::size_t MaxPeersTried = 3;
+/// A stream that has begun is moved to another instance after this time without an event. The instance that serves it moves it sooner if the cause lies behind
+/// it.
+constexpr Ms StalledTimeout{1500};
+/// One that has not begun is moved once this part of its caller's patience has passed.
+constexpr double MaxFirstEventRatio = 0.6;
+
+/// Returns whether another instance may be able to serve a request that one has refused for this reason.
+bool concernsInstanceOnly(base::ErrorKind kind)
+{
+    return kind == base::ErrorKind::NoEndpoint || kind == base::ErrorKind::Stopping || kind == base::ErrorKind::Unconfirmed;
+}
+
+} // namespace
+
+bool RelayKernel::Impl::handOver(Instant now, Call &call)
+{
+    if (!reach.isCutOff() || call.isHandedOver || call.triedPeers.size() >= MaxPeersTried) {
+        return false;
+    }
+    const auto peer = handOverPeers.choose(call.triedPeers, now);
+    if (!peer) {
+        return false;
+    }
+    const AttemptId id = nextAttempt++;
+    const bool mayRunTwice = call.mayHaveRun || !call.runs.empty();
+    if (mayRunTwice) {
+        ++counters.retries;
+        retries.onRetry(call.service->name, now);
+    }
+    ++call.attemptCount;
+    ++counters.handedOver;
+    handOvers.emplace(id, OpenHandOver{call.id, *peer, now, call.lastEvent, false});
+    handOverPeers.onBegun(*peer);
+    call.handOver = id;
+    HandOver order;
+    order.attempt = id;
+    order.call = call.id;
+    order.instance = *peer;
+    order.address = handOverPeers.addressOf(*peer);
+    order.timeLeft = std::chrono::duration_cast<Ms>(call.deadline - now);
+    order.isStream = call.route->kind == RequestKind::Stream;
+    order.lastEventId = call.lastEventId;
+    order.runs = countedRuns(call);
+    order.freshConnection = runsOnce(*call.route) || call.attemptCount > 1;
+    driver.record({"handed_over", call.requestId, *peer, "attempt " + std::to_string(call.attemptCount) + ", since this instance reaches no endpoint"});
+    driver.handOver(std::move(order));
+    return true;
+}
+
+bool RelayKernel::Impl::isUnderWay(const Call &call)
+{
+    return !call.attempts.empty() || call.handOver.has_value();
+}
+
+void RelayKernel::Impl::dropHandOver(AttemptId attempt)
+{
+    const auto found = handOvers.find(attempt);
+    if (found == handOvers.end()) {
+        return;
+    }
+    handOverPeers.onEnded(found->second.peer);
+    if (const auto call = calls.find(found->second.call); call != calls.end()) {
+        call->second->handOver.reset();
+    }
+    handOvers.erase(found);
+}
+
+Call *RelayKernel::Impl::callOfHandOver(AttemptId attempt)
+{
+    const auto found = handOvers.find(attempt);
+    const auto call = found == handOvers.end() ? calls.end() : calls.find(found->second.call);
+    return call == calls.end() ? nullptr : call->second.get();
+}
+
+void RelayKernel::Impl::onHandOverAnswer(Instant now, Call &call, AttemptId attempt, const AnswerHead &head)
+{
+    const std::string peer = handOvers.at(attempt).peer;
+    if (head.peerError) {
+        return onHandOverRefused(now, call, attempt, *head.peerError, head.peerRetryAfter);
+    }
+    call.mayHaveRun = true;
+    if (!head.verified) {
+        dropHandOver(attempt);
+        return fail(now, call, base::ErrorKind::UpstreamBroken, peer + " gave a damaged answer");
+    }
+    const CallId id = call.id;
+    driver.forward(id, attempt);
+    driver.record({"answered", call.requestId, peer, "status " + std::to_string(head.status) + ", by another instance"});
+    dropHandOver(attempt);
+    close(id);
+}
+
+void RelayKernel::Impl::onHandOverRefused(Instant now, Call &call, AttemptId attempt, base::ErrorKind kind, Ms retryAfter)
+{
+    const std::string peer = handOvers.at(attempt).peer;
+    const std::string detail = peer + " says " + std::string(base::nameOf(kind));
+    driver.record({"handover_refused", call.requestId, peer, std::string(base::nameOf(kind))});
+    dropHandOver(attempt);
+    if (base::errorAnswer(kind).ran != base::HasRun::No) {
+        call.mayHaveRun = true;
+        return isUnderWay(call) ? void() : fail(now, call, kind, detail);
+    }
+    call.triedPeers.push_back(peer);
+    if (concernsInstanceOnly(kind)) {
+        handOverPeers.avoid(peer, now);
+        if (handOver(now, call)) {
+            return;
+        }
+    }
+    if (isUnderWay(call)) {
+        return; // An attempt that this instance has sent itself may still be answered.
+    }
+    if (kind == base::ErrorKind::Overloaded) {
+        return rejectForLoad(now, call, retryAfter, detail);
+    }
+    fail(now, call, kind, detail);
+}
+
+void RelayKernel::Impl::onHandOverFailed(Instant now, Call &call, AttemptId attempt, AttemptFailure failure)
+{
+    const std::string peer = handOvers.at(attempt).peer;
+    const std::string detail = peer + (failure == AttemptFailure::NotSent ? " could not be reached" : " broke off");
+    driver.record({"handover_failed", call.requestId, peer, detail});
+    dropHandOver(attempt);
+    handOverPeers.avoid(peer, now);
+    call.triedPeers.push_back(peer);
+    if (failure == AttemptFailure::NotSent && handOver(now, call)) {
+        return;
+    }
+    if (failure != AttemptFailure::NotSent) {
+        call.mayHaveRun = true;
+        ++call.priorRuns;
+    }
+    if (isUnderWay(call)) {
+        return;
+    }
+    if (call.route->kind == RequestKind::Stream) {
+        return retryStreamOrFail(now, call, detail);
+    }
+    retryPlainOrFail(now, call, call.mayHaveRun ? base::ErrorKind::UpstreamBroken : base::ErrorKind::NoEndpoint, detail);
+}
+
+bool RelayKernel::Impl::onHandOverEvent(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId)
+{
+    OpenHandOver &open = handOvers.at(attempt);
+    if (!open.hasEvents && isNewRun(eventId, open.resumedAfter)) {
+        driver.record({"not_resumed", call.requestId, open.peer, "it began with event " + std::to_string(eventId)});
+        driver.cancel(attempt);
+        onHandOverFailed(now, call, attempt, AttemptFailure::Broken);
+        return false;
+    }
+    open.hasEvents = true;
+    open.lastProgressAt = now;
+    return deliverEvent(now, call, attempt, eventId);
+}
+
+void RelayKernel::Impl::onHandOverStreamEnd(Instant now, Call &call, AttemptId attempt)
+{
+    if (!call.streamBegun) {
+        return onHandOverFailed(now, call, attempt, AttemptFailure::Broken);
+    }
+    endStream(call, attempt, handOvers.at(attempt).peer);
+}
+
+void RelayKernel::Impl::watchHandOver(Instant now, Call &call)
+{
+    const AttemptId attempt = *call.handOver;
+    const OpenHandOver &open = handOvers.at(attempt);
+    const Instant patience = base::boundedMs(MaxFirstEventRatio * static_cast<double>(call.route->callerPatience.count()));
+    const Instant limit = open.hasEvents ? Instant(StalledTimeout) : patience;
+    if (!call.route->isResumable || now < open.lastProgressAt + limit) {
+        return;
+    }
+    driver.cancel(attempt);
+    onHandOverFailed(now, call, attempt, AttemptFailure::TimedOut);
+}
+
+} // namespace relay
--- a/libs/relay/src/PeerLoads.cpp
+++ b/libs/relay/src/PeerLoads.cpp
@@ -45,6 +45,7 @@
     ownId_ = settings.node;
     ownZone_ = settings.zone;
     ownMeshAddress_ = settings.meshAddress;
+    ownHandOverAddress_ = settings.handOverAddress;
     routes_.configure(settings);
 }
 
@@ -198,6 +199,7 @@
     digest.instance = ownId_;
     digest.leaving = leaving;
     digest.meshAddress = ownMeshAddress_;
+    digest.handOverAddress = ownHandOverAddress_;
     digest.zone = ownZone_;
     digest.scope = scope;
     for (EndpointIndex i = 0; i < endpoints_.size(); ++i) {
@@ -262,6 +264,7 @@
     if (routes_.isFullMesh()) {
         if (sentDigests_++ % AddressPeriod != 0) {
             own.meshAddress.clear();
+            own.handOverAddress.clear();
             own.zone.clear();
         }
         addDigest(routes_.allAddresses(), std::move(own));
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -81,6 +81,9 @@
 
 void RelayKernel::Impl::startPlain(Instant now, Call &call)
 {
+    if (handOver(now, call)) {
+        return;
+    }
     const auto endpoint = choosePlain(now, call);
     if (!endpoint) {
         if (hasEndpointLeft(call) && waitsForEndpoints(now, call)) {
@@ -128,7 +131,7 @@
         endpoints.onPlainFailure(endpoint, now);
     }
     const bool canRetry = call.route->kind == RequestKind::Idempotent && !isSuccess;
-    if (canRetry && !call.attempts.empty() && call.attempts.size() > 1) {
+    if (canRetry && (call.attempts.size() > 1 || call.handOver)) {
         dropAttempt(attempt);
         return; // The other attempt may still succeed.
     }
@@ -148,10 +151,10 @@
 
 void RelayKernel::Impl::retryPlainOrFail(Instant now, Call &call, base::ErrorKind kind, const std::string &detail)
 {
-    if (!call.attempts.empty()) {
+    if (isUnderWay(call)) {
         return; // Another attempt is still open.
     }
-    const bool hasEndpoint = choosePlain(now, call).has_value();
+    const bool hasEndpoint = reach.isCutOff() || choosePlain(now, call).has_value();
     if (hasEndpoint && mayRetry(now, call)) {
         return startPlain(now, call);
     }
@@ -164,7 +167,7 @@
 
 void RelayKernel::Impl::hedge(Instant now, Call &call)
 {
-    if (call.route->kind != RequestKind::Idempotent || call.attempts.size() != 1 || !mayRunAgain(call)) {
+    if (call.route->kind != RequestKind::Idempotent || call.attempts.size() != 1 || call.handOver || !mayRunAgain(call)) {
         return;
     }
     const Attempt &attempt = attempts.at(call.attempts.front());
@@ -176,7 +179,7 @@
         return;
     }
     exclude(call, endpoint);
-    if (choosePlain(now, call) && mayRetry(now, call)) {
+    if ((reach.isCutOff() || choosePlain(now, call)) && mayRetry(now, call)) {
         startPlain(now, call);
     }
 }
--- a/libs/relay/src/PlannerDuty.cpp
+++ b/libs/relay/src/PlannerDuty.cpp
@@ -206,6 +206,11 @@
     }
 }
 
+void PlannerDuty::resume()
+{
+    releasing_ = false;
+}
+
 void PlannerDuty::checkPendingOrders(Instant now)
 {
     for (auto it = pending_.begin(); it != pending_.end();) {
--- a/libs/relay/src/ReachChecks.cpp
+++ b/libs/relay/src/ReachChecks.cpp
@@ -51,12 +51,16 @@
     const Ms quiet = std::chrono::duration_cast<Ms>(now - reach.reachedAt());
     driver.record({"endpoints_lost", "", settings.instance, "no endpoint answers; the last one did " + std::to_string(quiet.count()) + " ms ago"});
     crashGuard.distrustSince(reach.reachedAt());
+    planner.release();
     peers.expedite();
 }
 
 void RelayKernel::Impl::onReachAgain(Instant now)
 {
     driver.record({"endpoints_reached", "", settings.instance, ""});
+    if (!stopping) {
+        planner.resume();
+    }
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         EndpointState &state = endpoints.at(i);
         if (state.silentCheckAt.count() != 0) {
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -34,6 +34,7 @@
     storeDuty.configure(settings);
     crashGuard.configure(settings);
     reach.configure(settings.seed);
+    handOverPeers.configure(settings);
 }
 
 std::uint64_t RelayKernel::Impl::nextRandom()
@@ -121,7 +122,9 @@
 
 void RelayKernel::Impl::updateReadiness(Instant now)
 {
-    const bool shouldBeReady = !stopping && endpoints.hasList() && configIsCurrent(now, maxConfigAgeForReadiness());
+    // One that is cut off serves its callers through other instances.
+    const bool canServe = !reach.isCutOff() || handOverPeers.hasAny(now) || peers.isAlone(now);
+    const bool shouldBeReady = !stopping && canServe && endpoints.hasList() && configIsCurrent(now, maxConfigAgeForReadiness());
     if (shouldBeReady != ready) {
         ready = shouldBeReady;
         driver.setReady(ready);
@@ -222,6 +225,7 @@
 void RelayKernel::onInstances(Instant now, const std::vector<InstanceEntry> &instances)
 {
     impl_->peers.onInstances(instances);
+    impl_->handOverPeers.onInstances(instances);
     impl_->retries.onInstances(impl_->peers.mostInstances(now), now);
     if (!impl_->endpoints.hasList()) {
         impl_->sendDigests(now);
@@ -284,6 +288,9 @@
 
 void RelayKernel::onAnswer(Instant now, AttemptId attempt, const AnswerHead &head)
 {
+    if (Call *handedOver = impl_->callOfHandOver(attempt)) {
+        return impl_->onHandOverAnswer(now, *handedOver, attempt, head);
+    }
     Call *call = impl_->callOf(attempt);
     if (call == nullptr) {
         return;
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -15,8 +15,6 @@
 /// and those that come after it would wait longer still.
 constexpr double MaxWaitRatio = 0.5;
 
-/// Id of the first event of a run.
-constexpr std::uint64_t FirstEventId = 1;
 /// Statuses from this one on count as failures of the endpoint.
 constexpr int FirstFailureStatus = 500;
 
@@ -26,13 +24,6 @@
     return MaxWaitRatio * static_cast<double>(route.callerPatience.count());
 }
 
-/// Returns whether the first event of an attempt shows a run from the beginning although the attempt was to go on after an event, 0 if there was none. An
-/// endpoint may repeat that event, unless it is the first one of any run.
-bool isNewRun(std::uint64_t firstEvent, std::uint64_t resumedAfter)
-{
-    return resumedAfter > 0 && (firstEvent < resumedAfter || firstEvent <= FirstEventId);
-}
-
 /// Returns why there is no pipeline over layers [0, `layers`): the first layer that no candidate holds, or else a lack of memory.
 std::string noPipelineReason(const std::vector<placement::LayerHolder> &holders, std::uint32_t layers)
 {
@@ -52,6 +43,9 @@
 
 void RelayKernel::Impl::startStream(Instant now, Call &call)
 {
+    if (handOver(now, call)) {
+        return;
+    }
     if (!call.service->engine) {
         return startPlain(now, call);
     }
@@ -117,7 +111,7 @@
 
 void RelayKernel::Impl::rejectForLoad(Instant now, Call &call, Ms wait, const std::string &reason)
 {
-    if (call.mayHaveRun || !call.attempts.empty()) {
+    if (call.mayHaveRun || isUnderWay(call)) {
         return fail(now, call, base::ErrorKind::Overloaded, reason);
     }
     const CallId id = call.id;
@@ -205,6 +199,9 @@
 
 bool RelayKernel::onEvent(Instant now, AttemptId attempt, std::uint64_t eventId)
 {
+    if (Call *handedOver = impl_->callOfHandOver(attempt)) {
+        return impl_->onHandOverEvent(now, *handedOver, attempt, eventId);
+    }
     Call *call = impl_->callOf(attempt);
     if (call == nullptr || call->route->kind != RequestKind::Stream) {
         return false;
@@ -226,33 +223,41 @@
     openAttempt.hasEvents = true;
     impl_->clearPendingPrefill(openAttempt);
     impl_->endpoints.at(openAttempt.stages.front()).lastEventAt = now;
-    call->mayHaveRun = true;
-    const bool isNext = eventId == call->lastEvent + 1 || (!call->streamBegun && call->lastEvent == 0);
-    if (eventId <= call->lastEvent && call->lastEvent != 0) {
+    return impl_->deliverEvent(now, *call, attempt, eventId);
+}
+
+bool RelayKernel::Impl::deliverEvent(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId)
+{
+    call.mayHaveRun = true;
+    const bool isNext = eventId == call.lastEvent + 1 || (!call.streamBegun && call.lastEvent == 0);
+    if (eventId <= call.lastEvent && call.lastEvent != 0) {
         return false; // The caller has received it already.
     }
     if (!isNext) {
-        impl_->driver.record({"event_gap", call->requestId, "", "event " + std::to_string(eventId) + " after " + std::to_string(call->lastEvent)});
-        impl_->fail(now, *call, base::ErrorKind::AnswerIncomplete, "an event of the stream is missing");
+        driver.record({"event_gap", call.requestId, "", "event " + std::to_string(eventId) + " after " + std::to_string(call.lastEvent)});
+        fail(now, call, base::ErrorKind::AnswerIncomplete, "an event of the stream is missing");
         return false;
     }
-    call->lastEvent = eventId;
-    call->lastEventId = std::to_string(eventId);
-    if (call->streamBegun) {
-        call->maxEventInterval = std::max(call->maxEventInterval, now - call->lastDeliveredAt);
+    call.lastEvent = eventId;
+    call.lastEventId = std::to_string(eventId);
+    if (call.streamBegun) {
+        call.maxEventInterval = std::max(call.maxEventInterval, now - call.lastDeliveredAt);
     } else {
-        call->firstEventDelay = now - call->arrivedAt;
+        call.firstEventDelay = now - call.arrivedAt;
     }
-    call->lastDeliveredAt = now;
-    if (!call->streamBegun) {
-        call->streamBegun = true;
-        impl_->driver.beginStream(call->id, attempt);
+    call.lastDeliveredAt = now;
+    if (!call.streamBegun) {
+        call.streamBegun = true;
+        driver.beginStream(call.id, attempt);
     }
     return true;
 }
 
 void RelayKernel::onStreamEnd(Instant now, AttemptId attempt)
 {
+    if (Call *handedOver = impl_->callOfHandOver(attempt)) {
+        return impl_->onHandOverStreamEnd(now, *handedOver, attempt);
+    }
     Call *call = impl_->callOf(attempt);
     if (call == nullptr) {
         return;
@@ -264,16 +269,22 @@
         call->mayHaveRun = true;
         return impl_->retryStreamOrFail(now, *call, "the stream ended without an event");
     }
-    ++impl_->counters.streamsEnded;
-    impl_->driver.record({"stream_ended",
-                          call->requestId,
-                          impl_->endpoints.at(first).entry.id,
-                          "last event " + call->lastEventId + ", first after " + std::to_string(call->firstEventDelay / Ms(1)) + " ms, longest pause "
-                              + std::to_string(call->maxEventInterval / Ms(1)) + " ms, attempts " + std::to_string(call->attemptCount)});
-    impl_->dropAttempt(attempt);
-    const CallId id = call->id;
-    impl_->driver.endStream(id, attempt);
-    impl_->close(id);
+    impl_->endStream(*call, attempt, impl_->endpoints.at(first).entry.id);
+}
+
+void RelayKernel::Impl::endStream(Call &call, AttemptId attempt, const std::string &server)
+{
+    ++counters.streamsEnded;
+    driver.record({"stream_ended",
+                   call.requestId,
+                   server,
+                   "last event " + call.lastEventId + ", first after " + std::to_string(call.firstEventDelay / Ms(1)) + " ms, longest pause "
+                       + std::to_string(call.maxEventInterval / Ms(1)) + " ms, attempts " + std::to_string(call.attemptCount)});
+    dropAttempt(attempt);
+    dropHandOver(attempt);
+    const CallId id = call.id;
+    driver.endStream(id, attempt);
+    close(id);
 }
 
 } // namespace relay
--- a/libs/relay/src/StreamMoves.cpp
+++ b/libs/relay/src/StreamMoves.cpp
@@ -39,6 +39,9 @@
     if (now < call.nextCheckAt) {
         return;
     }
+    if (call.handOver) {
+        return watchHandOver(now, call);
+    }
     if (call.attempts.empty()) {
         // The retry was permitted some time ago.
         if (isBarred(call)) {
--- /dev/null
+++ b/libs/relay/src/details/HandOverPeers.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "relay/RelayKernel.h"
+
+#include <map>
+#include <optional>
+#include <span>
+
+namespace relay {
+
+/// The other instances to which this one may hand requests over while it reaches no endpoint itself.
+///
+/// An instance is chosen out of two that are drawn at random, by the requests of this instance that are open there. Those that are known to be cut off as
+/// well, that leave, or that have lately refused or failed a request are left out.
+class HandOverPeers
+{
+public:
+    /// Takes the name of this instance, its zone, and the seed of the draws.
+    void configure(const RelaySettings &settings);
+
+    /// Takes the platform's list of instances. Those that state no address for hand-overs are of a version that takes none.
+    void onInstances(const std::vector<InstanceEntry> &instances);
+    /// Takes what the sender of a digest says of itself.
+    void onDigest(const wire::RelayDigest &digest, Instant now);
+    /// Takes that an instance could not be reached, or has failed or refused a request: it gets none for a while.
+    void avoid(const std::string &instance, Instant now);
+    /// Counts the requests that are open at an instance.
+    void onBegun(const std::string &instance);
+    void onEnded(const std::string &instance);
+
+    /// Returns the instance to hand a request over to, other than the excluded ones; none if there is none.
+    std::optional<std::string> choose(std::span<const std::string> excluded, Instant now);
+    /// Returns whether there is an instance that may take requests.
+    bool hasAny(Instant now) const;
+    /// Returns the address for hand-overs of an instance; empty if it is unknown.
+    std::string addressOf(const std::string &instance) const;
+
+private:
+    struct Peer {
+        std::string address;
+        std::string zone;
+        /// It reaches no endpoint either, or leaves, as its last digest says; and when that came.
+        bool isUnfit = false;
+        Instant heardAt{0};
+        Instant avoidedUntil{0};
+        std::uint32_t openRequests = 0;
+        bool isListed = false;
+    };
+
+    bool isFit(const Peer &peer, Instant now) const;
+
+    std::string ownId_;
+    std::string ownZone_;
+    std::uint64_t seed_ = 0;
+    std::uint64_t draws_ = 0;
+    std::map<std::string, Peer> peers_;
+};
+
+} // namespace relay
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -4,6 +4,7 @@
 #include "details/EndpointList.h"
 #include "details/EndpointReach.h"
 #include "details/EndpointRegistry.h"
+#include "details/HandOverPeers.h"
 #include "details/PeerLoads.h"
 #include "details/PlannerDuty.h"
 #include "details/RequestLimits.h"
@@ -63,6 +64,17 @@
     std::uint64_t incarnation = 0;
 };
 
+/// A request that was handed over to another instance and has not ended there.
+struct OpenHandOver {
+    CallId call = 0;
+    std::string peer;
+    /// Time of its last event; of its beginning if there was none.
+    Instant lastProgressAt{0};
+    /// Number of the last event that the caller had when it was handed over; 0 if it had none.
+    std::uint64_t resumedAfter = 0;
+    bool hasEvents = false;
+};
+
 /// A caller's request that has been admitted and not yet answered completely.
 struct Call {
     CallId id = 0;
@@ -100,7 +112,14 @@
     std::vector<AttemptId> attempts;
     /// Attempts that may have run, all open ones included; see RelayKernel::Impl::countedRuns().
     std::vector<Run> runs;
-    /// All attempts so far.
+    /// The open hand-over to another instance, and the instances that have refused or failed one.
+    std::optional<AttemptId> handOver;
+    std::vector<std::string> triedPeers;
+    /// Another instance has handed it over to this one.
+    bool isHandedOver = false;
+    /// Runs at other instances.
+    std::uint32_t priorRuns = 0;
+    /// All attempts and hand-overs so far.
     std::uint32_t attemptCount = 0;
     /// Attempts that were refused after the call may have run. The first is retried at once; each further one lengthens the delay before the next
     /// attempt.
@@ -119,6 +138,20 @@
     Instant nextCheckAt{0};
 };
 
+/// Returns whether requests of the route may run once only, whatever happens.
+inline bool runsOnce(const Route &route)
+{
+    return route.kind == RequestKind::AtMostOnce || (route.kind == RequestKind::Stream && !route.isResumable);
+}
+
+/// Returns whether the first event of an attempt shows a run from the beginning although the attempt was to go on after an event, 0 if there was none. An
+/// endpoint may repeat that event, unless it is the first one of any run.
+inline bool isNewRun(std::uint64_t firstEvent, std::uint64_t resumedAfter)
+{
+    constexpr std::uint64_t FirstEventId = 1;
+    return resumedAfter > 0 && (firstEvent < resumedAfter || firstEvent <= FirstEventId);
+}
+
 /// Endpoints of a service that may be stages of a pipeline. Both lists have the same order.
 struct Candidates {
     std::vector<placement::LayerHolder> holders;
@@ -131,7 +164,7 @@
 };
 
 /// State of the kernel. Its functions are defined in several files: Admission, Calls, PlainCalls, StreamCalls, StreamMoves, Candidates, Detours,
-/// EndpointHealth, ReachChecks, Digests and RelayKernel.
+/// EndpointHealth, ReachChecks, HandOvers, Digests and RelayKernel.
 struct RelayKernel::Impl {
     Impl(RelaySettings relaySettings, RelayDriver &relayDriver);
     /// Passes the settings on to the parts.
@@ -257,6 +290,27 @@
     void onCutOff(Instant now);
     void onReachAgain(Instant now);
 
+    // Hand-overs to other instances while this one reaches no endpoint.
+    /// Hands a call over, if this instance is cut off from all endpoints and another one may take it. Returns false if not.
+    bool handOver(Instant now, Call &call);
+    /// Returns whether an attempt or a hand-over of the call is open.
+    static bool isUnderWay(const Call &call);
+    /// Forgets a hand-over; doesn't abort it at the driver.
+    void dropHandOver(AttemptId attempt);
+    /// Returns the call of an open hand-over; null if it has ended.
+    Call *callOfHandOver(AttemptId attempt);
+    /// Forwards an answer, or takes the other instance's refusal.
+    void onHandOverAnswer(Instant now, Call &call, AttemptId attempt, const AnswerHead &head);
+    /// Tries a further instance if the reason concerns that one only, else ends the call as the other instance says.
+    void onHandOverRefused(Instant now, Call &call, AttemptId attempt, base::ErrorKind kind, Ms retryAfter);
+    /// Hands the call over again, or ends it, after a hand-over without a whole answer.
+    void onHandOverFailed(Instant now, Call &call, AttemptId attempt, AttemptFailure failure);
+    /// Handles an event; returns true if it must be forwarded to the caller.
+    bool onHandOverEvent(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId);
+    void onHandOverStreamEnd(Instant now, Call &call, AttemptId attempt);
+    /// Moves a stream to a further instance if it makes no progress at this one.
+    void watchHandOver(Instant now, Call &call);
+
     // Calls to services without layers.
     /// Dispatches a call to the endpoint with the lowest estimated cost, or fails it if none is usable.
     void startPlain(Instant now, Call &call);
@@ -311,6 +365,10 @@
     void keepAttempt(const Call &call, AttemptId attempt, EndpointIndex silent);
     /// Aborts an attempt and starts a new one if the call may be retried, else fails the call.
     void replaceAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason);
+    /// Takes an event of the call's stream, whoever sends it; returns true if it is the next one, which the caller must get.
+    bool deliverEvent(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId);
+    /// Ends a stream as complete, after the last event of the attempt or the hand-over.
+    void endStream(Call &call, AttemptId attempt, const std::string &server);
     /// Gives up an attempt that was to resume a stream and whose first event shows a run from the beginning: its events and those of the run before don't
     /// belong together. Resumes the stream elsewhere if it may be retried, else fails it.
     void giveUpNewRun(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId);
@@ -359,6 +417,7 @@
     Instant shareUpdatedAt{0};
     CrashGuard crashGuard;
     EndpointReach reach;
+    HandOverPeers handOverPeers;
     RelayCounters counters;
 
     /// The configuration in use; null before the first.
@@ -371,6 +430,7 @@
 
     std::unordered_map<CallId, std::unique_ptr<Call>> calls;
     std::unordered_map<AttemptId, Attempt> attempts;
+    std::unordered_map<AttemptId, OpenHandOver> handOvers;
     AttemptId nextAttempt = 1;
     /// Pseudo-random numbers used so far.
     std::uint64_t randomCount = 0;
--- a/libs/relay/src/details/PeerLoads.h
+++ b/libs/relay/src/details/PeerLoads.h
@@ -137,6 +137,7 @@
     std::string ownId_;
     std::string ownZone_;
     std::string ownMeshAddress_;
+    std::string ownHandOverAddress_;
     /// The last digests of other instances by id, the sums of other zones by zone, and the sum of the fleet.
     std::map<std::string, Source> peers_;
     std::map<std::string, Source> zoneSums_;
--- a/libs/relay/src/details/PlannerDuty.h
+++ b/libs/relay/src/details/PlannerDuty.h
@@ -35,6 +35,8 @@
     void onReport(Instant now, EndpointIndex index, bool answered);
     /// Releases the lease, so that another instance need not wait for its end, and stops planning for good.
     void release();
+    /// Lets this instance take the lease again after release().
+    void resume();
 
     /// Returns true while this instance may send orders under its lease.
     bool holdsLease(Instant now) const;
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -26,6 +26,10 @@
     {
         sent.push_back(std::move(dispatch));
     }
+    void handOver(relay::HandOver order) override
+    {
+        handOvers.push_back(std::move(order));
+    }
     void cancel(relay::AttemptId attempt) override
     {
         cancelled.push_back(attempt);
@@ -138,6 +142,7 @@
     /// What unfinishedExchanges() returns.
     std::size_t unfinished = 0;
     std::vector<relay::Dispatch> sent;
+    std::vector<relay::HandOver> handOvers;
     std::vector<relay::AttemptId> cancelled;
     std::vector<Rejected> rejected;
     /// Calls that ended with an endpoint's whole answer.
--- a/libs/relay/tests/InstanceFleet.cpp
+++ b/libs/relay/tests/InstanceFleet.cpp
@@ -22,6 +22,11 @@
     return nameOf(instance) + ":1";
 }
 
+std::string handOverAddressOf(std::size_t instance)
+{
+    return nameOf(instance) + ":2";
+}
+
 } // namespace
 
 InstanceFleet::InstanceFleet(std::size_t instanceCount)
@@ -61,14 +66,16 @@
     settings.node = nameOf(number);
     settings.instance = nameOf(number) + "/" + std::to_string(++storeRevision_);
     settings.meshAddress = addressOf(number);
+    settings.handOverAddress = handOverAddressOf(number);
     numberOfAddress_[settings.meshAddress] = number;
+    numberOfAddress_[settings.handOverAddress] = number;
     settings.seed = number + 1;
     instance.kernel = std::make_unique<RelayKernel>(settings, instance.driver);
     instance.kernel->onConfig(now, now, RelayTestBed::config(1));
     instance.kernel->onEndpoints(now, listedEntries(), {0, ++storeRevision_});
     std::vector<InstanceEntry> entries;
     for (std::size_t i = 0; i < instances.size(); ++i) {
-        entries.push_back({nameOf(i), addressOf(i), "zone-a"});
+        entries.push_back({nameOf(i), addressOf(i), "zone-a", handOverAddressOf(i)});
     }
     for (const auto &each : instances) {
         if (each->kernel) {
@@ -115,6 +122,7 @@
     lastPartOfCall_[{instance, arrival.call}] = lastPart;
     requestTimes_.push_back(now);
     asked_[{instance, arrival.call}] = {now, false};
+    arrivals_[{instance, arrival.call}] = arrival;
     instances[instance]->kernel->onCall(now, arrival);
 }
 
@@ -142,11 +150,52 @@
         instance->kernel->onEndpoints(now, listedEntries(), {0, storeRevision_});
         instance->kernel->onTick(now);
     }
+    deliverHandOvers();
     processDispatches();
     collectRejections();
     collectBegunStreams();
 }
 
+void InstanceFleet::deliverHandOvers()
+{
+    for (std::size_t from = 0; from < instances.size(); ++from) {
+        Instance &sender = *instances[from];
+        for (; sender.processedHandOvers < sender.driver.handOvers.size(); ++sender.processedHandOvers) {
+            const HandOver order = sender.driver.handOvers[sender.processedHandOvers];
+            const std::size_t to = numberOfAddress_.at(order.address);
+            if (instances[to]->isDown || instances[to]->isCutOff || sender.isCutOff) {
+                sender.kernel->onFailure(now, order.attempt, AttemptFailure::NotSent);
+                continue;
+            }
+            CallArrival arrival = arrivals_.at({from, order.call});
+            lastPartOfCall_[{to, ++lastCall_}] = lastPartOfCall_.at({from, order.call});
+            arrival.call = lastCall_;
+            arrival.isHandedOver = true;
+            arrival.priorRuns = order.runs;
+            arrival.timeLimit = order.timeLeft;
+            arrival.lastEventId = order.lastEventId;
+            handedOver_[{to, arrival.call}] = {from, order.attempt};
+            instances[to]->kernel->onCall(now, arrival);
+        }
+    }
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+        returnStreams(i);
+    }
+}
+
+void InstanceFleet::returnStreams(std::size_t instance)
+{
+    Instance &server = *instances[instance];
+    for (; server.processedEnds < server.driver.endedStreams.size(); ++server.processedEnds) {
+        const auto found = handedOver_.find({instance, server.driver.endedStreams[server.processedEnds]});
+        if (found != handedOver_.end()) {
+            const auto [origin, attempt] = found->second;
+            instances[origin]->kernel->onEvent(now, attempt, 1);
+            instances[origin]->kernel->onStreamEnd(now, attempt);
+        }
+    }
+}
+
 InstanceFleet::Endpoint &InstanceFleet::endpointOf(const std::string &id)
 {
     return *std::find_if(endpoints.begin(), endpoints.end(), [&](const Endpoint &endpoint) { return endpoint.entry.id == id; });
@@ -312,6 +361,12 @@
         Instance &instance = *instances[i];
         for (; instance.processedRejections < instance.driver.rejected.size(); ++instance.processedRejections) {
             const base::ErrorKind kind = instance.driver.rejected[instance.processedRejections].rejection.kind;
+            const auto handedOver = handedOver_.find({i, instance.driver.rejected[instance.processedRejections].call});
+            if (handedOver != handedOver_.end()) {
+                AnswerHead head;
+                head.peerError = kind;
+                instances[handedOver->second.first]->kernel->onAnswer(now, handedOver->second.second, head);
+            }
             if (kind == base::ErrorKind::Quarantined || kind == base::ErrorKind::PromptPartQuarantined) {
                 quarantined_.push_back({now, i});
             }
@@ -362,6 +417,11 @@
     return static_cast<std::size_t>(std::count_if(retryTimes_.begin(), retryTimes_.end(), [&](Instant at) { return at >= since; }));
 }
 
+std::size_t InstanceFleet::handedOverTo(std::size_t instance) const
+{
+    return static_cast<std::size_t>(std::count_if(handedOver_.begin(), handedOver_.end(), [&](const auto &entry) { return entry.first.first == instance; }));
+}
+
 std::pair<std::size_t, std::size_t> InstanceFleet::begunOf(std::size_t instance, Instant since, Instant until) const
 {
     std::pair<std::size_t, std::size_t> counts;
--- a/libs/relay/tests/InstanceFleet.h
+++ b/libs/relay/tests/InstanceFleet.h
@@ -56,6 +56,8 @@
         std::size_t answeredReports = 0;
         std::size_t answeredChecks = 0;
         std::size_t processedRejections = 0;
+        std::size_t processedHandOvers = 0;
+        std::size_t processedEnds = 0;
         std::size_t processedStreams = 0;
         /// No digest reaches it or leaves it.
         bool isCutOff = false;
@@ -102,6 +104,8 @@
     std::size_t maxSentTo(std::size_t endpoint, relay::Instant since, relay::Ms span) const;
     /// Returns the time of the n-th crash by the fatal part, counted from 1; none if there were fewer.
     std::optional<relay::Instant> fatalCrash(std::size_t n) const;
+    /// Returns how many requests were handed over to an instance from that time on.
+    std::size_t handedOverTo(std::size_t instance) const;
     /// Returns how many requests were made through an instance within that time, and how many of them have begun to be answered.
     std::pair<std::size_t, std::size_t> begunOf(std::size_t instance, relay::Instant since, relay::Instant until) const;
     /// Returns how many requests with that last part have got their first event from that time on.
@@ -147,6 +151,9 @@
     /// Ends or forgets the runs of instances that are cut off from the endpoints.
     void cutRuns();
     void collectBegunStreams();
+    /// Takes the requests that instances hand over to the places where they are served, and what becomes of them back.
+    void deliverHandOvers();
+    void returnStreams(std::size_t instance);
     void collectRejections();
     void beginRuns();
     void crash(Endpoint &endpoint);
@@ -163,6 +170,9 @@
     std::vector<Quarantined> quarantined_;
     std::vector<relay::Instant> fatalCrashes_;
     std::map<std::string, std::size_t> numberOfAddress_;
+    /// By the instance that serves it and its call there: who has handed a request over, and under which attempt.
+    std::map<std::pair<std::size_t, relay::CallId>, std::pair<std::size_t, relay::AttemptId>> handedOver_;
+    std::map<std::pair<std::size_t, relay::CallId>, relay::CallArrival> arrivals_;
     relay::CallId lastCall_ = 0;
     std::uint64_t storeRevision_ = 0;
     int fatalRuns_ = 0;
--- a/libs/relay/tests/VirtualInstance.cpp
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -191,6 +191,12 @@
     fleet_.deliver(index_, dispatch);
 }
 
+void VirtualFleet::Driver::handOver(relay::HandOver order)
+{
+    // Instances of this fleet state no address for hand-overs.
+    fleet_.addViolation(self().node + " hands a request over to " + order.instance);
+}
+
 void VirtualFleet::Driver::cancel(relay::AttemptId attempt)
 {
     const std::uint64_t generation = self().generation;
--- a/libs/relay/tests/VirtualInstance.h
+++ b/libs/relay/tests/VirtualInstance.h
@@ -38,6 +38,7 @@
     }
 
     void send(relay::Dispatch dispatch) override;
+    void handOver(relay::HandOver order) override;
     void cancel(relay::AttemptId attempt) override;
     void reject(relay::CallId call, const relay::Rejection &rejection) override;
     void forward(relay::CallId call, relay::AttemptId attempt) override;
--- a/libs/relayhost/include/relayhost/Dialect.h
+++ b/libs/relayhost/include/relayhost/Dialect.h
@@ -38,6 +38,8 @@
     virtual DecodedCall decodeCall(relay::CallId call, const net::HttpRequest &request) const = 0;
     /// Returns the request to send to the endpoint for this attempt: the caller's request with the platform's header fields set by the router.
     virtual net::HttpRequest encodeDispatch(const net::HttpRequest &original, const relay::Dispatch &dispatch) const = 0;
+    /// Returns the request to hand over to another instance: the caller's request, its key included, with the time and the last event of now.
+    virtual net::HttpRequest encodeHandOver(const net::HttpRequest &original, const relay::HandOver &order) const = 0;
     /// Decodes the status and headers of an endpoint's answer to the request with this id.
     virtual relay::AnswerHead decodeAnswer(int status, const net::Headers &headers, const std::string &requestId) const = 0;
     /// Returns whose id an endpoint's answer to the request with this id bears. The id is empty for the router's own requests, which have none.
--- a/libs/relayhost/include/relayhost/HostSettings.h
+++ b/libs/relayhost/include/relayhost/HostSettings.h
@@ -22,6 +22,8 @@
     net::Address metrics;
     /// Address on which messages from other instances are received.
     net::Address mesh;
+    /// Address on which requests from other instances are taken over; port 0 if none are.
+    net::Address handOvers;
     /// Address of the platform's store.
     net::Address store;
     /// Settings of the kernel. Its `instance` and `seed` are not in the file: they are chosen at the start of each process.
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -34,6 +34,7 @@
     net::Address callersAddress() const;
 
     void send(relay::Dispatch dispatch) override;
+    void handOver(relay::HandOver order) override;
     void cancel(relay::AttemptId attempt) override;
     void reject(relay::CallId call, const relay::Rejection &rejection) override;
     void forward(relay::CallId call, relay::AttemptId attempt) override;
@@ -66,6 +67,8 @@
         CallerResponse<net::HttpServer> response;
         net::HttpRequest request = {};
         std::string requestId = {};
+        /// Another instance has handed the request over.
+        bool isHandedOver = false;
         relay::Instant arrivedAt{0};
         /// Time at which events were last forwarded to the caller; zero before the first.
         relay::Instant lastEventAt{0};
@@ -83,6 +86,8 @@
         std::string body;
         /// The call is answered by a stream.
         bool mayStream = false;
+        /// It is a hand-over to another instance.
+        bool isHandOver = false;
         /// The answer is a verified stream of events, which is forwarded event by event.
         bool isStream = false;
     };
@@ -104,10 +109,21 @@
     void tick();
     /// Applies the settings file if its text has changed. If the new text is invalid, the previous settings stay in use.
     void rereadSettings();
-    /// Passes a caller's request to the kernel as a new call whose id is that of the exchange; rejects it if it is malformed.
-    void onRequest(net::ExchangeId exchange, net::HttpRequest request);
+    /// Who has sent a request.
+    enum class Origin {
+        Caller,
+        /// Another instance, which hands it over.
+        Instance,
+    };
+
+    /// Returns the id of the call that an exchange becomes: each of the two servers counts its exchanges from 1.
+    static relay::CallId callOf(Origin origin, net::ExchangeId exchange);
+    /// Passes a request to the kernel as a new call; rejects it if it is malformed.
+    void onRequest(Origin origin, net::ExchangeId exchange, net::HttpRequest request);
     /// Forgets a call whose exchange has ended, and logs it unless it was answered.
-    void onExchangeEnded(net::ExchangeId exchange, net::ExchangeEnd end);
+    void onExchangeEnded(relay::CallId call, net::ExchangeEnd end);
+    /// Sends a request for a call to an endpoint or another instance; what comes back is reported under the attempt's id.
+    void startAttempt(relay::AttemptId id, relay::CallId call, const std::string &receiver, net::ClientCall request);
     /// Logs the exchanges that the end of the process cuts off.
     void recordCutExchanges();
     /// Answers the readiness check, and serves the metrics, the status and the commands of operators, on either of the two servers.
@@ -131,7 +147,7 @@
     /// Returns the state of the instance as JSON, for operators.
     std::string statusText() const;
     StoreHandlers storeHandlers();
-    net::HttpServer::Handlers callerHandlers();
+    net::HttpServer::Handlers callerHandlers(Origin origin);
     /// Handlers of the readiness or metrics server that `server` will hold.
     net::HttpServer::Handlers operatorHandlers(std::unique_ptr<net::HttpServer> &server);
 
@@ -148,6 +164,8 @@
     mesh::Mesh mesh_;
     std::thread meshThread_;
     std::unique_ptr<net::HttpServer> callerServer_;
+    /// Takes requests from other instances; null if the settings name no address for it.
+    std::unique_ptr<net::HttpServer> handOverServer_;
     std::unique_ptr<net::HttpServer> readinessServer_;
     std::unique_ptr<net::HttpServer> metricsServer_;
     std::unordered_map<relay::CallId, OpenCall> calls_;
--- /dev/null
+++ b/libs/relayhost/src/HandOverFields.cpp
@@ -0,0 +1,56 @@
+#include "relayhost/HandOverFields.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace relayhost {
+
+namespace {
+
+/// Parses a whole number; 0 if the text is none.
+std::uint32_t numberIn(std::string_view text)
+{
+    std::uint32_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+/// Returns the error kind with that name. One that this version doesn't know says nothing of whether the request has run.
+base::ErrorKind errorKindNamed(std::string_view name)
+{
+    const auto &answers = base::errorAnswers();
+    const auto found = std::find_if(answers.begin(), answers.end(), [&](const base::ErrorAnswer &answer) { return answer.name == name; });
+    return found == answers.end() ? base::ErrorKind::UpstreamBroken : found->kind;
+}
+
+} // namespace
+
+void markHandOver(net::HttpRequest &request, const relay::HandOver &order)
+{
+    net::removeHeader(request.headers, handover::Runs);
+    request.headers.emplace_back(std::string(handover::Runs), std::to_string(order.runs));
+}
+
+void takeHandOver(net::HttpRequest &request, relay::CallArrival &arrival)
+{
+    arrival.isHandedOver = true;
+    arrival.priorRuns = numberIn(net::headerIn(request.headers, handover::Runs));
+    net::removeHeader(request.headers, handover::Runs);
+}
+
+void markRejection(net::HttpResponse &response, const relay::Rejection &rejection)
+{
+    response.headers.emplace_back(std::string(handover::Error), std::string(base::nameOf(rejection.kind)));
+    response.headers.emplace_back(std::string(handover::RetryAfterMs), std::to_string(rejection.retryAfter.count()));
+}
+
+void readRejection(const net::Headers &headers, relay::AnswerHead &head)
+{
+    const std::string_view name = net::headerIn(headers, handover::Error);
+    if (!name.empty()) {
+        head.peerError = errorKindNamed(name);
+        head.peerRetryAfter = relay::Ms(numberIn(net::headerIn(headers, handover::RetryAfterMs)));
+    }
+}
+
+} // namespace relayhost
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Time.h"
 #include "net/EventFrames.h"
+#include "relayhost/HandOverFields.h"
 
 #include <algorithm>
 
@@ -42,19 +43,42 @@
     if (call == calls_.end()) {
         return;
     }
-    const relay::AttemptId id = dispatch.attempt;
-    call->second.response.handOver(id);
     net::ClientCall request;
     request.address = net::parseAddress(dispatch.address);
     request.request = dialect_.encodeDispatch(call->second.request, dispatch);
-    request.connectTimeout = ConnectTimeout;
     request.totalTimeout = dispatch.timeLeft + AnswerTimeoutMargin;
     request.freshConnection = dispatch.freshConnection;
+    attempts_[dispatch.attempt].mayStream = dispatch.isStream;
+    startAttempt(dispatch.attempt, dispatch.call, dispatch.endpoint, std::move(request));
+}
+
+void RelayHost::handOver(relay::HandOver order)
+{
+    const auto call = calls_.find(order.call);
+    if (call == calls_.end()) {
+        return;
+    }
+    net::ClientCall request;
+    request.address = net::parseAddress(order.address);
+    request.request = dialect_.encodeHandOver(call->second.request, order);
+    markHandOver(request.request, order);
+    request.totalTimeout = order.timeLeft + AnswerTimeoutMargin;
+    request.freshConnection = order.freshConnection;
+    attempts_[order.attempt].mayStream = order.isStream;
+    attempts_[order.attempt].isHandOver = true;
+    startAttempt(order.attempt, order.call, order.instance, std::move(request));
+}
+
+void RelayHost::startAttempt(relay::AttemptId id, relay::CallId call, const std::string &receiver, net::ClientCall request)
+{
+    OpenCall &open = calls_.at(call);
+    open.response.handOver(id);
+    request.connectTimeout = ConnectTimeout;
     request.bodyLimit = MaxAnswerBytes;
-    request.isStray = [this, requestId = call->second.requestId, endpoint = dispatch.endpoint](const net::Headers &headers) {
+    request.isStray = [this, requestId = open.requestId, receiver](const net::Headers &headers) {
         const bool isStray = dialect_.answerIdOf(headers, requestId) == AnswerId::Other;
         if (isStray) {
-            record({"answer_skipped", requestId, endpoint, "it answers an earlier request"});
+            record({"answer_skipped", requestId, receiver, "it answers an earlier request"});
         }
         return isStray;
     };
@@ -64,8 +88,8 @@
             attempt->second.isOnKeptConnection = true;
         }
     };
-    handlers.onHead = [this, id, endpoint = dispatch.endpoint](int status, const net::Headers &headers) {
-        onHead(id, endpoint, status, headers);
+    handlers.onHead = [this, id, receiver](int status, const net::Headers &headers) {
+        onHead(id, receiver, status, headers);
     };
     handlers.onData = [this, id](const std::string &data) {
         onData(id, data);
@@ -76,8 +100,7 @@
     handlers.onFailure = [this, id](net::CallFailure failure, const net::CallProgress &progress) {
         onFailure(id, failure, net::toText(progress));
     };
-    attempts_[id].call = dispatch.call;
-    attempts_[id].mayStream = dispatch.isStream;
+    attempts_[id].call = call;
     attempts_[id].clientCall = endpointClient_.start(std::move(request), std::move(handlers));
 }
 
@@ -108,6 +131,9 @@
     const bool mayAnswerAnother = attempt.isOnKeptConnection && dialect_.answerIdOf(attempt.headers, requestId) != AnswerId::Own;
     head.notRun = head.notRun && !mayAnswerAnother;
     head.isOnNewConnection = !attempt.isOnKeptConnection;
+    if (attempt.isHandOver) {
+        readRejection(attempt.headers, head);
+    }
     return head;
 }
 
@@ -209,7 +235,11 @@
     if (found == calls_.end()) {
         return;
     }
-    if (!found->second.response.answer(dialect_.encodeRejection(rejection, found->second.requestId))) {
+    net::HttpResponse response = dialect_.encodeRejection(rejection, found->second.requestId);
+    if (found->second.isHandedOver) {
+        markRejection(response, rejection);
+    }
+    if (!found->second.response.answer(response)) {
         recordMisfit(call, "an error answer");
     }
 }
@@ -396,17 +426,23 @@
 void RelayHost::closeConnections()
 {
     callerServer_->closeConnections();
+    if (handOverServer_) {
+        handOverServer_->closeConnections();
+    }
 }
 
 void RelayHost::stopAccepting()
 {
     callerServer_->stopAccepting();
-    callerServer_->closeConnections();
+    if (handOverServer_) {
+        handOverServer_->stopAccepting();
+    }
+    closeConnections();
 }
 
 std::size_t RelayHost::unfinishedExchanges() const
 {
-    return callerServer_->unfinishedConnections();
+    return callerServer_->unfinishedConnections() + (handOverServer_ ? handOverServer_->unfinishedConnections() : 0);
 }
 
 void RelayHost::exit()
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -1,6 +1,7 @@
 #include "relayhost/RelayHost.h"
 
 #include "base/Time.h"
+#include "relayhost/HandOverFields.h"
 
 #include <algorithm>
 #include <atomic>
@@ -104,7 +105,10 @@
     , kernel_(settings_.relay, *this)
     , store_(loop_, makeStore(loop_, settings_.store), storeHandlers())
     , mesh_(net::toString(settings_.mesh), {}, MeshRingItems, [this](const std::string &bytes) { onMeshMessage(bytes); })
-    , callerServer_(std::make_unique<net::HttpServer>(loop_, settings_.callers, serverLimits({}), callerHandlers()))
+    , callerServer_(std::make_unique<net::HttpServer>(loop_, settings_.callers, serverLimits({}), callerHandlers(Origin::Caller)))
+    , handOverServer_(settings_.handOvers.port == 0
+                          ? nullptr
+                          : std::make_unique<net::HttpServer>(loop_, settings_.handOvers, serverLimits({}), callerHandlers(Origin::Instance)))
     , readinessServer_(
           std::make_unique<net::HttpServer>(loop_, settings_.readiness, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(readinessServer_)))
     , metricsServer_(std::make_unique<net::HttpServer>(loop_, settings_.metrics, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(metricsServer_)))
@@ -117,6 +121,9 @@
     handlers.onConfig = [this](relay::Instant sentAt, const relay::FleetConfigPtr &config) {
         if (config->version >= kernel_.configVersion()) {
             callerServer_->setLimits(serverLimits(config->limits));
+            if (handOverServer_) {
+                handOverServer_->setLimits(serverLimits(config->limits));
+            }
         }
         kernel_.onConfig(now(), sentAt, config);
     };
@@ -144,17 +151,17 @@
     return handlers;
 }
 
-net::HttpServer::Handlers RelayHost::callerHandlers()
+net::HttpServer::Handlers RelayHost::callerHandlers(Origin origin)
 {
     net::HttpServer::Handlers handlers;
-    handlers.onRequest = [this](net::ExchangeId exchange, net::HttpRequest request) {
-        onRequest(exchange, std::move(request));
+    handlers.onRequest = [this, origin](net::ExchangeId exchange, net::HttpRequest request) {
+        onRequest(origin, exchange, std::move(request));
     };
-    handlers.onAbort = [this](net::ExchangeId exchange) {
-        kernel_.onCallerGone(now(), exchange);
+    handlers.onAbort = [this, origin](net::ExchangeId exchange) {
+        kernel_.onCallerGone(now(), callOf(origin, exchange));
     };
-    handlers.onEnded = [this](net::ExchangeId exchange, net::ExchangeEnd end) {
-        onExchangeEnded(exchange, end);
+    handlers.onEnded = [this, origin](net::ExchangeId exchange, net::ExchangeEnd end) {
+        onExchangeEnded(callOf(origin, exchange), end);
     };
     handlers.refusal = [this](net::RefusalKind refusal) {
         const bool isInternal = refusal == net::RefusalKind::HandlerFailed;
@@ -187,7 +194,7 @@
             "",
             settings_.relay.instance,
             "listening for callers on " + net::toString(settings_.callers) + ", store at " + net::toString(settings_.store)});
-    store_.start({settings_.node, net::toString(settings_.mesh), settings_.zone});
+    store_.start({settings_.node, net::toString(settings_.mesh), settings_.zone, settings_.relay.handOverAddress});
     tick();
     meshThread_ = std::thread([this]() { mesh_.run(); });
     loop_.run();
@@ -248,23 +255,34 @@
     record({"settings_reloaded", "", settingsPath_, ""});
 }
 
-void RelayHost::onRequest(net::ExchangeId exchange, net::HttpRequest request)
+relay::CallId RelayHost::callOf(Origin origin, net::ExchangeId exchange)
 {
-    const DecodedCall decoded = dialect_.decodeCall(exchange, request);
-    OpenCall call{CallerResponse<net::HttpServer>(*callerServer_, exchange)};
+    constexpr relay::CallId HandOverBit = 1ULL << 63U;
+    return origin == Origin::Instance ? exchange | HandOverBit : exchange;
+}
+
+void RelayHost::onRequest(Origin origin, net::ExchangeId exchange, net::HttpRequest request)
+{
+    const relay::CallId id = callOf(origin, exchange);
+    DecodedCall decoded = dialect_.decodeCall(id, request);
+    OpenCall call{CallerResponse<net::HttpServer>(origin == Origin::Instance ? *handOverServer_ : *callerServer_, exchange)};
+    if (origin == Origin::Instance) {
+        call.isHandedOver = true;
+        takeHandOver(request, decoded.arrival);
+    }
     call.requestId = decoded.arrival.requestId;
     call.arrivedAt = now();
     call.request = std::move(request);
-    calls_.emplace(exchange, std::move(call));
+    calls_.emplace(id, std::move(call));
     if (decoded.isMalformed) {
-        return reject(exchange, {base::ErrorKind::BadRequest, "the request lacks an id, a host or an absolute path", relay::Ms(0)});
+        return reject(id, {base::ErrorKind::BadRequest, "the request lacks an id, a host or an absolute path", relay::Ms(0)});
     }
     kernel_.onCall(now(), decoded.arrival);
 }
 
-void RelayHost::onExchangeEnded(net::ExchangeId exchange, net::ExchangeEnd end)
+void RelayHost::onExchangeEnded(relay::CallId call, net::ExchangeEnd end)
 {
-    const auto found = calls_.find(exchange);
+    const auto found = calls_.find(call);
     if (found == calls_.end()) {
         return;
     }
--- a/libs/relayhost/src/StoreFollower.cpp
+++ b/libs/relayhost/src/StoreFollower.cpp
@@ -262,7 +262,7 @@
         return; // A late list from before a restore.
     }
     const bool isListed = std::any_of(listing.entries.begin(), listing.entries.end(), [&](const relay::InstanceEntry &entry) {
-        return entry.id == own_.id && entry.meshAddress == own_.meshAddress && entry.zone == own_.zone;
+        return entry.id == own_.id && entry.meshAddress == own_.meshAddress && entry.zone == own_.zone && entry.handOverAddress == own_.handOverAddress;
     });
     isRegistered_ = isListed || (isRegistered_ && listing.epoch == registeredEpoch_);
     registeredEpoch_ = listing.epoch;
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -154,6 +154,10 @@
     std::vector<EndpointLimit> limits = {};
     /// Endpoints that are known to leave although the list of endpoints doesn't show it.
     std::vector<LeavingEndpoint> leavingEndpoints = {};
+    /// IP:port at which the sender takes requests from other instances; stated along with `meshAddress`, empty if the sender is of a version that takes none.
+    std::string handOverAddress = {};
+    /// The sender reaches no endpoint at present, and hands its requests over to others.
+    bool reachesNoEndpoint = false;
 };
 
 /// An entry of the store's list of endpoints.
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -64,6 +64,8 @@
 void fillScope(trefoilport::pb::RelayDigest &out, const RelayDigest &digest)
 {
     out.set_mesh_address(digest.meshAddress);
+    out.set_hand_over_address(digest.handOverAddress);
+    out.set_reaches_no_endpoint(digest.reachesNoEndpoint);
     out.set_zone(digest.zone);
     if (digest.scope != DigestScope::Instance) {
         out.set_scope(static_cast<std::uint32_t>(digest.scope));
@@ -130,6 +132,8 @@
 void readScope(const trefoilport::pb::RelayDigest &in, RelayDigest &digest)
 {
     digest.meshAddress = in.mesh_address();
+    digest.handOverAddress = in.hand_over_address();
+    digest.reachesNoEndpoint = in.reaches_no_endpoint();
     digest.zone = in.zone();
     digest.scope = static_cast<DigestScope>(in.scope());
     digest.countedInstances = std::max(1U, in.counted_instances());
