--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -175,7 +175,7 @@
     const double target = static_cast<double>(call.route->targetLatency.count());
     const double latency = endpoints.at(endpoint).latencyMs;
     const double hedgeDelay = latency > 0 ? std::min(target * HedgeTargetRatio, latency * HedgeLatencyRatio) : target * HedgeTargetRatio;
-    if (msBetween(attempt.sentAt, now) < hedgeDelay) {
+    if (!reach.isCutOff() && msBetween(attempt.sentAt, now) < hedgeDelay) {
         return;
     }
     exclude(call, endpoint);
--- a/libs/relay/src/StreamMoves.cpp
+++ b/libs/relay/src/StreamMoves.cpp
@@ -55,6 +55,10 @@
         return bypassStage(now, call, id, *silent);
     }
     const Instant silence = now - attempt.lastProgressAt;
+    // Streams over connections that live on through a cut make progress.
+    if (reach.isCutOff() && silence >= CheckAfterEventGap && call.route->isResumable && mayRetry(now, call)) {
+        return replaceAttempt(now, call, id, "this instance reaches no endpoint");
+    }
     if (silence < eventTimeout(attempt)) {
         return;
     }
--- a/libs/relayhost/include/relayhost/HostSettings.h
+++ b/libs/relayhost/include/relayhost/HostSettings.h
@@ -22,7 +22,7 @@
     net::Address metrics;
     /// Address on which messages from other instances are received.
     net::Address mesh;
-    /// Address on which requests from other instances are taken over; port 0 if none are.
+    /// Address on which requests from other instances are taken over; its host is empty if none are.
     net::Address handOvers;
     /// Address of the platform's store.
     net::Address store;
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -33,6 +33,9 @@
     /// Returns the address on which callers' requests are accepted, with the actual port.
     net::Address callersAddress() const;
 
+    /// Returns the same for requests from other instances; port 0 if none are taken.
+    net::Address handOversAddress() const;
+
     void send(relay::Dispatch dispatch) override;
     void handOver(relay::HandOver order) override;
     void cancel(relay::AttemptId attempt) override;
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -106,7 +106,7 @@
     , store_(loop_, makeStore(loop_, settings_.store), storeHandlers())
     , mesh_(net::toString(settings_.mesh), {}, MeshRingItems, [this](const std::string &bytes) { onMeshMessage(bytes); })
     , callerServer_(std::make_unique<net::HttpServer>(loop_, settings_.callers, serverLimits({}), callerHandlers(Origin::Caller)))
-    , handOverServer_(settings_.handOvers.port == 0
+    , handOverServer_(settings_.handOvers.host.empty()
                           ? nullptr
                           : std::make_unique<net::HttpServer>(loop_, settings_.handOvers, serverLimits({}), callerHandlers(Origin::Instance)))
     , readinessServer_(
@@ -214,6 +214,11 @@
     return callerServer_->address();
 }
 
+net::Address RelayHost::handOversAddress() const
+{
+    return handOverServer_ ? handOverServer_->address() : net::Address{};
+}
+
 void RelayHost::tick()
 {
     const relay::Instant time = now();
