--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -64,3 +64,166 @@
         CHECK(servedWhileCut(large, 16, cut) >= MinServed);
     }
 }
+
+/// One instance that reaches no endpoint, and two others that take its requests.
+TEST_GROUP(ARequestThatIsHandedOver)
+{
+    RelayTestBed bed;
+
+    void setup() override
+    {
+        bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}, {"three", "three:1", "zone-b", "three:2"}});
+        cutOff();
+    }
+
+    /// Makes all endpoints unreachable, and lets the instance find that.
+    void cutOff()
+    {
+        for (const EndpointEntry &entry : bed.entries) {
+            bed.unreachable.insert(entry.id);
+        }
+        bed.call("/book/x");
+        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::NotSent);
+        bed.advance(Ms(600));
+        bed.driver.sent.clear();
+        bed.driver.rejected.clear();
+    }
+
+    const HandOver &lastHandOver() const
+    {
+        return bed.driver.handOvers.back();
+    }
+
+    void refuse(base::ErrorKind kind)
+    {
+        AnswerHead head;
+        head.peerError = kind;
+        bed.kernel.onAnswer(bed.now, lastHandOver().attempt, head);
+    }
+
+    static bool saysNotRun(const FakeDriver::Rejected &rejected)
+    {
+        return base::errorAnswer(rejected.rejection.kind).ran == base::HasRun::No;
+    }
+};
+
+/// Guards against a circle: what another instance has handed over is rejected here, as not run.
+TEST(ARequestThatIsHandedOver, isNotHandedOverAgain)
+{
+    CallArrival arrival = bed.nextArrival("/book/x");
+    arrival.isHandedOver = true;
+    bed.kernel.onCall(bed.now, arrival);
+    LONGS_EQUAL(0, bed.driver.handOvers.size());
+    LONGS_EQUAL(1, bed.driver.rejected.size());
+    CHECK(saysNotRun(bed.driver.rejected.front()));
+}
+
+/// Guards against a request that may run once being handed over twice, or called "not run", if the answer of the other instance is lost.
+TEST(ARequestThatIsHandedOver, runsOnceAlthoughTheAnswerIsLost)
+{
+    for (const AttemptFailure failure : {AttemptFailure::Broken, AttemptFailure::TimedOut}) {
+        const std::size_t before = bed.driver.handOvers.size();
+        bed.call("/book/x");
+        bed.kernel.onFailure(bed.now, lastHandOver().attempt, failure);
+        LONGS_EQUAL(before + 1, bed.driver.handOvers.size());
+        CHECK(!saysNotRun(bed.driver.rejected.back()));
+    }
+}
+
+/// Guards against a request being rejected because one of the other instances stops, and against a "not run" that isn't true or isn't said.
+TEST(ARequestThatIsHandedOver, goesToAFurtherInstanceIfOneSaysThatItHasNotRun)
+{
+    bed.call("/book/x");
+    const std::string first = lastHandOver().instance;
+    refuse(base::ErrorKind::Stopping);
+    LONGS_EQUAL(2, bed.driver.handOvers.size());
+    CHECK(lastHandOver().instance != first);
+    refuse(base::ErrorKind::NoEndpoint);
+    LONGS_EQUAL(2, bed.driver.handOvers.size());
+    LONGS_EQUAL(1, bed.driver.rejected.size());
+    CHECK(saysNotRun(bed.driver.rejected.front()));
+}
+
+/// Guards against a stream losing or repeating an event when the instance that serves it fails.
+TEST(ARequestThatIsHandedOver, goesOnAfterItsLastEvent)
+{
+    const std::size_t openBefore = bed.kernel.openCalls();
+    bed.call("/stream/x");
+    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1));
+    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 2));
+    bed.kernel.onFailure(bed.now, lastHandOver().attempt, AttemptFailure::Broken);
+    LONGS_EQUAL(2, bed.driver.handOvers.size());
+    STRCMP_EQUAL("2", lastHandOver().lastEventId.c_str());
+    CHECK(!bed.kernel.onEvent(bed.now, lastHandOver().attempt, 2));
+    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 3));
+    bed.kernel.onStreamEnd(bed.now, lastHandOver().attempt);
+    LONGS_EQUAL(1, bed.driver.endedStreams.size());
+    LONGS_EQUAL(openBefore, bed.kernel.openCalls());
+}
+
+/// Guards against a stream waiting for an instance that has fallen silent.
+TEST(ARequestThatIsHandedOver, isMovedIfItsStreamStandsStill)
+{
+    bed.call("/stream/x");
+    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1));
+    const AttemptId silent = lastHandOver().attempt;
+    bed.advance(Ms(1700));
+    CHECK(bed.driver.wasCancelled(silent));
+    LONGS_EQUAL(2, bed.driver.handOvers.size());
+}
+
+/// Guards against the limit on retries being used up by hand-overs, or passed by those that repeat a request that may have run.
+TEST(ARequestThatIsHandedOver, countsAsARetryOnlyIfItMayRunTwice)
+{
+    const std::uint64_t before = bed.kernel.counters().retries;
+    bed.call("/read/x");
+    refuse(base::ErrorKind::Stopping);
+    LONGS_EQUAL(2, bed.driver.handOvers.size());
+    LONGS_EQUAL(before, bed.kernel.counters().retries);
+    bed.advance(Ms(1100));
+    bed.call("/stream/x");
+    bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1);
+    bed.kernel.onFailure(bed.now, lastHandOver().attempt, AttemptFailure::Broken);
+    LONGS_EQUAL(before + 1, bed.kernel.counters().retries);
+    LONGS_EQUAL(1, lastHandOver().runs);
+}
+
+/// Guards against an instance staying away from endpoints that it reaches again, and against open hand-overs being cut then.
+TEST(ARequestThatIsHandedOver, endsThereAlthoughTheCutIsOver)
+{
+    bed.call("/stream/x");
+    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1));
+    bed.unreachable.clear();
+    bed.advance(Ms(800));
+    bed.call("/book/x");
+    LONGS_EQUAL(1, bed.driver.handOvers.size());
+    LONGS_EQUAL(1, bed.driver.sent.size());
+    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 2));
+}
+
+/// Guards against callers being sent to an instance that can't serve them in any way, and against one that can being taken out.
+TEST(ARequestThatIsHandedOver, keepsItsInstanceReadyWhileAnotherOneTakesRequests)
+{
+    CHECK(bed.driver.ready);
+    wire::RelayDigest digest;
+    digest.reachesNoEndpoint = true;
+    for (const char *other : {"two", "three"}) {
+        digest.instance = other;
+        bed.kernel.onPeerMessage(bed.now, digest);
+    }
+    bed.advance(Ms(100));
+    CHECK(!bed.driver.ready);
+    bed.call("/book/x");
+    LONGS_EQUAL(0, bed.driver.handOvers.size());
+    LONGS_EQUAL(1, bed.driver.rejected.size());
+}
+
+/// Guards against requests being handed over to instances of a version that takes none.
+TEST(ARequestThatIsHandedOver, isNotSentToInstancesOfEarlierVersions)
+{
+    bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a"}, {"three", "three:1", "zone-b", "three:2"}});
+    for (int i = 0; i < 20; ++i) {
+        bed.call("/book/x");
+        STRCMP_EQUAL("three", lastHandOver().instance.c_str());
+    }
+}
