--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -221,6 +221,8 @@
     std::uint64_t configVersion() const;
     /// Returns the number of calls that have been admitted and have not ended.
     std::size_t openCalls() const;
+    /// Returns false while this instance is cut off from all endpoints.
+    bool reachesEndpoints() const;
     /// Returns true if this instance holds the planner's lease at the given time.
     bool isPlanner(Instant now) const;
 
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -381,6 +381,11 @@
     return impl_->calls.size();
 }
 
+bool RelayKernel::reachesEndpoints() const
+{
+    return !impl_->reach.isCutOff();
+}
+
 bool RelayKernel::isPlanner(Instant now) const
 {
     return impl_->planner.holdsLease(now);
--- a/libs/relayhost/src/HostMetrics.cpp
+++ b/libs/relayhost/src/HostMetrics.cpp
@@ -24,6 +24,9 @@
     counter("streams_broken", counters.streamsBroken);
     counter("streams_ended", counters.streamsEnded);
     counter("reports", counters.reports);
+    counter("checks", counters.checks);
+    counter("handed_over", counters.handedOver);
+    counter("taken_over", counters.takenOver);
     counter("orders", counters.orders);
     counter("callers_gone", counters.callersGone);
     counter("exchanges_unanswered", unansweredExchanges_);
@@ -31,6 +34,7 @@
     text << "# TYPE trefoilport_open_calls gauge\ntrefoilport_open_calls " << kernel_.openCalls() << "\n";
     text << "# TYPE trefoilport_config_version gauge\ntrefoilport_config_version " << kernel_.configVersion() << "\n";
     text << "# TYPE trefoilport_planner gauge\ntrefoilport_planner " << (kernel_.isPlanner(base::readBootTimeClock()) ? 1 : 0) << "\n";
+    text << "# TYPE trefoilport_reaches_endpoints gauge\ntrefoilport_reaches_endpoints " << (kernel_.reachesEndpoints() ? 1 : 0) << "\n";
     text << "# TYPE trefoilport_quarantined gauge\ntrefoilport_quarantined " << kernel_.quarantine(base::readBootTimeClock()).size() << "\n";
     text << firstEventLatency_.exposition("trefoilport_first_event_seconds");
     text << eventIntervals_.exposition("trefoilport_between_events_seconds");
@@ -57,6 +61,7 @@
                                                       {"zone", settings_.zone},
                                                       {"revision", kernel_.configVersion()},
                                                       {"ready", ready_},
+                                                      {"reaches_endpoints", kernel_.reachesEndpoints()},
                                                       {"open_calls", kernel_.openCalls()},
                                                       {"quarantine", quarantine}});
 }
