--- a/libs/relay/tests/CrashEvidenceTests.cpp
+++ b/libs/relay/tests/CrashEvidenceTests.cpp
@@ -144,6 +144,23 @@
     CHECK(fleet.sentSince(InstanceFleet::FatalPart, since) <= 1);
 }
 
+/// Guards against a joint restart of all instances forgetting what they reject, so that it crashes its endpoints from the beginning.
+TEST(APromptPartThatCrashesEndpoints, isRejectedAfterAllInstancesHaveRestarted)
+{
+    InstanceFleet fleet(3);
+    fleet.advance(Ms(4000), [&]() { sendRequests(fleet); });
+    for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+        fleet.restart(i);
+    }
+    const Instant since = fleet.now;
+    fleet.advance(Ms(1000), [&]() { sendRequests(fleet); });
+    for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+        fleet.request(i, InstanceFleet::FatalPart);
+    }
+    fleet.advance(Ms(1000));
+    CHECK(fleet.sentSince(InstanceFleet::FatalPart, since) <= 1);
+}
+
 /// Guards against an instance that was cut off from the others during the crashes going on with what they have learned to reject.
 TEST(APromptPartThatCrashesEndpoints, isRejectedByAnInstanceThatWasCutOff)
 {
