--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -154,6 +154,18 @@
     std::uint64_t renewal = 0;
 };
 
+/// What is kept in the store of a signature that is convicted of crashing endpoints.
+struct QuarantineRecord {
+    /// A crash that speaks against it, as wire::CrashReport names it, and the time since then.
+    struct Crash {
+        std::uint64_t crash = 0;
+        Ms age{0};
+    };
+
+    std::uint64_t signature = 0;
+    std::vector<Crash> crashes;
+};
+
 /// A log line about a decision: what was decided, about what, and from which inputs.
 struct Decision {
     std::string_view event;
@@ -200,6 +212,12 @@
     virtual void readLease() = 0;
     /// Writes the lease if it still has the expected revision; 0 means that it must not exist. The result goes to RelayKernel::onLeaseWritten().
     virtual void writeLease(const LeaseRecord &record, std::uint64_t expectedRevision) = 0;
+    /// Reads the records of quarantines from the store; they go to RelayKernel::onQuarantines(), unless the store doesn't answer.
+    virtual void readQuarantines() = 0;
+    /// Writes the record of a quarantine in place of an earlier one; the result goes to RelayKernel::onQuarantineWritten().
+    virtual void writeQuarantine(const QuarantineRecord &record) = 0;
+    /// Removes the record of a quarantine, if there is one.
+    virtual void removeQuarantine(std::uint64_t signature) = 0;
     /// Sends a digest to other instances, without confirmation: it may be lost.
     virtual void sendDigest(const std::vector<std::string> &addresses, const wire::RelayDigest &digest) = 0;
     /// Sends another instance a request for the age of its knowledge of the store; it may be lost.
--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -210,6 +210,11 @@
     /// Takes the result of a write of the lease that was sent at `sentAt`. Revision 0 means that it failed or that its outcome is unknown.
     void onLeaseWritten(Instant now, Instant sentAt, wire::StoreVersion version);
 
+    /// Takes the records of quarantines that the store holds.
+    void onQuarantines(Instant now, const std::vector<QuarantineRecord> &records);
+    /// Takes the result of a write of such a record.
+    void onQuarantineWritten(std::uint64_t signature, bool ok);
+
     const RelayCounters &counters() const;
     /// Returns all endpoints that were ever listed.
     std::vector<EndpointView> endpoints() const;
--- a/libs/relay/src/CrashEvidence.cpp
+++ b/libs/relay/src/CrashEvidence.cpp
@@ -171,6 +171,12 @@
     return found == convictions_.end() ? nullptr : &found->second;
 }
 
+std::map<std::uint64_t, Instant> CrashEvidence::openCrashesOf(std::uint64_t signature) const
+{
+    const auto found = suspicions_.find(signature);
+    return found == suspicions_.end() ? std::map<std::uint64_t, Instant>{} : openCrashes(found->second);
+}
+
 std::vector<wire::CrashReport> CrashEvidence::convictingReports(Instant now) const
 {
     std::vector<wire::CrashReport> reports;
--- a/libs/relay/src/CrashGuard.cpp
+++ b/libs/relay/src/CrashGuard.cpp
@@ -63,10 +63,18 @@
 {
     for (const std::uint64_t signature : signatures) {
         served_.onServed(signature, now);
-        addRefutations(evidence_.refuteAll(signature));
+        acquit(signature);
     }
 }
 
+void CrashGuard::acquit(std::uint64_t signature)
+{
+    if (evidence_.conviction(signature) != nullptr) {
+        acquitted_.push_back(signature);
+    }
+    addRefutations(evidence_.refuteAll(signature));
+}
+
 void CrashGuard::addRefutations(const std::vector<wire::CrashRefutation> &refutations)
 {
     news_.refutations.insert(news_.refutations.end(), refutations.begin(), refutations.end());
@@ -309,7 +317,7 @@
         return false;
     }
     served_.onServed(signature, now);
-    addRefutations(evidence_.refuteAll(signature));
+    acquit(signature);
     return true;
 }
 
--- a/libs/relay/src/Digests.cpp
+++ b/libs/relay/src/Digests.cpp
@@ -75,6 +75,7 @@
             driver.record({"crash_unconfirmed", "", endpoint, "a broken attempt is forgotten, since the endpoint has shown no sign of a crash"});
         }
         for (const wire::CrashReport &report : attempt.reports) {
+            quarantineKeeper.onConfirmed(report.signature);
             driver.record({"crash_strike",
                            "",
                            std::to_string(report.signature),
@@ -92,6 +93,40 @@
     }
 }
 
+void RelayKernel::Impl::keepQuarantines(Instant now)
+{
+    for (const std::uint64_t signature : crashGuard.takeAcquitted()) {
+        quarantineKeeper.onAcquitted(signature);
+    }
+    const QuarantineKeeper::Due due = quarantineKeeper.takeDue(crashGuard.evidence(), now);
+    for (const QuarantineRecord &record : due.written) {
+        driver.record({"quarantine_kept", "", std::to_string(record.signature), std::to_string(record.crashes.size()) + " crashes, written to the store"});
+        driver.writeQuarantine(record);
+    }
+    for (const std::uint64_t signature : due.removed) {
+        driver.record({"quarantine_ended", "", std::to_string(signature), "removed from the store"});
+        driver.removeQuarantine(signature);
+    }
+    if (config && quarantineKeeper.isReadDue(now)) {
+        driver.readQuarantines();
+    }
+}
+
+void RelayKernel::onQuarantines(Instant now, const std::vector<QuarantineRecord> &records)
+{
+    for (const std::uint64_t old : impl_->quarantineKeeper.onRead(records, impl_->crashGuard.evidence(), now)) {
+        impl_->driver.removeQuarantine(old);
+    }
+    if (!records.empty()) {
+        impl_->driver.record({"quarantines_read", "", impl_->settings.instance, std::to_string(records.size()) + " records in the store"});
+    }
+}
+
+void RelayKernel::onQuarantineWritten(std::uint64_t signature, bool ok)
+{
+    impl_->quarantineKeeper.onWritten(signature, ok);
+}
+
 void RelayKernel::Impl::onCrashNews(Instant now, const wire::RelayDigest &digest)
 {
     CrashNews fresh;
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -73,6 +73,7 @@
     checkSlowEndpoints(now);
     checkReach(now);
     checkCrashes(now);
+    keepQuarantines(now);
     updateLimitShare(now);
     retries.onInstances(peers.mostInstances(now), now);
     storeDuty.tick(now, known);
--- a/libs/relay/src/details/CrashEvidence.h
+++ b/libs/relay/src/details/CrashEvidence.h
@@ -71,6 +71,8 @@
     {
         return convictions_;
     }
+    /// Returns the crashes of a signature that are not refuted, each with the time that its earliest suspicion names.
+    std::map<std::uint64_t, Instant> openCrashesOf(std::uint64_t signature) const;
     /// Returns the suspicions of convicted signatures that are not refuted, as reports to other instances.
     std::vector<wire::CrashReport> convictingReports(Instant now) const;
 
--- a/libs/relay/src/details/CrashGuard.h
+++ b/libs/relay/src/details/CrashGuard.h
@@ -133,6 +133,15 @@
     {
         return evidence_;
     }
+    CrashEvidence &evidence()
+    {
+        return evidence_;
+    }
+    /// Returns the signatures whose conviction this instance itself has ended since the last call.
+    std::vector<std::uint64_t> takeAcquitted()
+    {
+        return std::exchange(acquitted_, {});
+    }
 
 private:
     /// A broken attempt whose endpoint may have crashed, with the incarnation that the endpoint had then.
@@ -183,6 +192,8 @@
     static bool livesOn(const InferredCrash &inferred, const EndpointState &state, Instant now);
     /// Returns true if the time has come to probe a signature and this instance is one of those whose turn it is.
     bool mayProbe(std::uint64_t signature, const CrashEvidence::Conviction &conviction, std::uint32_t instances, Instant delay, Instant now) const;
+    /// Refutes all that speaks against a signature.
+    void acquit(std::uint64_t signature);
     /// Adds refutations to the news for the other instances.
     void addRefutations(const std::vector<wire::CrashRefutation> &refutations);
 
@@ -201,6 +212,7 @@
     /// When a probe of a signature was last sent by any instance.
     std::unordered_map<std::uint64_t, Instant> probedAt_;
     CrashNews news_;
+    std::vector<std::uint64_t> acquitted_;
     /// When the convicting reports were last among the news.
     Instant convictionsToldAt_{0};
 };
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -7,6 +7,7 @@
 #include "details/HandOverPeers.h"
 #include "details/PeerLoads.h"
 #include "details/PlannerDuty.h"
+#include "details/QuarantineKeeper.h"
 #include "details/RequestLimits.h"
 #include "details/RetryWindow.h"
 #include "details/RouteTable.h"
@@ -269,6 +270,8 @@
     void checkSlowEndpoints(Instant now);
     /// Logs newly confirmed crashes and expedites the digest that reports them.
     void checkCrashes(Instant now);
+    /// Writes, removes and reads the store's records of quarantines as they are due.
+    void keepQuarantines(Instant now);
     /// Takes over what another instance knows for and against the causes of crashes.
     void onCrashNews(Instant now, const wire::RelayDigest &digest);
     /// Sends this instance's digests to the others if they are due.
@@ -417,6 +420,7 @@
     /// When this instance's share of the endpoints' limits was last computed.
     Instant shareUpdatedAt{0};
     CrashGuard crashGuard;
+    QuarantineKeeper quarantineKeeper;
     EndpointReach reach;
     HandOverPeers handOverPeers;
     RelayCounters counters;
--- a/libs/relay/tests/CrashEvidenceTests.cpp
+++ b/libs/relay/tests/CrashEvidenceTests.cpp
@@ -161,6 +161,20 @@
     CHECK(fleet.sentSince(InstanceFleet::FatalPart, since) <= 1);
 }
 
+/// Guards against a quarantine that has ended coming back from the store with a restart.
+TEST(APromptPartThatCrashesEndpoints, isServedAfterARestartOnceAnOperatorHasLiftedItsQuarantine)
+{
+    InstanceFleet fleet(3);
+    fleet.advance(Ms(4000), [&]() { sendRequests(fleet); });
+    LONGS_EQUAL(1, fleet.storedQuarantines());
+    CHECK(fleet.instances[1]->kernel->liftQuarantine(fleet.now, InstanceFleet::FatalPart));
+    fleet.advance(Ms(500));
+    LONGS_EQUAL(0, fleet.storedQuarantines());
+    fleet.restart(0);
+    fleet.advance(Ms(500));
+    LONGS_EQUAL(0, fleet.instances[0]->kernel->quarantine(fleet.now).size());
+}
+
 /// Guards against an instance that was cut off from the others during the crashes going on with what they have learned to reject.
 TEST(APromptPartThatCrashesEndpoints, isRejectedByAnInstanceThatWasCutOff)
 {
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -78,6 +78,18 @@
     {
         leaseWrites.push_back({record, expectedRevision});
     }
+    void readQuarantines() override
+    {
+        ++quarantineReads;
+    }
+    void writeQuarantine(const relay::QuarantineRecord &record) override
+    {
+        quarantineWrites.push_back(record);
+    }
+    void removeQuarantine(std::uint64_t signature) override
+    {
+        quarantineRemovals.push_back(signature);
+    }
     void sendDigest(const std::vector<std::string> &addresses, const wire::RelayDigest &digest) override
     {
         digestAddresses = addresses;
@@ -172,6 +184,9 @@
     int configRefreshes = 0;
     int endpointRefreshes = 0;
     int leaseReads = 0;
+    int quarantineReads = 0;
+    std::vector<relay::QuarantineRecord> quarantineWrites;
+    std::vector<std::uint64_t> quarantineRemovals;
     bool ready = false;
     bool connectionsClosed = false;
     bool accepting = true;
--- a/libs/relay/tests/InstanceFleet.cpp
+++ b/libs/relay/tests/InstanceFleet.cpp
@@ -151,11 +151,37 @@
         instance->kernel->onTick(now);
     }
     deliverHandOvers();
+    serveQuarantines();
     processDispatches();
     collectRejections();
     collectBegunStreams();
 }
 
+void InstanceFleet::serveQuarantines()
+{
+    for (const auto &instance : instances) {
+        for (; instance->processedQuarantineWrites < instance->driver.quarantineWrites.size(); ++instance->processedQuarantineWrites) {
+            const QuarantineRecord &record = instance->driver.quarantineWrites[instance->processedQuarantineWrites];
+            quarantines_[record.signature] = {now, record};
+            instance->kernel->onQuarantineWritten(record.signature, true);
+        }
+        for (; instance->processedQuarantineRemovals < instance->driver.quarantineRemovals.size(); ++instance->processedQuarantineRemovals) {
+            quarantines_.erase(instance->driver.quarantineRemovals[instance->processedQuarantineRemovals]);
+        }
+        if (instance->answeredQuarantineReads < instance->driver.quarantineReads) {
+            instance->answeredQuarantineReads = instance->driver.quarantineReads;
+            std::vector<QuarantineRecord> records;
+            for (const auto &[signature, kept] : quarantines_) {
+                records.push_back(kept.second);
+                for (QuarantineRecord::Crash &crash : records.back().crashes) {
+                    crash.age += std::chrono::duration_cast<Ms>(now - kept.first);
+                }
+            }
+            instance->kernel->onQuarantines(now, records);
+        }
+    }
+}
+
 void InstanceFleet::deliverHandOvers()
 {
     for (std::size_t from = 0; from < instances.size(); ++from) {
--- a/libs/relay/tests/InstanceFleet.h
+++ b/libs/relay/tests/InstanceFleet.h
@@ -58,6 +58,9 @@
         std::size_t processedRejections = 0;
         std::size_t processedHandOvers = 0;
         std::size_t processedEnds = 0;
+        int answeredQuarantineReads = 0;
+        std::size_t processedQuarantineWrites = 0;
+        std::size_t processedQuarantineRemovals = 0;
         std::size_t processedStreams = 0;
         /// No digest reaches it or leaves it.
         bool isCutOff = false;
@@ -104,6 +107,10 @@
     std::size_t maxSentTo(std::size_t endpoint, relay::Instant since, relay::Ms span) const;
     /// Returns the time of the n-th crash by the fatal part, counted from 1; none if there were fewer.
     std::optional<relay::Instant> fatalCrash(std::size_t n) const;
+    std::size_t storedQuarantines() const
+    {
+        return quarantines_.size();
+    }
     /// Returns how many requests were handed over to an instance from that time on.
     std::size_t handedOverTo(std::size_t instance) const;
     /// Returns how many requests were made through an instance within that time, and how many of them have begun to be answered.
@@ -153,6 +160,8 @@
     void collectBegunStreams();
     /// Takes the requests that instances hand over to the places where they are served, and what becomes of them back.
     void deliverHandOvers();
+    /// Carries out what the instances do with the store's records of quarantines.
+    void serveQuarantines();
     void returnStreams(std::size_t instance);
     void collectRejections();
     void beginRuns();
@@ -170,6 +179,8 @@
     std::vector<Quarantined> quarantined_;
     std::vector<relay::Instant> fatalCrashes_;
     std::map<std::string, std::size_t> numberOfAddress_;
+    /// The store's records of quarantines, with the times of their writes.
+    std::map<std::uint64_t, std::pair<relay::Instant, relay::QuarantineRecord>> quarantines_;
     /// By the instance that serves it and its call there: who has handed a request over, and under which attempt.
     std::map<std::pair<std::size_t, relay::CallId>, std::pair<std::size_t, relay::AttemptId>> handedOver_;
     std::map<std::pair<std::size_t, relay::CallId>, relay::CallArrival> arrivals_;
--- a/libs/relay/tests/VirtualInstance.cpp
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -191,6 +191,19 @@
     fleet_.deliver(index_, dispatch);
 }
 
+void VirtualFleet::Driver::readQuarantines()
+{
+    // No request of this fleet crashes its endpoints, so that its store keeps no quarantine.
+}
+
+void VirtualFleet::Driver::writeQuarantine(const relay::QuarantineRecord &)
+{
+}
+
+void VirtualFleet::Driver::removeQuarantine(std::uint64_t)
+{
+}
+
 void VirtualFleet::Driver::handOver(relay::HandOver order)
 {
     // Instances of this fleet state no address for hand-overs.
--- a/libs/relay/tests/VirtualInstance.h
+++ b/libs/relay/tests/VirtualInstance.h
@@ -51,6 +51,9 @@
     void sendDetour(const relay::Detour &detour) override;
     void readLease() override;
     void writeLease(const relay::LeaseRecord &record, std::uint64_t expectedRevision) override;
+    void readQuarantines() override;
+    void writeQuarantine(const relay::QuarantineRecord &record) override;
+    void removeQuarantine(std::uint64_t signature) override;
     void sendDigest(const std::vector<std::string> &addresses, const wire::RelayDigest &digest) override;
     void sendFreshnessRequest(const std::string &address, const wire::FreshnessRequest &request) override;
     void sendFreshnessReply(const std::string &address, const wire::FreshnessReply &reply) override;
--- a/libs/relayhost/include/relayhost/StoreClient.h
+++ b/libs/relayhost/include/relayhost/StoreClient.h
@@ -79,6 +79,12 @@
     /// Writes the lease if it still has the expected revision; 0 means that it must not exist. The result is the new version, with revision 0
     /// if the lease was not written or if that is unknown.
     virtual void writeLease(const relay::LeaseRecord &record, std::uint64_t expectedRevision, std::function<void(wire::StoreVersion)> done) = 0;
+    /// Reads the records of quarantines.
+    virtual void readQuarantines(std::function<void(std::optional<std::vector<relay::QuarantineRecord>>)> done) = 0;
+    /// Writes the record of a quarantine in place of an earlier one. The result is true if the store has it afterwards.
+    virtual void writeQuarantine(const relay::QuarantineRecord &record, std::function<void(bool)> done) = 0;
+    /// Removes the record of a quarantine, if there is one. The result is true if the store has none afterwards.
+    virtual void removeQuarantine(std::uint64_t signature, std::function<void(bool)> done) = 0;
 };
 
 /// Creates the client for the store at an address, on the host's event loop.
--- a/libs/relayhost/include/relayhost/StoreFollower.h
+++ b/libs/relayhost/include/relayhost/StoreFollower.h
@@ -18,6 +18,11 @@
     std::function<void(const LeaseReadResult &)> onLease;
     /// A write of the lease that was sent at `sentAt` ended. Revision 0 means that the lease was not written, or that this is unknown.
     std::function<void(relay::Instant sentAt, wire::StoreVersion)> onLeaseWritten;
+    /// The records of quarantines were read, and one of them was written or not.
+    std::function<void(const std::vector<relay::QuarantineRecord> &)> onQuarantines;
+    std::function<void(std::uint64_t signature, bool ok)> onQuarantineWritten;
+    /// The record of a quarantine that has ended could not be removed: whoever starts within its lifetime takes it for valid.
+    std::function<void(std::uint64_t signature)> onQuarantineLeft;
     /// The list of instances was read.
     std::function<void(std::vector<relay::InstanceEntry>)> onInstances;
     /// The store answers for the first time or again (true), or has stopped answering (false).
@@ -58,6 +63,13 @@
     /// Writes the planner's lease; the result goes to `onLeaseWritten`.
     void writeLease(const relay::LeaseRecord &record, std::uint64_t expectedRevision);
 
+    /// Reads the records of quarantines; they go to `onQuarantines`, unless the store doesn't answer.
+    void readQuarantines();
+    /// Writes such a record; the result goes to `onQuarantineWritten`.
+    void writeQuarantine(const relay::QuarantineRecord &record);
+    /// Removes such a record; reports to `onQuarantineLeft` if that fails.
+    void removeQuarantine(std::uint64_t signature);
+
 private:
     /// Reports a change of the store's reachability.
     void markReachable(bool reachable);
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -372,6 +372,21 @@
     store_.writeLease(lease, expectedRevision);
 }
 
+void RelayHost::readQuarantines()
+{
+    store_.readQuarantines();
+}
+
+void RelayHost::writeQuarantine(const relay::QuarantineRecord &record)
+{
+    store_.writeQuarantine(record);
+}
+
+void RelayHost::removeQuarantine(std::uint64_t signature)
+{
+    store_.removeQuarantine(signature);
+}
+
 void RelayHost::sendDigest(const std::vector<std::string> &addresses, const wire::RelayDigest &digest)
 {
     const std::string bytes = wire::encode(digest);
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -136,6 +136,15 @@
     handlers.onLeaseWritten = [this](relay::Instant sentAt, wire::StoreVersion version) {
         kernel_.onLeaseWritten(now(), sentAt, version);
     };
+    handlers.onQuarantines = [this](const std::vector<relay::QuarantineRecord> &records) {
+        kernel_.onQuarantines(now(), records);
+    };
+    handlers.onQuarantineWritten = [this](std::uint64_t signature, bool ok) {
+        kernel_.onQuarantineWritten(signature, ok);
+    };
+    handlers.onQuarantineLeft = [this](std::uint64_t signature) {
+        record({"quarantine_left", "", std::to_string(signature), "its record could not be removed from the store"});
+    };
     handlers.onInstances = [this](const std::vector<relay::InstanceEntry> &instances) {
         kernel_.onInstances(now(), instances);
     };
--- a/libs/relayhost/src/StoreFollower.cpp
+++ b/libs/relayhost/src/StoreFollower.cpp
@@ -291,4 +291,27 @@
     });
 }
 
+void StoreFollower::readQuarantines()
+{
+    client_->readQuarantines([this](const std::optional<std::vector<relay::QuarantineRecord>> &records) {
+        if (records) {
+            handlers_.onQuarantines(*records);
+        }
+    });
+}
+
+void StoreFollower::writeQuarantine(const relay::QuarantineRecord &record)
+{
+    client_->writeQuarantine(record, [this, signature = record.signature](bool ok) { handlers_.onQuarantineWritten(signature, ok); });
+}
+
+void StoreFollower::removeQuarantine(std::uint64_t signature)
+{
+    client_->removeQuarantine(signature, [this, signature](bool ok) {
+        if (!ok) {
+            handlers_.onQuarantineLeft(signature);
+        }
+    });
+}
+
 } // namespace relayhost
--- a/libs/relayhost/tests/StoreFollowerTests.cpp
+++ b/libs/relayhost/tests/StoreFollowerTests.cpp
@@ -42,6 +42,15 @@
             onInstanceRead();
         }
     }
+    void readQuarantines(std::function<void(std::optional<std::vector<relay::QuarantineRecord>>)>) override
+    {
+    }
+    void writeQuarantine(const relay::QuarantineRecord &, std::function<void(bool)>) override
+    {
+    }
+    void removeQuarantine(std::uint64_t, std::function<void(bool)>) override
+    {
+    }
     void readLease(std::function<void(std::optional<LeaseReadResult>)> done) override
     {
         done(std::nullopt);
