--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -141,41 +141,6 @@
     }
 }
 
-std::string RelayKernel::Impl::suspectText(const Call &call)
-{
-    std::string text = "last event " + std::to_string(call.lastEvent) + ", signatures";
-    for (const std::uint64_t signature : call.signatures) {
-        text += " " + std::to_string(signature);
-    }
-    return text;
-}
-
-void RelayKernel::Impl::suspectCrash(Instant now, const Call &call, EndpointIndex endpoint)
-{
-    // A request that crashes its endpoint does so when it begins to run. If it has had events, also from another endpoint, this one crashed for another reason.
-    const bool hasBegun = call.route->kind == RequestKind::Stream && call.lastEvent > 0;
-    if (!hasBegun) {
-        driver.record({"crash_suspected", call.requestId, endpoints.at(endpoint).entry.id, suspectText(call)});
-        crashGuard.onBroken(call.signatures, endpoint, reach.isCutOff(), now);
-        requestSign(now, endpoint);
-    }
-}
-
-void RelayKernel::Impl::suspectLateCrash(Instant now, const Call &call)
-{
-    if (call.lastEvent > 0) {
-        return;
-    }
-    for (const AttemptId attempt : call.attempts) {
-        crashGuard.onBroken(call.signatures, attempts.at(attempt).stages.front(), reach.isCutOff(), now);
-    }
-}
-
-bool RelayKernel::Impl::isBarred(const Call &call) const
-{
-    return call.attemptCount > 0 && call.lastEvent == 0 && (call.isProbe || crashGuard.isConvicted(call.signatures));
-}
-
 std::string RelayKernel::Impl::retryText(Instant now, const Call &call)
 {
     const RetryUsage usage = retries.usage(call.service->name, now);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -166,7 +166,7 @@
 };
 
 /// State of the kernel. Its functions are defined in several files: Admission, Calls, PlainCalls, StreamCalls, StreamMoves, Candidates, Detours,
-/// EndpointHealth, ReachChecks, HandOvers, Digests and RelayKernel.
+/// EndpointHealth, ReachChecks, CrashChecks, HandOvers, Digests and RelayKernel.
 struct RelayKernel::Impl {
     Impl(RelaySettings relaySettings, RelayDriver &relayDriver);
     /// Passes the settings on to the parts.
