--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -59,6 +59,18 @@
     return true;
 }
 
+bool RelayKernel::Impl::handOverOrReject(Instant now, Call &call)
+{
+    if (handOver(now, call)) {
+        return true;
+    }
+    if (!reach.isCutOff() || call.mayHaveRun || isUnderWay(call)) {
+        return false;
+    }
+    fail(now, call, base::ErrorKind::NoEndpoint, "this instance reaches no endpoint, and no other one takes the request");
+    return true;
+}
+
 bool RelayKernel::Impl::isUnderWay(const Call &call)
 {
     return !call.attempts.empty() || call.handOver.has_value();
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -81,7 +81,7 @@
 
 void RelayKernel::Impl::startPlain(Instant now, Call &call)
 {
-    if (handOver(now, call)) {
+    if (handOverOrReject(now, call)) {
         return;
     }
     const auto endpoint = choosePlain(now, call);
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -43,7 +43,7 @@
 
 void RelayKernel::Impl::startStream(Instant now, Call &call)
 {
-    if (handOver(now, call)) {
+    if (handOverOrReject(now, call)) {
         return;
     }
     if (!call.service->engine) {
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -297,6 +297,8 @@
     // Hand-overs to other instances while this one reaches no endpoint.
     /// Hands a call over, if this instance is cut off from all endpoints and another one may take it. Returns false if not.
     bool handOver(Instant now, Call &call);
+    /// Does so, or rejects a call that has not run if this instance is cut off and no other one takes it. Returns false if this instance is to serve it.
+    bool handOverOrReject(Instant now, Call &call);
     /// Returns whether an attempt or a hand-over of the call is open.
     static bool isUnderWay(const Call &call);
     /// Forgets a hand-over; doesn't abort it at the driver.
--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -144,6 +144,17 @@
     CHECK(saysNotRun(bed.driver.rejected.front()));
 }
 
+/// Guards against a caller that waits until its time is up for endpoints that are known to be out of reach.
+TEST(ARequestThatIsHandedOver, isRejectedAtOnceIfNoInstanceCanBeReached)
+{
+    bed.call("/book/x");
+    bed.kernel.onFailure(bed.now, lastHandOver().attempt, AttemptFailure::NotSent);
+    bed.kernel.onFailure(bed.now, lastHandOver().attempt, AttemptFailure::NotSent);
+    LONGS_EQUAL(0, bed.driver.sent.size());
+    LONGS_EQUAL(1, bed.driver.rejected.size());
+    CHECK(saysNotRun(bed.driver.rejected.front()));
+}
+
 /// Guards against a stream losing or repeating an event when the instance that serves it fails.
 TEST(ARequestThatIsHandedOver, goesOnAfterItsLastEvent)
 {
