--- a/libs/relay/tests/CrashSignTests.cpp
+++ b/libs/relay/tests/CrashSignTests.cpp
@@ -20,7 +20,7 @@
     std::string crashOne()
     {
         bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
-        const std::string endpoint = bed.driver.sent.back().endpoint;
+        std::string endpoint = bed.driver.sent.back().endpoint;
         bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
         return endpoint;
     }
