--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -179,7 +179,13 @@
         return;
     }
     exclude(call, endpoint);
-    if ((reach.isCutOff() || choosePlain(now, call)) && mayRetry(now, call)) {
+    if (reach.isCutOff()) {
+        if (mayRetry(now, call)) {
+            handOver(now, call);
+        }
+        return;
+    }
+    if (choosePlain(now, call) && mayRetry(now, call)) {
         startPlain(now, call);
     }
 }
--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -155,6 +155,24 @@
     CHECK(saysNotRun(bed.driver.rejected.front()));
 }
 
+/// Guards against a request being given up that was sent before the cut, over a connection that may live on, since it can't be sent a second time.
+TEST(ARequestThatIsHandedOver, isLeftAtItsEndpointIfNoInstanceTakesIt)
+{
+    bed.unreachable.clear();
+    std::erase_if(bed.entries, [](const EndpointEntry &entry) { return entry.id == "desk-b" || entry.id == "desk-c"; });
+    bed.advance(Ms(800));
+    bed.call("/read/x");
+    const AttemptId open = bed.lastAttempt();
+    bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}});
+    cutOff();
+    bed.advance(Ms(200));
+    AnswerHead head;
+    head.status = 200;
+    head.verified = true;
+    bed.kernel.onAnswer(bed.now, open, head);
+    LONGS_EQUAL(1, bed.driver.forwarded.size());
+}
+
 /// Guards against a stream losing or repeating an event when the instance that serves it fails.
 TEST(ARequestThatIsHandedOver, goesOnAfterItsLastEvent)
 {
