--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -1,6 +1,8 @@
 #include "base/Time.h"
 #include "details/KernelImpl.h"
 
+#include <algorithm>
+
 namespace relay {
 
 namespace {
@@ -10,10 +12,10 @@
 constexpr std::size_t MaxPeersTried = 6;
 /// Hand-overs that fail may each take the time of a connection.
 constexpr std::uint32_t MaxFailedHandOvers = 3;
-/// A stream that has begun is moved to another instance after this time without an event. The instance that serves it moves it sooner if the cause lies behind
+/// A stream is moved to another instance after this time without an event at the earliest. The instance that serves it moves it sooner if the cause lies behind
 /// it.
 constexpr Ms StalledTimeout{1500};
-/// One that has not begun is moved once this part of its caller's patience has passed.
+/// One that has not begun is moved once this part of its caller's patience has passed, too.
 constexpr double MaxFirstEventRatio = 0.6;
 
 /// Returns whether another instance may be able to serve a request that one has refused for this reason.
@@ -191,8 +193,8 @@
 {
     const AttemptId attempt = *call.handOver;
     const OpenHandOver &open = handOvers.at(attempt);
-    const Instant patience = base::boundedMs(MaxFirstEventRatio * static_cast<double>(call.route->callerPatience.count()));
-    const Instant limit = open.hasEvents ? Instant(StalledTimeout) : patience;
+    const Instant firstEventLimit = base::boundedMs(MaxFirstEventRatio * static_cast<double>(call.route->callerPatience.count()));
+    const Instant limit = open.hasEvents ? Instant(StalledTimeout) : std::max(Instant(StalledTimeout), firstEventLimit);
     if (!call.route->isResumable || now < open.lastProgressAt + limit) {
         return;
     }
