--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -207,6 +207,7 @@
     const AttemptId id = nextAttempt++;
     attempt.call = call.id;
     attempt.sentAt = now;
+    attempt.isRetry = call.attemptCount > 0;
     attempt.lastProgressAt = now;
     attempt.resumedAfter = call.lastEvent;
     std::vector<EndpointIndex> stages;
@@ -307,16 +308,20 @@
     } else if (failure == AttemptFailure::Broken) {
         impl_->suspectCrash(now, *call, first);
     }
+    const bool reachedNothing = failure == AttemptFailure::NotSent;
+    if (const Attempt &failed = impl_->attempts.at(attempt); reachedNothing && failed.isRetry) {
+        impl_->retries.onRetryNotSent(call->service->name, failed.sentAt, now);
+    }
     impl_->dropAttempt(attempt);
     impl_->exclude(*call, first);
-    if (failure == AttemptFailure::NotSent) {
+    if (reachedNothing) {
         impl_->forgetRun(*call, attempt);
     } else {
         call->mayHaveRun = true;
     }
     if (call->route->kind == RequestKind::Stream) {
         impl_->endpoints.at(first).recent.onAnswer(true, now);
-        if (failure == AttemptFailure::NotSent) {
+        if (reachedNothing) {
             impl_->endpoints.setSilent(first, now);
         } else {
             impl_->requestReport(now, first);
@@ -324,10 +329,10 @@
         impl_->retryStreamOrFail(now, *call, detail);
     } else {
         impl_->endpoints.onPlainFailure(first, now);
-        if (failure == AttemptFailure::NotSent) {
+        if (reachedNothing) {
             impl_->endpoints.at(first).foundGoneAt = now;
         }
-        impl_->retryPlainOrFail(now, *call, failure == AttemptFailure::NotSent ? base::ErrorKind::NoEndpoint : base::ErrorKind::UpstreamBroken, detail);
+        impl_->retryPlainOrFail(now, *call, reachedNothing ? base::ErrorKind::NoEndpoint : base::ErrorKind::UpstreamBroken, detail);
     }
 }
 
--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -43,7 +43,7 @@
     }
     ++call.attemptCount;
     ++counters.handedOver;
-    handOvers.emplace(id, OpenHandOver{call.id, *peer, now, call.lastEvent, false});
+    handOvers.emplace(id, OpenHandOver{call.id, *peer, now, mayRunTwice, now, call.lastEvent, false});
     handOverPeers.onBegun(*peer);
     call.handOver = id;
     HandOver order;
@@ -147,6 +147,9 @@
     const std::string peer = handOvers.at(attempt).peer;
     const std::string detail = peer + (failure == AttemptFailure::NotSent ? " could not be reached" : " broke off");
     driver.record({"handover_failed", call.requestId, peer, detail});
+    if (const OpenHandOver &failed = handOvers.at(attempt); failure == AttemptFailure::NotSent && failed.isRetry) {
+        retries.onRetryNotSent(call.service->name, failed.begunAt, now);
+    }
     dropHandOver(attempt);
     handOverPeers.avoid(peer, now);
     call.triedPeers.push_back(peer);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -35,6 +35,8 @@
     /// Those of them that receive the prompt from a stage in another zone.
     std::vector<EndpointIndex> pendingLinkStages;
     Instant sentAt{0};
+    /// The limit on retries has counted it.
+    bool isRetry = false;
     /// Time of its last event or detour; of its dispatch if there was none.
     Instant lastProgressAt{0};
     /// Tokens of prompt and answer that its context is expected to have on each stage.
@@ -69,6 +71,9 @@
 struct OpenHandOver {
     CallId call = 0;
     std::string peer;
+    Instant begunAt{0};
+    /// The limit on retries has counted it.
+    bool isRetry = false;
     /// Time of its last event; of its beginning if there was none.
     Instant lastProgressAt{0};
     /// Number of the last event that the caller had when it was handed over; 0 if it had none.
--- a/libs/relay/src/details/RetryWindow.h
+++ b/libs/relay/src/details/RetryWindow.h
@@ -2,6 +2,7 @@
 
 #include "relay/RelayKernel.h"
 
+#include <algorithm>
 #include <deque>
 #include <optional>
 #include <string>
@@ -70,6 +71,15 @@
         countsOf(service, now).retries.push_back(now);
     }
 
+    /// Takes back a retry that was counted at `sentAt` and has reached no endpoint: the limit protects endpoints.
+    void onRetryNotSent(const std::string &service, Instant sentAt, Instant now)
+    {
+        std::deque<Instant> &retries = countsOf(service, now).retries;
+        if (const auto found = std::find(retries.begin(), retries.end(), sentAt); found != retries.end()) {
+            retries.erase(found);
+        }
+    }
+
     /// Returns what a service has used of the limit.
     RetryUsage usage(const std::string &service, Instant now)
     {
--- a/libs/relay/tests/RetryLimitTests.cpp
+++ b/libs/relay/tests/RetryLimitTests.cpp
@@ -185,3 +185,26 @@
     CHECK(static_cast<double>(fleet.retriesSince(restartedAt)) >= settings.retryRatio * requests - 1);
     CHECK(static_cast<double>(fleet.retriesSince(restartedAt)) <= settings.retryRatio * requests);
 }
+
+/// Guards against streams that are broken off by an instance that has lost its way to the endpoints: the retries that could not be sent used up its limit.
+TEST(TheLimitOnRetries, countsNoRetryThatReachesNoEndpoint)
+{
+    constexpr int Calls = 200;
+    RelayTestBed bed;
+    for (int i = 0; i < Calls; ++i) {
+        bed.call("/read/x");
+        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+        for (std::size_t sent = 0; sent < bed.driver.sent.size();) {
+            sent = bed.driver.sent.size();
+            bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::NotSent);
+        }
+    }
+    const std::size_t sentBefore = bed.driver.sent.size();
+    for (int i = 0; i < Calls; ++i) {
+        bed.call("/read/x");
+        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    }
+    const auto retries = static_cast<double>(bed.driver.sent.size() - sentBefore) - Calls;
+    CHECK(retries >= settings.retryRatio * 2 * Calls - 1);
+    CHECK(retries <= settings.retryRatio * 2 * Calls + settings.retryReserve);
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -148,6 +148,7 @@
 relay stop-goes-on-accepting RelayKernel.cpp 's/        driver.stopAccepting();//'
 relay stop-holds-callers-back Admission.cpp 's/kind == base::ErrorKind::Stopping ? stopRetryDelay(now) : //'
 relay retry-on-a-kept-connection Calls.cpp 's/runsOnce(\*call.route) || call.attemptCount > 1;/runsOnce(*call.route);/'
+relay limit-counts-what-was-not-sent Calls.cpp 's/reachedNothing && failed.isRetry/false/'
 relay new-run-is-joined details/KernelImpl.h 's/return resumedAfter > 0 \&\& .*;/return resumedAfter > 0 \&\& firstEvent == 0;/'
 relay refusal-is-a-state EndpointRegistry.cpp 's/if (!state.refusalShare.isMost()) {/if (false) {/'
 relay refusals-never-pause EndpointRegistry.cpp 's/if (!state.refusalShare.isMost()) {/if (true) {/'
