--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -63,6 +63,8 @@
     bool freshConnection = false;
     /// Runs of the request that count against its route's limit already.
     std::uint32_t runs = 0;
+    /// Version of the configuration under which this instance has admitted it: one that knows only an older one must not serve it.
+    std::uint64_t configVersion = 0;
 };
 
 /// An error answer that the router gives itself. Its HTTP status follows from the kind.
@@ -71,6 +73,8 @@
     std::string detail;
     /// Time after which the caller may try again; zero if that can't help.
     Ms retryAfter{0};
+    /// Version of the configuration by which it was decided; 0 if there is none.
+    std::uint64_t configVersion = 0;
 };
 
 /// An order to an endpoint to load a range of layers.
--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -63,6 +63,8 @@
     /// Another instance has handed it over, so that it isn't handed over again; and the runs that count against its route's limit already.
     bool isHandedOver = false;
     std::uint32_t priorRuns = 0;
+    /// Version of the configuration under which that instance has admitted it; 0 if it names none.
+    std::uint64_t configVersion = 0;
 };
 
 /// What the kernel needs to know of an endpoint's answer.
@@ -82,9 +84,11 @@
     bool isOnNewConnection = true;
     /// Time from the answer in which the endpoint wants no request from this instance; zero if it names none.
     Ms retryAfter{0};
-    /// Of a hand-over: why the other instance could not serve the request, and the retry delay that it names. None if it answers for an endpoint.
+    /// Of a hand-over: why the other instance could not serve the request, the retry delay that it names, and the version of its configuration, 0 if it names
+    /// none. No error if it answers for an endpoint.
     std::optional<base::ErrorKind> peerError = std::nullopt;
     Ms peerRetryAfter{0};
+    std::uint64_t peerConfigVersion = 0;
 };
 
 /// Why an attempt failed without a whole answer.
--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -105,7 +105,7 @@
 void RelayKernel::Impl::reject(Instant now, CallId call, const std::string &requestId, Ms timeLeft, base::ErrorKind kind, const std::string &detail, Ms busyFor)
 {
     ++counters.rejected;
-    Rejection rejection{kind, detail, Ms{0}};
+    Rejection rejection{kind, detail, Ms{0}, known.configVersion};
     if (base::errorAnswer(kind).retriable) {
         const Ms maxRetryAfter = std::max(Ms{0}, timeLeft / RetryAfterDivisor);
         rejection.retryAfter = std::min(maxRetryAfter, kind == base::ErrorKind::Stopping ? stopRetryDelay(now) : retryDelay(busyFor));
@@ -126,6 +126,12 @@
     if (stopping && now - stopAt >= stopScheduleOf(settings.gracePeriod).refuseAfter) {
         return refuse(base::ErrorKind::Stopping, "this instance is shutting down");
     }
+    if (arrival.configVersion > config->version) {
+        // What the sender knows of the route, the key and the service may be unknown here, or may lead elsewhere by now.
+        storeDuty.onConfigNamed(arrival.configVersion, now, known);
+        return refuse(base::ErrorKind::Unconfirmed,
+                      "the other instance knows configuration " + std::to_string(arrival.configVersion) + ", known here is " + std::to_string(config->version));
+    }
     const std::string configAge =
         "configuration " + std::to_string(config->version) + ", age " + std::to_string(std::chrono::duration_cast<Ms>(now - known.configAt).count()) + " ms";
     const Route *route = routes.find(arrival.host, arrival.path);
--- a/libs/relay/src/HandOverPeers.cpp
+++ b/libs/relay/src/HandOverPeers.cpp
@@ -10,6 +10,8 @@
 
 /// An instance that has failed or refused a request gets none for this time.
 constexpr Ms AvoidTime{2000};
+/// One that has not read the configuration yet does so within some milliseconds, as the request that it refuses names the version.
+constexpr Ms BehindAvoidTime{250};
 /// What an instance says of itself holds for this time; it repeats it well before.
 constexpr Ms DigestLifetime{2000};
 /// Instances that are drawn, of which the one with fewest open requests is chosen.
@@ -52,6 +54,7 @@
     if (found != peers_.end()) {
         found->second.heardAt = now;
         found->second.isUnfit = digest.leaving || digest.reachesNoEndpoint;
+        found->second.configVersion = digest.configVersion;
     }
 }
 
@@ -62,6 +65,13 @@
     }
 }
 
+void HandOverPeers::avoidWhileBehind(const std::string &instance, Instant now)
+{
+    if (const auto found = peers_.find(instance); found != peers_.end()) {
+        found->second.avoidedUntil = std::max(found->second.avoidedUntil, now + BehindAvoidTime);
+    }
+}
+
 void HandOverPeers::onBegun(const std::string &instance)
 {
     ++peers_[instance].openRequests;
@@ -78,11 +88,17 @@
     return !peer.address.empty() && !isKnownAsUnfit && now >= peer.avoidedUntil;
 }
 
-std::optional<std::string> HandOverPeers::choose(std::span<const std::string> excluded, Instant now)
+bool HandOverPeers::isBehind(const Peer &peer, std::uint64_t configVersion, Instant now) const
+{
+    return now < peer.heardAt + DigestLifetime && peer.configVersion < configVersion;
+}
+
+std::optional<std::string> HandOverPeers::choose(std::span<const std::string> excluded, std::uint64_t configVersion, Instant now)
 {
     std::vector<std::map<std::string, Peer>::const_iterator> fit;
     for (auto peer = peers_.cbegin(); peer != peers_.cend(); ++peer) {
-        if (isFit(peer->second, now) && std::find(excluded.begin(), excluded.end(), peer->first) == excluded.end()) {
+        const bool mayServe = isFit(peer->second, now) && !isBehind(peer->second, configVersion, now);
+        if (mayServe && std::find(excluded.begin(), excluded.end(), peer->first) == excluded.end()) {
             fit.push_back(peer);
         }
     }
--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -24,6 +24,12 @@
     return kind == base::ErrorKind::NoEndpoint || kind == base::ErrorKind::Stopping || kind == base::ErrorKind::Unconfirmed;
 }
 
+/// Returns whether a refusal for this reason follows from the configuration.
+bool followsFromConfig(base::ErrorKind kind)
+{
+    return kind == base::ErrorKind::UnknownRoute || kind == base::ErrorKind::Unauthenticated;
+}
+
 } // namespace
 
 bool RelayKernel::Impl::handOver(Instant now, Call &call)
@@ -31,7 +37,7 @@
     if (!reach.isCutOff() || call.isHandedOver || call.triedPeers.size() >= MaxPeersTried || call.failedHandOvers >= MaxFailedHandOvers) {
         return false;
     }
-    const auto peer = handOverPeers.choose(call.triedPeers, now);
+    const auto peer = handOverPeers.choose(call.triedPeers, call.config->version, now);
     if (!peer) {
         return false;
     }
@@ -55,6 +61,7 @@
     order.isStream = call.route->kind == RequestKind::Stream;
     order.lastEventId = call.lastEventId;
     order.runs = countedRuns(call);
+    order.configVersion = call.config->version;
     order.freshConnection = runsOnce(*call.route) || call.attemptCount > 1;
     driver.record({"handed_over", call.requestId, *peer, "attempt " + std::to_string(call.attemptCount) + ", since this instance reaches no endpoint"});
     driver.handOver(std::move(order));
@@ -102,7 +109,9 @@
 {
     const std::string peer = handOvers.at(attempt).peer;
     if (head.peerError) {
-        return onHandOverRefused(now, call, attempt, *head.peerError, head.peerRetryAfter);
+        // This instance has admitted the request: an older configuration, and one of unknown age, proves nothing against that.
+        const bool isOutdated = followsFromConfig(*head.peerError) && head.peerConfigVersion < call.config->version;
+        return onHandOverRefused(now, call, attempt, isOutdated ? base::ErrorKind::Unconfirmed : *head.peerError, head.peerRetryAfter);
     }
     call.mayHaveRun = true;
     if (!head.verified) {
@@ -128,7 +137,7 @@
     }
     call.triedPeers.push_back(peer);
     if (concernsInstanceOnly(kind)) {
-        handOverPeers.avoid(peer, now);
+        kind == base::ErrorKind::Unconfirmed ? handOverPeers.avoidWhileBehind(peer, now) : handOverPeers.avoid(peer, now);
         if (handOver(now, call)) {
             return;
         }
--- a/libs/relay/src/details/StoreDuty.h
+++ b/libs/relay/src/details/StoreDuty.h
@@ -51,6 +51,9 @@
     /// Compares the knowledge that another instance's digest names with `known`, and requests what is newer.
     void onStoreUpdate(const wire::RelayDigest &digest, Instant now, const Knowledge &known);
 
+    /// Takes a version of the configuration that another instance holds, and reads the store if it is newer than the own one.
+    void onConfigNamed(std::uint64_t version, Instant now, const Knowledge &known);
+
     /// Returns the highest version of the configuration that other instances have lately named; 0 if none has.
     std::uint64_t namedConfigVersion(Instant now) const;
 
@@ -69,8 +72,6 @@
     void sendRequest(const std::string &instance, Instant now, const Knowledge &known);
     /// Returns true if a digest has named a list that this instance lacks. A list of a lower version in the same epoch may have the same content.
     bool awaitsUpdate(Instant now, const Knowledge &known) const;
-    /// Takes a version of the configuration that another instance holds, and reads the store if it is newer than the own one.
-    void onConfigNamed(std::uint64_t version, Instant now, const Knowledge &known);
     /// Reads the list of endpoints from the store, unless it was read moments ago.
     void refreshEndpoints(Instant now);
 
--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -65,6 +65,37 @@
     }
 }
 
+/// Guards against requests of an instance that is cut off being run by an older configuration than it has shown, while a change reaches the instances one after
+/// the other, and against callers that aren't served for longer than that takes.
+TEST(InstancesThatAreCutOffFromAllEndpoints, haveNoRequestRunByAnOlderConfiguration)
+{
+    constexpr double MinServed = 0.98;
+    constexpr Ms SpreadTime{1000};
+    for (const std::size_t size : {3, 40}) {
+        InstanceFleet fleet(size);
+        const std::size_t cutInstances = (size + 4) / 5;
+        fleet.advance(Ms(2000), [&]() { sendRequests(fleet); });
+        for (std::size_t i = 0; i < cutInstances; ++i) {
+            fleet.instances[i]->endpointCut = Cut::Reset;
+        }
+        fleet.advance(NoticeTime, [&]() { sendRequests(fleet); });
+        const Instant changedAt = fleet.now;
+        fleet.setConfig(RelayTestBed::config(2));
+        for (std::size_t i = 0; i < size; ++i) {
+            fleet.instances[i]->readsConfigFrom = changedAt + SpreadTime * i / size;
+        }
+        fleet.advance(SpreadTime + Ms(3000), [&]() { sendRequests(fleet); });
+        const Instant until = fleet.now;
+        fleet.advance(Ms(1000));
+        LONGS_EQUAL(0, fleet.sentByOlderConfig());
+        for (std::size_t i = 0; i < cutInstances; ++i) {
+            const auto [asked, begun] = fleet.begunOf(i, changedAt + SpreadTime + Ms(500), until);
+            CHECK(asked > 0);
+            CHECK(static_cast<double>(begun) >= MinServed * static_cast<double>(asked));
+        }
+    }
+}
+
 /// One instance that reaches no endpoint, and two others that take its requests.
 TEST_GROUP(ARequestThatIsHandedOver)
 {
--- a/libs/relay/tests/InstanceFleet.cpp
+++ b/libs/relay/tests/InstanceFleet.cpp
@@ -71,7 +71,7 @@
     numberOfAddress_[settings.handOverAddress] = number;
     settings.seed = number + 1;
     instance.kernel = std::make_unique<RelayKernel>(settings, instance.driver);
-    instance.kernel->onConfig(now, now, RelayTestBed::config(1));
+    instance.kernel->onConfig(now, now, config_);
     instance.kernel->onEndpoints(now, listedEntries(), {0, ++storeRevision_});
     std::vector<InstanceEntry> entries;
     for (std::size_t i = 0; i < instances.size(); ++i) {
@@ -123,6 +123,7 @@
     requestTimes_.push_back(now);
     asked_[{instance, arrival.call}] = {now, false};
     arrivals_[{instance, arrival.call}] = arrival;
+    versionAtArrival_[{instance, arrival.call}] = instances[instance]->kernel->configVersion();
     instances[instance]->kernel->onCall(now, arrival);
 }
 
@@ -146,7 +147,7 @@
         if (instance->isDown) {
             continue;
         }
-        instance->kernel->onConfig(now, now, nullptr);
+        instance->kernel->onConfig(now, now, now < instance->readsConfigFrom ? nullptr : config_);
         instance->kernel->onEndpoints(now, listedEntries(), {0, storeRevision_});
         instance->kernel->onTick(now);
     }
@@ -198,9 +199,11 @@
             arrival.call = lastCall_;
             arrival.isHandedOver = true;
             arrival.priorRuns = order.runs;
+            arrival.configVersion = order.configVersion;
             arrival.timeLimit = order.timeLeft;
             arrival.lastEventId = order.lastEventId;
             handedOver_[{to, arrival.call}] = {from, order.attempt};
+            versionAtArrival_[{to, arrival.call}] = versionAtArrival_.at({from, order.call});
             instances[to]->kernel->onCall(now, arrival);
         }
     }
@@ -307,6 +310,7 @@
         Instance &instance = *instances[i];
         for (; instance.processedDispatches < instance.driver.sent.size(); ++instance.processedDispatches) {
             const Dispatch dispatch = instance.driver.sent[instance.processedDispatches];
+            sentByOlderConfig_ += instance.kernel->configVersion() < versionAtArrival_.at({i, dispatch.call}) ? 1 : 0;
             if (++dispatchesOfCall_[{i, dispatch.call}] > 1) {
                 retryTimes_.push_back(now);
             }
@@ -391,6 +395,7 @@
             if (handedOver != handedOver_.end()) {
                 AnswerHead head;
                 head.peerError = kind;
+                head.peerConfigVersion = instance.driver.rejected[instance.processedRejections].rejection.configVersion;
                 instances[handedOver->second.first]->kernel->onAnswer(now, handedOver->second.second, head);
             }
             if (kind == base::ErrorKind::Quarantined || kind == base::ErrorKind::PromptPartQuarantined) {
--- a/libs/relay/tests/InstanceFleet.h
+++ b/libs/relay/tests/InstanceFleet.h
@@ -68,6 +68,8 @@
         EndpointCut endpointCut = EndpointCut::None;
         /// Its process has ended.
         bool isDown = false;
+        /// Until then the store shows it no configuration that is newer than its own.
+        relay::Instant readsConfigFrom{0};
     };
 
     explicit InstanceFleet(std::size_t instanceCount);
@@ -111,6 +113,16 @@
     {
         return quarantines_.size();
     }
+    /// Changes the configuration in the store.
+    void setConfig(relay::FleetConfigPtr config)
+    {
+        config_ = std::move(config);
+    }
+    /// Returns how many requests were sent to endpoints by an instance whose configuration was older than that of the instance that the caller asked.
+    std::size_t sentByOlderConfig() const
+    {
+        return sentByOlderConfig_;
+    }
     /// Returns how many requests were handed over to an instance from that time on.
     std::size_t handedOverTo(std::size_t instance) const;
     /// Returns how many requests were made through an instance within that time, and how many of them have begun to be answered.
@@ -184,6 +196,11 @@
     /// By the instance that serves it and its call there: who has handed a request over, and under which attempt.
     std::map<std::pair<std::size_t, relay::CallId>, std::pair<std::size_t, relay::AttemptId>> handedOver_;
     std::map<std::pair<std::size_t, relay::CallId>, relay::CallArrival> arrivals_;
+    /// Version of the configuration of the instance that the caller has asked, when the request came. By instance and call there, also of one that it was
+    /// handed over to.
+    std::map<std::pair<std::size_t, relay::CallId>, std::uint64_t> versionAtArrival_;
+    std::size_t sentByOlderConfig_ = 0;
+    relay::FleetConfigPtr config_ = RelayTestBed::config(1);
     relay::CallId lastCall_ = 0;
     std::uint64_t storeRevision_ = 0;
     int fatalRuns_ = 0;
--- a/libs/relayhost/include/relayhost/HandOverFields.h
+++ b/libs/relayhost/include/relayhost/HandOverFields.h
@@ -12,6 +12,8 @@
 
 /// Runs of the request that count against its route's limit, as a whole number; marks a request as handed over.
 inline constexpr std::string_view Runs = "Trefoilport-Runs";
+/// Version of the configuration under which the sender has admitted the request, or by which the other instance has rejected it, as a whole number.
+inline constexpr std::string_view ConfigVersion = "Trefoilport-Config";
 /// Name of the error kind for which the instance itself has rejected the request.
 inline constexpr std::string_view Error = "Trefoilport-Error";
 /// Time in milliseconds after which the request may be sent again.
