--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -145,6 +145,12 @@
     if (isUnderWay(call)) {
         return; // An attempt that this instance has sent itself may still be answered.
     }
+    if (waitsForEndpoints(now, call)) {
+        if (concernsInstanceOnly(kind)) {
+            call.triedPeers.clear(); // They are avoided for a while, and may take it later.
+        }
+        return;
+    }
     if (kind == base::ErrorKind::Overloaded) {
         return rejectForLoad(now, call, retryAfter, detail);
     }
--- a/libs/relay/tests/HandOverChangeTests.cpp
+++ b/libs/relay/tests/HandOverChangeTests.cpp
@@ -146,3 +146,24 @@
     bed.call("/book/x");
     LONGS_EQUAL(before + 1, bed.driver.handOvers.size());
 }
+
+/// Guards against a stream being broken off since no instance takes it at this moment, although its caller waits for seconds.
+TEST(AHandOverBesideAChange, waitsIfItIsAStreamThatNobodyTakesNow)
+{
+    for (const base::ErrorKind kind : {base::ErrorKind::Unconfirmed, base::ErrorKind::NoEndpoint, base::ErrorKind::Stopping}) {
+        const CallId stream = bed.call("/stream/x");
+        CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1));
+        bed.kernel.onFailure(bed.now, lastHandOver().attempt, AttemptFailure::Broken);
+        refuse(kind);
+        CHECK(bed.driver.brokenStreams.empty());
+        bed.unreachable.clear();
+        bed.advance(Ms(900));
+        CHECK(bed.driver.brokenStreams.empty());
+        LONGS_EQUAL(stream, bed.driver.sent.back().call);
+        CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 2));
+        bed.kernel.onStreamEnd(bed.now, bed.lastAttempt());
+        LONGS_EQUAL(stream, bed.driver.endedStreams.back());
+        bed.advance(Ms(2100));
+        cutOff();
+    }
+}
