--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -164,10 +164,15 @@
     return call.route->kind == RequestKind::AtMostOnce ? !call.mayHaveRun : countedRuns(call) < call.route->maxAttempts;
 }
 
-std::uint64_t RelayKernel::Impl::incarnationOf(AttemptId attempt) const
+const Run &RelayKernel::Impl::runOf(AttemptId attempt) const
 {
     const std::vector<Run> &runs = calls.at(attempts.at(attempt).call)->runs;
-    return std::find_if(runs.begin(), runs.end(), [&](const Run &run) { return run.attempt == attempt; })->incarnation;
+    return *std::find_if(runs.begin(), runs.end(), [&](const Run &run) { return run.attempt == attempt; });
+}
+
+std::uint64_t RelayKernel::Impl::incarnationOf(AttemptId attempt) const
+{
+    return runOf(attempt).incarnation;
 }
 
 void RelayKernel::Impl::forgetRun(Call &call, AttemptId attempt)
--- a/libs/relay/src/Detours.cpp
+++ b/libs/relay/src/Detours.cpp
@@ -116,8 +116,9 @@
     }
     // The first stage knows the stream and may still go on with it, unless it has refused for no other stage's sake.
     const bool mayGoOn = outcome != OrderOutcome::Refused || fault;
-    if (mayGoOn && !isBarred(call) && !mayRetry(now, call)) {
-        return keepAttempt(call, id, fault.value_or(first));
+    const auto reason = mayGoOn ? reasonToKeepAttempt(now, call) : std::nullopt;
+    if (reason) {
+        return keepAttempt(call, id, fault.value_or(first), *reason);
     }
     replaceAttempt(now, call, id, "the way round a lost stage was refused");
 }
--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -32,12 +32,17 @@
 
 } // namespace
 
-bool RelayKernel::Impl::handOver(Instant now, Call &call)
+std::optional<std::string> RelayKernel::Impl::chooseReceiver(Instant now, const Call &call)
 {
     if (!reach.isCutOff() || call.isHandedOver || call.triedPeers.size() >= MaxPeersTried || call.failedHandOvers >= MaxFailedHandOvers) {
-        return false;
+        return std::nullopt;
     }
-    const auto peer = handOverPeers.choose(call.triedPeers, call.config->version, now);
+    return handOverPeers.choose(call.triedPeers, call.config->version, now);
+}
+
+bool RelayKernel::Impl::handOver(Instant now, Call &call)
+{
+    const auto peer = chooseReceiver(now, call);
     if (!peer) {
         return false;
     }
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -49,21 +49,19 @@
     if (!call.service->engine) {
         return startPlain(now, call);
     }
-    const auto [holders, indices, linkTokens, limitWait] = candidates(now, call);
-    const placement::PipelineRequest request{
-        static_cast<double>(call.promptTokens), static_cast<double>(call.answerTokens), endpoints.zoneNumber(settings.zone), {}, std::nullopt, linkTokens};
-    const placement::Pipeline pipeline = placement::choosePipeline(*call.service->engine, holders, request);
+    const Candidates found = candidates(now, call);
+    const placement::Pipeline pipeline = choosePath(call, found);
     // An attempt that comes too late for its caller would only delay the others.
     const bool isTooLate = call.attemptCount > 0 && pipeline.waitMs > patienceLeftMs(now, call);
     if (pipeline.stages.empty() || isTooLate) {
         if (waitsForEndpoints(now, call)) {
             return;
         }
-        if (limitWait && !isTooLate) {
-            return rejectForLoad(now, call, *limitWait, "the endpoints with the first layers limit their requests");
+        if (found.limitWait && !isTooLate) {
+            return rejectForLoad(now, call, *found.limitWait, "the endpoints with the first layers limit their requests");
         }
         return isTooLate ? fail(now, call, base::ErrorKind::Overloaded, "the wait for another path is too long")
-                         : fail(now, call, base::ErrorKind::NoEndpoint, noPipelineReason(holders, call.service->engine->layers));
+                         : fail(now, call, base::ErrorKind::NoEndpoint, noPipelineReason(found.holders, call.service->engine->layers));
     }
     const double maxWaitMs = maxAdmittedWaitMs(*call.route);
     if (call.attemptCount == 0 && call.lastEvent == 0 && pipeline.waitMs > maxWaitMs) {
@@ -75,7 +73,7 @@
     }
     Attempt attempt;
     for (const placement::PipelineStage &stage : pipeline.stages) {
-        attempt.stages.push_back(indices[stage.holder]);
+        attempt.stages.push_back(found.indices[stage.holder]);
         attempt.layers.push_back(stage.layers);
     }
     attempt.contextTokens = call.promptTokens + call.answerTokens;
@@ -93,6 +91,29 @@
     driver.send(std::move(dispatch));
 }
 
+placement::Pipeline RelayKernel::Impl::choosePath(const Call &call, const Candidates &found)
+{
+    const placement::PipelineRequest request{static_cast<double>(call.promptTokens),
+                                             static_cast<double>(call.answerTokens),
+                                             endpoints.zoneNumber(settings.zone),
+                                             {},
+                                             std::nullopt,
+                                             found.linkTokens};
+    return placement::choosePipeline(*call.service->engine, found.holders, request);
+}
+
+bool RelayKernel::Impl::canStartStream(Instant now, Call &call)
+{
+    if (reach.isCutOff()) {
+        return chooseReceiver(now, call).has_value();
+    }
+    if (!call.service->engine) {
+        return choosePlain(now, call).has_value();
+    }
+    const placement::Pipeline pipeline = choosePath(call, candidates(now, call));
+    return !pipeline.stages.empty() && pipeline.waitMs <= patienceLeftMs(now, call);
+}
+
 bool RelayKernel::Impl::waitsForEndpoints(Instant now, Call &call)
 {
     const bool isInTime = now - call.lastDeliveredAt < call.route->callerPatience - AbandonMargin;
--- a/libs/relay/src/StreamMoves.cpp
+++ b/libs/relay/src/StreamMoves.cpp
@@ -51,12 +51,15 @@
     }
     const AttemptId id = call.attempts.front();
     const Attempt &attempt = attempts.at(id);
+    if (attempt.isKept && hasEnded(runOf(id)) && mayRetry(now, call) && canStartStream(now, call)) {
+        return replaceAttempt(now, call, id, "its first stage has ended");
+    }
     if (const auto silent = silentStage(now, attempt)) {
         return bypassStage(now, call, id, *silent);
     }
     const Instant silence = now - attempt.lastProgressAt;
     // Streams over connections that live on through a cut make progress.
-    if (reach.isCutOff() && silence >= CheckAfterEventGap && call.route->isResumable && mayRetry(now, call)) {
+    if (reach.isCutOff() && silence >= CheckAfterEventGap && call.route->isResumable && mayRetry(now, call) && canStartStream(now, call)) {
         return replaceAttempt(now, call, id, "this instance reaches no endpoint");
     }
     if (silence < eventTimeout(attempt)) {
@@ -110,23 +113,33 @@
 
 void RelayKernel::Impl::moveStream(Instant now, Call &call, AttemptId attempt, EndpointIndex silent)
 {
-    if (!isBarred(call) && !mayRetry(now, call)) {
-        return keepAttempt(call, attempt, silent);
-    }
+    const std::vector<EndpointIndex> excludedBefore = call.excluded;
     exclude(call, silent);
+    if (const auto reason = reasonToKeepAttempt(now, call)) {
+        call.excluded = excludedBefore; // It may be the one that is back first.
+        call.nextCheckAt = now + CheckPeriod;
+        return keepAttempt(call, attempt, silent, *reason);
+    }
     replaceAttempt(now, call, attempt, endpoints.at(silent).entry.id + " is silent");
 }
 
-void RelayKernel::Impl::keepAttempt(const Call &call, AttemptId attempt, EndpointIndex silent)
+std::optional<std::string> RelayKernel::Impl::reasonToKeepAttempt(Instant now, Call &call)
+{
+    if (isBarred(call)) {
+        return std::nullopt; // It has not begun, and is rejected.
+    }
+    if (!mayRetry(now, call)) {
+        return "no further attempt is permitted; runs " + std::to_string(countedRuns(call)) + " of " + std::to_string(call.route->maxAttempts);
+    }
+    return canStartStream(now, call) ? std::nullopt : std::optional<std::string>("nothing else can take the stream now");
+}
+
+void RelayKernel::Impl::keepAttempt(const Call &call, AttemptId attempt, EndpointIndex silent, const std::string &reason)
 {
     Attempt &openAttempt = attempts.at(attempt);
     if (!openAttempt.isKept) {
         openAttempt.isKept = true;
-        driver.record(
-            {"stream_kept",
-             call.requestId,
-             endpoints.at(silent).entry.id,
-             "silent, but no further attempt is permitted; runs " + std::to_string(countedRuns(call)) + " of " + std::to_string(call.route->maxAttempts)});
+        driver.record({"stream_kept", call.requestId, endpoints.at(silent).entry.id, "silent, but " + reason});
     }
 }
 
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -53,7 +53,7 @@
     bool detourPending = false;
     /// The silent stage that was last reported to the crash guard.
     std::optional<EndpointIndex> suspected;
-    /// It stays at a silent stage since no further attempt is permitted, which is logged once.
+    /// It stays at a silent stage since no further attempt is permitted or possible, which is logged once.
     bool isKept = false;
 };
 
@@ -221,6 +221,8 @@
     std::uint32_t countedRuns(const Call &call) const;
     /// Returns true if the endpoint of a run is known to have ended since: it has a new incarnation, or it is silent and no longer listed.
     bool hasEnded(const Run &run) const;
+    /// Returns the run of an open attempt. Each open attempt has one.
+    const Run &runOf(AttemptId attempt) const;
     /// Returns true if the call may run once more, as its route permits.
     bool mayRunAgain(const Call &call) const;
     /// Returns the incarnation of an open attempt's first stage when the attempt was sent. Each open attempt has a run, which names it.
@@ -295,6 +297,8 @@
     void onReachAgain(Instant now);
 
     // Hand-overs to other instances while this one reaches no endpoint.
+    /// Returns the instance that a call may be handed over to, if this one is cut off from all endpoints; none if there is none.
+    std::optional<std::string> chooseReceiver(Instant now, const Call &call);
     /// Hands a call over, if this instance is cut off from all endpoints and another one may take it. Returns false if not.
     bool handOver(Instant now, Call &call);
     /// Does so, or rejects a call that has not run if this instance is cut off and no other one takes it. Returns false if this instance is to serve it.
@@ -335,6 +339,10 @@
     /// Dispatches a call to the pipeline with the lowest cost; waits or fails the call if there is no pipeline. Calls startPlain() if the service has no
     /// layers.
     void startStream(Instant now, Call &call);
+    /// Returns the pipeline with the lowest cost over these candidates; it has no stages if there is none.
+    placement::Pipeline choosePath(const Call &call, const Candidates &found);
+    /// Returns whether something is there now that a further attempt of a stream could begin at, in time for its caller.
+    bool canStartStream(Instant now, Call &call);
     /// Returns whether a service without layers has an endpoint that the call may use, at once or after a pause.
     bool hasEndpointLeft(const Call &call) const;
     /// Lets a stream that may have run wait for endpoints that take it up again, if its caller waits that long; false if it can't wait.
@@ -360,15 +368,18 @@
     std::optional<EndpointIndex> silentStage(Instant now, const Attempt &attempt) const;
     /// Takes a stream off a silent stage: by a detour if possible, else by a new attempt if the route is resumable.
     void bypassStage(Instant now, Call &call, AttemptId attempt, EndpointIndex silent);
-    /// Replaces an attempt that passes through a silent stage by a new one without that stage. The attempt stays if no further one is permitted.
+    /// Replaces an attempt that passes through a silent stage by a new one without that stage. The attempt stays if no further one is permitted, or if nothing
+    /// could take it.
     void moveStream(Instant now, Call &call, AttemptId attempt, EndpointIndex silent);
     /// Replaces the silent later stages, and the one at fault, by other endpoints while the first stage continues. Returns false if the first stage
     /// is among them, if there are no replacements, or if the attempt has had too many detours.
     bool detour(Instant now, Call &call, AttemptId attempt, std::optional<EndpointIndex> fault = std::nullopt);
     /// Logs the attempt's current detour and sends it to the first stage.
     void requestDetour(const Call &call, AttemptId attempt);
-    /// Leaves an attempt at its silent stage: that may go on, and what it runs then isn't lost. Logs it once.
-    void keepAttempt(const Call &call, AttemptId attempt, EndpointIndex silent);
+    /// Returns why a stream must stay with its attempt: no further one is permitted, or nothing could take it. None if it may be moved.
+    std::optional<std::string> reasonToKeepAttempt(Instant now, Call &call);
+    /// Leaves an attempt at its silent stage, for that reason: that may go on, and what it runs then isn't lost. Logs it once.
+    void keepAttempt(const Call &call, AttemptId attempt, EndpointIndex silent, const std::string &reason);
     /// Aborts an attempt and starts a new one if the call may be retried, else fails the call.
     void replaceAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason);
     /// Takes an event of the call's stream, whoever sends it; returns true if it is the next one, which the caller must get.
--- a/libs/relay/tests/FleetTests.cpp
+++ b/libs/relay/tests/FleetTests.cpp
@@ -71,3 +71,31 @@
         CHECK(fleet.totals().served > fleet.totals().calls / 2);
     }
 }
+
+/// Guards against streams that are broken off beside changes of the configuration since sound endpoints fall silent for a while, all at once now and then.
+TEST(AFleetUnderFaults, breaksNoStreamWhileSoundEndpointsFallSilentBesideChanges)
+{
+    constexpr std::uint64_t DefaultSchedules = 10;
+    const std::uint64_t first = numberFromEnvironment("TREFOIL_SEED", 1);
+    const std::uint64_t schedules = numberFromEnvironment("TREFOIL_SCHEDULES", DefaultSchedules);
+    int broken = 0;
+    int calls = 0;
+    for (std::uint64_t seed = first; seed < first + schedules; ++seed) {
+        VirtualFleet fleet(seed);
+        fleet.pauseEnginesOnly();
+        fleet.changeConfigBeside(relay::Ms(1400));
+        fleet.runSchedule();
+        for (const std::string &violation : fleet.violations()) {
+            UtestShell::getCurrent()->print(("seed " + std::to_string(seed) + ", " + violation + "\n").c_str(), __FILE__, __LINE__);
+        }
+        CHECK(fleet.violations().empty());
+        if (fleet.totals().brokenByRouter > 0) {
+            UtestShell::getCurrent()->print(
+                ("seed " + std::to_string(seed) + " broke " + std::to_string(fleet.totals().brokenByRouter) + " streams\n").c_str(), __FILE__, __LINE__);
+        }
+        broken += fleet.totals().brokenByRouter;
+        calls += fleet.totals().calls;
+    }
+    CHECK(calls > 0);
+    LONGS_EQUAL(0, broken);
+}
--- a/libs/relay/tests/SilentStageTests.cpp
+++ b/libs/relay/tests/SilentStageTests.cpp
@@ -95,3 +95,92 @@
     LONGS_EQUAL(3, bed.driver.sent.size());
     CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 4));
 }
+
+/// Guards against a stream that is given up at an endpoint that is silent for a second, although no other one could go on with it.
+TEST(AStreamWhoseFirstStageIsSilent, staysThereWhileNoOtherEndpointTakesIt)
+{
+    bed.startStream(2);
+    const AttemptId only = bed.lastAttempt();
+    const std::string first = bed.driver.sent.back().endpoint;
+    const std::string other = first == "low-a" ? "low-b" : "low-a";
+    bed.advance(Ms(300));
+    bed.kernel.onReport(bed.now, other, std::nullopt);
+    bed.kernel.onReport(bed.now, first, std::nullopt);
+    bed.advance(Ms(1000));
+    CHECK(!bed.driver.wasCancelled(only));
+    CHECK(bed.kernel.onEvent(bed.now, only, 3));
+    bed.kernel.onStreamEnd(bed.now, only);
+    LONGS_EQUAL(1, bed.driver.endedStreams.size());
+}
+
+/// Guards likewise where all endpoints with the upper layers are silent at once.
+TEST(AStreamWhoseFirstStageIsSilent, staysThereWhileAllThatHoldALaterRangeAreSilent)
+{
+    bed.startStream(2);
+    const AttemptId only = bed.lastAttempt();
+    bed.advance(Ms(300));
+    bed.kernel.onReport(bed.now, "high-a", std::nullopt);
+    bed.kernel.onReport(bed.now, "high-b", std::nullopt);
+    bed.advance(Ms(2500));
+    CHECK(!bed.driver.wasCancelled(only));
+    CHECK(bed.kernel.onEvent(bed.now, only, 3));
+    bed.kernel.onStreamEnd(bed.now, only);
+    LONGS_EQUAL(1, bed.driver.endedStreams.size());
+}
+
+/// Guards against a stream that waits for a silent endpoint although another one is there for it meanwhile.
+TEST(AStreamWhoseFirstStageIsSilent, leavesItOnceAnotherOneIsBack)
+{
+    bed.startStream(2);
+    const std::string first = bed.driver.sent.back().endpoint;
+    const std::string other = first == "low-a" ? "low-b" : "low-a";
+    bed.advance(Ms(300));
+    bed.kernel.onReport(bed.now, other, std::nullopt);
+    bed.kernel.onReport(bed.now, first, std::nullopt);
+    bed.advance(Ms(500));
+    LONGS_EQUAL(1, bed.driver.sent.size());
+    EndpointReport report;
+    report.incarnation = 1;
+    report.layers = {0, RelayTestBed::HalfLayers};
+    bed.kernel.onReport(bed.now, other, report);
+    bed.advance(Ms(150));
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    STRCMP_EQUAL(other.c_str(), bed.driver.sent.back().endpoint.c_str());
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+}
+
+/// Guards against a stream that waits for an endpoint that has ended, since nothing closed the connection.
+TEST(AStreamWhoseFirstStageIsSilent, leavesItOnceItIsKnownToHaveEnded)
+{
+    std::erase_if(bed.entries, [](const EndpointEntry &entry) { return entry.id == "low-b"; });
+    bed.advance(Ms(50));
+    bed.startStream(2);
+    const AttemptId only = bed.lastAttempt();
+    bed.advance(Ms(300));
+    bed.kernel.onReport(bed.now, "low-a", std::nullopt);
+    bed.advance(Ms(300));
+    CHECK(!bed.driver.wasCancelled(only));
+    bed.entries.front().incarnation = 2;
+    bed.advance(Ms(200));
+    CHECK(bed.driver.wasCancelled(only));
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+}
+
+/// Guards against the only attempt of a stream being given up since this instance seems to be cut off, if no other instance can take it.
+TEST(AStreamWhoseFirstStageIsSilent, staysThereIfItsInstanceReachesNoneAndIsAlone)
+{
+    bed.kernel.onInstances(bed.now, {{"one", "10.0.0.1:7000"}});
+    bed.startStream(2);
+    const AttemptId only = bed.lastAttempt();
+    for (const EndpointEntry &entry : bed.entries) {
+        bed.unreachable.insert(entry.id);
+    }
+    bed.call("/book/x");
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::NotSent);
+    bed.advance(Ms(1200));
+    CHECK(!bed.kernel.reachesEndpoints());
+    CHECK(!bed.driver.wasCancelled(only));
+    CHECK(bed.driver.brokenStreams.empty());
+    CHECK(bed.kernel.onEvent(bed.now, only, 3));
+}
--- a/libs/relay/tests/VirtualCallers.cpp
+++ b/libs/relay/tests/VirtualCallers.cpp
@@ -112,6 +112,13 @@
     openCallers_.erase({caller.instance, caller.id});
 }
 
+bool VirtualFleet::isBrokenByRouter(const Caller &caller) const
+{
+    constexpr Ms CallerPatience{2000};
+    constexpr Ms ShortestTimeout = StreamTimeLimit * 3 / 4;
+    return !caller.wasBrokenByEndpoint && time_.now() < caller.deliveredAt + CallerPatience && time_.now() < caller.sentAt + ShortestTimeout;
+}
+
 void VirtualFleet::checkCaller(const Caller &caller)
 {
     const auto found = runs_.find(caller.requestId);
--- a/libs/relay/tests/VirtualEndpoints.cpp
+++ b/libs/relay/tests/VirtualEndpoints.cpp
@@ -171,7 +171,11 @@
     if (!run.stalledOn.empty()) {
         run.stalledSince = run.stalledSince.count() == 0 ? time_.now() : run.stalledSince;
         if (time_.now() - run.stalledSince > StallTimeout) {
-            notify([this, run](relay::RelayKernel &kernel) { kernel.onFailure(time_.now(), run.attempt, relay::AttemptFailure::Broken); });
+            notify([this, run](relay::RelayKernel &kernel) {
+                const auto caller = std::find_if(callers_.rbegin(), callers_.rend(), [&](const auto &entry) { return entry->requestId == run.requestId; });
+                (*caller)->wasBrokenByEndpoint = true;
+                kernel.onFailure(time_.now(), run.attempt, relay::AttemptFailure::Broken);
+            });
             endpoint.runs.erase(found);
             return;
         }
@@ -195,6 +199,7 @@
                 addViolation(run.requestId + " got event " + std::to_string(event) + " after " + std::to_string((*caller)->delivered));
             }
             (*caller)->delivered = event;
+            (*caller)->deliveredAt = time_.now();
         }
         if (isLast) {
             kernel.onStreamEnd(time_.now(), run.attempt);
--- a/libs/relay/tests/VirtualFleet.cpp
+++ b/libs/relay/tests/VirtualFleet.cpp
@@ -70,6 +70,7 @@
 void VirtualFleet::runSchedule()
 {
     const Instant start = time_.now();
+    faultsUntil_ = start + FaultFreeStart + FaultPeriod;
     recoveryDeadline_ = start + FaultFreeStart + FaultPeriod + RecoveryPeriod;
     keepCopies();
     time_.after(FaultFreeStart, [this]() {
@@ -81,54 +82,17 @@
     checkEnd();
 }
 
-relay::FleetConfigPtr VirtualFleet::makeConfig() const
-{
-    auto config = std::make_shared<relay::FleetConfig>();
-    placement::EngineProfile engine;
-    engine.layers = 80;
-    engine.layerMb = 1000;
-    engine.kvTokenBytes = 80000;
-    engine.stepMs = 1;
-    engine.prefillTokensPerMs = 100;
-    engine.loadSeconds = 4;
-    engine.maxConcurrentLoads = 4;
-    engine.typicalPromptTokens = 500;
-    engine.typicalAnswerTokens = 100;
-    engine.kinds = {{"gpu", 50000, 1, 1}};
-    config->version = configVersion_;
-    config->hasTeams = true;
-    for (const char *key : {"key-a", "key-b", "key-c"}) {
-        if (!revokedKeys_.contains(key)) {
-            config->teamOfKey[key] = {std::string("team of ") + key, std::nullopt};
-        }
-    }
-    config->services = {{"model", "/health", 100, engine}, {"desk", "/health", 100, std::nullopt}};
-    const auto route = [&](const char *name, const char *prefix, relay::RequestKind kind, Ms timeout, std::uint32_t attempts, const char *service) {
-        relay::Route entry;
-        entry.name = name;
-        entry.host = "api.example";
-        entry.pathPrefix = prefix;
-        entry.kind = kind;
-        entry.timeout = timeout;
-        entry.targetLatency = Ms(150);
-        entry.maxAttempts = attempts;
-        entry.isResumable = kind == relay::RequestKind::Stream;
-        entry.services = {{service, 1}};
-        config->routes.push_back(entry);
-    };
-    route("stream", "/stream/", relay::RequestKind::Stream, Ms(10000), 2, "model");
-    route("book", "/book/", relay::RequestKind::AtMostOnce, Ms(1200), 1, "desk");
-    route("read", "/read/", relay::RequestKind::Idempotent, Ms(1200), 2, "desk");
-    return config;
-}
-
 void VirtualFleet::scheduleFaults()
 {
     if (pausesEnginesOnly_) {
         constexpr Ms PausePeriod{600};
+        constexpr Ms ChangePeriod{500};
         for (Ms at{0}; at < FaultPeriod; at += PausePeriod) {
             time_.after(at, [this]() { pauseEngines(); });
         }
+        for (Ms at{0}; changesConfig_ && at < FaultPeriod; at += ChangePeriod) {
+            time_.after(at, [this]() { changeConfig(false); });
+        }
         return;
     }
     const std::uint64_t faults = MinFaults + draw(FaultCountRange);
@@ -187,11 +151,17 @@
 
 void VirtualFleet::pauseEngines()
 {
-    constexpr int EnginesAtOnce = 3;
-    for (int i = 0; i < EnginesAtOnce; ++i) {
+    constexpr std::uint64_t EnginesAtOnce = 3;
+    constexpr Ms ShortestPause{400};
+    const auto drawPause = [&]() {
+        return ShortestPause + Ms(draw(static_cast<std::uint64_t>((longestPause_ - ShortestPause).count())));
+    };
+    const bool areAll = changesConfig_ && draw(6) == 0;
+    const Ms pauseOfAll = areAll ? drawPause() : Ms(0);
+    for (std::uint64_t i = 0; i < (areAll ? EngineCount : EnginesAtOnce); ++i) {
         ++totals_.faults;
-        Endpoint &engine = *endpoints_[draw(EngineCount)];
-        engine.pausedUntil = std::max(engine.pausedUntil, time_.now() + Ms(400 + draw(1000)));
+        Endpoint &engine = *endpoints_[areAll ? i : draw(EngineCount)];
+        engine.pausedUntil = std::max(engine.pausedUntil, time_.now() + (areAll ? pauseOfAll : drawPause()));
     }
 }
 
@@ -289,6 +259,9 @@
 void VirtualFleet::endFaults()
 {
     store_.down = false;
+    if (changesConfig_) {
+        changeConfig(false);
+    }
     cutOff_.clear();
     cutFromStore_.clear();
     for (const auto &endpoint : endpoints_) {
--- a/libs/relay/tests/VirtualFleet.h
+++ b/libs/relay/tests/VirtualFleet.h
@@ -27,6 +27,13 @@
     {
         pausesEnginesOnly_ = true;
     }
+    /// Lets the pauses be up to that long, all engines pause at once now and then, and the operator change the configuration all the while: routes come, go and
+    /// lead elsewhere, their timeouts and the model's profile change, and keys come and go.
+    void changeConfigBeside(relay::Ms longestPause)
+    {
+        longestPause_ = longestPause;
+        changesConfig_ = true;
+    }
     ~VirtualFleet();
     VirtualFleet(const VirtualFleet &) = delete;
     VirtualFleet &operator=(const VirtualFleet &) = delete;
@@ -51,6 +58,8 @@
         int rejected = 0;
         /// Streams that were broken off.
         int broken = 0;
+        /// Those of them whose caller still waited, that had time left, and at which no endpoint had broken off.
+        int brokenByRouter = 0;
         int faults = 0;
         /// Detour orders that were sent to a first stage.
         int detours = 0;
@@ -140,8 +149,11 @@
         std::string key;
         /// Number of events of the stream.
         std::uint64_t events = 0;
-        /// Id of the last event that the caller got.
+        /// Id of the last event that the caller got, and when it came.
         std::uint64_t delivered = 0;
+        relay::Instant deliveredAt{0};
+        /// An endpoint has broken off an attempt of it.
+        bool wasBrokenByEndpoint = false;
         bool ended = false;
         bool served = false;
         /// The caller got an error that states that the request did not run.
@@ -174,6 +186,8 @@
     void addEngine();
     /// Stores a newer configuration. If `revokesKey`, the key "key-c" is revoked in it and in all later ones. Does nothing while the store is down.
     void changeConfig(bool revokesKey);
+    /// Makes the kind of change to the configuration that its version chooses.
+    void varyConfig(relay::FleetConfig &config) const;
     /// Keeps copies of the store, from which it may be restored; repeats this periodically.
     void keepCopies();
     /// Takes the store away for that time and restores it from a copy that is some seconds old: its revisions are given out again, and what the
@@ -257,6 +271,8 @@
     /// Null if the call isn't open.
     Caller *callerOf(std::size_t instance, relay::CallId call);
     void endCall(Caller &caller, bool served);
+    /// Returns whether only the router can be why a stream is broken off now.
+    bool isBrokenByRouter(const Caller &caller) const;
     /// Checks that a call has ended, that it ran no more often than its kind allows, and that it did not run if its caller got an error that states so.
     void checkCaller(const Caller &caller);
     /// Checks the shared limit on retries for every service and window.
@@ -268,6 +284,8 @@
 
     std::mt19937_64 random_;
     VirtualTime time_;
+    /// The end of the period of faults.
+    relay::Instant faultsUntil_{0};
     /// From then on the fleet must serve calls again.
     relay::Instant recoveryDeadline_{0};
     Store store_;
@@ -284,6 +302,9 @@
     /// Kills of instances are not recorded here.
     std::map<std::string, relay::Instant> lastFaultAt_;
     bool pausesEnginesOnly_ = false;
+    /// The faults are pauses beside changes of the configuration.
+    bool changesConfig_ = false;
+    relay::Ms longestPause_{1400};
     /// Time of revocation, by key.
     std::map<std::string, relay::Instant> revokedKeys_;
     std::vector<std::unique_ptr<Caller>> callers_;
--- a/libs/relay/tests/VirtualInstance.cpp
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -265,6 +265,7 @@
 {
     if (Caller *caller = fleet_.callerOf(index_, call)) {
         ++fleet_.totals_.broken;
+        fleet_.totals_.brokenByRouter += fleet_.isBrokenByRouter(*caller) ? 1 : 0;
         fleet_.endCall(*caller, false);
     }
 }
--- a/libs/relay/tests/VirtualStore.cpp
+++ b/libs/relay/tests/VirtualStore.cpp
@@ -65,3 +65,82 @@
     store_.config = makeConfig();
     ++store_.revision;
 }
+
+relay::FleetConfigPtr VirtualFleet::makeConfig() const
+{
+    auto config = std::make_shared<relay::FleetConfig>();
+    placement::EngineProfile engine;
+    engine.layers = 80;
+    engine.layerMb = 1000;
+    engine.kvTokenBytes = 80000;
+    engine.stepMs = 1;
+    engine.prefillTokensPerMs = 100;
+    engine.loadSeconds = 4;
+    engine.maxConcurrentLoads = 4;
+    engine.typicalPromptTokens = 500;
+    engine.typicalAnswerTokens = 100;
+    engine.kinds = {{"gpu", 50000, 1, 1}};
+    config->version = configVersion_;
+    config->hasTeams = true;
+    for (const char *key : {"key-a", "key-b", "key-c"}) {
+        if (!revokedKeys_.contains(key)) {
+            config->teamOfKey[key] = {std::string("team of ") + key, std::nullopt};
+        }
+    }
+    config->services = {{"model", "/health", 100, engine}, {"desk", "/health", 100, std::nullopt}};
+    const auto route = [&](const char *name, const char *prefix, relay::RequestKind kind, Ms timeout, std::uint32_t attempts, const char *service) {
+        relay::Route entry;
+        entry.name = name;
+        entry.host = "api.example";
+        entry.pathPrefix = prefix;
+        entry.kind = kind;
+        entry.timeout = timeout;
+        entry.targetLatency = Ms(150);
+        entry.maxAttempts = attempts;
+        entry.isResumable = kind == relay::RequestKind::Stream;
+        entry.services = {{service, 1}};
+        config->routes.push_back(entry);
+    };
+    route("stream", "/stream/", relay::RequestKind::Stream, Ms(10000), 2, "model");
+    route("book", "/book/", relay::RequestKind::AtMostOnce, Ms(1200), 1, "desk");
+    route("read", "/read/", relay::RequestKind::Idempotent, Ms(1200), 2, "desk");
+    if (changesConfig_ && time_.now() < faultsUntil_) {
+        varyConfig(*config);
+    }
+    return config;
+}
+
+void VirtualFleet::varyConfig(relay::FleetConfig &config) const
+{
+    switch (config.version % 8) {
+    case 0:
+        config.routes.erase(config.routes.begin()); // The route of the streams is dropped.
+        return;
+    case 1:
+        config.routes.front().services = {{"desk", 1}};
+        return;
+    case 2:
+        config.services.front().engine->prefillTokensPerMs = 10;
+        config.services.front().engine->slots = 1;
+        return;
+    case 3:
+        config.services.front().engine->stepMs = 3;
+        config.services.front().engine->kinds = {{"gpu", 50000, 2, 2}};
+        return;
+    case 4:
+        config.services.pop_back();
+        return;
+    case 5:
+        config.teamOfKey.clear();
+        return;
+    case 6:
+        for (relay::Route &route : config.routes) {
+            route.timeout = route.timeout * 3 / 4;
+            route.maxAttempts = 1;
+            route.isResumable = false;
+        }
+        return;
+    default:
+        return;
+    }
+}
