--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -29,6 +29,11 @@
 constexpr std::size_t MaxOperatorHeaderBytes = 4096;
 /// Time after which all callers know of a new configuration.
 constexpr relay::Ms ConfigNoticeTime{10000};
+/// Another instance has checked the sizes of what it hands over, perhaps under a later configuration, and has added header fields. Its requests may have at
+/// least these sizes, and headers that are longer by the last one than callers may send.
+constexpr std::size_t MinHandOverHeaderBytes = 256 * 1024;
+constexpr std::size_t MinHandOverBodyBytes = 64 * 1024 * 1024;
+constexpr std::size_t MaxAddedHeaderBytes = 1024;
 /// URL path of the status, and the one by which an operator ends the quarantine of the signature that follows it.
 constexpr std::string_view StatusPath = "/admin/status";
 constexpr std::string_view LiftPath = "/admin/quarantine/lift/";
@@ -64,6 +69,14 @@
     return server;
 }
 
+net::ServerLimits handOverLimits(const relay::CallerLimits &limits)
+{
+    net::ServerLimits server = serverLimits(limits);
+    server.headerBytes = std::max(MinHandOverHeaderBytes, limits.headerBytes + MaxAddedHeaderBytes);
+    server.bodyBytes = std::max(MinHandOverBodyBytes, limits.bodyBytes);
+    return server;
+}
+
 std::uint64_t numberIn(const std::string &text)
 {
     std::uint64_t number = 0;
@@ -108,7 +121,7 @@
     , callerServer_(std::make_unique<net::HttpServer>(loop_, settings_.callers, serverLimits({}), callerHandlers(Origin::Caller)))
     , handOverServer_(settings_.handOvers.host.empty()
                           ? nullptr
-                          : std::make_unique<net::HttpServer>(loop_, settings_.handOvers, serverLimits({}), callerHandlers(Origin::Instance)))
+                          : std::make_unique<net::HttpServer>(loop_, settings_.handOvers, handOverLimits({}), callerHandlers(Origin::Instance)))
     , readinessServer_(
           std::make_unique<net::HttpServer>(loop_, settings_.readiness, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(readinessServer_)))
     , metricsServer_(std::make_unique<net::HttpServer>(loop_, settings_.metrics, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(metricsServer_)))
@@ -122,7 +135,7 @@
         if (config->version >= kernel_.configVersion()) {
             callerServer_->setLimits(serverLimits(config->limits));
             if (handOverServer_) {
-                handOverServer_->setLimits(serverLimits(config->limits));
+                handOverServer_->setLimits(handOverLimits(config->limits));
             }
         }
         kernel_.onConfig(now(), sentAt, config);
