--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -24,14 +24,25 @@
     return kind == base::ErrorKind::NoEndpoint || kind == base::ErrorKind::Stopping || kind == base::ErrorKind::Unconfirmed;
 }
 
+/// Returns whether a refusal for this reason follows from the configuration.
+bool followsFromConfig(base::ErrorKind kind)
+{
+    return kind == base::ErrorKind::UnknownRoute || kind == base::ErrorKind::Unauthenticated;
+}
+
 } // namespace
 
-bool RelayKernel::Impl::handOver(Instant now, Call &call)
+std::optional<std::string> RelayKernel::Impl::chooseReceiver(Instant now, const Call &call)
 {
     if (!reach.isCutOff() || call.isHandedOver || call.triedPeers.size() >= MaxPeersTried || call.failedHandOvers >= MaxFailedHandOvers) {
-        return false;
+        return std::nullopt;
     }
-    const auto peer = handOverPeers.choose(call.triedPeers, now);
+    return handOverPeers.choose(call.triedPeers, call.config->version, now);
+}
+
+bool RelayKernel::Impl::handOver(Instant now, Call &call)
+{
+    const auto peer = chooseReceiver(now, call);
     if (!peer) {
         return false;
     }
@@ -55,6 +66,7 @@
     order.isStream = call.route->kind == RequestKind::Stream;
     order.lastEventId = call.lastEventId;
     order.runs = countedRuns(call);
+    order.configVersion = call.config->version;
     order.freshConnection = runsOnce(*call.route) || call.attemptCount > 1;
     driver.record({"handed_over", call.requestId, *peer, "attempt " + std::to_string(call.attemptCount) + ", since this instance reaches no endpoint"});
     driver.handOver(std::move(order));
@@ -102,7 +114,9 @@
 {
     const std::string peer = handOvers.at(attempt).peer;
     if (head.peerError) {
-        return onHandOverRefused(now, call, attempt, *head.peerError, head.peerRetryAfter);
+        // This instance has admitted the request: an older configuration, and one of unknown age, proves nothing against that.
+        const bool isOutdated = followsFromConfig(*head.peerError) && head.peerConfigVersion < call.config->version;
+        return onHandOverRefused(now, call, attempt, isOutdated ? base::ErrorKind::Unconfirmed : *head.peerError, head.peerRetryAfter);
     }
     call.mayHaveRun = true;
     if (!head.verified) {
@@ -128,7 +142,7 @@
     }
     call.triedPeers.push_back(peer);
     if (concernsInstanceOnly(kind)) {
-        handOverPeers.avoid(peer, now);
+        kind == base::ErrorKind::Unconfirmed ? handOverPeers.avoidWhileBehind(peer, now) : handOverPeers.avoid(peer, now);
         if (handOver(now, call)) {
             return;
         }
@@ -136,6 +150,12 @@
     if (isUnderWay(call)) {
         return; // An attempt that this instance has sent itself may still be answered.
     }
+    if (waitsForEndpoints(now, call)) {
+        if (concernsInstanceOnly(kind)) {
+            call.triedPeers.clear(); // They are avoided for a while, and may take it later.
+        }
+        return;
+    }
     if (kind == base::ErrorKind::Overloaded) {
         return rejectForLoad(now, call, retryAfter, detail);
     }
