--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -1,7 +1,5 @@
 #include "details/Connection.h"
 
-#include "details/HeaderFields.h"
-#include "details/MessageEnd.h"
 #include "details/ResponseText.h"
 
 #include <linux/sockios.h>
@@ -183,59 +181,6 @@
     co_return keepAlive_ && !broken_;
 }
 
-asio::awaitable<bool> Connection::waitForRequest()
-{
-    const bool isNew = id_ == 0;
-    if (server_->closing && !isNew && !hasInput()) {
-        co_return false;
-    }
-    beast::error_code error;
-    idleSince_ = IdleTimeouts::Clock::now();
-    startIdleTimeout();
-    isIdle_ = true;
-    // The bytes stay in the socket until this coroutine goes on, so that isUnfinished() sees them.
-    co_await socket_.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-    isIdle_ = false;
-    timeout_.stop();
-    co_return !error;
-}
-
-asio::awaitable<beast::error_code> Connection::readRequest(RequestParser &parser)
-{
-    beast::error_code error;
-    startReadTimeout(server_->limits.requestTimeout);
-    co_await http::async_read_header(socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
-    // Taken before the body: the parser adds the fields behind a body in chunks to those of the header.
-    headers_ = headersOf(parser.get());
-    if (!error && !hasClearEnd(headers_, parser.get().version() >= Http11)) {
-        error = http::error::bad_transfer_encoding;
-    }
-    if (!error && !parser.is_done()) {
-        startReadTimeout(server_->limits.requestTimeout);
-        co_await http::async_read(socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
-    }
-    timeout_.stop();
-    co_return error;
-}
-
-void Connection::startIdleTimeout()
-{
-    const auto timeLeft = idleSince_ + server_->idleTimeouts.timeoutSince(idleSince_) - IdleTimeouts::Clock::now();
-    if (timeLeft.count() <= 0) {
-        return closeIfIdle();
-    }
-    // The timeout may be longer by then.
-    timeout_.start(timeLeft, shared_from_this(), [this]() { startIdleTimeout(); });
-}
-
-void Connection::startReadTimeout(std::chrono::nanoseconds timeout)
-{
-    timeout_.start(timeout, shared_from_this(), [this, timeout]() {
-        // After a hold-up of the process the bytes may be there already.
-        hasInput() ? startReadTimeout(timeout) : cancelOperations();
-    });
-}
-
 void Connection::startExchange(Request &&message)
 {
     id_ = server_->nextId++;
@@ -267,29 +212,6 @@
     server_->handlers.onAbort(id);
 }
 
-asio::awaitable<void> Connection::refuse(beast::error_code error)
-{
-    RefusalKind kind = RefusalKind::Malformed;
-    if (error == http::error::header_limit) {
-        kind = RefusalKind::HeaderTooLarge;
-    } else if (error == http::error::body_limit) {
-        kind = RefusalKind::BodyTooLarge;
-    } else if (error == asio::error::operation_aborted) {
-        kind = RefusalKind::RequestTooSlow;
-    } else if (error == http::error::end_of_stream || error == asio::error::connection_reset) {
-        co_return;
-    }
-    if (!socket_.is_open()) {
-        co_return;
-    }
-    const HttpResponse response = server_->handlers.refusal(kind);
-    const std::string text = headText(response.status, response.headers, {false, response.body.size()}, false) + response.body;
-    beast::error_code ignored;
-    timeout_.start(server_->limits.requestTimeout, shared_from_this(), [this]() { cancelOperations(); });
-    co_await asio::async_write(socket_, asio::buffer(text), asio::redirect_error(asio::use_awaitable, ignored));
-    co_await linger();
-}
-
 asio::awaitable<void> Connection::linger()
 {
     char scratch[4096];
