LOST: a request that arrives while an idle connection is being closed is answered

Callers saw a whole request end with a reset, neither answered nor refused, when the event loop was held up (for instance while a changed configuration is decoded) between the end of the idle timeout and the close: the wait for the request was cancelled in one turn of the loop, the connection closed in a later one, and what had arrived between them was dropped unread. The check for input stood only before the cancelling.

Ruled out: an expired timer that acts on the next request (mended before); input that is there when the timeout expires (checked before).

Test, on the code before: 'after 1 turns: CHECK(isClosed || answer.ends_with("whole ")) failed'. Now the wait looks for input again when it ends, with nothing between that and the close.

--- a/libs/net/src/ConnectionReading.cpp
+++ b/libs/net/src/ConnectionReading.cpp
@@ -25,7 +25,8 @@
     co_await socket_.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
     isIdle_ = false;
     timeout_.stop();
-    co_return !error;
+    // The loop may have been held up since the wait was cancelled.
+    co_return !error || hasInput();
 }
 
 asio::awaitable<beast::error_code> Connection::readRequest(RequestParser &parser)
--- a/libs/net/tests/SmallServer.h
+++ b/libs/net/tests/SmallServer.h
@@ -59,7 +59,7 @@
 }
 
 /// A server that answers /whole with a complete response, /fields with the header fields, /large with a long response and /stream with three chunks, closes the
-/// connection in the middle of the response to /cut, and never answers /silent.
+/// connection in the middle of the response to /cut, begins streams of many bytes for /begun-large and /begun-buffered, and never answers /silent.
 class SmallServer
 {
 public:
@@ -71,6 +71,9 @@
         };
         handlers.onAbort = [this](net::ExchangeId) {
             ++aborts_;
+            if (throwsOnAbort_) {
+                throw std::runtime_error("the seat can't be given back");
+            }
         };
         handlers.onException = [this](std::string_view text) {
             exceptions_.push(std::string(text));
@@ -195,6 +198,32 @@
         loop_.post([duration]() { std::this_thread::sleep_for(duration); });
     }
 
+    /// Runs a task in the thread of the event loop after that many of its turns.
+    void runAfterTurns(int turns, std::function<void()> task)
+    {
+        loop_.post([this, turns, task = std::move(task)]() { turns > 0 ? runAfterTurns(turns - 1, task) : task(); });
+    }
+
+    /// Calls the server's abort() for the stream that was begun last.
+    void abortBegun()
+    {
+        runInLoop([this]() { server_->abort(begun_); });
+    }
+
+    /// From now on, the handler of exchanges that fail throws an exception.
+    void throwOnAbort()
+    {
+        throwsOnAbort_ = true;
+    }
+
+    /// Waits until that many requests were passed to the handler.
+    void waitForRequests(int count) const
+    {
+        while (requests_ < count) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    }
+
     /// Number of requests that were passed to the handler.
     int requests() const
     {
@@ -226,6 +255,11 @@
         if (request.target == "/silent") {
             return;
         }
+        if (request.target.starts_with("/begun-")) {
+            begun_ = id;
+            server_->beginStream(id, 200, {});
+            return server_->writeChunk(id, std::string(request.target == "/begun-large" ? LargeBytes : BufferedBytes, 'x'));
+        }
         if (request.target == "/whole") {
             server_->respond(id, {200, {}, "whole " + request.body});
             return;
@@ -275,6 +309,8 @@
 
     std::atomic<int> requests_{0};
     std::atomic<int> aborts_{0};
+    std::atomic<bool> throwsOnAbort_{false};
+    net::ExchangeId begun_ = 0;
     WaitingQueue<std::string> exceptions_;
     WaitingQueue<net::ExchangeEnd> ends_;
     net::EventLoop loop_;
@@ -319,6 +355,19 @@
         socket_.close();
     }
 
+    /// Returns true if the other side has closed the connection, and nothing is left to read.
+    bool isClosed()
+    {
+        char byte = 0;
+        return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    }
+
+    /// Closes the sending side only.
+    void closeSendingSide()
+    {
+        socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    }
+
     void send(const std::string &bytes, boost::system::error_code &error)
     {
         boost::asio::write(socket_, boost::asio::buffer(bytes), error);
