LOST: an answer on a kept connection is delivered before the connection is closed, and holds the process

Callers saw a long answer end early when the instance stopped: the connection was kept after the answer, so it counted as idle while most of the answer was still in the socket. Closing idle connections closed it at once, and the caller's next request then met a reset that destroyed the rest; the process didn't wait for it either.

Test, on the code before: 'CHECK(client.receiveAll().size() > BufferedBytes) failed', and the number of unfinished connections 'expected <1> but was <0>'. Now a connection is unfinished while bytes are unacknowledged, idle or not, and lingers if it is closed then.

--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -150,15 +150,18 @@
     }
 }
 
-bool Connection::isUnfinished() const
+bool Connection::isUnfinished()
 {
     // A closed connection may exist for a moment, until its last operations have ended.
-    return socket_.is_open() && (!isIdle_ || hasInput());
+    return socket_.is_open() && (!isIdle_ || hasInput() || unacknowledgedBytes(socket_) > 0);
 }
 
 asio::awaitable<bool> Connection::serveRequest()
 {
     if (buffer_.size() == 0 && !co_await waitForRequest()) {
+        if (unacknowledgedBytes(socket_) > 0) {
+            co_await linger();
+        }
         co_return false;
     }
     RequestParser parser;
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -139,8 +139,7 @@
 
 std::size_t HttpServer::unfinishedConnections() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(impl_->open.begin(), impl_->open.end(), [](const Connection *connection) { return connection->isUnfinished(); }));
+    return static_cast<std::size_t>(std::count_if(impl_->open.begin(), impl_->open.end(), [](Connection *connection) { return connection->isUnfinished(); }));
 }
 
 void HttpServer::stopAccepting()
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -28,8 +28,8 @@
 
     /// Closes the connection unless a request is being read or answered.
     void closeIfIdle();
-    /// Returns true unless the connection waits for a request of which nothing has arrived.
-    bool isUnfinished() const;
+    /// Returns true unless the connection waits for a request of which nothing has arrived, and its last response has reached the client.
+    bool isUnfinished();
 
 private:
     /// What was queued of the response of the current exchange.
--- a/libs/net/tests/CutConnectionTests.cpp
+++ b/libs/net/tests/CutConnectionTests.cpp
@@ -43,3 +43,20 @@
         CHECK_TEXT(isClosed || answer.ends_with("whole "), ("after " + std::to_string(turns) + " turns: " + answer).c_str());
     }
 }
+
+/// Guards against an answer that is destroyed on its way: its connection is kept, closed as idle when the server stops, and reset by what the client sends
+/// next.
+TEST(AConnectionThatTheServerEnds, deliversItsAnswerAlthoughItWasKeptAndTheClientSendsMore)
+{
+    SmallServer server;
+    RawClient client(server.address(), RawClient::SmallReceiveBufferBytes);
+    client.send("GET /buffered HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
+    server.closeConnections();
+    const std::size_t unfinished = server.unfinishedConnections();
+    client.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(client.receiveAll().size() > BufferedBytes);
+    LONGS_EQUAL(1, unfinished);
+    client.close();
+    CHECK(server.waitUntilFinished());
+}
