ORDER: a cut stream delivers what was written and what is being written

Callers saw events missing that the router had forwarded before it cut a stream: abort() closed the socket at once if nothing was queued, though the write of what had been queued was still under way (slow reader), or the bytes were in the socket while the caller had sent a further request (reset).

Tests, on the code before: 'CHECK(answer.size() > LargeBytes) failed', 'CHECK(answer.size() > BufferedBytes) failed'. Now a cut always ends the connection as the last answer does: write, close the sending side, linger. An abort of an exchange whose response is complete does nothing any more.

--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -124,11 +124,11 @@
 
 void Connection::abort()
 {
-    server_->endExchange(id_, ExchangeEnd::Aborted);
-    if (ended_ || output_.empty()) {
-        return close();
+    if (ended_) {
+        return;
     }
-    // The client can use what is queued. Then the connection ends without the end of the response.
+    server_->endExchange(id_, ExchangeEnd::Aborted);
+    // The client can use what is queued or on its way. Then the connection ends without the end of the response.
     keepAlive_ = false;
     ended_ = true;
     wakeTimer_.cancel();
--- a/libs/net/tests/CutConnectionTests.cpp
+++ b/libs/net/tests/CutConnectionTests.cpp
@@ -60,3 +60,33 @@
     client.close();
     CHECK(server.waitUntilFinished());
 }
+
+/// Guards against events that are dropped although the client could have had them before its stream is cut: their write was under way.
+TEST(AConnectionThatTheServerEnds, deliversWhatWasQueuedBeforeACutThatMeetsItsWrite)
+{
+    SmallServer server;
+    RawClient client(server.address(), RawClient::SmallReceiveBufferBytes);
+    client.send("GET /begun-large HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::string answer = client.receiveUntil("\r\n\r\n");
+    server.abortBegun();
+    answer += client.receiveAll();
+    CHECK(answer.size() > LargeBytes);
+    CHECK(!answer.ends_with("0\r\n\r\n"));
+    CHECK(server.nextEnd() == net::ExchangeEnd::Aborted);
+}
+
+/// Guards against the same by a reset, since the client has sent more.
+TEST(AConnectionThatTheServerEnds, deliversWhatWasWrittenBeforeACutAlthoughTheClientHasSentMore)
+{
+    SmallServer server;
+    RawClient client(server.address(), RawClient::SmallReceiveBufferBytes);
+    client.send("GET /begun-buffered HTTP/1.1\r\nHost: a\r\n\r\n");
+    server.waitForRequests(1);
+    client.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\n");
+    // A second exchange: by its end, what the first one has queued is in the buffers of its connection.
+    CHECK(server.get("/whole").ok);
+    server.abortBegun();
+    const std::string answer = client.receiveAll();
+    CHECK(answer.size() > BufferedBytes);
+    CHECK(!answer.ends_with("0\r\n\r\n"));
+}
