LOST: an exception in a handler ends its call, and nothing else

Callers saw all their connections cut when one handler threw: an exception from the report that an exchange has failed, from the periodic work or from any posted task left the event loop and ended the process. One from the end of an endpoint's answer was logged, and its caller waited until the time limit (504 after 21 s). One from a handler of the store would have ended the reading of the configuration for good.

Now the server reports exceptions of onAbort and onEnded and goes on; the relay host ends the call of an endpoint's handler (500, or its stream is cut), logs those of store handlers, of posted tasks and of the periodic work, and schedules that again. A process whose periodic work fails 40 times in a row ends, since it can't even stop as planned. That last part and the store's handlers are without a test. What becomes calls of the server is a file of its own.

--- a/libs/net/include/net/EventLoop.h
+++ b/libs/net/include/net/EventLoop.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace net {
 
@@ -15,9 +16,13 @@
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
 
-    /// Runs handlers and tasks, and waits while there are none, until stop() is called. Call this from one thread only.
+    /// Runs handlers and tasks, and waits while there are none, until stop() is called. Call this from one thread only. Throws what a task throws, unless
+    /// reportExceptions() was called.
     void run();
 
+    /// Makes run() go on after an exception, whose text it passes to `report`. Call this before run().
+    void reportExceptions(std::function<void(std::string_view)> report);
+
     /// Makes run() return after the handler that is running. Any thread may call this.
     void stop();
 
@@ -33,6 +38,7 @@
 
 private:
     std::unique_ptr<Impl> impl_;
+    std::function<void(std::string_view)> report_;
 };
 
 } // namespace net
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -52,7 +52,10 @@
         }
     } catch (const std::exception &exception) {
         server_->reportException(exception);
-        server_->endExchange(id_, ExchangeEnd::HandlerFailed);
+        if (server_->connectionOf(id_)) {
+            abortExchange(ExchangeEnd::HandlerFailed);
+            server_->endExchange(id_, ExchangeEnd::HandlerFailed);
+        }
     }
     close();
 }
@@ -212,7 +215,7 @@
     keepAlive_ = false;
     respond(server_->handlers.refusal(RefusalKind::HandlerFailed));
     server_->endExchange(id, ExchangeEnd::HandlerFailed);
-    server_->handlers.onAbort(id);
+    server_->reportAbort(id);
 }
 
 asio::awaitable<void> Connection::linger()
@@ -279,7 +282,7 @@
     ended_ = true;
     wakeTimer_.cancel();
     server_->endExchange(id_, end);
-    server_->handlers.onAbort(id_);
+    server_->reportAbort(id_);
 }
 
 asio::awaitable<void> Connection::writeQueued()
--- a/libs/net/src/EventLoop.cpp
+++ b/libs/net/src/EventLoop.cpp
@@ -2,6 +2,8 @@
 
 #include "details/EventLoopImpl.h"
 
+#include <exception>
+
 namespace net {
 
 EventLoop::EventLoop()
@@ -13,7 +15,22 @@
 
 void EventLoop::run()
 {
-    impl_->io.run();
+    for (bool hasEnded = false; !hasEnded;) {
+        try {
+            impl_->io.run();
+            hasEnded = true;
+        } catch (const std::exception &exception) {
+            if (!report_) {
+                throw;
+            }
+            report_(exception.what());
+        }
+    }
+}
+
+void EventLoop::reportExceptions(std::function<void(std::string_view)> report)
+{
+    report_ = std::move(report);
 }
 
 void EventLoop::stop()
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -33,8 +33,22 @@
 
 void HttpServer::Impl::endExchange(ExchangeId id, ExchangeEnd end)
 {
-    if (exchanges.erase(id) > 0 && handlers.onEnded) {
+    if (exchanges.erase(id) == 0 || !handlers.onEnded) {
+        return;
+    }
+    try {
         handlers.onEnded(id, end);
+    } catch (const std::exception &exception) {
+        reportException(exception);
+    }
+}
+
+void HttpServer::Impl::reportAbort(ExchangeId id) const
+{
+    try {
+        handlers.onAbort(id);
+    } catch (const std::exception &exception) {
+        reportException(exception);
     }
 }
 
--- a/libs/net/src/details/HttpServerImpl.h
+++ b/libs/net/src/details/HttpServerImpl.h
@@ -19,8 +19,11 @@
     boost::asio::awaitable<void> acceptLoop();
     /// Returns the connection of a running exchange; null if the exchange has ended.
     std::shared_ptr<Connection> connectionOf(ExchangeId id) const;
-    /// Forgets an exchange and reports how it ended. Does nothing if it has ended before.
+    /// Forgets an exchange and reports how it ended. Does nothing if it has ended before. Exceptions of the handlers are reported here and below: what ends
+    /// an exchange has to go on, wherever it was found out.
     void endExchange(ExchangeId id, ExchangeEnd end);
+    /// Reports that an exchange has failed.
+    void reportAbort(ExchangeId id) const;
     /// Reports an exception that a handler has thrown.
     void reportException(const std::exception &exception) const;
 
--- a/libs/net/tests/CutConnectionTests.cpp
+++ b/libs/net/tests/CutConnectionTests.cpp
@@ -90,3 +90,17 @@
     CHECK(answer.size() > BufferedBytes);
     CHECK(!answer.ends_with("0\r\n\r\n"));
 }
+
+/// Guards against an exception that ends the event loop, and with it the process.
+TEST(AConnectionThatTheServerEnds, endsAloneWhenTheHandlerOfItsEndThrows)
+{
+    SmallServer server;
+    server.throwOnAbort();
+    RawClient client(server.address());
+    client.send("GET /silent HTTP/1.1\r\nHost: a\r\n\r\n");
+    server.waitForRequests(1);
+    client.close();
+    STRCMP_EQUAL("the seat can't be given back", server.nextException().value_or("").c_str());
+    CHECK(server.nextEnd() == net::ExchangeEnd::CallerLeft);
+    CHECK(server.get("/whole").ok);
+}
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -111,8 +111,13 @@
                              std::function<void(const net::HttpResponse &)> onResponse,
                              std::function<void(net::CallFailure)> onFailure);
 
-    /// Does the periodic work and schedules itself again.
+    /// Does the periodic work and schedules itself again, also if the work fails. Ends run() if it fails again and again.
     void tick();
+    void doPeriodicWork();
+    /// Runs a step, and logs an exception that it throws. Returns whether the step has ended without one.
+    bool runLogged(std::string_view step, const std::function<void()> &run);
+    /// Runs a step for a call. If it throws an exception, ends the call by an error answer, or cuts its stream: nobody knows any more how it goes on.
+    void runForCall(relay::CallId call, const std::function<void()> &run);
     /// Applies the settings file if its text has changed. If the new text is invalid, the previous settings stay in use.
     void rereadSettings();
     /// Who has sent a request.
@@ -153,6 +158,14 @@
     /// Returns the state of the instance as JSON, for operators.
     std::string statusText() const;
     StoreHandlers storeHandlers();
+    /// Returns the handler with its exceptions logged, so that what calls it goes on.
+    template<typename Handler>
+    auto logged(std::string_view step, Handler handler)
+    {
+        return [this, step, handler](const auto &...arguments) {
+            runLogged(step, [&]() { handler(arguments...); });
+        };
+    }
     net::HttpServer::Handlers callerHandlers(Origin origin);
     /// Handlers of the readiness or metrics server that `server` will hold.
     net::HttpServer::Handlers operatorHandlers(std::unique_ptr<net::HttpServer> &server);
@@ -186,6 +199,8 @@
     std::uint64_t unansweredExchanges_ = 0;
     /// Time of the last tick; zero before the first.
     relay::Instant lastTickAt_{0};
+    /// Number of times that the periodic work has failed without a success in between.
+    int failedTicks_ = 0;
     /// Time at which the settings file was last read.
     relay::Instant settingsReadAt_{0};
     /// Readiness checks are answered with 200 if this is set, otherwise with 503.
--- a/libs/relayhost/src/HostAttempts.cpp
+++ b/libs/relayhost/src/HostAttempts.cpp
@@ -89,11 +89,12 @@
     handlers.onData = [this, id](const std::string &data) {
         onData(id, data);
     };
-    handlers.onEnd = [this, id]() {
-        onEnd(id);
+    handlers.onEnd = [this, id, call]() {
+        runForCall(call, [&]() { onEnd(id); });
+        attempts_.erase(id);
     };
-    handlers.onFailure = [this, id](net::CallFailure failure, const net::CallProgress &progress) {
-        onFailure(id, failure, net::toText(progress));
+    handlers.onFailure = [this, id, call](net::CallFailure failure, const net::CallProgress &progress) {
+        runForCall(call, [&]() { onFailure(id, failure, net::toText(progress)); });
     };
     attempts_[id].call = call;
     attempts_[id].clientCall = endpointClient_.start(std::move(request), std::move(handlers));
@@ -204,7 +205,6 @@
         const std::string requestId = call == calls_.end() ? "" : call->second.requestId;
         kernel_.onAnswer(now(), id, answerHead(attempt->second, requestId));
     }
-    attempts_.erase(id);
 }
 
 void RelayHost::onFailure(relay::AttemptId id, net::CallFailure failure, const std::string &progress)
--- /dev/null
+++ b/libs/relayhost/src/HostCallers.cpp
@@ -0,0 +1,142 @@
+#include "relayhost/RelayHost.h"
+
+#include "base/Time.h"
+#include "relayhost/HandOverFields.h"
+
+namespace relayhost {
+
+namespace {
+
+relay::Instant now()
+{
+    return base::readBootTimeClock();
+}
+
+base::ErrorKind kindOf(net::RefusalKind refusal)
+{
+    switch (refusal) {
+    case net::RefusalKind::HeaderTooLarge:
+        return base::ErrorKind::HeaderTooLarge;
+    case net::RefusalKind::BodyTooLarge:
+        return base::ErrorKind::BodyTooLarge;
+    case net::RefusalKind::RequestTooSlow:
+        return base::ErrorKind::RequestTimeout;
+    case net::RefusalKind::HandlerFailed:
+        return base::ErrorKind::Internal;
+    case net::RefusalKind::Malformed:
+        break;
+    }
+    return base::ErrorKind::BadRequest;
+}
+
+/// Returns what callers are told about a request that the server answers itself.
+std::string detailOf(net::RefusalKind refusal)
+{
+    switch (refusal) {
+    case net::RefusalKind::HandlerFailed:
+        return "the request met an internal error";
+    default:
+        return "the request can't be read";
+    }
+}
+
+/// Returns the event by which such a request is logged; empty if it isn't, since callers that leave are logged with their exchange.
+std::string eventOf(net::RefusalKind refusal)
+{
+    switch (refusal) {
+    case net::RefusalKind::HandlerFailed:
+        return "request_failed";
+    default:
+        return "malformed_request";
+    }
+}
+
+} // namespace
+
+net::HttpServer::Handlers RelayHost::callerHandlers(Origin origin)
+{
+    net::HttpServer::Handlers handlers;
+    handlers.onRequest = [this, origin](net::ExchangeId exchange, net::HttpRequest request) {
+        onRequest(origin, exchange, std::move(request));
+    };
+    handlers.onAbort = [this, origin](net::ExchangeId exchange) {
+        kernel_.onCallerGone(now(), callOf(origin, exchange));
+    };
+    handlers.onEnded = [this, origin](net::ExchangeId exchange, net::ExchangeEnd end) {
+        onExchangeEnded(callOf(origin, exchange), end);
+    };
+    handlers.refusal = [this](net::RefusalKind refusal) {
+        if (const std::string event = eventOf(refusal); !event.empty()) {
+            record({event, "", std::string(base::nameOf(kindOf(refusal))), ""});
+        }
+        return dialect_.encodeRejection({kindOf(refusal), detailOf(refusal), relay::Ms(0)}, "");
+    };
+    handlers.onException = [this](std::string_view text) {
+        record({"exception", "", "callers", std::string(text)});
+    };
+    return handlers;
+}
+
+net::HttpServer::Handlers RelayHost::operatorHandlers(std::unique_ptr<net::HttpServer> &server)
+{
+    net::HttpServer::Handlers handlers;
+    handlers.onRequest = [this, &server](net::ExchangeId exchange, const net::HttpRequest &request) {
+        onOperatorRequest(*server, exchange, request);
+    };
+    handlers.onAbort = [](net::ExchangeId) {
+    };
+    handlers.refusal = [this](net::RefusalKind refusal) {
+        return dialect_.encodeRejection({kindOf(refusal), "", relay::Ms(0)}, "");
+    };
+    return handlers;
+}
+
+relay::CallId RelayHost::callOf(Origin origin, net::ExchangeId exchange)
+{
+    constexpr relay::CallId HandOverBit = 1ULL << 63U;
+    return origin == Origin::Instance ? exchange | HandOverBit : exchange;
+}
+
+void RelayHost::onRequest(Origin origin, net::ExchangeId exchange, net::HttpRequest request)
+{
+    const relay::CallId id = callOf(origin, exchange);
+    DecodedCall decoded = dialect_.decodeCall(id, request);
+    OpenCall call{CallerResponse<net::HttpServer>(origin == Origin::Instance ? *handOverServer_ : *callerServer_, exchange)};
+    if (origin == Origin::Instance) {
+        call.isHandedOver = true;
+        takeHandOver(request, decoded.arrival);
+    }
+    call.requestId = decoded.arrival.requestId;
+    call.arrivedAt = now();
+    call.request = std::move(request);
+    calls_.emplace(id, std::move(call));
+    if (decoded.isMalformed) {
+        return reject(id, {base::ErrorKind::BadRequest, "the request lacks an id, a host or an absolute path", relay::Ms(0)});
+    }
+    kernel_.onCall(now(), decoded.arrival);
+}
+
+void RelayHost::onExchangeEnded(relay::CallId call, net::ExchangeEnd end)
+{
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) {
+        return;
+    }
+    if (end != net::ExchangeEnd::Answered) {
+        ++unansweredExchanges_;
+        record({"exchange_unanswered", found->second.requestId, std::string(base::nameIn(net::ExchangeEndNames, end)), ""});
+    }
+    calls_.erase(found);
+}
+
+void RelayHost::recordCutExchanges()
+{
+    for (const auto &[exchange, call] : calls_) {
+        record({"exchange_unanswered", call.requestId, "cut_at_exit", ""});
+    }
+    if (!calls_.empty()) {
+        record({"exchanges_cut", "", settings_.relay.instance, std::to_string(calls_.size()) + " answers were not written when the process ended"});
+    }
+}
+
+} // namespace relayhost
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -1,7 +1,6 @@
 #include "relayhost/RelayHost.h"
 
 #include "base/Time.h"
-#include "relayhost/HandOverFields.h"
 
 #include <algorithm>
 #include <atomic>
@@ -32,6 +31,8 @@
 /// URL path of the status, and the one by which an operator ends the quarantine of the signature that follows it.
 constexpr std::string_view StatusPath = "/admin/status";
 constexpr std::string_view LiftPath = "/admin/quarantine/lift/";
+/// The process ends when its periodic work fails this many times in a row: it can't even stop in a planned way any more.
+constexpr int MaxFailedTicks = 40;
 constexpr int InvalidSettingsExitCode = 2;
 /// An exception ended the process, for instance because an address could not be bound.
 constexpr int FatalErrorExitCode = 3;
@@ -78,22 +79,6 @@
     return node + "/" + std::to_string(base::readClocks().wall) + "-" + std::to_string(::getpid());
 }
 
-base::ErrorKind kindOf(net::RefusalKind refusal)
-{
-    switch (refusal) {
-    case net::RefusalKind::HeaderTooLarge:
-        return base::ErrorKind::HeaderTooLarge;
-    case net::RefusalKind::BodyTooLarge:
-        return base::ErrorKind::BodyTooLarge;
-    case net::RefusalKind::RequestTooSlow:
-        return base::ErrorKind::RequestTimeout;
-    case net::RefusalKind::HandlerFailed:
-        return base::ErrorKind::Internal;
-    default:
-        return base::ErrorKind::BadRequest;
-    }
-}
-
 } // namespace
 
 RelayHost::RelayHost(const Dialect &dialect, const StoreFactory &makeStore, HostSettings settings, std::string settingsPath)
@@ -118,7 +103,7 @@
 StoreHandlers RelayHost::storeHandlers()
 {
     StoreHandlers handlers;
-    handlers.onConfig = [this](relay::Instant sentAt, const relay::FleetConfigPtr &config) {
+    handlers.onConfig = logged("store", [this](relay::Instant sentAt, const relay::FleetConfigPtr &config) {
         if (config->version >= kernel_.configVersion()) {
             callerServer_->setLimits(serverLimits(config->limits));
             if (handOverServer_) {
@@ -126,28 +111,17 @@
             }
         }
         kernel_.onConfig(now(), sentAt, config);
-    };
-    handlers.onEndpoints = [this](const std::vector<relay::EndpointEntry> &entries, wire::StoreVersion version) {
-        kernel_.onEndpoints(now(), entries, version);
-    };
-    handlers.onLease = [this](const LeaseReadResult &lease) {
-        kernel_.onLeaseRead(now(), lease.first, lease.second);
-    };
-    handlers.onLeaseWritten = [this](relay::Instant sentAt, wire::StoreVersion version) {
-        kernel_.onLeaseWritten(now(), sentAt, version);
-    };
-    handlers.onQuarantines = [this](const std::vector<relay::QuarantineRecord> &records) {
-        kernel_.onQuarantines(now(), records);
-    };
-    handlers.onQuarantineWritten = [this](std::uint64_t signature, bool ok) {
-        kernel_.onQuarantineWritten(signature, ok);
-    };
+    });
+    handlers.onEndpoints =
+        logged("store", [this](const std::vector<relay::EndpointEntry> &entries, wire::StoreVersion version) { kernel_.onEndpoints(now(), entries, version); });
+    handlers.onLease = logged("store", [this](const LeaseReadResult &lease) { kernel_.onLeaseRead(now(), lease.first, lease.second); });
+    handlers.onLeaseWritten = logged("store", [this](relay::Instant sentAt, wire::StoreVersion version) { kernel_.onLeaseWritten(now(), sentAt, version); });
+    handlers.onQuarantines = logged("store", [this](const std::vector<relay::QuarantineRecord> &records) { kernel_.onQuarantines(now(), records); });
+    handlers.onQuarantineWritten = logged("store", [this](std::uint64_t signature, bool ok) { kernel_.onQuarantineWritten(signature, ok); });
     handlers.onQuarantineLeft = [this](std::uint64_t signature) {
         record({"quarantine_left", "", std::to_string(signature), "its record could not be removed from the store"});
     };
-    handlers.onInstances = [this](const std::vector<relay::InstanceEntry> &instances) {
-        kernel_.onInstances(now(), instances);
-    };
+    handlers.onInstances = logged("store", [this](const std::vector<relay::InstanceEntry> &instances) { kernel_.onInstances(now(), instances); });
     handlers.onReachable = [this](bool reachable) {
         record({reachable ? "store_reached" : "store_lost", "", net::toString(settings_.store), ""});
     };
@@ -160,43 +134,6 @@
     return handlers;
 }
 
-net::HttpServer::Handlers RelayHost::callerHandlers(Origin origin)
-{
-    net::HttpServer::Handlers handlers;
-    handlers.onRequest = [this, origin](net::ExchangeId exchange, net::HttpRequest request) {
-        onRequest(origin, exchange, std::move(request));
-    };
-    handlers.onAbort = [this, origin](net::ExchangeId exchange) {
-        kernel_.onCallerGone(now(), callOf(origin, exchange));
-    };
-    handlers.onEnded = [this, origin](net::ExchangeId exchange, net::ExchangeEnd end) {
-        onExchangeEnded(callOf(origin, exchange), end);
-    };
-    handlers.refusal = [this](net::RefusalKind refusal) {
-        const bool isInternal = refusal == net::RefusalKind::HandlerFailed;
-        record({isInternal ? "request_failed" : "malformed_request", "", std::string(base::nameOf(kindOf(refusal))), ""});
-        return dialect_.encodeRejection({kindOf(refusal), isInternal ? "the request met an internal error" : "the request can't be read", relay::Ms(0)}, "");
-    };
-    handlers.onException = [this](std::string_view text) {
-        record({"exception", "", "callers", std::string(text)});
-    };
-    return handlers;
-}
-
-net::HttpServer::Handlers RelayHost::operatorHandlers(std::unique_ptr<net::HttpServer> &server)
-{
-    net::HttpServer::Handlers handlers;
-    handlers.onRequest = [this, &server](net::ExchangeId exchange, const net::HttpRequest &request) {
-        onOperatorRequest(*server, exchange, request);
-    };
-    handlers.onAbort = [](net::ExchangeId) {
-    };
-    handlers.refusal = [this](net::RefusalKind refusal) {
-        return dialect_.encodeRejection({kindOf(refusal), "", relay::Ms(0)}, "");
-    };
-    return handlers;
-}
-
 void RelayHost::run()
 {
     record({"started",
@@ -204,12 +141,16 @@
             settings_.relay.instance,
             "listening for callers on " + net::toString(settings_.callers) + ", store at " + net::toString(settings_.store)});
     store_.start({settings_.node, net::toString(settings_.mesh), settings_.zone, settings_.relay.handOverAddress});
+    loop_.reportExceptions([this](std::string_view text) { record({"exception", "", "event loop", std::string(text)}); });
     tick();
     meshThread_ = std::thread([this]() { mesh_.run(); });
     loop_.run();
     mesh_.stop();
     meshThread_.join();
     recordCutExchanges();
+    if (failedTicks_ >= MaxFailedTicks) {
+        throw std::runtime_error("the periodic work fails again and again");
+    }
     record({"stopped", "", settings_.relay.instance, ""});
 }
 
@@ -229,6 +170,17 @@
 }
 
 void RelayHost::tick()
+{
+    const bool isDone = runLogged("periodic work", [this]() { doPeriodicWork(); });
+    failedTicks_ = isDone ? 0 : failedTicks_ + 1;
+    if (failedTicks_ >= MaxFailedTicks) {
+        return loop_.stop();
+    }
+    const bool isBusy = kernel_.openCalls() > 0 || stopNotified_;
+    loop_.after(isBusy ? BusyTickPeriod : IdleTickPeriod, [this]() { tick(); });
+}
+
+void RelayHost::doPeriodicWork()
 {
     const relay::Instant time = now();
     if (stopRequested && !stopNotified_) {
@@ -242,8 +194,29 @@
     }
     kernel_.onTick(now());
     mesh_.flush();
-    const bool isBusy = kernel_.openCalls() > 0 || stopNotified_;
-    loop_.after(isBusy ? BusyTickPeriod : IdleTickPeriod, [this]() { tick(); });
+}
+
+bool RelayHost::runLogged(std::string_view step, const std::function<void()> &run)
+{
+    try {
+        run();
+        return true;
+    } catch (const std::exception &exception) {
+        record({"exception", "", std::string(step), exception.what()});
+        return false;
+    }
+}
+
+void RelayHost::runForCall(relay::CallId call, const std::function<void()> &run)
+{
+    if (runLogged("endpoints", run)) {
+        return;
+    }
+    runLogged("endpoints", [&]() { kernel_.onCallerGone(now(), call); });
+    if (const auto open = calls_.find(call); open != calls_.end()) {
+        open->second.response.answer(
+            dialect_.encodeRejection({base::ErrorKind::Internal, "the request met an internal error", relay::Ms(0)}, open->second.requestId));
+    }
 }
 
 void RelayHost::rereadSettings()
@@ -269,54 +242,6 @@
     record({"settings_reloaded", "", settingsPath_, ""});
 }
 
-relay::CallId RelayHost::callOf(Origin origin, net::ExchangeId exchange)
-{
-    constexpr relay::CallId HandOverBit = 1ULL << 63U;
-    return origin == Origin::Instance ? exchange | HandOverBit : exchange;
-}
-
-void RelayHost::onRequest(Origin origin, net::ExchangeId exchange, net::HttpRequest request)
-{
-    const relay::CallId id = callOf(origin, exchange);
-    DecodedCall decoded = dialect_.decodeCall(id, request);
-    OpenCall call{CallerResponse<net::HttpServer>(origin == Origin::Instance ? *handOverServer_ : *callerServer_, exchange)};
-    if (origin == Origin::Instance) {
-        call.isHandedOver = true;
-        takeHandOver(request, decoded.arrival);
-    }
-    call.requestId = decoded.arrival.requestId;
-    call.arrivedAt = now();
-    call.request = std::move(request);
-    calls_.emplace(id, std::move(call));
-    if (decoded.isMalformed) {
-        return reject(id, {base::ErrorKind::BadRequest, "the request lacks an id, a host or an absolute path", relay::Ms(0)});
-    }
-    kernel_.onCall(now(), decoded.arrival);
-}
-
-void RelayHost::onExchangeEnded(relay::CallId call, net::ExchangeEnd end)
-{
-    const auto found = calls_.find(call);
-    if (found == calls_.end()) {
-        return;
-    }
-    if (end != net::ExchangeEnd::Answered) {
-        ++unansweredExchanges_;
-        record({"exchange_unanswered", found->second.requestId, std::string(base::nameIn(net::ExchangeEndNames, end)), ""});
-    }
-    calls_.erase(found);
-}
-
-void RelayHost::recordCutExchanges()
-{
-    for (const auto &[exchange, call] : calls_) {
-        record({"exchange_unanswered", call.requestId, "cut_at_exit", ""});
-    }
-    if (!calls_.empty()) {
-        record({"exchanges_cut", "", settings_.relay.instance, std::to_string(calls_.size()) + " answers were not written when the process ended"});
-    }
-}
-
 void RelayHost::onOperatorRequest(net::HttpServer &server, net::ExchangeId exchange, const net::HttpRequest &request)
 {
     constexpr int Ok = 200;
