LOST: a request that still arrives when the process stops is told that it has not run

Callers saw their connection closed without an answer when the header or the body of their request was still arriving at the end of a planned stop: only the time limit for requests, which may lie behind the grace period, ended the reading, and the end of the process came first.

Now requests that haven't arrived 0.1 s after the listening socket is closed (when no call is open, or open ones are failed) get 503 and the close. The daemon's own interface does the same when its kernel has ended. New line: arrival_cut.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -44,6 +44,8 @@
     RequestTooSlow,
     /// Handlers::onRequest threw an exception; it may have acted on the request.
     HandlerFailed,
+    /// The request had not arrived completely when the server had to end. No part of it was run.
+    Stopping,
 };
 
 /// How an exchange ended.
@@ -128,6 +130,9 @@
     /// New connections are still accepted.
     void closeConnections();
 
+    /// Refuses the requests that are still arriving, and from now on those that don't arrive within a moment.
+    void refuseArriving();
+
     /// Returns the number of connections on which a request is being read, or has arrived and will be, or a response isn't delivered yet.
     std::size_t unfinishedConnections() const;
 
--- a/libs/net/src/ConnectionReading.cpp
+++ b/libs/net/src/ConnectionReading.cpp
@@ -4,6 +4,8 @@
 #include "details/MessageEnd.h"
 #include "details/ResponseText.h"
 
+#include <algorithm>
+
 namespace net {
 
 namespace asio = boost::asio;
@@ -11,6 +13,13 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
+namespace {
+
+/// Time that the rest of a request has to arrive once the server refuses requests that are still arriving.
+constexpr std::chrono::milliseconds LastReadTime{100};
+
+} // namespace
+
 asio::awaitable<bool> Connection::waitForRequest()
 {
     const bool isNew = id_ == 0;
@@ -32,7 +41,8 @@
 asio::awaitable<beast::error_code> Connection::readRequest(RequestParser &parser)
 {
     beast::error_code error;
-    startReadTimeout(server_->limits.requestTimeout);
+    isReading_ = true;
+    startReadTimeout(readTimeout());
     co_await http::async_read_header(socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
     // Taken before the body: the parser adds the fields behind a body in chunks to those of the header.
     headers_ = headersOf(parser.get());
@@ -40,13 +50,26 @@
         error = http::error::bad_transfer_encoding;
     }
     if (!error && !parser.is_done()) {
-        startReadTimeout(server_->limits.requestTimeout);
+        startReadTimeout(readTimeout());
         co_await http::async_read(socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
     }
     timeout_.stop();
+    isReading_ = false;
     co_return error;
 }
 
+std::chrono::milliseconds Connection::readTimeout() const
+{
+    return server_->refusesArriving ? std::min(LastReadTime, server_->limits.requestTimeout) : server_->limits.requestTimeout;
+}
+
+void Connection::hurryReading()
+{
+    if (isReading_) {
+        startReadTimeout(readTimeout());
+    }
+}
+
 void Connection::startIdleTimeout()
 {
     const auto timeLeft = idleSince_ + server_->idleTimeouts.timeoutSince(idleSince_) - IdleTimeouts::Clock::now();
@@ -73,10 +96,15 @@
     } else if (error == http::error::body_limit) {
         kind = RefusalKind::BodyTooLarge;
     } else if (error == asio::error::operation_aborted) {
-        kind = RefusalKind::RequestTooSlow;
+        kind = server_->refusesArriving ? RefusalKind::Stopping : RefusalKind::RequestTooSlow;
     } else if (error == http::error::end_of_stream || error == asio::error::connection_reset) {
         co_return;
     }
+    co_await refuseAs(kind);
+}
+
+asio::awaitable<void> Connection::refuseAs(RefusalKind kind)
+{
     if (!socket_.is_open()) {
         co_return;
     }
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -151,6 +151,14 @@
     }
 }
 
+void HttpServer::refuseArriving()
+{
+    impl_->refusesArriving = true;
+    for (Connection *connection : std::vector<Connection *>(impl_->open.begin(), impl_->open.end())) {
+        connection->hurryReading();
+    }
+}
+
 std::size_t HttpServer::unfinishedConnections() const
 {
     return static_cast<std::size_t>(std::count_if(impl_->open.begin(), impl_->open.end(), [](Connection *connection) { return connection->isUnfinished(); }));
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -28,6 +28,8 @@
 
     /// Closes the connection unless a request is being read or answered.
     void closeIfIdle();
+    /// Refuses a request that is being read, unless its rest arrives within a moment.
+    void hurryReading();
     /// Returns true unless the connection waits for a request of which nothing has arrived, and its last response has reached the client.
     bool isUnfinished();
 
@@ -54,12 +56,16 @@
     boost::asio::awaitable<boost::beast::error_code> readRequest(RequestParser &parser);
     /// Cancels the pending read after a timeout; if it has received bytes that aren't taken yet, the read goes on for as long again.
     void startReadTimeout(std::chrono::nanoseconds timeout);
+    /// Returns the time that the rest of a request's header, or of its body, has to arrive.
+    std::chrono::milliseconds readTimeout() const;
     /// Starts an exchange for a request and passes it to the handler.
     void startExchange(Request &&message);
     /// Ends the exchange because its handler has thrown an exception: by an error response if nothing was sent yet. Reports it by onAbort.
     void onHandlerFailed();
     /// Answers a request that couldn't be read, unless the client is gone.
     boost::asio::awaitable<void> refuse(boost::beast::error_code error);
+    /// Writes the response to a request that the server refuses itself, and ends the connection.
+    boost::asio::awaitable<void> refuseAs(RefusalKind kind);
     /// Ends the connection so that the client receives all that was written: closes the sending side, and discards what the client still sends until it
     /// closes its side, or doesn't within 1 s after everything has reached it. Closing a socket with unread data resets the connection, which destroys a
     /// response on its way.
@@ -114,6 +120,8 @@
     bool broken_ = false;
     /// It waits for the first bytes of a request.
     bool isIdle_ = false;
+    /// It waits for the rest of a request.
+    bool isReading_ = false;
     /// The client has had its time to close its side, in linger().
     bool lingerIsOver_ = false;
     /// When it began to wait for a request.
--- a/libs/net/src/details/HttpServerImpl.h
+++ b/libs/net/src/details/HttpServerImpl.h
@@ -39,6 +39,8 @@
     std::unordered_set<Connection *> open;
     /// Connections are closed after their current or next response.
     bool closing = false;
+    /// Requests have to arrive within a moment.
+    bool refusesArriving = false;
 };
 
 } // namespace net
--- /dev/null
+++ b/libs/net/tests/ArrivingRequestTests.cpp
@@ -0,0 +1,121 @@
+#include "SmallServer.h"
+
+#include <CppUTest/TestHarness.h>
+
+/// A request that is cut while it arrives: its client is told, rather than just closed on.
+TEST_GROUP(ARequestThatStillArrives)
+{
+    SmallServer server;
+
+    /// Waits until the server has begun to read a request.
+    void waitUntilReading()
+    {
+        while (server.unfinishedConnections() == 0) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    }
+};
+
+/// Guards against requests that end without a word when the process ends: nothing limited their arrival to its time.
+TEST(ARequestThatStillArrives, isRefusedAsNotRunWhenTheServerEnds)
+{
+    for (const char *begun : {"GE",
+                              "POST /whole HTTP/1.1\r\nHost: a\r\nContent-Le",
+                              "POST /whole HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n",
+                              "POST /whole HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc",
+                              "POST /whole HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n"}) {
+        SmallServer ending;
+        RawClient client(ending.address());
+        client.send(begun);
+        while (ending.unfinishedConnections() == 0) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        ending.refuseArriving();
+        const std::string answer = client.receiveAll();
+        STRCMP_CONTAINS("HTTP/1.1 503", answer.c_str());
+        STRCMP_CONTAINS("Connection: close", answer.c_str());
+        LONGS_EQUAL(0, ending.requests());
+        client.close();
+        CHECK(ending.waitUntilFinished());
+    }
+}
+
+/// Guards against the same for a request that begins to arrive only then.
+TEST(ARequestThatStillArrives, isRefusedAsNotRunAlsoIfItBeginsWhenTheServerEnds)
+{
+    RawClient client(server.address());
+    server.refuseArriving();
+    client.send("POST /whole HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc");
+    STRCMP_CONTAINS("HTTP/1.1 503", client.receiveAll().c_str());
+}
+
+/// Guards against the other error: requests that are refused although their rest is there.
+TEST(ARequestThatStillArrives, isAnsweredIfItsRestComesBeforeTheServerHasEnded)
+{
+    RawClient client(server.address());
+    client.send("POST /whole HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 10\r\n\r\nabcde");
+    waitUntilReading();
+    server.stallDuring([&]() {
+        server.refuseArrivingLater();
+        client.send("fghij");
+    });
+    STRCMP_CONTAINS("whole abcdefghij", client.receiveAll().c_str());
+}
+
+/// Guards against limits that change under a request: it keeps those that it began with.
+TEST(ARequestThatStillArrives, isAnsweredWhileTheLimitsChange)
+{
+    net::ServerLimits tight = smallLimits();
+    tight.bodyBytes = 1;
+    tight.headerBytes = 1;
+    tight.idleTimeout = std::chrono::milliseconds(1);
+    RawClient client(server.address());
+    client.send("POST /whole HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n");
+    waitUntilReading();
+    for (int i = 0; i < 50; ++i) {
+        server.setLimits(i % 2 == 0 ? tight : smallLimits());
+        client.send("3\r\nabc\r\n");
+    }
+    client.send("0\r\n\r\n");
+    STRCMP_CONTAINS("whole abcabc", client.receiveAll().c_str());
+}
+
+/// Requests behind one after which the connection ends can't be answered; the answer before them must not suffer.
+TEST_GROUP(ARequestBehindTheLastOne)
+{
+    SmallServer server;
+    const std::string behind = "POST /whole HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n" + std::string(900, 'x');
+
+    /// Returns what the client gets for a request with many others behind it.
+    std::string answerTo(const std::string &request)
+    {
+        RawClient client(server.address(), RawClient::SmallReceiveBufferBytes);
+        std::string requests = request;
+        for (int i = 0; i < 200; ++i) {
+            requests += behind;
+        }
+        boost::system::error_code ignored;
+        client.send(requests, ignored);
+        return client.receiveAll();
+    }
+};
+
+TEST(ARequestBehindTheLastOne, isNotRunAndLeavesItsAnswerWhole)
+{
+    const std::string answer = answerTo("GET /buffered HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.ends_with("\r\n\r\n" + std::string(BufferedBytes, 'x')));
+    LONGS_EQUAL(1, server.requests());
+}
+
+TEST(ARequestBehindTheLastOne, isNotRunAndLeavesTheRefusalWhole)
+{
+    for (const char *refused : {"GET /whole HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n",
+                                "no request\r\n\r\n",
+                                "POST /whole HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n"}) {
+        const std::string answer = answerTo(refused);
+        CHECK(answer.starts_with("HTTP/1.1 4"));
+        CHECK(answer.ends_with("\r\n\r\nrefused"));
+    }
+    LONGS_EQUAL(0, server.requests());
+}
--- a/libs/net/tests/SmallServer.h
+++ b/libs/net/tests/SmallServer.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <future>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <stdexcept>
@@ -79,8 +80,12 @@
             exceptions_.push(std::string(text));
         };
         handlers.refusal = [](net::RefusalKind kind) {
-            const int status = kind == net::RefusalKind::HandlerFailed ? 500 : kind == net::RefusalKind::BodyTooLarge ? 413 : 400;
-            return net::HttpResponse{status, {}, "refused"};
+            static const std::map<net::RefusalKind, int> Statuses = {{net::RefusalKind::HandlerFailed, 500},
+                                                                     {net::RefusalKind::BodyTooLarge, 413},
+                                                                     {net::RefusalKind::RequestTooSlow, 408},
+                                                                     {net::RefusalKind::Stopping, 503}};
+            const auto found = Statuses.find(kind);
+            return net::HttpResponse{found == Statuses.end() ? 400 : found->second, {}, "refused"};
         };
         handlers.onEnded = [this](net::ExchangeId, net::ExchangeEnd end) {
             ends_.push(end);
@@ -140,6 +145,17 @@
         runInLoop([&]() { server_->setLimits(limits); });
     }
 
+    void refuseArriving()
+    {
+        runInLoop([&]() { server_->refuseArriving(); });
+    }
+
+    /// Calls the server's refuseArriving() when the event loop has done what it has to do already.
+    void refuseArrivingLater()
+    {
+        loop_.post([this]() { server_->refuseArriving(); });
+    }
+
     std::size_t unfinishedConnections()
     {
         std::size_t count = 0;
--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -236,7 +236,8 @@
     virtual void setReady(bool ready) = 0;
     /// Closes idle connections of callers, and the others after their current answer.
     virtual void closeConnections() = 0;
-    /// Accepts no more connections of callers, and closes idle ones again.
+    /// Accepts no more connections of callers, closes idle ones again, and refuses requests that are still arriving: they would be refused by now when they
+    /// are whole, and the end of the process would cut them without a word.
     virtual void stopAccepting() = 0;
     /// Returns the number of callers' connections on which a request is being read or an answer is not written in full.
     virtual std::size_t unfinishedExchanges() const = 0;
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -241,8 +241,10 @@
 void RelayHost::stopAccepting()
 {
     callerServer_->stopAccepting();
+    callerServer_->refuseArriving();
     if (handOverServer_) {
         handOverServer_->stopAccepting();
+        handOverServer_->refuseArriving();
     }
     closeConnections();
 }
--- a/libs/relayhost/src/HostCallers.cpp
+++ b/libs/relayhost/src/HostCallers.cpp
@@ -23,6 +23,8 @@
         return base::ErrorKind::RequestTimeout;
     case net::RefusalKind::HandlerFailed:
         return base::ErrorKind::Internal;
+    case net::RefusalKind::Stopping:
+        return base::ErrorKind::Stopping;
     case net::RefusalKind::Malformed:
         break;
     }
@@ -35,6 +37,8 @@
     switch (refusal) {
     case net::RefusalKind::HandlerFailed:
         return "the request met an internal error";
+    case net::RefusalKind::Stopping:
+        return "this instance had to stop before the whole request had arrived";
     default:
         return "the request can't be read";
     }
@@ -46,6 +50,8 @@
     switch (refusal) {
     case net::RefusalKind::HandlerFailed:
         return "request_failed";
+    case net::RefusalKind::Stopping:
+        return "arrival_cut";
     default:
         return "malformed_request";
     }
--- a/programs/trefoilportd/CallersDuty.cpp
+++ b/programs/trefoilportd/CallersDuty.cpp
@@ -42,6 +42,8 @@
         return openai::problemResponse({base::ErrorKind::RequestTimeout, "the request did not arrive in time"});
     case net::RefusalKind::HandlerFailed:
         return openai::problemResponse({base::ErrorKind::Internal, "the request met an internal error"});
+    case net::RefusalKind::Stopping:
+        return openai::problemResponse({base::ErrorKind::Stopping, "this instance had to stop before the whole request had arrived"});
     }
     return openai::problemResponse({base::ErrorKind::Internal, ""});
 }
@@ -115,6 +117,7 @@
         rejectOpenCalls();
         server_.stopAccepting();
         server_.closeConnections();
+        server_.refuseArriving();
         endWhenDelivered(base::readClocks().mono + FinalAnswersTimeout);
     });
 }
