LOST: a caller that waits for leave to send its body gets it

With 'Expect: 100-continue', a caller that waits was answered 408 when the time limit for requests was over; one that gives up waiting lost only that time. Nothing sent the interim response that RFC 9110, section 10.1.1, requires.

Test, on the code before: the answer began 'HTTP/1.1 408', after 10 s. A body over the limit is refused instead (413), and one that is waited for when the process ends too (503).

--- a/libs/net/src/ConnectionReading.cpp
+++ b/libs/net/src/ConnectionReading.cpp
@@ -51,6 +51,9 @@
     }
     if (!error && !parser.is_done()) {
         startReadTimeout(readTimeout());
+        if (parser.get().version() >= Http11) {
+            co_await sendContinue();
+        }
         co_await http::async_read(socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
     }
     timeout_.stop();
@@ -70,6 +73,17 @@
     }
 }
 
+asio::awaitable<void> Connection::sendContinue()
+{
+    static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+    if (!beast::iequals(headerIn(headers_, "Expect"), "100-continue") || buffer_.size() > 0 || hasInput()) {
+        co_return;
+    }
+    // If it fails, so does the read that follows.
+    beast::error_code ignored;
+    co_await asio::async_write(socket_, asio::buffer(Continue), asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 void Connection::startIdleTimeout()
 {
     const auto timeLeft = idleSince_ + server_->idleTimeouts.timeoutSince(idleSince_) - IdleTimeouts::Clock::now();
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -58,6 +58,8 @@
     void startReadTimeout(std::chrono::nanoseconds timeout);
     /// Returns the time that the rest of a request's header, or of its body, has to arrive.
     std::chrono::milliseconds readTimeout() const;
+    /// Tells a client that waits before it sends the body that it may send it.
+    boost::asio::awaitable<void> sendContinue();
     /// Starts an exchange for a request and passes it to the handler.
     void startExchange(Request &&message);
     /// Ends the exchange because its handler has thrown an exception: by an error response if nothing was sent yet. Reports it by onAbort.
--- a/libs/net/tests/ArrivingRequestTests.cpp
+++ b/libs/net/tests/ArrivingRequestTests.cpp
@@ -80,6 +80,30 @@
     STRCMP_CONTAINS("whole abcabc", client.receiveAll().c_str());
 }
 
+/// Guards against a client that waits for leave to send its body until the time limit is over.
+TEST(ARequestThatStillArrives, mayWaitForLeaveToSendItsBody)
+{
+    RawClient client(server.address());
+    client.send("POST /whole HTTP/1.1\r\nHost: a\r\nConnection: close\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n");
+    STRCMP_EQUAL("HTTP/1.1 100 Continue\r\n\r\n", client.receiveUntil("\r\n\r\n").c_str());
+    client.send("abcde");
+    const std::string answer = client.receiveAll();
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.ends_with("whole abcde"));
+}
+
+TEST(ARequestThatStillArrives, isRefusedInsteadOfGettingThatLeave)
+{
+    RawClient client(server.address());
+    client.send("POST /whole HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 5000\r\n\r\n");
+    CHECK(client.receiveAll().starts_with("HTTP/1.1 413"));
+    RawClient late(server.address());
+    late.send("POST /whole HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n");
+    STRCMP_CONTAINS("100 Continue", late.receiveUntil("\r\n\r\n").c_str());
+    server.refuseArriving();
+    CHECK(late.receiveAll().starts_with("HTTP/1.1 503"));
+}
+
 /// Requests behind one after which the connection ends can't be answered; the answer before them must not suffer.
 TEST_GROUP(ARequestBehindTheLastOne)
 {
