LOST: an exception in the daemon's own interface ends its call, and nothing else

Callers of the daemon's own interface saw all connections cut when one answer couldn't be made: an exception left the event loop of its thread and ended the process. Now the call is answered 500, or its stream cut, the kernel is told that it has ended, and the other actions are carried out. Exceptions of requests go to the standard error; they were answered before, but without a line.

--- a/programs/trefoilportd/CallersDuty.cpp
+++ b/programs/trefoilportd/CallersDuty.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <charconv>
+#include <iostream>
 
 using namespace trefoilport;
 
@@ -98,8 +99,11 @@
                    openCalls_.erase(id);
                    rings_.fromCallers.push(CallerGone{id});
                },
-               refusalResponse})
+               refusalResponse,
+               {},
+               reportException})
 {
+    loop_.reportExceptions(reportException);
     rings_.toCallers.wake = [this]() {
         loop_.post([this]() { handleActions(); });
     };
@@ -230,10 +234,35 @@
 {
     Action action;
     while (rings_.toCallers.pop(action)) {
-        std::visit([this](const auto &typed) { carryOut(typed); }, action);
+        try {
+            std::visit([this](const auto &typed) { carryOut(typed); }, action);
+        } catch (const std::exception &exception) {
+            reportException(exception.what());
+            std::visit([this](const auto &typed) { failCallOf(typed); }, action);
+        }
     }
 }
 
+void CallersDuty::reportException(std::string_view text)
+{
+    std::cerr << "a request could not be answered: " << text << "\n";
+}
+
+void CallersDuty::fail(net::ExchangeId id)
+{
+    const auto found = openCalls_.find(id);
+    if (found == openCalls_.end()) {
+        return;
+    }
+    if (found->second.streaming) {
+        server_.abort(id);
+    } else {
+        server_.respond(id, openai::problemResponse({base::ErrorKind::Internal, "the request met an internal error"}));
+    }
+    openCalls_.erase(found);
+    rings_.fromCallers.push(CallerGone{id});
+}
+
 void CallersDuty::carryOut(const AnswerToken &action)
 {
     const auto found = openCalls_.find(action.call);
--- a/programs/trefoilportd/CallersDuty.h
+++ b/programs/trefoilportd/CallersDuty.h
@@ -63,6 +63,17 @@
     /// Ends the event loop when all answers are delivered, at the deadline at the latest.
     void endWhenDelivered(base::Instant deadline);
     void handleActions();
+    static void reportException(std::string_view text);
+    /// Answers a call with an error, or cuts its stream, and tells the kernel that it has ended.
+    void fail(net::ExchangeId id);
+    /// Does so for the call of an action that could not be carried out, if it has one.
+    template<typename FailedAction>
+    void failCallOf(const FailedAction &action)
+    {
+        if constexpr (requires { action.call; }) {
+            fail(action.call);
+        }
+    }
     void flushPeriodically();
     void carryOut(const trefoilport::AnswerToken &action);
     void carryOut(const trefoilport::AnswerEnd &action);
--- a/programs/trefoilportd/tests/CallersDutyTests.cpp
+++ b/programs/trefoilportd/tests/CallersDutyTests.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <stdexcept>
 #include <thread>
 
 #include <sys/socket.h>
@@ -52,13 +53,13 @@
     }
 
     /// Sends a request for a plain service over a new connection.
-    tcp::socket request()
+    tcp::socket request(const std::string &text = "GET /timetable/x HTTP/1.1\r\nHost: a\r\n\r\n")
     {
         tcp::socket socket(io);
         socket.connect({boost::asio::ip::make_address("127.0.0.1"), duty->address().port});
         const timeval readTimeout{5, 0};
         ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &readTimeout, sizeof readTimeout);
-        boost::asio::write(socket, boost::asio::buffer(std::string("GET /timetable/x HTTP/1.1\r\nHost: a\r\n\r\n")));
+        boost::asio::write(socket, boost::asio::buffer(text));
         return socket;
     }
 
@@ -112,3 +113,49 @@
     STRCMP_CONTAINS("503", received.c_str());
     STRCMP_CONTAINS("\"ran\":\"no\"", received.c_str());
 }
+
+/// Guards against callers that are closed on without a word, since their request is still arriving when the process ends.
+TEST(TheCallersOfADaemonThatEnds, areToldThatTheirRequestHasNotRunIfItStillArrives)
+{
+    for (const char *begun : {"POST /timetable/x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc", "POST /timetable/x HTTP/1.1\r\nHo"}) {
+        tcp::socket caller = request(begun);
+        // By the answer to another request, this one has reached the duty.
+        tcp::socket other = request("GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        STRCMP_CONTAINS("200", receiveAll(other).c_str());
+        end();
+        const std::string received = receiveAll(caller);
+        STRCMP_CONTAINS("503", received.c_str());
+        STRCMP_CONTAINS("\"ran\":\"no\"", received.c_str());
+        setup();
+    }
+}
+
+/// Guards against a process that ends, and cuts all its calls, since one answer can't be made.
+TEST(TheCallersOfADaemonThatEnds, areNotCutByAnExceptionInTheAnswerToAnother)
+{
+    end();
+    duty.emplace(settings, rings, events);
+    duty->extraMetrics = []() -> std::string {
+        throw std::runtime_error("no such figure");
+    };
+    thread = std::thread([this]() { duty->run(); });
+    tcp::socket caller = request();
+    const CallId call = takeArrival();
+    tcp::socket failing = request("GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    Event event;
+    while (!rings.fromCallers.pop(event) || !std::holds_alternative<StatusRequested>(event)) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    AnswerStatus status;
+    status.call = std::get<StatusRequested>(event).call;
+    rings.toCallers.push(status);
+    AnswerService answer;
+    answer.call = call;
+    answer.answer.status = 200;
+    answer.answer.body = "on time";
+    rings.toCallers.push(answer);
+    rings.toCallers.commit();
+    STRCMP_CONTAINS("HTTP/1.1 500", receiveAll(failing).c_str());
+    end();
+    STRCMP_CONTAINS("on time", receiveAll(caller).c_str());
+}
