LOST: a connection is kept beyond its idle timeout for as long as the instance may not know of a longer one

Callers may use a connection again for four fifths of the newest idle timeout.

Which margin is right: a change is in force everywhere within some time A. A connection that is kept for A beyond the shorter timeout is closed too early only if the change came after the shorter timeout had passed already, when its caller had no claim to it any more. A is the time that is used in the other direction (10 s). The other error, connections that wait too long and take the room of new ones: while as many connections are open as may be, one that has passed its timeout makes room.

The second test covers the room for new connections.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -31,6 +31,9 @@
     std::chrono::milliseconds requestTimeout{10000};
     /// Longest time that a connection waits for the first bytes of a request.
     std::chrono::milliseconds idleTimeout{60000};
+    /// Time for which a connection is kept beyond its idle timeout: a longer one may be in force already, and the server be told late. While `connections` are
+    /// open, one that is kept beyond its timeout makes room for a new one.
+    std::chrono::milliseconds idleTimeoutMargin{0};
     /// Time after which clients know of a changed idle timeout; until then they may count on the earlier one if that is longer.
     std::chrono::milliseconds idleTimeoutNotice{0};
 };
--- a/libs/net/src/ConnectionReading.cpp
+++ b/libs/net/src/ConnectionReading.cpp
@@ -84,9 +84,23 @@
     co_await asio::async_write(socket_, asio::buffer(Continue), asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+std::chrono::nanoseconds Connection::idleTimeLeft() const
+{
+    return idleSince_ + server_->idleTimeouts.timeoutSince(idleSince_) - IdleTimeouts::Clock::now();
+}
+
+bool Connection::closeIfOverdue()
+{
+    const bool isOverdue = isIdle_ && idleTimeLeft().count() <= 0 && !hasInput();
+    if (isOverdue) {
+        closeIfIdle();
+    }
+    return isOverdue;
+}
+
 void Connection::startIdleTimeout()
 {
-    const auto timeLeft = idleSince_ + server_->idleTimeouts.timeoutSince(idleSince_) - IdleTimeouts::Clock::now();
+    const auto timeLeft = idleTimeLeft() + server_->limits.idleTimeoutMargin;
     if (timeLeft.count() <= 0) {
         return closeIfIdle();
     }
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -52,6 +52,11 @@
     }
 }
 
+bool HttpServer::Impl::closeOverdue()
+{
+    return std::any_of(open.begin(), open.end(), [](Connection *connection) { return connection->closeIfOverdue(); });
+}
+
 void HttpServer::Impl::reportException(const std::exception &exception) const
 {
     if (handlers.onException) {
@@ -73,7 +78,7 @@
             co_await pause.async_wait(asio::use_awaitable);
             continue;
         }
-        if (open.size() >= limits.connections) {
+        if (open.size() >= limits.connections && !closeOverdue()) {
             continue; // The destructor closes the socket. The client sees a closed connection; no part of a request was run.
         }
         socket.set_option(tcp::no_delay(true), error);
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -28,6 +28,8 @@
 
     /// Closes the connection unless a request is being read or answered.
     void closeIfIdle();
+    /// Closes the connection if it has waited for longer than the idle timeout, and returns true then.
+    bool closeIfOverdue();
     /// Refuses a request that is being read, unless its rest arrives within a moment.
     void hurryReading();
     /// Returns true unless the connection waits for a request of which nothing has arrived, and its last response has reached the client.
@@ -50,7 +52,9 @@
     /// Waits for the first bytes of a request. Returns false if the connection is to be closed: it failed, the idle timeout is over or closeIfIdle() was
     /// called.
     boost::asio::awaitable<bool> waitForRequest();
-    /// Closes the connection when its idle timeout is over.
+    /// Returns the time until the connection has waited for as long as the idle timeout.
+    std::chrono::nanoseconds idleTimeLeft() const;
+    /// Closes the connection when its idle timeout and the margin are over.
     void startIdleTimeout();
     /// Reads the rest of a request of which some bytes have been received.
     boost::asio::awaitable<boost::beast::error_code> readRequest(RequestParser &parser);
--- a/libs/net/src/details/HttpServerImpl.h
+++ b/libs/net/src/details/HttpServerImpl.h
@@ -17,6 +17,8 @@
 
     /// Accepts connections until the listening socket is closed.
     boost::asio::awaitable<void> acceptLoop();
+    /// Closes a connection that has waited for longer than the idle timeout. Returns false if there is none.
+    bool closeOverdue();
     /// Returns the connection of a running exchange; null if the exchange has ended.
     std::shared_ptr<Connection> connectionOf(ExchangeId id) const;
     /// Forgets an exchange and reports how it ended. Does nothing if it has ended before. Exceptions of the handlers are reported here and below: what ends
--- a/libs/net/tests/ArrivingRequestTests.cpp
+++ b/libs/net/tests/ArrivingRequestTests.cpp
@@ -185,3 +185,55 @@
     CHECK(!answer.ends_with("0\r\n\r\n"));
     CHECK(server.nextEnd() == net::ExchangeEnd::CallerLeft);
 }
+
+/// A change of the idle timeout that this server is told of late.
+TEST_GROUP(AConnectionWhoseIdleTimeoutChangesLate)
+{
+    static constexpr std::chrono::milliseconds Short{200};
+    static constexpr std::chrono::milliseconds Long{60000};
+
+    static net::ServerLimits limitsWith(std::chrono::milliseconds idleTimeout, std::chrono::milliseconds margin)
+    {
+        net::ServerLimits limits = smallLimits();
+        limits.idleTimeout = idleTimeout;
+        limits.idleTimeoutMargin = margin;
+        limits.idleTimeoutNotice = margin;
+        limits.connections = 2;
+        return limits;
+    }
+
+    static bool isAnswered(RawClient & client)
+    {
+        client.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\n");
+        return client.receiveUntil("whole ").find("200") != std::string::npos;
+    }
+};
+
+/// Guards against a request that meets a reset, since its connection was closed after a timeout that had been replaced by a longer one already.
+TEST(AConnectionWhoseIdleTimeoutChangesLate, isKeptUntilTheServerKnows)
+{
+    SmallServer server(limitsWith(Short, Long));
+    RawClient client(server.address());
+    CHECK(isAnswered(client));
+    std::this_thread::sleep_for(2 * Short);
+    for (int change = 0; change < 5; ++change) {
+        server.setLimits(limitsWith(change % 2 == 0 ? Long : Short, Long));
+        std::this_thread::sleep_for(Short / 4);
+        CHECK(isAnswered(client));
+    }
+}
+
+/// Guards against the other error: connections that wait too long, and leave no room for others.
+TEST(AConnectionWhoseIdleTimeoutChangesLate, makesRoomForAnotherWhenItsTimeoutIsOver)
+{
+    SmallServer server(limitsWith(Short, Long));
+    RawClient first(server.address());
+    CHECK(isAnswered(first));
+    std::this_thread::sleep_for(2 * Short);
+    RawClient second(server.address());
+    RawClient third(server.address());
+    CHECK(isAnswered(second));
+    CHECK(isAnswered(third));
+    CHECK(first.isClosed());
+    CHECK(isAnswered(third));
+}
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -26,7 +26,7 @@
 /// Capacity of the mesh's ring of messages to other instances; further messages wait outside it.
 constexpr std::size_t MeshRingItems = 256;
 constexpr std::size_t MaxOperatorHeaderBytes = 4096;
-/// Time after which all callers know of a new configuration.
+/// Time after which all callers and instances know of a new configuration.
 constexpr relay::Ms ConfigNoticeTime{10000};
 /// URL path of the status, and the one by which an operator ends the quarantine of the signature that follows it.
 constexpr std::string_view StatusPath = "/admin/status";
@@ -62,6 +62,7 @@
     server.requestTimeout = limits.headerTimeout;
     server.idleTimeout = limits.idleTimeout;
     server.idleTimeoutNotice = ConfigNoticeTime;
+    server.idleTimeoutMargin = ConfigNoticeTime;
     return server;
 }
 
