--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -31,6 +31,9 @@
     std::chrono::milliseconds requestTimeout{10000};
     /// Longest time that a connection waits for the first bytes of a request.
     std::chrono::milliseconds idleTimeout{60000};
+    /// Time for which a connection is kept beyond its idle timeout: a longer one may be in force already, and the server be told late. While `connections` are
+    /// open, one that is kept beyond its timeout makes room for a new one.
+    std::chrono::milliseconds idleTimeoutMargin{0};
     /// Time after which clients know of a changed idle timeout; until then they may count on the earlier one if that is longer.
     std::chrono::milliseconds idleTimeoutNotice{0};
 };
@@ -44,6 +47,10 @@
     RequestTooSlow,
     /// Handlers::onRequest threw an exception; it may have acted on the request.
     HandlerFailed,
+    /// The request had not arrived completely when the server had to end. No part of it was run.
+    Stopping,
+    /// The client has closed its sending side before it got a response, which counts as leaving. It may read on, though.
+    CallerLeft,
 };
 
 /// How an exchange ended.
@@ -128,6 +135,9 @@
     /// New connections are still accepted.
     void closeConnections();
 
+    /// Refuses the requests that are still arriving, and from now on those that don't arrive within a moment.
+    void refuseArriving();
+
     /// Returns the number of connections on which a request is being read, or has arrived and will be, or a response isn't delivered yet.
     std::size_t unfinishedConnections() const;
 
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -1,7 +1,5 @@
 #include "details/Connection.h"
 
-#include "details/HeaderFields.h"
-#include "details/MessageEnd.h"
 #include "details/ResponseText.h"
 
 #include <linux/sockios.h>
@@ -54,7 +52,10 @@
         }
     } catch (const std::exception &exception) {
         server_->reportException(exception);
-        server_->endExchange(id_, ExchangeEnd::HandlerFailed);
+        if (server_->connectionOf(id_)) {
+            abortExchange(ExchangeEnd::HandlerFailed);
+            server_->endExchange(id_, ExchangeEnd::HandlerFailed);
+        }
     }
     close();
 }
@@ -126,11 +127,11 @@
 
 void Connection::abort()
 {
-    server_->endExchange(id_, ExchangeEnd::Aborted);
-    if (ended_ || output_.empty()) {
-        return close();
+    if (ended_) {
+        return;
     }
-    // The client can use what is queued. Then the connection ends without the end of the response.
+    server_->endExchange(id_, ExchangeEnd::Aborted);
+    // The client can use what is queued or on its way. Then the connection ends without the end of the response.
     keepAlive_ = false;
     ended_ = true;
     wakeTimer_.cancel();
@@ -152,15 +153,18 @@
     }
 }
 
-bool Connection::isUnfinished() const
+bool Connection::isUnfinished()
 {
     // A closed connection may exist for a moment, until its last operations have ended.
-    return socket_.is_open() && (!isIdle_ || hasInput());
+    return socket_.is_open() && (!isIdle_ || hasInput() || unacknowledgedBytes(socket_) > 0);
 }
 
 asio::awaitable<bool> Connection::serveRequest()
 {
     if (buffer_.size() == 0 && !co_await waitForRequest()) {
+        if (unacknowledgedBytes(socket_) > 0) {
+            co_await linger();
+        }
         co_return false;
     }
     RequestParser parser;
@@ -171,71 +175,22 @@
         co_return false;
     }
     if (hasClientLeft()) {
-        co_return false; // It has left while the process was held up, or while its request was read.
+        // It has left while the process was held up, or while its request was read.
+        co_await refuseAs(RefusalKind::CallerLeft);
+        co_return false;
     }
     startExchange(parser.release());
     watchForClose();
     co_await writeQueued();
     server_->endExchange(id_, broken_ ? ExchangeEnd::WriteFailed : ExchangeEnd::Answered);
-    if (!keepAlive_ && !broken_) {
+    if (leftUnanswered_) {
+        co_await refuseAs(RefusalKind::CallerLeft);
+    } else if (!keepAlive_ && !broken_) {
         co_await linger();
     }
     co_return keepAlive_ && !broken_;
 }
 
-asio::awaitable<bool> Connection::waitForRequest()
-{
-    const bool isNew = id_ == 0;
-    if (server_->closing && !isNew && !hasInput()) {
-        co_return false;
-    }
-    beast::error_code error;
-    idleSince_ = IdleTimeouts::Clock::now();
-    startIdleTimeout();
-    isIdle_ = true;
-    // The bytes stay in the socket until this coroutine goes on, so that isUnfinished() sees them.
-    co_await socket_.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-    isIdle_ = false;
-    timeout_.stop();
-    co_return !error;
-}
-
-asio::awaitable<beast::error_code> Connection::readRequest(RequestParser &parser)
-{
-    beast::error_code error;
-    startReadTimeout(server_->limits.requestTimeout);
-    co_await http::async_read_header(socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
-    // Taken before the body: the parser adds the fields behind a body in chunks to those of the header.
-    headers_ = headersOf(parser.get());
-    if (!error && !hasClearEnd(headers_, parser.get().version() >= Http11)) {
-        error = http::error::bad_transfer_encoding;
-    }
-    if (!error && !parser.is_done()) {
-        startReadTimeout(server_->limits.requestTimeout);
-        co_await http::async_read(socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
-    }
-    timeout_.stop();
-    co_return error;
-}
-
-void Connection::startIdleTimeout()
-{
-    const auto timeLeft = idleSince_ + server_->idleTimeouts.timeoutSince(idleSince_) - IdleTimeouts::Clock::now();
-    if (timeLeft.count() <= 0) {
-        return closeIfIdle();
-    }
-    // The timeout may be longer by then.
-    timeout_.start(timeLeft, shared_from_this(), [this]() { startIdleTimeout(); });
-}
-
-void Connection::startReadTimeout(std::chrono::nanoseconds timeout)
-{
-    timeout_.start(timeout, shared_from_this(), [this, timeout]() {
-        // After a hold-up of the process the bytes may be there already.
-        hasInput() ? startReadTimeout(timeout) : cancelOperations();
-    });
-}
-
 void Connection::startExchange(Request &&message)
 {
     id_ = server_->nextId++;
@@ -264,30 +219,7 @@
     keepAlive_ = false;
     respond(server_->handlers.refusal(RefusalKind::HandlerFailed));
     server_->endExchange(id, ExchangeEnd::HandlerFailed);
-    server_->handlers.onAbort(id);
-}
-
-asio::awaitable<void> Connection::refuse(beast::error_code error)
-{
-    RefusalKind kind = RefusalKind::Malformed;
-    if (error == http::error::header_limit) {
-        kind = RefusalKind::HeaderTooLarge;
-    } else if (error == http::error::body_limit) {
-        kind = RefusalKind::BodyTooLarge;
-    } else if (error == asio::error::operation_aborted) {
-        kind = RefusalKind::RequestTooSlow;
-    } else if (error == http::error::end_of_stream || error == asio::error::connection_reset) {
-        co_return;
-    }
-    if (!socket_.is_open()) {
-        co_return;
-    }
-    const HttpResponse response = server_->handlers.refusal(kind);
-    const std::string text = headText(response.status, response.headers, {false, response.body.size()}, false) + response.body;
-    beast::error_code ignored;
-    timeout_.start(server_->limits.requestTimeout, shared_from_this(), [this]() { cancelOperations(); });
-    co_await asio::async_write(socket_, asio::buffer(text), asio::redirect_error(asio::use_awaitable, ignored));
-    co_await linger();
+    server_->reportAbort(id);
 }
 
 asio::awaitable<void> Connection::linger()
@@ -320,6 +252,7 @@
             return;
         }
         if (self->hasClientLeft()) {
+            self->leftUnanswered_ = self->responseState_ == ResponseState::None;
             self->abortExchange(ExchangeEnd::CallerLeft);
         }
     });
@@ -354,7 +287,7 @@
     ended_ = true;
     wakeTimer_.cancel();
     server_->endExchange(id_, end);
-    server_->handlers.onAbort(id_);
+    server_->reportAbort(id_);
 }
 
 asio::awaitable<void> Connection::writeQueued()
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -33,11 +33,30 @@
 
 void HttpServer::Impl::endExchange(ExchangeId id, ExchangeEnd end)
 {
-    if (exchanges.erase(id) > 0 && handlers.onEnded) {
+    if (exchanges.erase(id) == 0 || !handlers.onEnded) {
+        return;
+    }
+    try {
         handlers.onEnded(id, end);
+    } catch (const std::exception &exception) {
+        reportException(exception);
     }
 }
 
+void HttpServer::Impl::reportAbort(ExchangeId id) const
+{
+    try {
+        handlers.onAbort(id);
+    } catch (const std::exception &exception) {
+        reportException(exception);
+    }
+}
+
+bool HttpServer::Impl::closeOverdue()
+{
+    return std::any_of(open.begin(), open.end(), [](Connection *connection) { return connection->closeIfOverdue(); });
+}
+
 void HttpServer::Impl::reportException(const std::exception &exception) const
 {
     if (handlers.onException) {
@@ -59,7 +78,7 @@
             co_await pause.async_wait(asio::use_awaitable);
             continue;
         }
-        if (open.size() >= limits.connections) {
+        if (open.size() >= limits.connections && !closeOverdue()) {
             continue; // The destructor closes the socket. The client sees a closed connection; no part of a request was run.
         }
         socket.set_option(tcp::no_delay(true), error);
@@ -137,10 +156,17 @@
     }
 }
 
+void HttpServer::refuseArriving()
+{
+    impl_->refusesArriving = true;
+    for (Connection *connection : std::vector<Connection *>(impl_->open.begin(), impl_->open.end())) {
+        connection->hurryReading();
+    }
+}
+
 std::size_t HttpServer::unfinishedConnections() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(impl_->open.begin(), impl_->open.end(), [](const Connection *connection) { return connection->isUnfinished(); }));
+    return static_cast<std::size_t>(std::count_if(impl_->open.begin(), impl_->open.end(), [](Connection *connection) { return connection->isUnfinished(); }));
 }
 
 void HttpServer::stopAccepting()
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -28,8 +28,12 @@
 
     /// Closes the connection unless a request is being read or answered.
     void closeIfIdle();
-    /// Returns true unless the connection waits for a request of which nothing has arrived.
-    bool isUnfinished() const;
+    /// Closes the connection if it has waited for longer than the idle timeout, and returns true then.
+    bool closeIfOverdue();
+    /// Refuses a request that is being read, unless its rest arrives within a moment.
+    void hurryReading();
+    /// Returns true unless the connection waits for a request of which nothing has arrived, and its last response has reached the client.
+    bool isUnfinished();
 
 private:
     /// What was queued of the response of the current exchange.
@@ -48,18 +52,26 @@
     /// Waits for the first bytes of a request. Returns false if the connection is to be closed: it failed, the idle timeout is over or closeIfIdle() was
     /// called.
     boost::asio::awaitable<bool> waitForRequest();
-    /// Closes the connection when its idle timeout is over.
+    /// Returns the time until the connection has waited for as long as the idle timeout.
+    std::chrono::nanoseconds idleTimeLeft() const;
+    /// Closes the connection when its idle timeout and the margin are over.
     void startIdleTimeout();
     /// Reads the rest of a request of which some bytes have been received.
     boost::asio::awaitable<boost::beast::error_code> readRequest(RequestParser &parser);
     /// Cancels the pending read after a timeout; if it has received bytes that aren't taken yet, the read goes on for as long again.
     void startReadTimeout(std::chrono::nanoseconds timeout);
+    /// Returns the time that the rest of a request's header, or of its body, has to arrive.
+    std::chrono::milliseconds readTimeout() const;
+    /// Tells a client that waits before it sends the body that it may send it.
+    boost::asio::awaitable<void> sendContinue();
     /// Starts an exchange for a request and passes it to the handler.
     void startExchange(Request &&message);
     /// Ends the exchange because its handler has thrown an exception: by an error response if nothing was sent yet. Reports it by onAbort.
     void onHandlerFailed();
     /// Answers a request that couldn't be read, unless the client is gone.
     boost::asio::awaitable<void> refuse(boost::beast::error_code error);
+    /// Writes the response to a request that the server refuses itself, and ends the connection.
+    boost::asio::awaitable<void> refuseAs(RefusalKind kind);
     /// Ends the connection so that the client receives all that was written: closes the sending side, and discards what the client still sends until it
     /// closes its side, or doesn't within 1 s after everything has reached it. Closing a socket with unread data resets the connection, which destroys a
     /// response on its way.
@@ -114,6 +126,10 @@
     bool broken_ = false;
     /// It waits for the first bytes of a request.
     bool isIdle_ = false;
+    /// It waits for the rest of a request.
+    bool isReading_ = false;
+    /// The client has closed its sending side, and nothing was sent of the response.
+    bool leftUnanswered_ = false;
     /// The client has had its time to close its side, in linger().
     bool lingerIsOver_ = false;
     /// When it began to wait for a request.
--- a/libs/net/tests/SmallServer.h
+++ b/libs/net/tests/SmallServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "RawClient.h"
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
 
@@ -10,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <future>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <stdexcept>
@@ -59,7 +61,7 @@
 }
 
 /// A server that answers /whole with a complete response, /fields with the header fields, /large with a long response and /stream with three chunks, closes the
-/// connection in the middle of the response to /cut, and never answers /silent.
+/// connection in the middle of the response to /cut, begins streams of many bytes for /begun-large and /begun-buffered, and never answers /silent.
 class SmallServer
 {
 public:
@@ -71,13 +73,21 @@
         };
         handlers.onAbort = [this](net::ExchangeId) {
             ++aborts_;
+            if (throwsOnAbort_) {
+                throw std::runtime_error("the seat can't be given back");
+            }
         };
         handlers.onException = [this](std::string_view text) {
             exceptions_.push(std::string(text));
         };
         handlers.refusal = [](net::RefusalKind kind) {
-            const int status = kind == net::RefusalKind::HandlerFailed ? 500 : kind == net::RefusalKind::BodyTooLarge ? 413 : 400;
-            return net::HttpResponse{status, {}, "refused"};
+            static const std::map<net::RefusalKind, int> Statuses = {{net::RefusalKind::HandlerFailed, 500},
+                                                                     {net::RefusalKind::BodyTooLarge, 413},
+                                                                     {net::RefusalKind::RequestTooSlow, 408},
+                                                                     {net::RefusalKind::Stopping, 503},
+                                                                     {net::RefusalKind::CallerLeft, 502}};
+            const auto found = Statuses.find(kind);
+            return net::HttpResponse{found == Statuses.end() ? 400 : found->second, {}, "refused"};
         };
         handlers.onEnded = [this](net::ExchangeId, net::ExchangeEnd end) {
             ends_.push(end);
@@ -137,6 +147,17 @@
         runInLoop([&]() { server_->setLimits(limits); });
     }
 
+    void refuseArriving()
+    {
+        runInLoop([&]() { server_->refuseArriving(); });
+    }
+
+    /// Calls the server's refuseArriving() when the event loop has done what it has to do already.
+    void refuseArrivingLater()
+    {
+        loop_.post([this]() { server_->refuseArriving(); });
+    }
+
     std::size_t unfinishedConnections()
     {
         std::size_t count = 0;
@@ -195,6 +216,32 @@
         loop_.post([duration]() { std::this_thread::sleep_for(duration); });
     }
 
+    /// Runs a task in the thread of the event loop after that many of its turns.
+    void runAfterTurns(int turns, std::function<void()> task)
+    {
+        loop_.post([this, turns, task = std::move(task)]() { turns > 0 ? runAfterTurns(turns - 1, task) : task(); });
+    }
+
+    /// Calls the server's abort() for the stream that was begun last.
+    void abortBegun()
+    {
+        runInLoop([this]() { server_->abort(begun_); });
+    }
+
+    /// From now on, the handler of exchanges that fail throws an exception.
+    void throwOnAbort()
+    {
+        throwsOnAbort_ = true;
+    }
+
+    /// Waits until that many requests were passed to the handler.
+    void waitForRequests(int count) const
+    {
+        while (requests_ < count) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    }
+
     /// Number of requests that were passed to the handler.
     int requests() const
     {
@@ -226,6 +273,11 @@
         if (request.target == "/silent") {
             return;
         }
+        if (request.target.starts_with("/begun-")) {
+            begun_ = id;
+            server_->beginStream(id, 200, {});
+            return server_->writeChunk(id, std::string(request.target == "/begun-large" ? LargeBytes : BufferedBytes, 'x'));
+        }
         if (request.target == "/whole") {
             server_->respond(id, {200, {}, "whole " + request.body});
             return;
@@ -275,6 +327,8 @@
 
     std::atomic<int> requests_{0};
     std::atomic<int> aborts_{0};
+    std::atomic<bool> throwsOnAbort_{false};
+    net::ExchangeId begun_ = 0;
     WaitingQueue<std::string> exceptions_;
     WaitingQueue<net::ExchangeEnd> ends_;
     net::EventLoop loop_;
@@ -282,67 +336,3 @@
     net::Address address_;
     std::thread thread_;
 };
-
-/// A client that sends and receives arbitrary bytes over one connection, without an HTTP implementation.
-class RawClient
-{
-public:
-    static constexpr int SmallReceiveBufferBytes = 16 * 1024;
-
-    /// The size of the receive buffer is left to the operating system if it is 0.
-    explicit RawClient(const net::Address &address, int receiveBufferBytes = 0)
-        : socket_(io_)
-    {
-        socket_.open(boost::asio::ip::tcp::v4());
-        if (receiveBufferBytes > 0) {
-            socket_.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes));
-        }
-        socket_.connect({boost::asio::ip::make_address(address.host), address.port});
-    }
-
-    void send(const std::string &bytes)
-    {
-        boost::asio::write(socket_, boost::asio::buffer(bytes));
-    }
-
-    /// Returns all bytes received until the connection ends.
-    std::string receiveAll()
-    {
-        std::string received;
-        boost::system::error_code error;
-        boost::asio::read(socket_, boost::asio::dynamic_buffer(received), error);
-        return received;
-    }
-
-    void close()
-    {
-        socket_.close();
-    }
-
-    void send(const std::string &bytes, boost::system::error_code &error)
-    {
-        boost::asio::write(socket_, boost::asio::buffer(bytes), error);
-    }
-
-    /// Returns that many received bytes, or fewer if the connection ends before.
-    std::string receive(std::size_t bytes)
-    {
-        std::string received;
-        boost::system::error_code error;
-        boost::asio::read(socket_, boost::asio::dynamic_buffer(received), boost::asio::transfer_exactly(bytes), error);
-        return received;
-    }
-
-    /// Returns the bytes received until they contain the text; some that follow it may be included.
-    std::string receiveUntil(const std::string &text)
-    {
-        std::string received;
-        boost::system::error_code error;
-        boost::asio::read_until(socket_, boost::asio::dynamic_buffer(received), text, error);
-        return received;
-    }
-
-private:
-    boost::asio::io_context io_;
-    boost::asio::ip::tcp::socket socket_;
-};
