Start: an address that can't be listened on is named with its setting, an exit code and a log line of its own

Operators saw the library's raw text, "bind: Address already in use [system:98 at /usr/include/boost/asio/detail/ reactive_socket_service.hpp:161:5 in function ...]", and exit code 3 like for any other exception; which address it was, and which setting holds it, was missing. Cause: HttpServer let the library's exception through, and neither face caught it apart from others. Only the mesh named its address.

Both throw base::ListenError now; whoever owns the address adds the name of its setting. Both faces print "can't listen on ADDRESS (SETTING): address already in use", write a log line `listen_failed` and end with 4.

--- a/libs/mesh/include/mesh/Mesh.h
+++ b/libs/mesh/include/mesh/Mesh.h
@@ -24,7 +24,7 @@
     /// Receives the content of one message.
     using Handler = std::function<void(std::string bytes)>;
 
-    /// Binds to `address`, "IP:port", where port 0 means any free port. Throws std::runtime_error if that fails. `ringItems` is the number of
+    /// Binds to `address`, "IP:port", where port 0 means any free port. Throws base::ListenError if that fails. `ringItems` is the number of
     /// messages that the ring between send() and run() holds; further ones wait outside it until a later send() or flush().
     Mesh(const std::string &address, MeshKeys keys, std::size_t ringItems, Handler handler);
     ~Mesh();
--- a/libs/mesh/src/Mesh.cpp
+++ b/libs/mesh/src/Mesh.cpp
@@ -1,6 +1,7 @@
 #include "mesh/Mesh.h"
 
 #include "base/BoundedRing.h"
+#include "base/ListenError.h"
 #include "details/ConnectionTable.h"
 
 #include <zmq.hpp>
@@ -160,7 +161,7 @@
         impl_->wakeReceiver.bind("inproc://wake");
         impl_->wakeSender.connect("inproc://wake");
     } catch (const zmq::error_t &error) {
-        throw std::runtime_error("mesh address " + address + ": " + error.what());
+        throw base::ListenError(address, error.num());
     }
     impl_->address = impl_->receiver.get(zmq::sockopt::last_endpoint).substr(std::string("tcp://").size());
 }
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -95,7 +95,7 @@
         std::function<void(std::string_view)> onException = {};
     };
 
-    /// Starts to listen; port 0 means any free port. Throws std::runtime_error if the address can't be bound.
+    /// Starts to listen; port 0 means any free port. Throws base::ListenError if the address can't be bound.
     HttpServer(EventLoop &loop, const Address &address, ServerLimits limits, Handlers handlers);
     ~HttpServer();
 
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "net/HttpServer.h"
 
+#include "base/ListenError.h"
 #include "details/Connection.h"
 
 #include <algorithm>
@@ -18,11 +19,15 @@
     , idleTimeouts(serverLimits.idleTimeout)
     , handlers(std::move(serverHandlers))
 {
-    const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(tcp::acceptor::reuse_address(true));
-    acceptor.bind(endpoint);
-    acceptor.listen(asio::socket_base::max_listen_connections);
+    try {
+        const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(endpoint);
+        acceptor.listen(asio::socket_base::max_listen_connections);
+    } catch (const boost::system::system_error &error) {
+        throw base::ListenError(toString(address), error.code().value());
+    }
 }
 
 std::shared_ptr<Connection> HttpServer::Impl::connectionOf(ExchangeId id) const
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -20,8 +20,8 @@
 class RelayHost : public relay::RelayDriver
 {
 public:
-    /// Binds the listening addresses; throws std::runtime_error if one of them can't be bound. `settings` are the ones parsed from the file at
-    /// `settingsPath`, which is read again when it changes. `dialect` must outlive the host.
+    /// Binds the listening addresses; throws base::ListenError, which names the use of the address, if one of them can't be bound. `settings` are the ones
+    /// parsed from the file at `settingsPath`, which is read again when it changes. `dialect` must outlive the host.
     RelayHost(const Dialect &dialect, const StoreFactory &makeStore, HostSettings settings, std::string settingsPath);
 
     /// Registers the instance in the store and serves until the kernel calls exit().
@@ -154,6 +154,9 @@
     std::string statusText() const;
     StoreHandlers storeHandlers();
     net::HttpServer::Handlers callerHandlers(Origin origin);
+    /// Starts a server; a base::ListenError that this throws names the setting of the address.
+    std::unique_ptr<net::HttpServer>
+    listen(const std::string &setting, const net::Address &address, const relay::CallerLimits &limits, net::HttpServer::Handlers handlers);
     /// Handlers of the readiness or metrics server that `server` will hold.
     net::HttpServer::Handlers operatorHandlers(std::unique_ptr<net::HttpServer> &server);
 
@@ -195,7 +198,7 @@
 };
 
 /// Runs an instance from its settings file until it is stopped, and returns the exit code of the process: 0 after a regular stop, 2 for invalid
-/// settings, 3 if an address can't be bound or another exception occurs. Stops on SIGTERM and SIGINT, and reads the settings file again on
+/// settings, 4 if an address can't be bound, 3 if another exception occurs. Stops on SIGTERM and SIGINT, and reads the settings file again on
 /// SIGHUP.
 int runInstance(const Dialect &dialect, const StoreFactory &makeStore, const std::string &settingsPath);
 
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -1,5 +1,6 @@
 #include "relayhost/RelayHost.h"
 
+#include "base/ListenError.h"
 #include "base/Time.h"
 #include "relayhost/HandOverFields.h"
 
@@ -33,8 +34,10 @@
 constexpr std::string_view StatusPath = "/admin/status";
 constexpr std::string_view LiftPath = "/admin/quarantine/lift/";
 constexpr int InvalidSettingsExitCode = 2;
-/// An exception ended the process, for instance because an address could not be bound.
+/// An exception ended the process.
 constexpr int FatalErrorExitCode = 3;
+/// An address can't be listened on.
+constexpr int ListenFailedExitCode = 4;
 
 // Set by the signal handlers, polled by RelayHost::tick().
 std::atomic<bool> stopRequested{false};
@@ -104,17 +107,22 @@
     , endpointClient_(loop_)
     , kernel_(settings_.relay, *this)
     , store_(loop_, makeStore(loop_, settings_.store), storeHandlers())
-    , mesh_(net::toString(settings_.mesh), {}, MeshRingItems, [this](const std::string &bytes) { onMeshMessage(bytes); })
-    , callerServer_(std::make_unique<net::HttpServer>(loop_, settings_.callers, serverLimits({}), callerHandlers(Origin::Caller)))
-    , handOverServer_(settings_.handOvers.host.empty()
-                          ? nullptr
-                          : std::make_unique<net::HttpServer>(loop_, settings_.handOvers, serverLimits({}), callerHandlers(Origin::Instance)))
-    , readinessServer_(
-          std::make_unique<net::HttpServer>(loop_, settings_.readiness, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(readinessServer_)))
-    , metricsServer_(std::make_unique<net::HttpServer>(loop_, settings_.metrics, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(metricsServer_)))
+    , mesh_(base::listenBySetting(
+          "mesh",
+          [this]() { return mesh::Mesh(net::toString(settings_.mesh), {}, MeshRingItems, [this](const std::string &bytes) { onMeshMessage(bytes); }); }))
+    , callerServer_(listen("callers", settings_.callers, {}, callerHandlers(Origin::Caller)))
+    , handOverServer_(settings_.handOvers.host.empty() ? nullptr : listen("hand-overs", settings_.handOvers, {}, callerHandlers(Origin::Instance)))
+    , readinessServer_(listen("readiness", settings_.readiness, {MaxOperatorHeaderBytes, 0}, operatorHandlers(readinessServer_)))
+    , metricsServer_(listen("metrics", settings_.metrics, {MaxOperatorHeaderBytes, 0}, operatorHandlers(metricsServer_)))
 {
 }
 
+std::unique_ptr<net::HttpServer>
+RelayHost::listen(const std::string &setting, const net::Address &address, const relay::CallerLimits &limits, net::HttpServer::Handlers handlers)
+{
+    return base::listenBySetting(setting, [&]() { return std::make_unique<net::HttpServer>(loop_, address, serverLimits(limits), std::move(handlers)); });
+}
+
 StoreHandlers RelayHost::storeHandlers()
 {
     StoreHandlers handlers;
@@ -360,14 +368,23 @@
     settings.relay.seed = std::hash<std::string>{}(settings.relay.instance);
     record::setUpJsonLog(settings.node, settings.zone);
     int code = 0;
+    std::string failure;
     try {
         RelayHost host(dialect, makeStore, std::move(settings), settingsPath);
         host.run();
+    } catch (const base::ListenError &error) {
+        record::DecisionLog().write({"listen_failed", "", error.address(), error.detail()}, now());
+        failure = error.what();
+        code = ListenFailedExitCode;
     } catch (const std::exception &error) {
-        std::cerr << "trefoilportd: " << error.what() << "\n";
+        failure = error.what();
         code = FatalErrorExitCode;
     }
     record::shutDownJsonLog();
+    // The thread of the log may write until here.
+    if (!failure.empty()) {
+        std::cerr << "trefoilportd: " << failure << "\n";
+    }
     return code;
 }
 
--- a/programs/trefoilportd/main.cpp
+++ b/programs/trefoilportd/main.cpp
@@ -4,6 +4,7 @@
 #include "MeshDuty.h"
 #include "PlatformDuty.h"
 #include "RecordDuty.h"
+#include "base/ListenError.h"
 #include "settings/Parse.h"
 #include "trefoilport/PlatformPlugin.h"
 
@@ -23,8 +24,10 @@
 
 /// Exit code for a settings file that can't be read or is invalid.
 constexpr int InvalidSettingsExitCode = 2;
-/// Exit code if the daemon can't start, such as for an address that can't be bound.
+/// Exit code if the daemon can't start.
 constexpr int StartFailedExitCode = 3;
+/// Exit code if an address can't be listened on.
+constexpr int ListenFailedExitCode = 4;
 
 /// The kernel that onStopSignal() stops; set before the handler is installed.
 KernelDuty *kernelToStop = nullptr;
@@ -56,16 +59,18 @@
     return kernel;
 }
 
-/// Starts a thread for each duty and runs the kernel in the calling thread until it has shut down. Throws std::runtime_error if an address can't be bound.
+/// Starts a thread for each duty and runs the kernel in the calling thread until it has shut down. Throws base::ListenError if an address can't be bound.
 void runDaemon(const settings::DaemonSettings &daemon)
 {
     timeline::HybridClock clock;
     DaemonRings rings(static_cast<std::size_t>(daemon.ringItems));
     RecordDuty record(daemon, rings, clock);
-    CallersDuty callers(daemon, rings, record.events());
+    const auto callersDuty = base::listenBySetting("listen", [&]() { return std::make_unique<CallersDuty>(daemon, rings, record.events()); });
+    CallersDuty &callers = *callersDuty;
     EndpointsDuty endpoints(rings);
     PlatformDuty platform(daemon, rings);
-    MeshDuty mesh(daemon, rings, clock);
+    const auto meshDuty = base::listenBySetting("mesh", [&]() { return std::make_unique<MeshDuty>(daemon, rings, clock); });
+    MeshDuty &mesh = *meshDuty;
     KernelDuty kernel(kernelSettingsOf(daemon, mesh.address()), rings);
     callers.extraMetrics = [&mesh]() {
         return "# TYPE trefoilport_mesh_sent_bytes_total counter\ntrefoilport_mesh_sent_bytes_total " + std::to_string(mesh.bytesSent())
@@ -130,6 +135,10 @@
     setUpLog(daemon.id, daemon.zone, FLAGS_log_level);
     try {
         runDaemon(daemon);
+    } catch (const base::ListenError &error) {
+        logLine(std::string("listen_failed: ") + error.what());
+        std::cerr << "trefoilportd: " << error.what() << "\n";
+        return ListenFailedExitCode;
     } catch (const std::exception &error) {
         std::cerr << "trefoilportd: " << error.what() << "\n";
         return StartFailedExitCode;
