Settings: a relaying instance whose settings file can't be read says so

The parser got an empty text and reported "the settings file has no valid field 'Zone'", which sends operators to the wrong place. The new case of tests/process/bad-input.sh passes.

--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -358,6 +358,10 @@
     std::signal(SIGTERM, [](int) { stopRequested = true; });
     std::signal(SIGINT, [](int) { stopRequested = true; });
     std::signal(SIGHUP, [](int) { reloadRequested = true; });
+    if (!std::ifstream(settingsPath)) {
+        std::cerr << "trefoilportd: can't read the settings file '" << settingsPath << "'\n";
+        return InvalidSettingsExitCode;
+    }
     auto parsed = dialect.parseSettings(readFile(settingsPath));
     if (!base::isOk(parsed)) {
         std::cerr << "trefoilportd: " << settingsPath << ": " << base::errorOf(parsed).detail << "\n";
--- a/tests/process/bad-input.sh
+++ b/tests/process/bad-input.sh
@@ -54,6 +54,10 @@
 "$build/programs/trefoilportd/trefoilportd" --settings "$work/broken.yaml" 2>"$work/problems" || code=$?
 [ $code = 2 ] && grep -q 'broken.yaml:' "$work/problems" || fail "a broken settings file was not reported: exit code $code, output $(cat "$work/problems")"
 
+code=0
+TREFOILPORT_NODE_FILE=$work/missing.yaml "$build/programs/trefoilportd/trefoilportd" 2>"$work/problems" || code=$?
+[ $code = 2 ] && grep -q "can't read the settings file '$work/missing.yaml'" "$work/problems" || fail "a missing settings file was not reported: exit code $code, output $(cat "$work/problems")"
+
 curl -sf "${auth[@]}" "$url/v1/models" | grep -q '"id":"tutor"' || fail "models are not listed"
 curl -sf "${auth[@]}" "$url/v1/chat/completions" -d '{"model":"tutor","messages":[{"role":"user","content":"hello"}],"max_tokens":4}' | grep -q '"role":"assistant"' || fail "a chat completion was not answered"
 curl -sf "$url/healthz" >/dev/null && curl -sf "$url/metrics" | grep -q '^trefoilport_calls_answered_total [1-9]' || fail "the health check failed, or the metrics count no answered call"
