Quarantine: a crash notice that arrives late doesn't replace a newer one (daemon's own face)

Cause: merge() took whatever came last. Messages bear the sender's incarnation and a stamp of its hybrid clock; notices of an observer come from itself only, so these two order them.

Failed before: ACrashNoticeOfAPeer replacesNoNewerOneIfItArrivesLate and replacesThoseFromBeforeTheRestartOfThePeer: "CHECK(!kernel.isQuarantined("x")) failed".

--- a/trefoilport/src/Kernel.cpp
+++ b/trefoilport/src/Kernel.cpp
@@ -174,7 +174,7 @@
             context.endpoints.markLeaving(notice.endpoint, notice.incarnation, actions);
         }
         for (const wire::CrashNotice &crashNotice : gossip->crashNotices) {
-            context.quarantine.merge(crashNotice, now.mono);
+            context.quarantine.merge(crashNotice, {event.envelope.incarnation, event.envelope.stamp}, now.mono);
         }
     } else if (const auto *request = std::get_if<wire::ConfigRequest>(&event.envelope.message)) {
         const auto reply = context.config.replyTo(*request);
--- a/trefoilport/src/Quarantine.cpp
+++ b/trefoilport/src/Quarantine.cpp
@@ -17,14 +17,16 @@
     updates_.push_back(fingerprint);
 }
 
-void Quarantine::merge(const wire::CrashNotice &notice, base::Instant now)
+void Quarantine::merge(const wire::CrashNotice &notice, const SentAt &sentAt, base::Instant now)
 {
     if (notice.observer == observer_ || notice.observer.empty()) {
         return;
     }
     CrashReport &report = crashReports_[notice.fingerprint][notice.observer];
-    report.crashCount = notice.crashCount;
-    report.expiresAt = now + std::chrono::milliseconds(notice.remainingMs);
+    if (sentAt < report.sentAt) {
+        return; // A later message has overtaken this one.
+    }
+    report = {notice.crashCount, now + std::chrono::milliseconds(notice.remainingMs), sentAt};
 }
 
 void Quarantine::clear(std::uint64_t fingerprint)
--- a/trefoilport/src/details/Quarantine.h
+++ b/trefoilport/src/details/Quarantine.h
@@ -2,6 +2,7 @@
 
 #include "trefoilport/Action.h"
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -27,8 +28,16 @@
     /// Counts a crash seen by this instance. Its crash report for the request then expires at now + duration.
     void addCrash(std::uint64_t fingerprint, base::Instant now, std::chrono::milliseconds duration);
 
-    /// Replaces a peer's crash report by a newly received one. Reports of this instance's own are ignored.
-    void merge(const wire::CrashNotice &notice, base::Instant now);
+    /// Orders what one instance has sent: by its incarnation, then by the time at which it sent the message.
+    struct SentAt {
+        std::uint64_t incarnation = 0;
+        std::uint64_t stamp = 0;
+
+        auto operator<=>(const SentAt &) const = default;
+    };
+
+    /// Replaces a peer's crash report by one that the peer has sent later. Reports of this instance's own are ignored.
+    void merge(const wire::CrashNotice &notice, const SentAt &sentAt, base::Instant now);
 
     /// Sets this instance's crash count for a request that completed to 0.
     void clear(std::uint64_t fingerprint);
@@ -56,6 +65,7 @@
     struct CrashReport {
         std::uint32_t crashCount = 0;
         base::Instant expiresAt{0};
+        SentAt sentAt = {};
     };
     wire::CrashNotice noticeOf(std::uint64_t fingerprint, const CrashReport &report, base::Instant now) const;
 
--- /dev/null
+++ b/trefoilport/tests/KernelEventTests.cpp
@@ -0,0 +1,120 @@
+#include "base/Hash.h"
+#include "trefoilport/Kernel.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace trefoilport;
+
+namespace {
+
+const std::string KeySha256 = "hash-of-the-key";
+
+/// A kernel of one instance with a configuration in force that has one team and one model.
+class SingleKernel
+{
+public:
+    SingleKernel()
+        : kernel_(settings())
+    {
+        receive(HeadReceived{now_.mono, 1, head()});
+    }
+
+    static KernelSettings settings()
+    {
+        KernelSettings settings;
+        settings.id = "one";
+        return settings;
+    }
+
+    static ParsedHead head()
+    {
+        settings::RoutingConfig config;
+        config.models["tutor"] = {};
+        config.teams["red"].keySha256 = KeySha256;
+        ParsedHead head;
+        head.epoch = 1;
+        head.accepted.document.revision = 1;
+        head.accepted.parsed = std::make_shared<const settings::RoutingConfig>(config);
+        head.members = {"one:1"};
+        return head;
+    }
+
+    /// Passes an event to the kernel; returns the actions that follow.
+    Actions receive(const Event &event)
+    {
+        Actions actions;
+        kernel_.handle(event, now_, actions);
+        return actions;
+    }
+
+    /// Returns whether a completion with this prompt is rejected as one that crashes endpoints.
+    bool isQuarantined(const std::string &prompt)
+    {
+        CompletionArrived arrived;
+        arrived.call = ++lastCall_;
+        arrived.keySha256 = KeySha256;
+        arrived.request.model = "tutor";
+        arrived.request.prompt = prompt;
+        arrived.request.maxTokens = 1;
+        const Actions actions = receive(arrived);
+        return std::any_of(actions.begin(), actions.end(), [](const Action &action) {
+            const auto *failure = std::get_if<AnswerFailure>(&action);
+            return failure != nullptr && failure->error.kind == base::ErrorKind::Quarantined;
+        });
+    }
+
+    const Counters &counters() const
+    {
+        return kernel_.counters();
+    }
+
+    base::Now now() const
+    {
+        return now_;
+    }
+
+private:
+    base::Now now_{std::chrono::seconds(100), 1000000};
+    Kernel kernel_;
+    CallId lastCall_ = 0;
+};
+
+} // namespace
+
+TEST_GROUP(ACrashNoticeOfAPeer)
+{
+    static constexpr std::uint32_t QuarantineMs = 60000;
+    SingleKernel kernel;
+
+    /// Passes what a peer says about the request with the prompt "x", in a message that it sent at that time.
+    void receive(std::uint32_t crashCount, std::uint64_t incarnation, std::uint64_t sentAt)
+    {
+        const std::uint64_t fingerprint = base::hashOf(std::string("x"), base::hashOf(std::string("tutor"), base::hashOf(std::string("red"))));
+        wire::Gossip gossip;
+        gossip.crashNotices.push_back({fingerprint, "two", crashCount, QuarantineMs});
+        kernel.receive(PeerMessageArrived{{"two", incarnation, gossip, sentAt}, std::nullopt});
+    }
+};
+
+/// Guards against a message that was overtaken by a later one bringing back a quarantine that the peer has ended.
+TEST(ACrashNoticeOfAPeer, replacesNoNewerOneIfItArrivesLate)
+{
+    receive(3, 1, 10);
+    CHECK(kernel.isQuarantined("x"));
+    receive(0, 1, 30);
+    CHECK(!kernel.isQuarantined("x"));
+    receive(3, 1, 20);
+    CHECK(!kernel.isQuarantined("x"));
+}
+
+/// Guards against a restarted peer whose clock was set back being ignored.
+TEST(ACrashNoticeOfAPeer, replacesThoseFromBeforeTheRestartOfThePeer)
+{
+    receive(3, 1, 30);
+    receive(0, 2, 10);
+    CHECK(!kernel.isQuarantined("x"));
+    receive(3, 1, 40);
+    CHECK(!kernel.isQuarantined("x"));
+}
