Counters and limits of the daemon's own face are in use: config_activations counts, batch_wait_ms can be set

`trefoilport_config_activations_total` stayed 0 whatever happened, which misleads operators; it counts each configuration put in force now. The time that a batch call waits at most (600 s) was in use and no setting reached it; `limits: {batch_wait_ms: ...}` does now.

Failed before: AConfigurationThatIsPutInForce isCounted "expected <1> but was <0>"; AFolderOfSettings setsHowLongBatchCallsWait "CHECK(config != nullptr) failed" (unknown field).

--- a/libs/settings/include/settings/RoutingConfig.h
+++ b/libs/settings/include/settings/RoutingConfig.h
@@ -66,7 +66,7 @@
 struct Limits {
     /// Maximum number of calls that wait in the queue of one instance.
     std::int64_t queueCalls = 2000;
-    /// Maximum time that a batch call waits in the queue. No setting sets it, so it always has this value.
+    /// Maximum time that a batch call waits in the queue.
     std::int64_t batchWaitMs = 600000;
     /// Part of an engine's capacity that batch calls may use.
     std::int64_t batchPercent = 50;
--- a/libs/settings/src/details/Tables.h
+++ b/libs/settings/src/details/Tables.h
@@ -48,6 +48,7 @@
 
 inline constexpr std::array LimitSettings = {
     IntSetting<Limits>{"queue_calls", &Limits::queueCalls, 1, 1000000, "calls", "maximum number of calls that wait in the queue of one instance"},
+    IntSetting<Limits>{"batch_wait_ms", &Limits::batchWaitMs, 1000, 86400000, "ms", "maximum time that a batch call waits in the queue"},
     IntSetting<Limits>{"batch_percent", &Limits::batchPercent, 1, 100, "%", "part of an engine's capacity that batch calls may use"},
     IntSetting<Limits>{"stall_ms", &Limits::stallMs, 100, 60000, "ms", "time without progress, beyond the expected time, after which a pipeline is replaced"},
     IntSetting<Limits>{"attempts", &Limits::attempts, 1, 20, "attempts", "maximum number of pipelines that one call is tried on"},
--- a/libs/settings/tests/ParseTests.cpp
+++ b/libs/settings/tests/ParseTests.cpp
@@ -55,6 +55,15 @@
     LONGS_EQUAL(3, problems[0].line);
 }
 
+/// Guards against a limit that is in use and that no setting reaches.
+TEST(AFolderOfSettings, setsHowLongBatchCallsWait)
+{
+    const auto parsed = settings::parseRoutingConfig({{"10.yaml", "limits: {batch_wait_ms: 90000}\n"}});
+    const auto *config = std::get_if<settings::RoutingConfig>(&parsed);
+    CHECK(config != nullptr);
+    LONGS_EQUAL(90000, config->limits.batchWaitMs);
+}
+
 TEST(AFolderOfSettings, doesNotCrashOnRandomlyDamagedText)
 {
     const std::string good =
--- a/trefoilport/include/trefoilport/Status.h
+++ b/trefoilport/include/trefoilport/Status.h
@@ -50,7 +50,7 @@
     ClaimsGivenUp,
     /// Calls refused or failed because their request had crashed too many endpoints.
     Quarantined,
-    /// Not counted at present, so always 0.
+    /// Configurations that were put in force.
     ConfigActivations,
     GossipSent,
     GossipReceived,
--- a/trefoilport/src/Kernel.cpp
+++ b/trefoilport/src/Kernel.cpp
@@ -202,6 +202,7 @@
         return;
     }
     limitsRevision = context.config.revision();
+    context.counters.add(Counter::ConfigActivations);
     const settings::Limits &limits = context.config.inForce()->limits;
     context.retries.configure(limits.retryPercent, limits.retryReserve);
     context.ledger.configure({limits.claimTimeoutMs, limits.repeatWaitMs, limits.claimRetentionMs, limits.storedAnswerBytes, limits.claimWrites});
--- a/trefoilport/tests/KernelEventTests.cpp
+++ b/trefoilport/tests/KernelEventTests.cpp
@@ -118,3 +118,21 @@
     receive(3, 1, 40);
     CHECK(!kernel.isQuarantined("x"));
 }
+
+TEST_GROUP(AConfigurationThatIsPutInForce)
+{
+    SingleKernel kernel;
+};
+
+/// Guards against a counter among the metrics that stays 0 whatever happens.
+TEST(AConfigurationThatIsPutInForce, isCounted)
+{
+    LONGS_EQUAL(1, kernel.counters().value(Counter::ConfigActivations));
+    kernel.receive(HeadReceived{kernel.now().mono, 1, SingleKernel::head()});
+    LONGS_EQUAL(1, kernel.counters().value(Counter::ConfigActivations));
+    ParsedHead next = SingleKernel::head();
+    next.epoch = 2;
+    next.accepted.document.revision = 2;
+    kernel.receive(HeadReceived{kernel.now().mono, 2, next});
+    LONGS_EQUAL(2, kernel.counters().value(Counter::ConfigActivations));
+}
