A head of the store that can't be decoded: a pause between watches, a line in the log, and trefoilctl says so

What operators saw: the daemon's own face asked the store for the head without pause (the version that it knew never became the stored one, so each watch returned at once), logged nothing, and `trefoilctl apply` and `diff` reported "the object API does not answer". The last good configuration was kept, and still is.

A watch that shows such a head pauses like a failed one (300 ms); the kernel records `head_damaged` once for each version; trefoilctl names object and version and doesn't wait for the time limit. The two kinds of events about a lease, which this kernel never recorded, are gone.

--- a/programs/trefoilctl/Apply.cpp
+++ b/programs/trefoilctl/Apply.cpp
@@ -76,8 +76,8 @@
                 if (code) {
                     return *code;
                 }
-            } else if (hasTimedOut()) {
-                return report(ExitCode::Unreachable, 0, "the object API does not answer");
+            } else if (head.isDamaged || hasTimedOut()) {
+                return report(ExitCode::Unreachable, 0, head.problem());
             }
             std::this_thread::sleep_for(PollInterval);
         }
@@ -246,7 +246,7 @@
     }
     const HeadStore::Head head = HeadStore(options.platform).read();
     if (head.status != wire::StoreStatus::Ok && head.status != wire::StoreStatus::NotFound) {
-        std::cerr << "trefoilctl: the object API does not answer\n";
+        std::cerr << "trefoilctl: " << head.problem() << "\n";
         return ExitCode::Unreachable;
     }
     const Files folder = toMap(std::get<std::vector<settings::SettingsFile>>(read));
--- a/programs/trefoilctl/ExitCode.h
+++ b/programs/trefoilctl/ExitCode.h
@@ -22,6 +22,6 @@
     {ExitCode::InvalidSettings, "the settings have problems, listed with file, line and field"},
     {ExitCode::Conflict, "another operator changed the same file, has a change pending, or replaced this change"},
     {ExitCode::Pending, "staged, but not yet accepted: every instance has to stage it first"},
-    {ExitCode::Unreachable, "the platform or the instance could not be reached"},
+    {ExitCode::Unreachable, "the platform or the instance could not be reached, or the stored configuration can't be decoded"},
     {ExitCode::Refused, "the instance refused the request (wrong operators' key or unknown name); for explain: no log line mentions the request"},
 }};
--- a/programs/trefoilctl/HeadStore.cpp
+++ b/programs/trefoilctl/HeadStore.cpp
@@ -14,6 +14,11 @@
 {
 }
 
+std::string HeadStore::Head::problem() const
+{
+    return isDamaged ? std::string(HeadKey) + ", version " + std::to_string(version) + ", can't be decoded" : "the object API does not answer";
+}
+
 HeadStore::Head HeadStore::read() const
 {
     net::EventLoop loop;
@@ -24,11 +29,12 @@
         loop.stop();
     });
     loop.run();
-    Head head{result.status, result.version, {}};
+    Head head{result.status, result.version, {}, false};
     if (result.status == wire::StoreStatus::Ok) {
         auto decoded = wire::decodeConfigHead(result.value);
         if (!base::isOk(decoded)) {
             head.status = wire::StoreStatus::Unavailable;
+            head.isDamaged = true;
             return head;
         }
         head.head = std::get<wire::ConfigHead>(std::move(decoded));
--- a/programs/trefoilctl/HeadStore.h
+++ b/programs/trefoilctl/HeadStore.h
@@ -5,6 +5,7 @@
 #include "wire/Records.h"
 
 #include <cstdint>
+#include <string>
 
 /// Blocking access to the configuration's head object through the platform's object API. The head holds the accepted configuration and, while a change is
 /// pending, the staged one.
@@ -20,6 +21,11 @@
         /// The object's version, to be given to write(); 0 if there is no object.
         std::uint64_t version = 0;
         wire::ConfigHead head;
+        /// There is an object, and it can't be decoded.
+        bool isDamaged = false;
+
+        /// Says why there is no valid head, if the status is Unavailable.
+        std::string problem() const;
     };
 
     /// Reads the head. An object that can't be decoded gives the status Unavailable.
--- a/programs/trefoilportd/PlatformDuty.cpp
+++ b/programs/trefoilportd/PlatformDuty.cpp
@@ -11,7 +11,7 @@
 constexpr std::chrono::milliseconds FlushPeriod{50};
 /// Longest time that one watch waits for a new version of the head.
 constexpr std::chrono::milliseconds WatchTimeout{1000};
-/// Pause after a failed watch.
+/// Pause after a watch that failed, or showed a head that can't be decoded.
 constexpr std::chrono::milliseconds RetryInterval{300};
 const char *const HeadKey = "config/head";
 
@@ -123,12 +123,12 @@
     });
 }
 
-void PlatformDuty::onHead(base::Instant issuedAt, const platform::ReadResult &result)
+bool PlatformDuty::onHead(base::Instant issuedAt, const platform::ReadResult &result)
 {
     const bool isAnswer = result.status == wire::StoreStatus::Ok || result.status == wire::StoreStatus::NotFound;
     if (!isAnswer) {
         rings_.fromPlatform.push(StoreFailed{});
-        return;
+        return false;
     }
     HeadReceived event{issuedAt, result.version, std::nullopt};
     if (result.status == wire::StoreStatus::Ok && result.version != headVersion_) {
@@ -136,9 +136,13 @@
         if (base::isOk(head)) {
             event.head = parseHead(base::valueOf(head));
             headVersion_ = result.version;
+        } else {
+            event.isDamaged = true;
         }
     }
+    const bool isUsable = !event.isDamaged;
     rings_.fromPlatform.push(std::move(event));
+    return isUsable;
 }
 
 void PlatformDuty::readHead()
@@ -151,9 +155,9 @@
 {
     const base::Instant issuedAt = base::readClocks().mono;
     client_.watch(HeadKey, headVersion_, WatchTimeout, [this, issuedAt](const platform::ReadResult &result) {
-        onHead(issuedAt, result);
-        const bool failed = result.status == wire::StoreStatus::Unavailable || result.status == wire::StoreStatus::Ambiguous;
-        loop_.after(failed ? RetryInterval : std::chrono::milliseconds(0), [this]() { watchHead(); });
+        // A head that can't be decoded differs from the known version, so that the next watch would return at once.
+        const bool isUsable = onHead(issuedAt, result);
+        loop_.after(isUsable ? std::chrono::milliseconds(0) : RetryInterval, [this]() { watchHead(); });
     });
 }
 
--- a/programs/trefoilportd/PlatformDuty.h
+++ b/programs/trefoilportd/PlatformDuty.h
@@ -27,8 +27,9 @@
     /// Waits for the next version of the head, reports it, and starts again.
     void watchHead();
 
-    /// Reports the result of a read or watch that was sent at `issuedAt`. The head is parsed only if its version is new.
-    void onHead(base::Instant issuedAt, const platform::ReadResult &result);
+    /// Reports the result of a read or watch that was sent at `issuedAt`. The head is parsed only if its version is new. Returns false if the read failed or
+    /// the head can't be decoded.
+    bool onHead(base::Instant issuedAt, const platform::ReadResult &result);
     /// Requests the instance list and reports it, and repeats this at the interval that the settings state.
     void pollList();
 
--- a/tests/process/configuration.sh
+++ b/tests/process/configuration.sh
@@ -51,4 +51,17 @@
 start_instance entry-d zone-a "seeds: [\"$mesh\"]"
 wait_for "\"revision\":$((before + 1))" ctl status --json --instance "${address[entry-d]}"
 set_faults '{"mode":"ok"}'
+
+# A head that can't be decoded is named as such by the instances and by trefoilctl, and the configuration in force stays.
+curl -sf "http://${address[platform]}/objects/config/head" -D "$work/head.fields" -o "$work/head.saved"
+version=$(tr -d '\r' <"$work/head.fields" | sed -n 's/^X-Version: //Ip')
+curl -sf -X PUT -H "If-Match: $version" --data-binary 'no head' "http://${address[platform]}/objects/config/head" >/dev/null
+wait_for head_damaged cat "$work/entry-a.err"
+code=0
+ctl diff "$work/left" --platform "${address[platform]}" >"$work/diff.out" 2>&1 || code=$?
+[ $code = 5 ] && grep -q "config/head, version .*, can't be decoded" "$work/diff.out" || fail "diff of a damaged head: exit code $code, $(cat "$work/diff.out")"
+code=0
+ctl apply "$work/left" --platform "${address[platform]}" >"$work/apply.out" 2>&1 || code=$?
+[ $code = 5 ] && grep -q "config/head, version .*, can't be decoded" "$work/apply.out" || fail "apply to a damaged head: exit code $code, $(cat "$work/apply.out")"
+ctl status --json --instance "${address[entry-a]}" | grep -q "\"revision\":$((before + 1))" || fail "a damaged head has changed the configuration in force"
 echo "configuration passed"
--- a/trefoilport/include/trefoilport/Event.h
+++ b/trefoilport/include/trefoilport/Event.h
@@ -91,6 +91,8 @@
     std::uint64_t version = 0;
     /// Empty if the head has not changed since the last HeadReceived or can't be decoded, or while the object does not exist.
     std::optional<ParsedHead> head;
+    /// The object can't be decoded.
+    bool isDamaged = false;
 };
 
 /// A read of the head object failed: the store can't be reached.
--- a/trefoilport/include/trefoilport/Types.h
+++ b/trefoilport/include/trefoilport/Types.h
@@ -124,14 +124,12 @@
     MemberGone,
     StoreUnreachable,
     StoreReachable,
-    /// The kernel records no event of this kind.
-    LeaseTaken,
-    /// The kernel records no event of this kind.
-    LeaseLost,
+    /// The configuration's head object in the store can't be decoded; the configuration in force stays.
+    HeadDamaged,
     Stopping,
 };
 
-inline constexpr base::EnumNames<TimelineKind, 28> TimelineKindNames = {{
+inline constexpr base::EnumNames<TimelineKind, 27> TimelineKindNames = {{
     {TimelineKind::CallArrived, "call_arrived"},
     {TimelineKind::CallAnswered, "call_answered"},
     {TimelineKind::CallFailed, "call_failed"},
@@ -157,8 +155,7 @@
     {TimelineKind::MemberGone, "member_gone"},
     {TimelineKind::StoreUnreachable, "store_unreachable"},
     {TimelineKind::StoreReachable, "store_reachable"},
-    {TimelineKind::LeaseTaken, "lease_taken"},
-    {TimelineKind::LeaseLost, "lease_lost"},
+    {TimelineKind::HeadDamaged, "head_damaged"},
     {TimelineKind::Stopping, "stopping"},
 }};
 
--- a/trefoilport/src/ConfigKeeper.cpp
+++ b/trefoilport/src/ConfigKeeper.cpp
@@ -66,6 +66,10 @@
     if (storeFirstAnsweredAt_.count() == 0) {
         storeFirstAnsweredAt_ = now.mono;
     }
+    if (seen.isDamaged && seen.version != damagedVersion_) {
+        damagedVersion_ = seen.version;
+        actions.push_back(Record{TimelineKind::HeadDamaged, 0, settings_.id, "config/head, version " + std::to_string(seen.version) + ", can't be decoded"});
+    }
     if (seen.head) {
         // A lower version or epoch comes from a stale read, which must neither revert nor confirm the head.
         if (seen.version < headVersion_ || seen.head->epoch < epoch_) {
--- a/trefoilport/src/details/ConfigKeeper.h
+++ b/trefoilport/src/details/ConfigKeeper.h
@@ -139,6 +139,8 @@
     std::uint64_t intentEpoch_ = 0;
     /// Version of the stored head object that was read last.
     std::uint64_t headVersion_ = 0;
+    /// Version of the stored head object that could not be decoded last; 0 if there was none.
+    std::uint64_t damagedVersion_ = 0;
     bool headWasRead_ = false;
     /// When the last read of the head that was not stale was sent.
     base::Instant headReadAt_{0};
--- a/trefoilport/tests/KernelEventTests.cpp
+++ b/trefoilport/tests/KernelEventTests.cpp
@@ -81,6 +81,19 @@
     CallId lastCall_ = 0;
 };
 
+/// Returns the events of that kind among the actions.
+std::vector<Record> recordsOf(const Actions &actions, TimelineKind kind)
+{
+    std::vector<Record> records;
+    for (const Action &action : actions) {
+        const auto *record = std::get_if<Record>(&action);
+        if (record != nullptr && record->kind == kind) {
+            records.push_back(*record);
+        }
+    }
+    return records;
+}
+
 } // namespace
 
 TEST_GROUP(ACrashNoticeOfAPeer)
@@ -136,3 +149,36 @@
     kernel.receive(HeadReceived{kernel.now().mono, 2, next});
     LONGS_EQUAL(2, kernel.counters().value(Counter::ConfigActivations));
 }
+
+TEST_GROUP(AHeadOfTheStoreThatCannotBeDecoded)
+{
+    SingleKernel kernel;
+
+    std::size_t reportsOf(std::uint64_t version)
+    {
+        return recordsOf(kernel.receive(HeadReceived{kernel.now().mono, version, std::nullopt, true}), TimelineKind::HeadDamaged).size();
+    }
+};
+
+/// Guards against operators who look for an outage of the store, since nothing says what is wrong.
+TEST(AHeadOfTheStoreThatCannotBeDecoded, isReportedOnceForEachVersion)
+{
+    LONGS_EQUAL(1, reportsOf(2));
+    LONGS_EQUAL(0, reportsOf(2));
+    LONGS_EQUAL(1, reportsOf(3));
+}
+
+TEST(AHeadOfTheStoreThatCannotBeDecoded, leavesTheConfigurationInForce)
+{
+    reportsOf(2);
+    kernel.receive(Tick{});
+    CompletionArrived unknown;
+    unknown.call = 1;
+    unknown.keySha256 = KeySha256;
+    unknown.request.model = "none";
+    const Actions actions = kernel.receive(unknown);
+    CHECK(std::any_of(actions.begin(), actions.end(), [](const Action &action) {
+        const auto *failure = std::get_if<AnswerFailure>(&action);
+        return failure != nullptr && failure->error.kind == base::ErrorKind::UnknownModel;
+    }));
+}
