FairQueue: flows are found by an index of their tags instead of a search

Each call that was served searched all flows, each look for expired calls too (50 a second), and so did the removal of a call. At the target there are 5,100 teams and 27 models. Flows are indexed by model and start tag now, calls by deadline and id; among equal tags the order is that of before. What is estimated for a new call still adds up the flows of its model.

No test fails on the code before, since it differs in cost only.

--- a/trefoilport/src/details/FairQueue.h
+++ b/trefoilport/src/details/FairQueue.h
@@ -5,13 +5,17 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace trefoilport {
 
 /// A call that waits in the queue for a pipeline.
 struct QueuedCall {
+    /// Differs from those of all other queued calls.
     CallId call = 0;
     std::string team;
     std::string model;
@@ -48,7 +52,7 @@
     /// Number of queued calls.
     std::size_t size() const
     {
-        return size_;
+        return flowOf_.size();
     }
 
     /// Number of queued calls of a model.
@@ -71,18 +75,42 @@
         std::uint64_t work = 0;
     };
     using FlowKey = std::tuple<std::string, settings::CallClass, std::string>;
+    using Flows = std::map<FlowKey, Flow>;
+    /// A flow in an index that is ordered by one of its tags, and among equal tags by its key.
+    using TaggedFlow = std::pair<double, Flows::value_type *>;
+    struct TagOrder {
+        bool operator()(const TaggedFlow &left, const TaggedFlow &right) const
+        {
+            return left.first != right.first ? left.first < right.first : left.second->first < right.second->first;
+        }
+    };
+    using TagIndex = std::set<TaggedFlow, TagOrder>;
 
     /// Computes the tags of the flow's first call; does nothing if the flow is empty.
     static void assignTags(Flow &flow, double virtualTime);
     /// Computes the finish tag of the flow's first call anew from its start tag, also after the first call has changed.
     static void updateFinishTag(Flow &flow);
+    /// Enters a flow into the index that it belongs to, or removes it. Between the two its tags and calls may change.
+    void addToIndex(Flows::value_type &flow);
+    void removeFromIndex(Flows::value_type &flow);
+    /// Returns the flow with the lowest start tag whose model isn't blocked; null if there is none.
+    Flows::value_type *nextFlow(const std::set<std::string> &blockedModels) const;
+    /// Takes a call out of the queue unserved; none if it isn't queued.
+    std::optional<QueuedCall> take(CallId call);
     /// Erases empty flows whose tags no longer matter, and resets the virtual time when the queue is empty.
     void dropIdleFlows();
 
-    std::map<FlowKey, Flow> flows_;
+    Flows flows_;
+    /// The flows with calls by the start tag of their first call, for each model that has any.
+    std::map<std::string, TagIndex> waiting_;
+    /// The flows without calls by their finish tag.
+    TagIndex idle_;
+    /// The flow of each queued call.
+    std::unordered_map<CallId, Flows::value_type *> flowOf_;
+    /// The queued calls by deadline.
+    std::set<std::pair<base::Instant, CallId>> deadlines_;
     /// The highest start tag of the calls served since the queue was last empty.
     double virtualTime_ = 0;
-    std::size_t size_ = 0;
 };
 
 } // namespace trefoilport
