TestFleet: a broken service call is reported only to the process that made it

The failure took the instance's incarnation at the moment of the break, so that a restarted instance, which numbers its attempts anew, could get the failure of an attempt of the process before.

--- a/trefoilport/tests/TestFleetActions.cpp
+++ b/trefoilport/tests/TestFleetActions.cpp
@@ -100,6 +100,10 @@
             if (sharedState.answers[call].error && base::errorAnswer(sharedState.answers[call].error->kind).ran == base::HasRun::No) {
                 sharedState.violations.push_back("call " + std::to_string(call) + " ran after it was reported as not run");
             }
+            // A restarted instance numbers its attempts anew.
+            if (sharedState.instances[index].incarnation != incarnation) {
+                return;
+            }
             if (brokenAfter) {
                 sharedState.failAttempt(index, attempt, AttemptFailure::Broken, "", 2);
                 return;
