--- a/trefoilport/src/details/Quarantine.h
+++ b/trefoilport/src/details/Quarantine.h
@@ -2,10 +2,10 @@
 
 #include "trefoilport/Action.h"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -33,7 +33,10 @@
         std::uint64_t incarnation = 0;
         std::uint64_t stamp = 0;
 
-        auto operator<=>(const SentAt &) const = default;
+        friend bool operator<(const SentAt &left, const SentAt &right)
+        {
+            return std::tie(left.incarnation, left.stamp) < std::tie(right.incarnation, right.stamp);
+        }
     };
 
     /// Replaces a peer's crash report by one that the peer has sent later. Reports of this instance's own are ignored.
