--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -141,8 +141,11 @@
     {
         exited = true;
     }
-    void record(const relay::Decision &) override
+    void record(const relay::Decision &decision) override
     {
+        if (keepsDecisions) {
+            decisions.push_back(decision);
+        }
     }
 
     /// Whether the kernel cancelled that attempt.
@@ -151,6 +154,9 @@
         return std::find(cancelled.begin(), cancelled.end(), attempt) != cancelled.end();
     }
 
+    /// The log lines, if they are kept: those of long runs would take much memory.
+    bool keepsDecisions = false;
+    std::vector<relay::Decision> decisions;
     /// What unfinishedExchanges() returns.
     std::size_t unfinished = 0;
     std::vector<relay::Dispatch> sent;
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -36,6 +36,16 @@
     /// Returns the same for requests from other instances; port 0 if none are taken.
     net::Address handOversAddress() const;
 
+    /// Returns the address on which operators' requests are answered, and the one on which messages from other instances are received.
+    net::Address operatorsAddress() const
+    {
+        return metricsServer_->address();
+    }
+    const std::string &meshAddress() const
+    {
+        return mesh_.address();
+    }
+
     void send(relay::Dispatch dispatch) override;
     void handOver(relay::HandOver order) override;
     void cancel(relay::AttemptId attempt) override;
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -123,6 +123,7 @@
 relay prompt-parts-are-no-suspects Admission.cpp 's/^    signatures.insert(.*;/    (void)0;/'
 relay refutations-stay-here Digests.cpp 's/^        digest.crashRefutations = news.refutations;/        (void)0;/'
 relay refutations-are-not-taken CrashChecks.cpp 's/if (crashGuard.onRefutation(refutation, now)) {/if (false) {/'
+relay refutations-are-taken-silently CrashChecks.cpp 's/"crash_refutation_taken"/"refutation"/'
 relay convictions-are-told-once CrashGuard.cpp 's/if (now >= convictionsToldAt_ + RepeatPeriod) {/if (false) {/'
 relay crash-news-end-at-aggregators CrashChecks.cpp 's/^        crashGuard.addNews(fresh);/        (void)0;/'
 relay nothing-is-probed CrashGuard.cpp 's/return place < share;/return false;/'
