--- a/libs/placement/include/placement/EngineProfile.h
+++ b/libs/placement/include/placement/EngineProfile.h
@@ -52,8 +52,6 @@
     double loadSeconds = 0;
     /// Number of endpoints that can load at the same time at full speed.
     std::uint32_t maxConcurrentLoads = 1;
-    /// Delay of the engines' reports. No prediction in this library uses it.
-    double reportLagMs = 0;
     /// Lengths of a typical prompt and of a typical answer.
     double typicalPromptTokens = 1;
     double typicalAnswerTokens = 1;
--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -62,7 +62,6 @@
     call->deadline = call->callerDeadline;
     if (route.timeout.count() > 0 && now + route.timeout < call->deadline) {
         call->deadline = now + route.timeout;
-        call->routeTimeoutIsEarlier = true;
     }
     call->promptTokens = arrival.promptTokens;
     call->answerTokens = arrival.answerTokens > 0 ? arrival.answerTokens : AssumedAnswerTokens;
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -93,8 +93,6 @@
     Instant arrivedAt{0};
     /// The earlier of the deadlines that follow from the route's timeout and from the caller's time limit.
     Instant deadline{0};
-    /// The deadline follows from the route's timeout.
-    bool routeTimeoutIsEarlier = false;
     /// The time until which the caller waits; never before `deadline`.
     Instant callerDeadline{0};
     std::uint32_t promptTokens = 0;
