--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -20,8 +20,8 @@
 class RelayHost : public relay::RelayDriver
 {
 public:
-    /// Binds the listening addresses; throws std::runtime_error if one of them can't be bound. `settings` are the ones parsed from the file at
-    /// `settingsPath`, which is read again when it changes. `dialect` must outlive the host.
+    /// Binds the listening addresses; throws base::ListenError, which names the use of the address, if one of them can't be bound. `settings` are the ones
+    /// parsed from the file at `settingsPath`, which is read again when it changes. `dialect` must outlive the host.
     RelayHost(const Dialect &dialect, const StoreFactory &makeStore, HostSettings settings, std::string settingsPath);
 
     /// Registers the instance in the store and serves until the kernel calls exit().
@@ -36,6 +36,16 @@
     /// Returns the same for requests from other instances; port 0 if none are taken.
     net::Address handOversAddress() const;
 
+    /// Returns the address on which operators' requests are answered, and the one on which messages from other instances are received.
+    net::Address operatorsAddress() const
+    {
+        return metricsServer_->address();
+    }
+    const std::string &meshAddress() const
+    {
+        return mesh_.address();
+    }
+
     void send(relay::Dispatch dispatch) override;
     void handOver(relay::HandOver order) override;
     void cancel(relay::AttemptId attempt) override;
@@ -167,6 +177,9 @@
         };
     }
     net::HttpServer::Handlers callerHandlers(Origin origin);
+    /// Starts a server; a base::ListenError that this throws names the setting of the address.
+    std::unique_ptr<net::HttpServer>
+    listen(const std::string &setting, const net::Address &address, const net::ServerLimits &limits, net::HttpServer::Handlers handlers);
     /// Handlers of the readiness or metrics server that `server` will hold.
     net::HttpServer::Handlers operatorHandlers(std::unique_ptr<net::HttpServer> &server);
 
@@ -210,7 +223,7 @@
 };
 
 /// Runs an instance from its settings file until it is stopped, and returns the exit code of the process: 0 after a regular stop, 2 for invalid
-/// settings, 3 if an address can't be bound or another exception occurs. Stops on SIGTERM and SIGINT, and reads the settings file again on
+/// settings, 4 if an address can't be bound, 3 if another exception occurs. Stops on SIGTERM and SIGINT, and reads the settings file again on
 /// SIGHUP.
 int runInstance(const Dialect &dialect, const StoreFactory &makeStore, const std::string &settingsPath);
 
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -1,5 +1,6 @@
 #include "relayhost/RelayHost.h"
 
+#include "base/ListenError.h"
 #include "base/Time.h"
 
 #include <algorithm>
@@ -39,8 +40,10 @@
 /// The process ends when its periodic work fails this many times in a row: it can't even stop in a planned way any more.
 constexpr int MaxFailedTicks = 40;
 constexpr int InvalidSettingsExitCode = 2;
-/// An exception ended the process, for instance because an address could not be bound.
+/// An exception ended the process.
 constexpr int FatalErrorExitCode = 3;
+/// An address can't be listened on.
+constexpr int ListenFailedExitCode = 4;
 
 // Set by the signal handlers, polled by RelayHost::tick().
 std::atomic<bool> stopRequested{false};
@@ -103,17 +106,23 @@
     , endpointClient_(loop_)
     , kernel_(settings_.relay, *this)
     , store_(loop_, makeStore(loop_, settings_.store), storeHandlers())
-    , mesh_(net::toString(settings_.mesh), {}, MeshRingItems, [this](const std::string &bytes) { onMeshMessage(bytes); })
-    , callerServer_(std::make_unique<net::HttpServer>(loop_, settings_.callers, serverLimits({}), callerHandlers(Origin::Caller)))
-    , handOverServer_(settings_.handOvers.host.empty()
-                          ? nullptr
-                          : std::make_unique<net::HttpServer>(loop_, settings_.handOvers, handOverLimits({}), callerHandlers(Origin::Instance)))
-    , readinessServer_(
-          std::make_unique<net::HttpServer>(loop_, settings_.readiness, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(readinessServer_)))
-    , metricsServer_(std::make_unique<net::HttpServer>(loop_, settings_.metrics, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(metricsServer_)))
+    , mesh_(base::listenBySetting(
+          "mesh",
+          [this]() { return mesh::Mesh(net::toString(settings_.mesh), {}, MeshRingItems, [this](const std::string &bytes) { onMeshMessage(bytes); }); }))
+    , callerServer_(listen("callers", settings_.callers, serverLimits({}), callerHandlers(Origin::Caller)))
+    , handOverServer_(settings_.handOvers.host.empty() ? nullptr
+                                                       : listen("hand-overs", settings_.handOvers, handOverLimits({}), callerHandlers(Origin::Instance)))
+    , readinessServer_(listen("readiness", settings_.readiness, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(readinessServer_)))
+    , metricsServer_(listen("metrics", settings_.metrics, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(metricsServer_)))
 {
 }
 
+std::unique_ptr<net::HttpServer>
+RelayHost::listen(const std::string &setting, const net::Address &address, const net::ServerLimits &limits, net::HttpServer::Handlers handlers)
+{
+    return base::listenBySetting(setting, [&]() { return std::make_unique<net::HttpServer>(loop_, address, limits, std::move(handlers)); });
+}
+
 StoreHandlers RelayHost::storeHandlers()
 {
     StoreHandlers handlers;
@@ -289,6 +298,10 @@
     std::signal(SIGTERM, [](int) { stopRequested = true; });
     std::signal(SIGINT, [](int) { stopRequested = true; });
     std::signal(SIGHUP, [](int) { reloadRequested = true; });
+    if (!std::ifstream(settingsPath)) {
+        std::cerr << "trefoilportd: can't read the settings file '" << settingsPath << "'\n";
+        return InvalidSettingsExitCode;
+    }
     auto parsed = dialect.parseSettings(readFile(settingsPath));
     if (!base::isOk(parsed)) {
         std::cerr << "trefoilportd: " << settingsPath << ": " << base::errorOf(parsed).detail << "\n";
@@ -299,14 +312,23 @@
     settings.relay.seed = std::hash<std::string>{}(settings.relay.instance);
     record::setUpJsonLog(settings.node, settings.zone);
     int code = 0;
+    std::string failure;
     try {
         RelayHost host(dialect, makeStore, std::move(settings), settingsPath);
         host.run();
+    } catch (const base::ListenError &error) {
+        record::DecisionLog().write({"listen_failed", "", error.address(), error.detail()}, now());
+        failure = error.what();
+        code = ListenFailedExitCode;
     } catch (const std::exception &error) {
-        std::cerr << "trefoilportd: " << error.what() << "\n";
+        failure = error.what();
         code = FatalErrorExitCode;
     }
     record::shutDownJsonLog();
+    // The thread of the log may write until here.
+    if (!failure.empty()) {
+        std::cerr << "trefoilportd: " << failure << "\n";
+    }
     return code;
 }
 
