Upgrades: fleets of two builds in virtual time

InstanceFleet and VirtualFleet have processes of an earlier landing: what they send and receive passes its recorded schema, so that fields it doesn't have are gone in both directions; they state no address for hand-overs, aren't told those of others, and keep and read no quarantines. Instances are replaced by the other build, forward and back.

The kernel is today's in both halves: what an earlier build decides otherwise isn't shown here, but by the soak with its program.

--- a/libs/relay/tests/InstanceFleet.cpp
+++ b/libs/relay/tests/InstanceFleet.cpp
@@ -29,7 +29,8 @@
 
 } // namespace
 
-InstanceFleet::InstanceFleet(std::size_t instanceCount)
+InstanceFleet::InstanceFleet(std::size_t instanceCount, LandingOf landingOf)
+    : landingOf_(std::move(landingOf))
 {
     for (int i = 0; i < HoldersPerHalf; ++i) {
         endpoints.push_back({RelayTestBed::engineEntry("low-" + std::to_string(i), "zone-a", {0, RelayTestBed::HalfLayers})});
@@ -43,14 +44,21 @@
 std::size_t InstanceFleet::addInstance()
 {
     instances.push_back(std::make_unique<Instance>());
+    instances.back()->landing = landingOf_(instances.size() - 1);
     join(*instances.back(), instances.size() - 1);
     return instances.size() - 1;
 }
 
 void InstanceFleet::restart(std::size_t instance)
+{
+    replace(instance, landingOf_(instance));
+}
+
+void InstanceFleet::replace(std::size_t instance, const OlderSchema *landing)
 {
     std::erase_if(runs_, [&](const Run &run) { return run.instance == instance; });
     instances[instance] = std::make_unique<Instance>();
+    instances[instance]->landing = landing;
     join(*instances[instance], instance);
 }
 
@@ -66,24 +74,43 @@
     settings.node = nameOf(number);
     settings.instance = nameOf(number) + "/" + std::to_string(++storeRevision_);
     settings.meshAddress = addressOf(number);
-    settings.handOverAddress = handOverAddressOf(number);
+    settings.handOverAddress = handsOver(instance) ? handOverAddressOf(number) : "";
     numberOfAddress_[settings.meshAddress] = number;
-    numberOfAddress_[settings.handOverAddress] = number;
+    numberOfAddress_[handOverAddressOf(number)] = number;
     settings.seed = number + 1;
     instance.kernel = std::make_unique<RelayKernel>(settings, instance.driver);
     instance.kernel->onConfig(now, now, RelayTestBed::config(1));
     instance.kernel->onEndpoints(now, listedEntries(), {0, ++storeRevision_});
-    std::vector<InstanceEntry> entries;
-    for (std::size_t i = 0; i < instances.size(); ++i) {
-        entries.push_back({nameOf(i), addressOf(i), "zone-a", handOverAddressOf(i)});
-    }
     for (const auto &each : instances) {
         if (each->kernel) {
-            each->kernel->onInstances(now, entries);
+            tellInstances(*each);
         }
     }
 }
 
+void InstanceFleet::tellInstances(Instance &instance)
+{
+    std::vector<InstanceEntry> entries;
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+        const bool isStated = handsOver(*instances[i]) && handsOver(instance);
+        entries.push_back({nameOf(i), addressOf(i), "zone-a", isStated ? handOverAddressOf(i) : ""});
+    }
+    instance.kernel->onInstances(now, entries);
+}
+
+bool InstanceFleet::handsOver(const Instance &instance)
+{
+    return instance.landing == nullptr || instance.landing->handsOver();
+}
+
+wire::RelayMessage InstanceFleet::received(const wire::RelayMessage &message, const Instance &sender, const Instance &receiver)
+{
+    std::string bytes = wire::encode(message);
+    bytes = sender.landing != nullptr ? sender.landing->known(bytes) : bytes;
+    bytes = receiver.landing != nullptr ? receiver.landing->known(bytes) : bytes;
+    return base::valueOf(wire::decodeRelayMessage(bytes));
+}
+
 std::vector<EndpointEntry> InstanceFleet::listedEntries() const
 {
     std::vector<EndpointEntry> entries;
@@ -160,6 +187,9 @@
 void InstanceFleet::serveQuarantines()
 {
     for (const auto &instance : instances) {
+        if (!handsOver(*instance)) {
+            continue;
+        }
         for (; instance->processedQuarantineWrites < instance->driver.quarantineWrites.size(); ++instance->processedQuarantineWrites) {
             const QuarantineRecord &record = instance->driver.quarantineWrites[instance->processedQuarantineWrites];
             quarantines_[record.signature] = {now, record};
@@ -189,7 +219,9 @@
         for (; sender.processedHandOvers < sender.driver.handOvers.size(); ++sender.processedHandOvers) {
             const HandOver order = sender.driver.handOvers[sender.processedHandOvers];
             const std::size_t to = numberOfAddress_.at(order.address);
-            if (instances[to]->isDown || instances[to]->isCutOff || sender.isCutOff) {
+            const bool isListening = !instances[to]->isDown && handsOver(*instances[to]);
+            misdirectedHandOvers += handsOver(*instances[to]) ? 0 : 1;
+            if (!isListening || instances[to]->isCutOff || sender.isCutOff) {
                 sender.kernel->onFailure(now, order.attempt, AttemptFailure::NotSent);
                 continue;
             }
@@ -232,11 +264,17 @@
     for (std::size_t from = 0; from < instances.size(); ++from) {
         Instance &sender = *instances[from];
         for (; sender.deliveredDigests < sender.driver.digests.size(); ++sender.deliveredDigests) {
-            const auto message = wire::decodeRelayMessage(wire::encode(sender.driver.digests[sender.deliveredDigests]));
+            // By the receiver's landing, since decoding is what takes most of the time.
+            std::map<const OlderSchema *, wire::RelayMessage> messages;
             for (const std::string &receiver : sender.driver.digestReceivers[sender.deliveredDigests]) {
                 const std::size_t to = numberOfAddress_.at(receiver);
-                if (!sender.isCutOff && !instances[to]->isCutOff && !instances[to]->isDown) {
-                    instances[to]->kernel->onPeerMessage(now, std::get<wire::RelayMessage>(message));
+                Instance &target = *instances[to];
+                if (!sender.isCutOff && !target.isCutOff && !target.isDown) {
+                    auto message = messages.find(target.landing);
+                    if (message == messages.end()) {
+                        message = messages.emplace(target.landing, received(sender.driver.digests[sender.deliveredDigests], sender, target)).first;
+                    }
+                    target.kernel->onPeerMessage(now, message->second);
                 }
             }
         }
--- a/libs/relay/tests/InstanceFleet.h
+++ b/libs/relay/tests/InstanceFleet.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "FakeDriver.h"
+#include "OlderSchema.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -48,6 +50,8 @@
         relay::Instant firstEventAt{0};
     };
     struct Instance {
+        /// The landing that the instance is of, as far as messages, stored records and hand-overs go; null for today's. Set by the fleet.
+        const OlderSchema *landing = nullptr;
         FakeDriver driver;
         std::unique_ptr<relay::RelayKernel> kernel;
         /// Digests and dispatches of the driver that have been processed.
@@ -70,12 +74,18 @@
         bool isDown = false;
     };
 
-    explicit InstanceFleet(std::size_t instanceCount);
+    /// Decides of which landing a new process of an instance is; null for today's.
+    using LandingOf = std::function<const OlderSchema *(std::size_t instance)>;
+
+    explicit InstanceFleet(
+        std::size_t instanceCount, LandingOf landingOf = [](std::size_t) { return nullptr; });
 
     /// Starts another instance, which knows nothing yet, and returns its number.
     std::size_t addInstance();
-    /// Replaces an instance by a new process of the same name.
+    /// Replaces an instance by a new process of the same name, and of the landing that the fleet was given for it.
     void restart(std::size_t instance);
+    /// Replaces an instance by a new process of that landing.
+    void replace(std::size_t instance, const OlderSchema *landing);
     /// Ends the process of an instance, with its open requests.
     void takeDown(std::size_t instance);
     /// Sends a request through an instance. Its prompt begins with the common part, then the other one if it isn't 0, then the last one, by which the
@@ -130,6 +140,8 @@
     std::vector<std::unique_ptr<Instance>> instances;
     /// The fatal part crashes an endpoint in one of this many runs.
     int runsPerCrash = 1;
+    /// Requests that were handed over to an instance of a landing that takes none.
+    int misdirectedHandOvers = 0;
 
 private:
     /// An event of the history, with the last part of its request.
@@ -150,6 +162,12 @@
 
     void step();
     void join(Instance &instance, std::size_t number);
+    /// Gives an instance the list of instances, as its landing reads it.
+    void tellInstances(Instance &instance);
+    /// Returns a message as it arrives at an instance from another one, each of its own landing.
+    static wire::RelayMessage received(const wire::RelayMessage &message, const Instance &sender, const Instance &receiver);
+    /// Returns whether a process of that landing takes requests from others and keeps quarantines.
+    static bool handsOver(const Instance &instance);
     Endpoint &endpointOf(const std::string &id);
     void deliverDigests();
     void processDispatches();
@@ -168,6 +186,7 @@
     void crash(Endpoint &endpoint);
     std::vector<relay::EndpointEntry> listedEntries() const;
 
+    LandingOf landingOf_;
     std::vector<Run> runs_;
     std::map<std::pair<std::size_t, relay::CallId>, std::uint64_t> lastPartOfCall_;
     std::map<std::pair<std::size_t, relay::CallId>, Asked> asked_;
--- a/libs/relay/tests/VirtualFleet.cpp
+++ b/libs/relay/tests/VirtualFleet.cpp
@@ -76,6 +76,9 @@
         sendCall();
         scheduleFaults();
     });
+    if (older_ != nullptr) {
+        time_.after(FaultFreeStart, [this]() { replaceInstances(0); });
+    }
     time_.after(FaultFreeStart + FaultPeriod, [this]() { endFaults(); });
     time_.runUntil(recoveryDeadline_ + FinalCallPeriod + FinalAnswerPeriod);
     checkEnd();
@@ -185,6 +188,20 @@
     }
 }
 
+void VirtualFleet::replaceInstances(std::size_t index)
+{
+    constexpr Ms ReplacePeriod{1500};
+    if (time_.now() > recoveryDeadline_ - RecoveryPeriod) {
+        return;
+    }
+    if (instances_[index]->alive && !instances_[index]->stopping) {
+        ++totals_.replacements;
+        instances_[index]->stopping = true;
+        instances_[index]->kernel->onStop(time_.now());
+    }
+    time_.after(ReplacePeriod, [this, index]() { replaceInstances((index + 1) % instances_.size()); });
+}
+
 void VirtualFleet::pauseEngines()
 {
     constexpr int EnginesAtOnce = 3;
--- a/libs/relay/tests/VirtualFleet.h
+++ b/libs/relay/tests/VirtualFleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "OlderSchema.h"
 #include "VirtualTime.h"
 
 #include <deque>
@@ -27,6 +28,12 @@
     {
         pausesEnginesOnly_ = true;
     }
+    /// Makes half of the instances speak as that landing, and replaces one after the other by the other build, forward and back, for as long as there are
+    /// faults. An instance that restarts after a fault changes its build, too. The landing must outlive the fleet.
+    void mixWith(const OlderSchema &landing)
+    {
+        older_ = &landing;
+    }
     ~VirtualFleet();
     VirtualFleet(const VirtualFleet &) = delete;
     VirtualFleet &operator=(const VirtualFleet &) = delete;
@@ -55,6 +62,10 @@
         /// Detour orders that were sent to a first stage.
         int detours = 0;
         int resumed = 0;
+        /// Planned replacements of instances by the other build, and how often each build has taken the planner's lease.
+        int replacements = 0;
+        int leasesOfOlder = 0;
+        int leasesOfToday = 0;
         /// Calls made after the recovery deadline.
         int callsAfterRecovery = 0;
         /// Calls made after the recovery deadline that were served.
@@ -211,6 +222,10 @@
     void killInstance(std::size_t index);
     /// Suspends an instance: its tasks wait until it wakes.
     void freezeInstance(std::size_t index, relay::Ms duration);
+    /// Stops an instance as planned, starts it again when it has exited, and goes on with the next one after a while.
+    void replaceInstances(std::size_t index);
+    /// Returns whether the present process of an instance speaks as the earlier landing.
+    bool isOlder(const Instance &instance, std::size_t index) const;
     /// Runs the task in the instance, after the end of its freeze if it is frozen. The task is dropped if that generation of the instance has ended.
     void runInInstance(std::size_t index, std::uint64_t generation, std::function<void()> task);
     void tickInstance(std::size_t index, std::uint64_t generation);
@@ -284,6 +299,8 @@
     /// Kills of instances are not recorded here.
     std::map<std::string, relay::Instant> lastFaultAt_;
     bool pausesEnginesOnly_ = false;
+    /// The landing that half of the instances speak as; null if all are of today's.
+    const OlderSchema *older_ = nullptr;
     /// Time of revocation, by key.
     std::map<std::string, relay::Instant> revokedKeys_;
     std::vector<std::unique_ptr<Caller>> callers_;
--- a/libs/relay/tests/VirtualInstance.cpp
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -36,6 +36,7 @@
     settings.seed = random_();
     instance.kernel = std::make_unique<relay::RelayKernel>(settings, *instance.driver);
     instance.alive = true;
+    ++instance.starts;
     instance.ready = false;
     instance.stopping = false;
     instance.followsStore = false;
@@ -69,6 +70,11 @@
     std::erase_if(openCallers_, [&](const auto &entry) { return entry.first.first == index; });
 }
 
+bool VirtualFleet::isOlder(const Instance &instance, std::size_t index) const
+{
+    return older_ != nullptr && (index + instance.starts) % 2 == 0;
+}
+
 void VirtualFleet::freezeInstance(std::size_t index, Ms duration)
 {
     Instance &instance = *instances_[index];
@@ -367,8 +373,9 @@
 
 void VirtualFleet::Driver::sendMessage(const std::string &address, const wire::RelayMessage &message)
 {
-    // Encoded and decoded, so that only what the protocol carries reaches the receiver.
-    const std::string bytes = wire::encode(message);
+    // Encoded and decoded, so that only what the protocol carries reaches the receiver, and of that only what both builds know.
+    const std::string encoded = wire::encode(message);
+    const std::string bytes = fleet_.isOlder(self(), index_) ? fleet_.older_->known(encoded) : encoded;
     const std::string from = self().node;
     for (std::size_t other = 0; other < fleet_.instances_.size(); ++other) {
         const Instance &receiver = *fleet_.instances_[other];
@@ -381,7 +388,8 @@
                 return;
             }
             fleet_.runInInstance(other, generation, [this, other, bytes]() {
-                const auto decoded = wire::decodeRelayMessage(bytes);
+                const bool isOlder = fleet_.isOlder(*fleet_.instances_[other], other);
+                const auto decoded = wire::decodeRelayMessage(isOlder ? fleet_.older_->known(bytes) : bytes);
                 fleet_.instances_[other]->kernel->onPeerMessage(fleet_.time_.now(), base::valueOf(decoded));
             });
         });
@@ -459,11 +467,21 @@
 
 void VirtualFleet::Driver::exit()
 {
+    constexpr Ms StartDelay{300};
+    if (!self().stopping) {
+        return;
+    }
+    // Not from within the kernel that exits.
+    fleet_.time_.after(Ms(0), [this]() { fleet_.killInstance(index_); });
+    fleet_.time_.after(StartDelay, [this]() { fleet_.startInstance(index_); });
 }
 
 void VirtualFleet::Driver::record(const relay::Decision &decision)
 {
     static const bool isTraced = std::getenv("TREFOIL_TRACE") != nullptr;
+    if (decision.event == "lease_taken") {
+        ++(fleet_.isOlder(self(), index_) ? fleet_.totals_.leasesOfOlder : fleet_.totals_.leasesOfToday);
+    }
     if (isTraced) {
         std::cout << fleet_.time_.now() / Ms(1) << " ms  " << self().node << "  " << decision.event << "  " << decision.requestId << "  " << decision.subject
                   << "  " << decision.detail << "\n";
--- a/libs/relay/tests/VirtualInstance.h
+++ b/libs/relay/tests/VirtualInstance.h
@@ -18,6 +18,8 @@
     /// No read of the configuration, or of the endpoint list, is under way or scheduled.
     bool configReadsPaused = false;
     bool endpointReadsPaused = true;
+    /// Number of starts.
+    std::size_t starts = 0;
     relay::Instant startedAt{0};
     relay::Instant frozenUntil{0};
     /// Time of the latest start, or end of the latest freeze.
