Hand-overs: an instance that was rolled back gets no requests from the moment its digests say so (upgrades)

What callers saw: while an instance reaches no endpoint, their requests went to instances that had just been rolled back to a version that takes none, as long as the list of instances had not been read again; each such try costs a refused connection, and after three a request is rejected.

Cause: HandOverPeers took an address from a digest, but kept it when the process under that name stated its mesh address without one. The list of instances alone ended it.

Ruled out: digests without any address (three of four) say nothing of it, and must not clear it.

--- a/libs/relay/src/HandOverPeers.cpp
+++ b/libs/relay/src/HandOverPeers.cpp
@@ -50,6 +50,9 @@
     }
     const auto found = peers_.find(digest.instance);
     if (found != peers_.end()) {
+        if (!digest.meshAddress.empty() && digest.handOverAddress.empty()) {
+            found->second.address.clear(); // Its process is now of a version that takes none; the list of instances may be older.
+        }
         found->second.heardAt = now;
         found->second.isUnfit = digest.leaving || digest.reachesNoEndpoint;
     }
--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -256,3 +256,17 @@
         STRCMP_EQUAL("three", lastHandOver().instance.c_str());
     }
 }
+
+/// Guards against requests being handed over to an instance that has been rolled back to a version that takes none, until the list of instances is read again.
+TEST(ARequestThatIsHandedOver, isNotSentToAnInstanceThatHasBeenRolledBack)
+{
+    wire::RelayDigest digest;
+    digest.instance = "two";
+    digest.meshAddress = "two:1";
+    digest.zone = "zone-a";
+    bed.kernel.onPeerMessage(bed.now, digest);
+    for (int i = 0; i < 20; ++i) {
+        bed.call("/book/x");
+        STRCMP_EQUAL("three", lastHandOver().instance.c_str());
+    }
+}
