Crash evidence: reports of senders that state no inference are verified like inferred ones (upgrades)

What callers saw: in a fleet of two builds, sound requests rejected by upgraded instances (422, or 503 for a shared prompt part), while an instance of a landing before is cut off from endpoints: it infers from their silence that they have crashed, and says so like of a crash that is certain.

Cause: a digest without strike_inference was read as inference 0, 'certain', so that nobody looked whether the endpoint lives.

Change: absent inferences are read as UnstatedInference. Such a report counts once the list or this instance itself shows a sign of the crash; an answer of the endpoint refutes it, but only after the time in which a restart shows in the list (2.7 s), since behind it may be a restart that the sender has seen and this instance has not; without an answer it counts 0.5 s after that.

Evidence: AnInstanceThatHearsOfCrashesFromAnEarlierLanding, rejectsNoRequestIfTheEndpointsLive failed before (expected 1, but was 0). All tests of crash evidence pass.

Not mended: a refutation without inference is taken for all inferences of the crash, also by an instance that wrongly inferred it; a true crash of the same process later counts one less. Taking it for less would lose the acquittals of sound requests.

--- a/libs/relay/src/CrashGuard.cpp
+++ b/libs/relay/src/CrashGuard.cpp
@@ -234,14 +234,16 @@
     std::erase_if(unverifiedReports_, [&](const UnverifiedReport &report) {
         const EndpointState &state = endpoints_.at(report.endpoint);
         const bool isSameIncarnation = crashOf(state.entry.id, state.entry.incarnation) == report.suspicion.crash;
-        if (isSameIncarnation && state.answeredAt > report.receivedAt) {
+        // Behind an unstated inference may be a restart that the list doesn't show yet, and an answer doesn't name the incarnation that gave it.
+        const Ms lag = report.suspicion.inference == wire::UnstatedInference ? MaxListLag : Ms{0};
+        if (isSameIncarnation && state.answeredAt > report.receivedAt && now >= report.receivedAt + lag) {
             const wire::CrashRefutation refutation{report.signature, report.suspicion.crash, report.suspicion.inference};
             evidence_.refute(refutation, now);
             news_.refutations.push_back(refutation);
             return true;
         }
         const bool isConfirmed = !isSameIncarnation || !state.listed || state.foundGoneAt >= report.receivedAt || state.silentCheckAt.count() != 0;
-        if (!isConfirmed && now < report.receivedAt + VerifyTimeout) {
+        if (!isConfirmed && now < report.receivedAt + lag + VerifyTimeout) {
             return false;
         }
         suspect(report.signature, report.suspicion, now);
--- a/libs/relay/tests/UpgradeTests.cpp
+++ b/libs/relay/tests/UpgradeTests.cpp
@@ -1,5 +1,6 @@
 #include "InstanceFleet.h"
 #include "VirtualFleet.h"
+#include "base/Hash.h"
 
 #include <cstdlib>
 
@@ -245,3 +246,64 @@
     CHECK(sum.leasesOfOlder > 0);
     CHECK(sum.leasesOfToday > 0);
 }
+
+/// An instance of today hears of crashes from one of an earlier landing, which infers them from what endpoints don't do and doesn't say so.
+TEST_GROUP(AnInstanceThatHearsOfCrashesFromAnEarlierLanding)
+{
+    static constexpr std::uint64_t Fingerprint = 777;
+    /// Time in which a restart of an endpoint shows in the list.
+    static constexpr Ms ListLag{2700};
+
+    RelayTestBed bed;
+
+    void hearOfCrashes()
+    {
+        wire::RelayDigest digest;
+        digest.instance = "two";
+        for (const char *desk : {"desk-a", "desk-b", "desk-c"}) {
+            digest.crashReports.push_back({Fingerprint, base::mixBits(base::hashOf(desk) ^ 1), Ms(0)});
+        }
+        const std::string bytes = withoutHandOvers().known(wire::encode(digest));
+        bed.kernel.onPeerMessage(bed.now, base::valueOf(wire::decodeRelayMessage(bytes)));
+    }
+
+    std::size_t sentNow()
+    {
+        const std::size_t before = bed.driver.sent.size();
+        bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
+        return bed.driver.sent.size() - before;
+    }
+};
+
+/// Guards against sound requests being rejected everywhere because an instance that has not been upgraded yet has lost its way to the endpoints.
+TEST(AnInstanceThatHearsOfCrashesFromAnEarlierLanding, rejectsNoRequestIfTheEndpointsLive)
+{
+    for (int i = 0; i < 3; ++i) {
+        hearOfCrashes();
+        bed.advance(Ms(200));
+        LONGS_EQUAL(1, sentNow());
+        bed.advance(ListLag);
+        LONGS_EQUAL(1, sentNow());
+    }
+}
+
+/// Guards against true evidence being doubted for long: nothing is found at the addresses of the endpoints.
+TEST(AnInstanceThatHearsOfCrashesFromAnEarlierLanding, rejectsTheRequestIfNothingIsFoundThere)
+{
+    bed.unreachable = {"desk-a", "desk-b", "desk-c"};
+    hearOfCrashes();
+    bed.advance(Ms(200));
+    LONGS_EQUAL(0, sentNow());
+}
+
+/// Guards against true evidence being refuted by the answers of processes that have taken the place of those that crashed, before the list shows them.
+TEST(AnInstanceThatHearsOfCrashesFromAnEarlierLanding, rejectsTheRequestOnceTheListShowsTheRestarts)
+{
+    hearOfCrashes();
+    bed.advance(Ms(1000));
+    for (EndpointEntry &entry : bed.entries) {
+        entry.incarnation += entry.id.starts_with("desk") ? 1 : 0;
+    }
+    bed.advance(Ms(500));
+    LONGS_EQUAL(0, sentNow());
+}
--- a/libs/wire/include/wire/RelayDigest.h
+++ b/libs/wire/include/wire/RelayDigest.h
@@ -57,6 +57,9 @@
     double failures = 0;
 };
 
+/// Value of CrashReport::inference if the sender is of a version that doesn't state whether the crash is certain.
+inline constexpr std::uint64_t UnstatedInference = 1;
+
 /// Reports that requests with a signature may have crashed an endpoint.
 struct CrashReport {
     /// Hash of what such requests have in common: the content of the whole request, or a part of its prompt.
@@ -66,7 +69,7 @@
     /// Time since the crash when the report was sent; encoding rounds it down to a tenth of a second. Zero if the sender doesn't state it.
     std::chrono::milliseconds age{0};
     /// Identifies the inference by which one instance takes the endpoint for crashed, so that it can be taken back alone: the same incarnation may crash later.
-    /// Zero if the crash is certain, or the sender is of a version that doesn't state it.
+    /// Zero if the crash is certain.
     std::uint64_t inference = 0;
 
     friend bool operator==(const CrashReport &, const CrashReport &) = default;
--- a/libs/wire/src/RelayDigest.cpp
+++ b/libs/wire/src/RelayDigest.cpp
@@ -152,7 +152,7 @@
 {
     for (int i = 0; i < in.strike_size(); ++i) {
         const std::uint32_t ageUnits = in.strike_age_size() > 0 ? in.strike_age(i) : 0;
-        const std::uint64_t inference = in.strike_inference_size() > 0 ? in.strike_inference(i) : 0;
+        const std::uint64_t inference = in.strike_inference_size() > 0 ? in.strike_inference(i) : UnstatedInference;
         digest.crashReports.push_back({in.strike(i), in.strike_crash(i), ageUnits * CrashAgeUnit, inference});
     }
     for (int i = 0; i < in.refuted_size(); ++i) {
