--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -200,6 +200,8 @@
     virtual void forward(CallId call, AttemptId attempt) = 0;
     /// Starts the answer of a stream with the status and headers of the attempt's answer.
     virtual void beginStream(CallId call, AttemptId attempt) = 0;
+    /// Lets a stream that has begun go on with another attempt; only that one may write to it from now on.
+    virtual void continueStream(CallId call, AttemptId attempt) = 0;
     /// Ends the stream to the caller as complete, and with it the call, after the attempt's answer has ended.
     virtual void endStream(CallId call, AttemptId attempt) = 0;
     /// Aborts a stream so that the caller can't mistake it for complete, and ends the call.
--- a/libs/relay/src/Detours.cpp
+++ b/libs/relay/src/Detours.cpp
@@ -94,7 +94,7 @@
 {
     Attempt &attempt = attempts.at(id);
     attempt.detourPending = false;
-    if (outcome == OrderOutcome::Accepted) {
+    if (outcome == OrderOutcome::Accepted || attempt.isSuperseded) {
         return;
     }
     driver.record({"detour_failed", call.requestId, faultAddress, std::string(base::nameIn(OrderOutcomeNames, outcome))});
@@ -120,7 +120,8 @@
     if (reason) {
         return keepAttempt(call, id, fault.value_or(first), *reason);
     }
-    replaceAttempt(now, call, id, "the way round a lost stage was refused");
+    const std::string moved = "the way round a lost stage was refused";
+    mayGoOn && !isBarred(call) ? supersedeAttempt(now, call, id, moved) : replaceAttempt(now, call, id, moved);
 }
 
 } // namespace relay
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -86,6 +86,9 @@
     }
     const auto endpoint = choosePlain(now, call);
     if (!endpoint) {
+        if (isUnderWay(call)) {
+            return; // An attempt beside this one may still be answered.
+        }
         if (hasEndpointLeft(call) && waitsForEndpoints(now, call)) {
             return;
         }
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -54,7 +54,7 @@
     // An attempt that comes too late for its caller would only delay the others.
     const bool isTooLate = call.attemptCount > 0 && pipeline.waitMs > patienceLeftMs(now, call);
     if (pipeline.stages.empty() || isTooLate) {
-        if (waitsForEndpoints(now, call)) {
+        if (isUnderWay(call) || waitsForEndpoints(now, call)) {
             return;
         }
         if (found.limitWait && !isTooLate) {
@@ -160,6 +160,9 @@
     if (endpoints.backoffLeft(atFault, now).count() == 0) {
         requestReport(now, atFault);
     }
+    if (isUnderWay(call)) {
+        return; // The attempt that it was to supersede may go on.
+    }
     if (mayRetry(now, call)) {
         // A stream that has begun can't be rejected any more. Its retries are delayed: endpoints accept work again soon, and the caller waits for the
         // next event meanwhile.
@@ -179,6 +182,10 @@
     call.mayHaveRun = true;
     endpoints.at(first).recent.onAnswer(hasFailed, now);
     exclude(call, first);
+    if (hasFailed && (call.attempts.size() > 1 || call.handOver)) {
+        dropAttempt(attempt);
+        return; // The other attempt may still go on.
+    }
     const bool canRetry = hasFailed && call.route->isResumable && mayRunAgain(call);
     if (head.verified && !call.streamBegun && !(canRetry && mayRetry(now, call))) {
         return forward(call, attempt, head.status);
@@ -194,6 +201,9 @@
 
 void RelayKernel::Impl::retryStreamOrFail(Instant now, Call &call, const std::string &detail)
 {
+    if (isUnderWay(call)) {
+        return; // Another attempt is still open.
+    }
     const bool canContinue = !call.mayHaveRun || call.route->isResumable;
     if (!canContinue || !mayRetry(now, call)) {
         return fail(now, call, call.mayHaveRun ? base::ErrorKind::UpstreamBroken : base::ErrorKind::NoEndpoint, detail);
@@ -267,10 +277,13 @@
         call.firstEventDelay = now - call.arrivedAt;
     }
     call.lastDeliveredAt = now;
+    settle(call, attempt);
     if (!call.streamBegun) {
         call.streamBegun = true;
+        call.writer = attempt;
         driver.beginStream(call.id, attempt);
     }
+    continueWith(call, attempt);
     return true;
 }
 
@@ -301,6 +314,7 @@
                    server,
                    "last event " + call.lastEventId + ", first after " + std::to_string(call.firstEventDelay / Ms(1)) + " ms, longest pause "
                        + std::to_string(call.maxEventInterval / Ms(1)) + " ms, attempts " + std::to_string(call.attemptCount)});
+    continueWith(call, attempt);
     dropAttempt(attempt);
     dropHandOver(attempt);
     const CallId id = call.id;
--- a/libs/relay/src/StreamMoves.cpp
+++ b/libs/relay/src/StreamMoves.cpp
@@ -49,7 +49,7 @@
         }
         return retryIsPermitted(now, call) ? startStream(now, call) : fail(now, call, base::ErrorKind::Overloaded, "the limit on retries is used up");
     }
-    const AttemptId id = call.attempts.front();
+    const AttemptId id = watchedAttempt(call);
     const Attempt &attempt = attempts.at(id);
     if (attempt.isKept && hasEnded(runOf(id)) && mayRetry(now, call) && canStartStream(now, call)) {
         return replaceAttempt(now, call, id, "its first stage has ended");
@@ -60,7 +60,7 @@
     const Instant silence = now - attempt.lastProgressAt;
     // Streams over connections that live on through a cut make progress.
     if (reach.isCutOff() && silence >= CheckAfterEventGap && call.route->isResumable && mayRetry(now, call) && canStartStream(now, call)) {
-        return replaceAttempt(now, call, id, "this instance reaches no endpoint");
+        return supersedeAttempt(now, call, id, "this instance reaches no endpoint");
     }
     if (silence < eventTimeout(attempt)) {
         return;
@@ -77,8 +77,8 @@
         return;
     }
     call.mayHaveRun = true;
-    if (!mayRunAgain(call)) {
-        return; // The route permits no further attempt.
+    if (!mayRunAgain(call) || !canStartStream(now, call)) {
+        return; // The route permits no further attempt, or nothing could take it.
     }
     replaceAttempt(now, call, id, "no progress for " + std::to_string(silence / Ms(1)) + " ms");
 }
@@ -120,7 +120,8 @@
         call.nextCheckAt = now + CheckPeriod;
         return keepAttempt(call, attempt, silent, *reason);
     }
-    replaceAttempt(now, call, attempt, endpoints.at(silent).entry.id + " is silent");
+    const std::string reason = endpoints.at(silent).entry.id + " is silent";
+    isBarred(call) ? replaceAttempt(now, call, attempt, reason) : supersedeAttempt(now, call, attempt, reason);
 }
 
 std::optional<std::string> RelayKernel::Impl::reasonToKeepAttempt(Instant now, Call &call)
@@ -143,6 +144,52 @@
     }
 }
 
+void RelayKernel::Impl::supersedeAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason)
+{
+    call.mayHaveRun = true;
+    Attempt &left = attempts.at(attempt);
+    left.isSuperseded = true;
+    driver.record({"stream_moved", call.requestId, endpoints.at(left.stages.front()).entry.id, reason});
+    counters.streamsResumed += call.streamBegun ? 1 : 0;
+    startStream(now, call);
+}
+
+AttemptId RelayKernel::Impl::watchedAttempt(const Call &call)
+{
+    const auto found = std::find_if(call.attempts.rbegin(), call.attempts.rend(), [&](AttemptId id) { return !attempts.at(id).isSuperseded; });
+    if (found != call.attempts.rend()) {
+        return *found;
+    }
+    attempts.at(call.attempts.back()).isSuperseded = false;
+    return call.attempts.back();
+}
+
+void RelayKernel::Impl::settle(Call &call, AttemptId attempt)
+{
+    const std::vector<AttemptId> open = call.attempts;
+    for (const AttemptId other : open) {
+        if (other != attempt) {
+            driver.cancel(other);
+            dropAttempt(other);
+        }
+    }
+    if (const auto handedOver = call.handOver; handedOver && *handedOver != attempt) {
+        driver.cancel(*handedOver);
+        dropHandOver(*handedOver);
+    }
+    if (const auto winner = attempts.find(attempt); winner != attempts.end()) {
+        winner->second.isSuperseded = false;
+    }
+}
+
+void RelayKernel::Impl::continueWith(Call &call, AttemptId attempt)
+{
+    if (call.streamBegun && call.writer != attempt) {
+        call.writer = attempt;
+        driver.continueStream(call.id, attempt);
+    }
+}
+
 void RelayKernel::Impl::replaceAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason)
 {
     call.mayHaveRun = true;
@@ -163,7 +210,7 @@
     std::sort(open.begin(), open.end());
     for (const AttemptId id : open) {
         Call *call = callOf(id);
-        if (call == nullptr || call->route->kind != RequestKind::Stream) {
+        if (call == nullptr || call->route->kind != RequestKind::Stream || attempts.at(id).isSuperseded) {
             continue;
         }
         if (const auto silent = silentStage(now, attempts.at(id))) {
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -53,6 +53,8 @@
     bool detourPending = false;
     /// The silent stage that was last reported to the crash guard.
     std::optional<EndpointIndex> suspected;
+    /// A further attempt, or a hand-over, has been begun beside it, since it has a silent stage. The first one with the next event goes on with the stream.
+    bool isSuperseded = false;
     /// It stays at a silent stage since no further attempt is permitted or possible, which is logged once.
     bool isKept = false;
 };
@@ -104,12 +106,14 @@
     std::uint64_t lastEvent = 0;
     /// The status and headers of the stream were sent to the caller; its answer can't be replaced by an error any more.
     bool streamBegun = false;
+    /// The attempt or hand-over whose events the caller gets.
+    AttemptId writer = 0;
     /// When the last event was forwarded to the caller; the arrival before that.
     Instant lastDeliveredAt{0};
     /// Time from arrival to the first event, and the longest time between two events.
     Instant firstEventDelay{0};
     Instant maxEventInterval{0};
-    /// Open attempts; more than one while a request is hedged.
+    /// Open attempts; more than one while a request is hedged, or while a stream is moved.
     std::vector<AttemptId> attempts;
     /// Attempts that may have run, all open ones included; see RelayKernel::Impl::countedRuns().
     std::vector<Run> runs;
@@ -380,6 +384,15 @@
     std::optional<std::string> reasonToKeepAttempt(Instant now, Call &call);
     /// Leaves an attempt at its silent stage, for that reason: that may go on, and what it runs then isn't lost. Logs it once.
     void keepAttempt(const Call &call, AttemptId attempt, EndpointIndex silent, const std::string &reason);
+    /// Begins a further attempt, or a hand-over, beside one that has a silent stage, which may go on first.
+    void supersedeAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason);
+    /// Returns the attempt of a stream that is to be watched: the latest that isn't superseded. If what has superseded the last one has failed, that is the
+    /// one.
+    AttemptId watchedAttempt(const Call &call);
+    /// Aborts all attempts and hand-overs of a stream but the one that goes on with it.
+    void settle(Call &call, AttemptId attempt);
+    /// Tells the driver which attempt the caller's stream goes on with.
+    void continueWith(Call &call, AttemptId attempt);
     /// Aborts an attempt and starts a new one if the call may be retried, else fails the call.
     void replaceAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason);
     /// Takes an event of the call's stream, whoever sends it; returns true if it is the next one, which the caller must get.
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -46,6 +46,10 @@
     {
         begunStreams.push_back(call);
     }
+    void continueStream(relay::CallId, relay::AttemptId attempt) override
+    {
+        writers.push_back(attempt);
+    }
     void endStream(relay::CallId call, relay::AttemptId) override
     {
         endedStreams.push_back(call);
@@ -160,6 +164,8 @@
     /// Calls that ended with an endpoint's whole answer.
     std::vector<relay::CallId> forwarded;
     std::vector<relay::CallId> begunStreams;
+    /// Attempts with which streams went on.
+    std::vector<relay::AttemptId> writers;
     std::vector<relay::CallId> endedStreams;
     std::vector<relay::CallId> brokenStreams;
     /// Ids of the endpoints from which a report was requested.
--- a/libs/relay/tests/SilentStageTests.cpp
+++ b/libs/relay/tests/SilentStageTests.cpp
@@ -184,3 +184,121 @@
     CHECK(bed.driver.brokenStreams.empty());
     CHECK(bed.kernel.onEvent(bed.now, only, 3));
 }
+
+/// A stream that is moved keeps its first attempt until another one has the next event. Both attempts are under way meanwhile.
+TEST_GROUP(AStreamThatIsMoved)
+{
+    RelayTestBed bed;
+    AttemptId first = 0;
+    AttemptId second = 0;
+
+    /// Starts a stream, and lets its first stage fall silent after two events.
+    void setup() override
+    {
+        bed.startStream(2);
+        first = bed.lastAttempt();
+        bed.advance(Ms(300));
+        bed.kernel.onReport(bed.now, bed.driver.sent.back().endpoint, std::nullopt);
+        second = bed.lastAttempt();
+        CHECK(second != first);
+    }
+
+    void mustEndWith(AttemptId attempt, AttemptId other, std::uint64_t nextEvent)
+    {
+        CHECK(bed.kernel.onEvent(bed.now, attempt, nextEvent));
+        CHECK(bed.driver.wasCancelled(other));
+        CHECK(!bed.driver.wasCancelled(attempt));
+        CHECK(!bed.kernel.onEvent(bed.now, other, nextEvent + 1));
+        CHECK(bed.kernel.onEvent(bed.now, attempt, nextEvent + 1));
+        bed.kernel.onStreamEnd(bed.now, attempt);
+        LONGS_EQUAL(1, bed.driver.endedStreams.size());
+        CHECK(bed.driver.brokenStreams.empty());
+        LONGS_EQUAL(0, bed.kernel.openCalls());
+    }
+};
+
+/// Guards against a silent endpoint that goes on running a stream that another one has taken up.
+TEST(AStreamThatIsMoved, leavesItsFirstAttemptOnceTheSecondHasTheNextEvent)
+{
+    CHECK(!bed.driver.wasCancelled(first));
+    mustEndWith(second, first, 3);
+    LONGS_EQUAL(1, bed.driver.writers.size());
+    LONGS_EQUAL(second, bed.driver.writers.back());
+}
+
+/// Guards against the events of an endpoint that was silent for a moment being lost.
+TEST(AStreamThatIsMoved, goesOnWithItsFirstAttemptIfThatHasTheNextEvent)
+{
+    mustEndWith(first, second, 3);
+    CHECK(bed.driver.writers.empty());
+}
+
+/// Guards against a stream that is broken off since the endpoints that were to take it refuse it or break off.
+TEST(AStreamThatIsMoved, outlivesTheRefusalOfItsSecondAttempt)
+{
+    bed.kernel.onAnswer(bed.now, second, {503, true, true, ""});
+    CHECK(bed.driver.brokenStreams.empty());
+    bed.advance(Ms(200));
+    CHECK(!bed.driver.wasCancelled(first));
+    CHECK(bed.kernel.onEvent(bed.now, first, 3));
+    bed.kernel.onStreamEnd(bed.now, first);
+    LONGS_EQUAL(1, bed.driver.endedStreams.size());
+    LONGS_EQUAL(0, bed.kernel.openCalls());
+}
+
+TEST(AStreamThatIsMoved, outlivesTheBreakOfItsFirstAttempt)
+{
+    bed.kernel.onFailure(bed.now, first, AttemptFailure::Broken);
+    CHECK(bed.driver.brokenStreams.empty());
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(bed.kernel.onEvent(bed.now, second, 3));
+}
+
+TEST(AStreamThatIsMoved, outlivesTheBreakOfItsSecondAttempt)
+{
+    bed.kernel.onFailure(bed.now, second, AttemptFailure::Broken);
+    bed.advance(Ms(500));
+    CHECK(bed.driver.brokenStreams.empty());
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(bed.kernel.onEvent(bed.now, first, 3));
+    bed.kernel.onStreamEnd(bed.now, first);
+    LONGS_EQUAL(1, bed.driver.endedStreams.size());
+}
+
+/// Guards against an attempt that stays under way after its caller has left.
+TEST(AStreamThatIsMoved, endsBothAttemptsWhenItsCallerLeaves)
+{
+    bed.kernel.onCallerGone(bed.now, bed.lastCall);
+    CHECK(bed.driver.wasCancelled(first));
+    CHECK(bed.driver.wasCancelled(second));
+    LONGS_EQUAL(0, bed.kernel.openCalls());
+    for (const EndpointView &view : bed.kernel.endpoints()) {
+        LONGS_EQUAL(0, view.openRequests);
+    }
+}
+
+/// Guards against a stream that is broken off since this instance seems to be cut off and the others refuse it, although its endpoint goes on.
+TEST(AStreamWhoseFirstStageIsSilent, goesOnThereIfNoInstanceTakesIt)
+{
+    bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}});
+    bed.startStream(2);
+    const AttemptId only = bed.lastAttempt();
+    for (const EndpointEntry &entry : bed.entries) {
+        bed.unreachable.insert(entry.id);
+    }
+    bed.call("/book/x");
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::NotSent);
+    bed.advance(Ms(1000));
+    CHECK(!bed.kernel.reachesEndpoints());
+    CHECK(!bed.driver.handOvers.empty());
+    for (const HandOver &order : bed.driver.handOvers) {
+        AnswerHead head;
+        head.peerError = base::ErrorKind::NoEndpoint;
+        bed.kernel.onAnswer(bed.now, order.attempt, head);
+    }
+    CHECK(!bed.driver.wasCancelled(only));
+    CHECK(bed.driver.brokenStreams.empty());
+    CHECK(bed.kernel.onEvent(bed.now, only, 3));
+    bed.kernel.onStreamEnd(bed.now, only);
+    LONGS_EQUAL(1, bed.driver.endedStreams.size());
+}
--- a/libs/relay/tests/VirtualEndpoints.cpp
+++ b/libs/relay/tests/VirtualEndpoints.cpp
@@ -136,7 +136,7 @@
     }
     const std::uint64_t number = ++lastRun_;
     const std::uint64_t resumeAfter = std::strtoull(dispatch.lastEventId.c_str(), nullptr, 10);
-    endpoint.runs[number] = {instance, generation, dispatch.attempt, requestId, dispatch.hops, resumeAfter + 1, caller->events, Instant{0}, ""};
+    endpoint.runs[number] = {instance, generation, dispatch.attempt, requestId, dispatch.hops, resumeAfter + 1, caller->events, false, Instant{0}, ""};
     const std::string id = endpoint.entry.id;
     const std::uint64_t incarnation = endpoint.entry.incarnation;
     time_.after(FirstEventDelay, [this, id, incarnation, number]() { advanceRun(id, incarnation, number); });
@@ -188,7 +188,8 @@
         return;
     }
     const std::uint64_t event = run.nextEvent++;
-    if (event == 1 || runs_[run.requestId].empty() || runs_[run.requestId].back().endpoint != id) {
+    if (!run.hasBegun) {
+        run.hasBegun = true;
         recordRun(endpoint, run.requestId);
     }
     const bool isLast = event >= run.lastEvent;
--- a/libs/relay/tests/VirtualFleet.h
+++ b/libs/relay/tests/VirtualFleet.h
@@ -90,6 +90,8 @@
         /// Ids of the next event to send and of the last one of the stream.
         std::uint64_t nextEvent = 1;
         std::uint64_t lastEvent = 1;
+        /// It has made an event.
+        bool hasBegun = false;
         /// When the run stopped making progress because a stage is down; zero while it makes progress.
         relay::Instant stalledSince{0};
         /// Address of the stage that is down; empty while the run makes progress.
--- a/libs/relay/tests/VirtualInstance.cpp
+++ b/libs/relay/tests/VirtualInstance.cpp
@@ -261,6 +261,10 @@
     }
 }
 
+void VirtualFleet::Driver::continueStream(relay::CallId, relay::AttemptId)
+{
+}
+
 void VirtualFleet::Driver::breakStream(relay::CallId call)
 {
     if (Caller *caller = fleet_.callerOf(index_, call)) {
--- a/libs/relay/tests/VirtualInstance.h
+++ b/libs/relay/tests/VirtualInstance.h
@@ -44,6 +44,7 @@
     void forward(relay::CallId call, relay::AttemptId attempt) override;
     void beginStream(relay::CallId call, relay::AttemptId attempt) override;
     void endStream(relay::CallId call, relay::AttemptId attempt) override;
+    void continueStream(relay::CallId call, relay::AttemptId attempt) override;
     void breakStream(relay::CallId call) override;
     void readReport(const std::string &endpoint, const std::string &address) override;
     void checkEndpoint(const relay::EndpointCheck &check) override;
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -61,6 +61,13 @@
     }
 }
 
+void RelayHost::continueStream(relay::CallId call, relay::AttemptId attempt)
+{
+    if (const auto open = calls_.find(call); open != calls_.end()) {
+        open->second.response.handOver(attempt);
+    }
+}
+
 void RelayHost::endStream(relay::CallId call, relay::AttemptId attempt)
 {
     const auto open = calls_.find(call);
--- a/libs/relayhost/src/HostAttempts.cpp
+++ b/libs/relayhost/src/HostAttempts.cpp
@@ -67,7 +67,6 @@
 void RelayHost::startAttempt(relay::AttemptId id, relay::CallId call, const std::string &receiver, net::ClientCall request)
 {
     OpenCall &open = calls_.at(call);
-    open.response.handOver(id);
     request.connectTimeout = ConnectTimeout;
     request.bodyLimit = MaxAnswerBytes;
     request.isStray = [this, requestId = open.requestId, receiver](const net::Headers &headers) {
