--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -138,7 +138,15 @@
     dropHandOver(attempt);
     if (base::errorAnswer(kind).ran != base::HasRun::No) {
         call.mayHaveRun = true;
-        return isUnderWay(call) ? void() : fail(now, call, kind, detail);
+        if (isUnderWay(call)) {
+            return;
+        }
+        if (call.route->kind != RequestKind::Stream) {
+            return fail(now, call, kind, detail);
+        }
+        call.triedPeers.push_back(peer);
+        ++call.priorRuns;
+        return retryStreamOrFail(now, call, detail);
     }
     call.triedPeers.push_back(peer);
     if (concernsInstanceOnly(kind)) {
--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -287,3 +287,21 @@
         STRCMP_EQUAL("three", lastHandOver().instance.c_str());
     }
 }
+
+/// Guards against a stream that may be resumed being given up since the endpoints of one other instance have failed it, for instance as that one stops.
+TEST(ARequestThatIsHandedOver, isResumedElsewhereIfAnInstanceHasBrokenItsStreamOff)
+{
+    const CallId stream = bed.call("/stream/x");
+    refuse(base::ErrorKind::UpstreamBroken);
+    LONGS_EQUAL(0, bed.driver.rejected.size());
+    LONGS_EQUAL(2, bed.driver.handOvers.size());
+    LONGS_EQUAL(1, lastHandOver().runs);
+    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1));
+    bed.kernel.onStreamEnd(bed.now, lastHandOver().attempt);
+    LONGS_EQUAL(stream, bed.driver.endedStreams.back());
+    // A request that may run once only is not sent again, nor called "not run".
+    bed.call("/book/x");
+    refuse(base::ErrorKind::UpstreamBroken);
+    LONGS_EQUAL(3, bed.driver.handOvers.size());
+    CHECK(!saysNotRun(bed.driver.rejected.back()));
+}
