--- a/libs/net/tests/CutConnectionTests.cpp
+++ b/libs/net/tests/CutConnectionTests.cpp
@@ -104,3 +104,40 @@
     CHECK(server.nextEnd() == net::ExchangeEnd::CallerLeft);
     CHECK(server.get("/whole").ok);
 }
+
+/// Guards against a long answer to a slow reader that is cut by what happens to its server meanwhile.
+TEST(AConnectionThatTheServerEnds, deliversALongAnswerWhileTheLimitsChangeAndTheServerStops)
+{
+    net::ServerLimits tight = limitsWithShortIdleTimeout();
+    tight.requestTimeout = std::chrono::milliseconds(1);
+    tight.queuedResponseBytes = 1;
+    SmallServer server;
+    RawClient client(server.address(), RawClient::SmallReceiveBufferBytes);
+    client.send("GET /large HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    std::string answer = client.receiveUntil("\r\n\r\n");
+    for (int part = 0; part < 8; ++part) {
+        server.setLimits(part % 2 == 0 ? tight : smallLimits());
+        answer += client.receive(LargeBytes / 16);
+    }
+    server.closeConnections();
+    server.refuseArriving();
+    answer += client.receiveAll();
+    CHECK(answer.ends_with("\r\n\r\n" + std::string(LargeBytes, 'x')));
+    CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
+}
+
+/// A stream whose reader falls behind by more than may be queued is cut, visibly, and its end is reported as that.
+TEST(AConnectionThatTheServerEnds, isCutVisiblyWhenTheReaderOfAStreamIsTooSlow)
+{
+    SmallServer server;
+    RawClient client(server.address(), RawClient::SmallReceiveBufferBytes);
+    client.send("GET /begun-large HTTP/1.1\r\nHost: a\r\n\r\n");
+    server.waitForRequests(1);
+    for (int i = 0; i < 2; ++i) {
+        server.writeToBegun(std::string(2 * BufferedBytes, 'y'));
+    }
+    CHECK(server.nextEnd() == net::ExchangeEnd::CallerTooSlow);
+    const std::string answer = client.receiveAll();
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(!answer.ends_with("0\r\n\r\n"));
+}
--- a/libs/net/tests/DamageTests.cpp
+++ b/libs/net/tests/DamageTests.cpp
@@ -10,7 +10,7 @@
 /// Damages a text at one to four places: bytes are changed, dropped, doubled or swapped with what HTTP gives a meaning.
 std::string damaged(std::string text, std::mt19937_64 &random)
 {
-    static const std::vector<std::string> Meaningful = {"\r\n",
+    static const std::vector<std::string> meaningful = {"\r\n",
                                                         "\n",
                                                         "\r",
                                                         "\r\n\r\n",
@@ -46,7 +46,7 @@
             text.resize(at);
             break;
         default:
-            text.insert(at, Meaningful[below(Meaningful.size())]);
+            text.insert(at, meaningful[below(meaningful.size())]);
         }
     }
     return text;
@@ -96,7 +96,8 @@
         boost::system::error_code ignored;
         client.send(bytes, ignored);
         const std::string answers = client.receiveAll();
-        CHECK_TEXT(areWholeAnswers(answers), ("seed " + std::to_string(seed) + ": " + bytes + " -> " + answers).c_str());
+        const std::string text = "seed " + std::to_string(seed) + ": " + bytes;
+        CHECK_TEXT(areWholeAnswers(answers), text.c_str());
     }
     RawClient client(server.address());
     client.send("GET /whole HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
--- a/libs/net/tests/SmallServer.h
+++ b/libs/net/tests/SmallServer.h
@@ -81,13 +81,13 @@
             exceptions_.push(std::string(text));
         };
         handlers.refusal = [](net::RefusalKind kind) {
-            static const std::map<net::RefusalKind, int> Statuses = {{net::RefusalKind::HandlerFailed, 500},
+            static const std::map<net::RefusalKind, int> statuses = {{net::RefusalKind::HandlerFailed, 500},
                                                                      {net::RefusalKind::BodyTooLarge, 413},
                                                                      {net::RefusalKind::RequestTooSlow, 408},
                                                                      {net::RefusalKind::Stopping, 503},
                                                                      {net::RefusalKind::CallerLeft, 502}};
-            const auto found = Statuses.find(kind);
-            return net::HttpResponse{found == Statuses.end() ? 400 : found->second, {}, "refused"};
+            const auto found = statuses.find(kind);
+            return net::HttpResponse{found == statuses.end() ? 400 : found->second, {}, "refused"};
         };
         handlers.onEnded = [this](net::ExchangeId, net::ExchangeEnd end) {
             ends_.push(end);
@@ -228,6 +228,12 @@
         runInLoop([this]() { server_->abort(begun_); });
     }
 
+    /// Calls the server's writeChunk() for the stream that was begun last.
+    void writeToBegun(const std::string &data)
+    {
+        runInLoop([&]() { server_->writeChunk(begun_, data); });
+    }
+
     /// From now on, the handler of exchanges that fail throws an exception.
     void throwOnAbort()
     {
