--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -5,6 +5,8 @@
 # Environment:
 #   AT_ONCE            number of seeds that run in parallel, with three instances each (default: 12)
 #   SECONDS_OF_FAULTS  how long faults are injected (default: 20)
+#   OLDER              an earlier commit: instances start from either build and are replaced by the other one after the other, forward and back. It is
+#                      built from the history into BUILD/older.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 build=$1
@@ -13,10 +15,15 @@
 seconds=${SECONDS_OF_FAULTS:-20}
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-export build seconds work
+older_arguments=
+if [ -n "${OLDER:-}" ]; then
+    older_arguments="--older_daemon $(bash scripts/older.sh "$build" "$OLDER")" || exit 1
+fi
+export build seconds work older_arguments
 
 run_seed() {
-    if "$build/platform/trefoilSoak" --daemon "$build/programs/trefoilportd/trefoilportd" --seed "$1" --seconds "$seconds" >"$work/$1" 2>&1; then
+    # shellcheck disable=SC2086
+    if "$build/platform/trefoilSoak" --daemon "$build/programs/trefoilportd/trefoilportd" --seed "$1" --seconds "$seconds" $older_arguments >"$work/$1" 2>&1; then
         tail -1 "$work/$1"
         touch "$work/$1.passed"
     else
