Hand-overs: what a rolled-back instance says of itself beats the list of instances (upgrades)

A landing without hand-overs takes its newer process's entry in the list of instances for its own, since id, mesh address and zone are the same, and never writes it again; so each reading of the list brought the address back that the digest had ended.

Change: an instance whose digests state a mesh address and none for hand-overs gets none, whatever the list says, until a digest states one.

Not mended: in a large fleet such digests reach aggregators only. Proposed: a process withdraws its address when it stops as planned (docs/UPGRADES.md).

--- a/libs/relay/src/HandOverPeers.cpp
+++ b/libs/relay/src/HandOverPeers.cpp
@@ -30,7 +30,7 @@
         peer.isListed = false;
     }
     for (const InstanceEntry &entry : instances) {
-        if (entry.id == ownId_ || entry.handOverAddress.empty()) {
+        if (entry.id == ownId_ || entry.handOverAddress.empty() || takeNone_.contains(entry.id)) {
             continue;
         }
         Peer &peer = peers_[entry.id];
@@ -38,6 +38,9 @@
         peer.zone = entry.zone;
         peer.isListed = true;
     }
+    std::erase_if(takeNone_, [&](const std::string &id) {
+        return std::none_of(instances.begin(), instances.end(), [&](const InstanceEntry &entry) { return entry.id == id; });
+    });
     std::erase_if(peers_, [](const auto &entry) { return !entry.second.isListed && entry.second.openRequests == 0; });
 }
 
@@ -47,12 +50,16 @@
         Peer &peer = peers_[digest.instance];
         peer.address = digest.handOverAddress;
         peer.zone = digest.zone;
+        takeNone_.erase(digest.instance);
     }
     const auto found = peers_.find(digest.instance);
-    if (found != peers_.end()) {
-        if (!digest.meshAddress.empty() && digest.handOverAddress.empty()) {
-            found->second.address.clear(); // Its process is now of a version that takes none; the list of instances may be older.
+    if (!digest.meshAddress.empty() && digest.handOverAddress.empty()) {
+        takeNone_.insert(digest.instance);
+        if (found != peers_.end()) {
+            found->second.address.clear();
         }
+    }
+    if (found != peers_.end()) {
         found->second.heardAt = now;
         found->second.isUnfit = digest.leaving || digest.reachesNoEndpoint;
     }
--- a/libs/relay/src/details/HandOverPeers.h
+++ b/libs/relay/src/details/HandOverPeers.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 
 namespace relay {
@@ -54,6 +55,9 @@
     std::uint64_t seed_ = 0;
     std::uint64_t draws_ = 0;
     std::map<std::string, Peer> peers_;
+    /// Instances that have stated to take no requests. One that was rolled back leaves the entry of its newer process in the list, which still names an
+    /// address.
+    std::set<std::string> takeNone_;
 };
 
 } // namespace relay
--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -257,7 +257,8 @@
     }
 }
 
-/// Guards against requests being handed over to an instance that has been rolled back to a version that takes none, until the list of instances is read again.
+/// Guards against requests being handed over to an instance that has been rolled back to a version that takes none, and that leaves its newer process's entry
+/// in the list of instances as it is.
 TEST(ARequestThatIsHandedOver, isNotSentToAnInstanceThatHasBeenRolledBack)
 {
     wire::RelayDigest digest;
@@ -266,7 +267,14 @@
     digest.zone = "zone-a";
     bed.kernel.onPeerMessage(bed.now, digest);
     for (int i = 0; i < 20; ++i) {
+        bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}, {"three", "three:1", "zone-b", "three:2"}});
         bed.call("/book/x");
         STRCMP_EQUAL("three", lastHandOver().instance.c_str());
     }
+    // It is upgraded again.
+    digest.handOverAddress = "two:2";
+    bed.kernel.onPeerMessage(bed.now, digest);
+    bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}});
+    bed.call("/book/x");
+    STRCMP_EQUAL("two", lastHandOver().instance.c_str());
 }
--- a/libs/relay/tests/InstanceFleet.cpp
+++ b/libs/relay/tests/InstanceFleet.cpp
@@ -77,6 +77,9 @@
     settings.handOverAddress = handsOver(instance) ? handOverAddressOf(number) : "";
     numberOfAddress_[settings.meshAddress] = number;
     numberOfAddress_[handOverAddressOf(number)] = number;
+    if (handsOver(instance)) {
+        listedHandOvers_[number] = settings.handOverAddress;
+    }
     settings.seed = number + 1;
     instance.kernel = std::make_unique<RelayKernel>(settings, instance.driver);
     instance.kernel->onConfig(now, now, RelayTestBed::config(1));
@@ -92,8 +95,7 @@
 {
     std::vector<InstanceEntry> entries;
     for (std::size_t i = 0; i < instances.size(); ++i) {
-        const bool isStated = handsOver(*instances[i]) && handsOver(instance);
-        entries.push_back({nameOf(i), addressOf(i), "zone-a", isStated ? handOverAddressOf(i) : ""});
+        entries.push_back({nameOf(i), addressOf(i), "zone-a", handsOver(instance) ? listedHandOvers_[i] : ""});
     }
     instance.kernel->onInstances(now, entries);
 }
--- a/libs/relay/tests/InstanceFleet.h
+++ b/libs/relay/tests/InstanceFleet.h
@@ -198,6 +198,8 @@
     std::vector<Quarantined> quarantined_;
     std::vector<relay::Instant> fatalCrashes_;
     std::map<std::string, std::size_t> numberOfAddress_;
+    /// The addresses for hand-overs in the store's list of instances. A landing that has none leaves what a newer process of the same name has written.
+    std::map<std::size_t, std::string> listedHandOvers_;
     /// The store's records of quarantines, with the times of their writes.
     std::map<std::uint64_t, std::pair<relay::Instant, relay::QuarantineRecord>> quarantines_;
     /// By the instance that serves it and its call there: who has handed a request over, and under which attempt.
--- a/libs/relay/tests/UpgradeTests.cpp
+++ b/libs/relay/tests/UpgradeTests.cpp
@@ -221,6 +221,40 @@
     }
 }
 
+/// Guards against callers of an instance that reaches no endpoint being rejected while half of the others have been rolled back: the list of instances still
+/// names their addresses, where nothing listens.
+TEST(AFleetOfTwoBuilds, servesTheCallersOfInstancesThatAreCutOffAfterARollBack)
+{
+    constexpr double MinServed = 0.98;
+    constexpr std::uint64_t Period = 8;
+    for (const std::size_t size : fleetSizes()) {
+        const std::size_t instances = std::max<std::size_t>(size, 5);
+        InstanceFleet fleet(instances);
+        const auto send = [&]() {
+            for (std::size_t i = ++step % Period; i < instances; i += Period) {
+                fleet.request(i, 100 + step % SoundParts);
+            }
+        };
+        fleet.advance(Ms(2000), send);
+        for (std::size_t i = 1; i < instances; i += 2) {
+            fleet.replace(i, &withoutHandOvers());
+            fleet.advance(InstanceFleet::Step, send);
+        }
+        fleet.advance(SpreadTime, send);
+        fleet.instances[0]->endpointCut = InstanceFleet::EndpointCut::Reset;
+        fleet.advance(SpreadTime, send);
+        const Instant since = fleet.now;
+        fleet.advance(Ms(6000), send);
+        const Instant until = fleet.now - Ms(1000);
+        fleet.instances[0]->endpointCut = InstanceFleet::EndpointCut::None;
+        fleet.advance(Ms(1000), send);
+        const auto [asked, begun] = fleet.begunOf(0, since, until);
+        CHECK(asked > 0);
+        const std::string figures = std::to_string(begun) + " of " + std::to_string(asked) + " served at " + std::to_string(instances) + " instances";
+        CHECK_TEXT(static_cast<double>(begun) >= MinServed * static_cast<double>(asked), figures.c_str());
+    }
+}
+
 /// Guards against two planners, streams that lose or repeat events, and requests that run twice, while instances of two builds take each other's place under
 /// faults.
 TEST(AFleetOfTwoBuilds, keepsItsGuaranteesUnderFaults)
