--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -266,6 +266,10 @@
     digest.meshAddress = "two:1";
     digest.zone = "zone-a";
     bed.kernel.onPeerMessage(bed.now, digest);
+    for (int i = 0; i < 20; ++i) {
+        bed.call("/book/x");
+        STRCMP_EQUAL("three", lastHandOver().instance.c_str());
+    }
     for (int i = 0; i < 20; ++i) {
         bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}, {"three", "three:1", "zone-b", "three:2"}});
         bed.call("/book/x");
