--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -288,7 +288,8 @@
     }
 }
 
-/// Guards against requests being handed over to an instance that has been rolled back to a version that takes none, until the list of instances is read again.
+/// Guards against requests being handed over to an instance that has been rolled back to a version that takes none, and that leaves its newer process's entry
+/// in the list of instances as it is.
 TEST(ARequestThatIsHandedOver, isNotSentToAnInstanceThatHasBeenRolledBack)
 {
     wire::RelayDigest digest;
@@ -300,6 +301,17 @@
         bed.call("/book/x");
         STRCMP_EQUAL("three", lastHandOver().instance.c_str());
     }
+    for (int i = 0; i < 20; ++i) {
+        bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}, {"three", "three:1", "zone-b", "three:2"}});
+        bed.call("/book/x");
+        STRCMP_EQUAL("three", lastHandOver().instance.c_str());
+    }
+    // It is upgraded again.
+    digest.handOverAddress = "two:2";
+    bed.kernel.onPeerMessage(bed.now, digest);
+    bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}});
+    bed.call("/book/x");
+    STRCMP_EQUAL("two", lastHandOver().instance.c_str());
 }
 
 /// Guards against a stream that may be resumed being given up since the endpoints of one other instance have failed it, for instance as that one stops.
--- a/libs/relay/tests/UpgradeTests.cpp
+++ b/libs/relay/tests/UpgradeTests.cpp
@@ -221,6 +221,75 @@
     }
 }
 
+/// Guards against sound requests being rejected somewhere in the fleet for what an instance of an earlier landing infers while it reaches no endpoint: it tells
+/// some instances again and again, and they tell the others.
+TEST(AFleetOfTwoBuilds, rejectsNothingForWhatACutOffInstanceInfers)
+{
+    constexpr std::uint64_t Fingerprint = 777;
+    constexpr Ms RepeatPeriod{2400};
+    for (const std::size_t instances : fleetSizes()) {
+        InstanceFleet fleet(instances);
+        const auto send = [&]() {
+            sendSound(fleet, 1);
+            if (step % 4 == 0) {
+                fleet.request((step / 4) % instances, 100, Fingerprint);
+            }
+        };
+        fleet.advance(Ms(2000), send);
+        const Instant since = fleet.now;
+        for (int repeated = 0; repeated < 4; ++repeated) {
+            wire::RelayDigest digest;
+            digest.instance = "instance-" + std::to_string(instances - 1);
+            for (std::size_t i = 0; i < 4; ++i) {
+                const relay::EndpointEntry &entry = fleet.endpoints[i].entry;
+                digest.crashReports.push_back({Fingerprint, base::mixBits(base::hashOf(entry.id) ^ entry.incarnation), repeated * RepeatPeriod});
+            }
+            const std::string bytes = withoutHandOvers().known(wire::encode(digest));
+            for (std::size_t i = 0; i < std::min<std::size_t>(instances - 1, 3); ++i) {
+                fleet.instances[i]->kernel->onPeerMessage(fleet.now, base::valueOf(wire::decodeRelayMessage(bytes)));
+            }
+            fleet.advance(RepeatPeriod, send);
+        }
+        for (std::size_t i = 0; i < instances; ++i) {
+            LONGS_EQUAL(0, fleet.quarantinedSince(i, since));
+        }
+    }
+}
+
+/// Guards against callers of an instance that reaches no endpoint being rejected while half of the others have been rolled back: the list of instances still
+/// names their addresses, where nothing listens.
+TEST(AFleetOfTwoBuilds, servesTheCallersOfInstancesThatAreCutOffAfterARollBack)
+{
+    constexpr double MinServed = 0.98;
+    constexpr std::uint64_t Period = 8;
+    for (const std::size_t size : fleetSizes()) {
+        const std::size_t instances = std::max<std::size_t>(size, 5);
+        InstanceFleet fleet(instances);
+        const auto send = [&]() {
+            for (std::size_t i = ++step % Period; i < instances; i += Period) {
+                fleet.request(i, 100 + step % SoundParts);
+            }
+        };
+        fleet.advance(Ms(2000), send);
+        for (std::size_t i = 1; i < instances; i += 2) {
+            fleet.replace(i, &withoutHandOvers());
+            fleet.advance(InstanceFleet::Step, send);
+        }
+        fleet.advance(SpreadTime, send);
+        fleet.instances[0]->endpointCut = InstanceFleet::EndpointCut::Reset;
+        fleet.advance(SpreadTime, send);
+        const Instant since = fleet.now;
+        fleet.advance(Ms(6000), send);
+        const Instant until = fleet.now - Ms(1000);
+        fleet.instances[0]->endpointCut = InstanceFleet::EndpointCut::None;
+        fleet.advance(Ms(1000), send);
+        const auto [asked, begun] = fleet.begunOf(0, since, until);
+        CHECK(asked > 0);
+        const std::string figures = std::to_string(begun) + " of " + std::to_string(asked) + " served at " + std::to_string(instances) + " instances";
+        CHECK_TEXT(static_cast<double>(begun) >= MinServed * static_cast<double>(asked), figures.c_str());
+    }
+}
+
 /// Guards against two planners, streams that lose or repeat events, and requests that run twice, while instances of two builds take each other's place under
 /// faults.
 TEST(AFleetOfTwoBuilds, keepsItsGuaranteesUnderFaults)
