Daemon's own kernel: claims' changes and failures of pipelines in files of their own

Moved as they were; findClaim() became a member. Two mutants name the new files; all mutants of this kernel still apply (checked by their expressions, not run). trefoilportTests 73 passed.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -67,7 +67,7 @@
 }
 
 mutant ambiguous-write-counts-as-granted ClaimLedger.cpp 's/case StoreStatus::Ambiguous:/case StoreStatus::Ambiguous: bucket.version = done.version; bucket.cached = bucket.proposed; bucket.cacheValid = wasWriting; finishWrite(bucket, actions); break; case StoreStatus::NotFound:/; s/^    case StoreStatus::NotFound:$//'
-mutant foreign-claim-is-taken-over ClaimLedger.cpp 's/if (found->nonce != op.claim.nonce) {/if (false) {/'
+mutant foreign-claim-is-taken-over ClaimChanges.cpp 's/if (found->nonce != op.claim.nonce) {/if (false) {/'
 mutant no-release ClaimLedger.cpp 's/    op.decided = !op.everWritten;/    op.decided = true;/'
 mutant outcome-not-stored ServiceCalls.cpp 's/context_.ledger.complete(.*);/(void)now;/'
 mutant broken-call-is-retried ServiceCalls.cpp 's/if (call->atMostOnce \&\& !provesNotRun(event.failure)) {/if (false) {/'
@@ -76,7 +76,7 @@
 mutant late-frames-are-taken PipelineCalls.cpp 's/    attempts_.erase(call.attempt);/    (void)0;/'
 mutant no-replay PipelineCalls.cpp 's/    order.delivered = call.delivered;/    (void)0;/'
 mutant end-is-not-checked PipelineCalls.cpp 's/const bool complete = event.tokens == .*;/const bool complete = true;/'
-mutant no-stall-detection PipelineCalls.cpp 's/if (silence > timeout) {/if (silence > 1000 * timeout) {/; s/if (silence > timeout \/ 2/if (silence > 1000 * timeout/'
+mutant no-stall-detection PipelineFailures.cpp 's/if (silence > timeout) {/if (silence > 1000 * timeout) {/; s/if (silence > timeout \/ 2/if (silence > 1000 * timeout/'
 mutant no-quarantine Quarantine.cpp 's/    ++report.crashCount;/    report.crashCount = 0;/'
 mutant strikes-are-not-spread Kernel.cpp 's/    if (gossip.crashNotices.empty()) {/    if (true) {/; s/context.quarantine.notices(now.mono, MaxCrashReportsPerGossip)/{}/'
 mutant leaving-is-not-spread EndpointTable.cpp 's/        if (endpoint.leavingSeen \&\& endpoint.listed/        if (false \&\& endpoint.listed/'
--- a/trefoilport/src/details/ClaimLedger.h
+++ b/trefoilport/src/details/ClaimLedger.h
@@ -190,6 +190,8 @@
     void startRead(std::uint32_t number, base::Now now, Actions &actions, StoreOpId &nextOp);
     /// Applies the due operations to a copy of the bucket and writes it if it changed; returns false if the bucket must be read first.
     bool startWrite(std::uint32_t number, base::Now now, Actions &actions, StoreOpId &nextOp);
+    /// Returns the claim of a key; null if there is none.
+    static wire::Claim *findClaim(wire::ClaimBucket &bucket, const std::string &key);
     ApplyResult apply(Bucket &bucket, Op &op, wire::ClaimBucket &claims, base::Now now);
     ApplyResult applyAcquire(Bucket &bucket, Op &op, wire::ClaimBucket &claims, base::Now now);
     /// Decides on an Acquire whose key is claimed by another call, or defers it while that call may still get an outcome.
--- a/trefoilport/src/details/PipelineCalls.h
+++ b/trefoilport/src/details/PipelineCalls.h
@@ -12,6 +12,9 @@
 
 namespace trefoilport {
 
+/// Number of tokens that an engine prefills in the time of one decoding step.
+inline constexpr std::uint32_t PrefillSpeedup = 8;
+
 /// Handles completion calls from arrival to the last token.
 ///
 /// A call waits in the fair queue until a pipeline has room and then runs on it. If a stage fails, the call moves to another pipeline, which
