--- a/programs/trefoilportd/tests/EndpointContractTests.cpp
+++ b/programs/trefoilportd/tests/EndpointContractTests.cpp
@@ -1,9 +1,8 @@
 #include "EndpointsDuty.h"
-#include "net/HttpServer.h"
+#include "ServerThread.h"
 
 #include <CppUTest/TestHarness.h>
 
-#include <optional>
 #include <thread>
 
 using namespace trefoilport;
@@ -24,55 +23,39 @@
     } end = End::Complete;
 };
 
-/// A fake endpoint that answers every request according to one script, in a thread of its own.
+/// A fake endpoint that answers every request according to one script.
 class FakeEndpoint
 {
 public:
     explicit FakeEndpoint(Script script)
         : script_(std::move(script))
+        , thread_([this](ServerThread &thread, net::ExchangeId id, const net::HttpRequest &) { play(thread, id); })
     {
-        net::HttpServer::Handlers handlers;
-        handlers.onRequest = [this](net::ExchangeId id, const net::HttpRequest &) {
-            play(id);
-        };
-        handlers.onAbort = [](net::ExchangeId) {
-        };
-        handlers.refusal = [](net::RefusalKind) {
-            return net::HttpResponse{400, {}, ""};
-        };
-        server_.emplace(loop_, net::Address{"127.0.0.1", 0}, net::ServerLimits{}, handlers);
-        address = net::toString(server_->address());
-        thread_ = std::thread([this]() { loop_.run(); });
     }
 
-    ~FakeEndpoint()
+    const std::string &address() const
     {
-        loop_.stop();
-        thread_.join();
+        return thread_.address();
     }
 
-    std::string address;
-
 private:
-    void play(net::ExchangeId id)
+    void play(ServerThread &thread, net::ExchangeId id) const
     {
         if (script_.end == Script::End::Silent) {
             return;
         }
-        server_->beginStream(id, script_.status, script_.headers);
-        server_->writeChunk(id, script_.body);
+        thread.server().beginStream(id, script_.status, script_.headers);
+        thread.server().writeChunk(id, script_.body);
         if (script_.end == Script::End::Complete) {
-            server_->endStream(id);
+            thread.server().endStream(id);
             return;
         }
         // The delay lets the data written so far reach the client before the connection breaks.
-        loop_.after(std::chrono::milliseconds(20), [this, id]() { server_->abort(id); });
+        thread.loop().after(std::chrono::milliseconds(20), [&thread, id]() { thread.server().abort(id); });
     }
 
     Script script_;
-    net::EventLoop loop_;
-    std::optional<net::HttpServer> server_;
-    std::thread thread_;
+    ServerThread thread_;
 };
 
 /// Runs the endpoints' duty in its own thread and drives it through its rings, in place of the kernel.
@@ -163,7 +146,7 @@
 TEST(AnEnginesContract, deliversTokensWithTheirStagesAndTheEnd)
 {
     const FakeEndpoint engine({200, {}, Token + "{\"end\":1}\n", Script::End::Complete});
-    const std::vector<Event> events = duty.run(pipelineTo(engine.address));
+    const std::vector<Event> events = duty.run(pipelineTo(engine.address()));
     LONGS_EQUAL(2, events.size());
     const auto &token = std::get<TokenArrived>(events[0]);
     STRCMP_EQUAL(" snow", token.text.c_str());
@@ -191,14 +174,14 @@
     };
     for (const FaultCase &row : table) {
         const FakeEndpoint engine(row.script);
-        checkFailure(row.name, duty.run(pipelineTo(engine.address)), row.failure, row.endpoint);
+        checkFailure(row.name, duty.run(pipelineTo(engine.address())), row.failure, row.endpoint);
     }
 }
 
 TEST(AnEnginesContract, reportsNotSentAfterTheSendDeadlineOrWithoutAListener)
 {
     const FakeEndpoint engine({200, {}, Token, Script::End::Complete});
-    checkFailure("late", duty.run(pipelineTo(engine.address, base::Instant{0})), AttemptFailure::NotSent);
+    checkFailure("late", duty.run(pipelineTo(engine.address(), base::Instant{0})), AttemptFailure::NotSent);
     checkFailure("nobody", duty.run(pipelineTo("127.0.0.1:1")), AttemptFailure::NotSent);
 }
 
@@ -211,7 +194,7 @@
 {
     for (const int status : {200, 404, 500, 503}) {
         const FakeEndpoint service({status, {{"Content-Type", "text/plain"}, {"ETag", "v1"}, {"Keep-Alive", "x"}}, "answer", Script::End::Complete});
-        const std::vector<Event> events = duty.run(serviceTo(service.address));
+        const std::vector<Event> events = duty.run(serviceTo(service.address()));
         const auto *answered = std::get_if<ServiceAnswered>(&events.back());
         CHECK(answered != nullptr);
         LONGS_EQUAL(status, answered->answer.status);
@@ -231,7 +214,7 @@
     };
     for (const FaultCase &row : table) {
         const FakeEndpoint service(row.script);
-        checkFailure(row.name, duty.run(serviceTo(service.address)), row.failure, row.endpoint);
+        checkFailure(row.name, duty.run(serviceTo(service.address())), row.failure, row.endpoint);
     }
     checkFailure("nobody listens", duty.run(serviceTo("127.0.0.1:1")), AttemptFailure::NotSent);
 }
