--- a/libs/net/include/net/Http.h
+++ b/libs/net/include/net/Http.h
@@ -20,8 +20,7 @@
 void removeHeader(Headers &headers, std::string_view name);
 
 /// Returns the fields that an intermediary forwards: all but those that concern the connection or the message framing (RFC 9110, section 7.6.1),
-/// Host and Expect, the field that the Connection field names, and those named in `excluded`. A Connection field that lists several names is
-/// compared as a whole, so the fields that it lists are forwarded.
+/// Host and Expect, all fields that a Connection field names, and those named in `excluded`.
 Headers endToEndHeaders(const Headers &headers, const std::vector<std::string_view> &excluded);
 
 /// Returns the time after which the sender closes the connection if it stays idle, by the Keep-Alive field; none if it states none.
