Bench: the load of endpoints that refuse a share of their requests

It prints whole answers, refused and failed requests with their statuses, and arrivals a second at each endpoint; SHARES, ROUNDS and PLAY_S choose what is played, and DAEMON names the program of another build, which is played in turns with this one.

--- a/build.sh
+++ b/build.sh
@@ -75,7 +75,7 @@
 ./build.sh spec             checks the protocol models, and that each of their mutants is refuted
 ./build.sh check            checks the sources with the formatter and the linter
 ./build.sh demo [--keep]    starts a small fleet, sends requests to it and stops it; --keep leaves it running until Ctrl-C
-./build.sh bench NAME       runs a benchmark: throughput, overload, recovery, overhead or control
+./build.sh bench NAME       runs a benchmark: throughput, overload, recovery, overhead, control or refusals
 ./build.sh soak [SEEDS]     runs real instances under injected faults; SEEDS are numbers or ranges (7 or 1-50)
 ./build.sh mutants [REGEX]  introduces one fault at a time into the code and requires the tests to notice each
 ./build.sh format           formats the sources in place
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# bench.sh BUILD throughput|overload|recovery|overhead|control
+# bench.sh BUILD throughput|overload|recovery|overhead|control|refusals
 # Runs a benchmark against a local fleet with stand-in engines. The last line is "NAME key=value ...".
 # Environment:
 #   OUT       folder for the JSON results, plots and summaries (default: BUILD/bench-out)
@@ -7,6 +7,10 @@
 #   POLICY    choice policy during recovery (default: predicted)
 #   CASES     cases of recovery to run (default: all)
 #   NODES     numbers of instances that control measures, in increasing order
+#   SHARES    parts of 100 that endpoints refuse in refusals (default: 0 5 16 100)
+#   ROUNDS    how often refusals plays each of them, in turns (default: 1)
+#   PLAY_S    how long each play of refusals lasts, in seconds (default: 15)
+#   DAEMON    program of another build, which refusals plays beside this one
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=$1
@@ -255,10 +259,47 @@
     echo "$line"
 }
 
+# median NUMBER...: prints the median of the numbers, the lower one of the two in the middle.
+median() {
+    printf '%s\n' "$@" | sort -n | sed -n "$((($# + 1) / 2))p"
+}
+
+# Measures what callers get, and endpoints are sent, if the endpoints refuse a share of the requests at random. Builds, shares and rounds take turns.
+bench_refusals() {
+    local line=refusals rounds=${ROUNDS:-1} shares=${SHARES:-0 5 16 100} round share label
+    declare -A daemons=([this]=$build/programs/trefoilportd/trefoilportd)
+    [ -z "${DAEMON:-}" ] || daemons[other]=$DAEMON
+    rm -f "$out"/refusals-{this,other}-*.txt
+    for round in $(seq 1 "$rounds"); do
+        for share in $shares; do
+            for label in "${!daemons[@]}"; do
+                "$build/platform/trefoilRefusals" --daemon "${daemons[$label]}" --refused "$share" --seconds "${PLAY_S:-15}" --seed "$round" \
+                    >>"$out/refusals-$label-$share.txt"
+                echo "round $round $label $(tail -1 "$out/refusals-$label-$share.txt")"
+            done
+        done
+    done
+    local key values
+    for label in "${!daemons[@]}"; do
+        for share in $shares; do
+            for key in whole refused failed; do
+                values=$(sed -n "s/.* $key=\([0-9]*\).*/\1/p" "$out/refusals-$label-$share.txt")
+                # shellcheck disable=SC2086
+                line="$line ${label}_${share}_$key=$(median $values)"
+            done
+            # The endpoint with the most arrivals of a play.
+            values=$(sed -n 's/.* arrivals_per_s=\([0-9,]*\).*/\1/p' "$out/refusals-$label-$share.txt" | while IFS=, read -r a b c; do printf '%s\n' "$a" "$b" "$c" | sort -n | tail -1; done)
+            # shellcheck disable=SC2086
+            line="$line ${label}_${share}_max_arrivals_per_s=$(median $values)"
+        done
+    done
+    echo "$line"
+}
+
 case $name in
-throughput | overload | recovery | overhead | control) "bench_$name" ;;
+throughput | overload | recovery | overhead | control | refusals) "bench_$name" ;;
 *)
-    echo "usage: bench.sh BUILD throughput|overload|recovery|overhead|control" >&2
+    echo "usage: bench.sh BUILD throughput|overload|recovery|overhead|control|refusals" >&2
     exit 1
     ;;
 esac
