Refusals: a plain endpoint that refuses most gets a window of open requests before it gets a pause

What callers saw: three endpoints that took 4 requests at a time each, and refused the rest at once, answered 137 requests of 24 callers in 10 s of virtual time, of 24,000 possible. With 200 callers and 16 % refused at random, 252 were answered, of 399,471 without refusals.

Cause: refusals come at once and answers later. A burst looks refused before its first answer can come, so the share reaches one half and all endpoints pause; after the pause the next burst does the same. Ruled out: the limit on retries (0.2 of the requests; 50 of 265 sent were retries) and the callers' own pause (24 callers, 100 ms: 240 requests a second came).

Now the endpoint gets a window instead, half of what was open. A refusal halves it, once for all that were under way, while a third or more are refused; each answer widens it by one. Only when the last request that it leaves is refused does the endpoint pause, and then it gets a single one. An answer to a request that was sent after the refusal ends the pause, except a time for which the endpoint has asked. Engines stay as they were.

--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -226,6 +226,7 @@
     }
     const EndpointIndex first = attempts.at(id).stages.front();
     limits.onSent(first, now);
+    endpoints.at(first).refusals.onSent(now);
     ++call.attemptCount;
     call.runs.push_back({id, first, endpoints.at(first).entry.incarnation});
     ++counters.attempts;
--- a/libs/relay/src/Detours.cpp
+++ b/libs/relay/src/Detours.cpp
@@ -101,7 +101,7 @@
     const auto fault = endpoints.findAddress(faultAddress);
     if (fault) {
         exclude(call, *fault);
-        endpoints.onRefused(*fault, now);
+        endpoints.onRefused(*fault, now, now);
     }
     const bool canRetry = outcome == OrderOutcome::NoAnswer || (outcome == OrderOutcome::Refused && fault);
     if (canRetry && detour(now, call, id, fault)) {
--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -13,14 +13,17 @@
 /// The interval between report requests to a silent endpoint doubles from the minimum up to the maximum.
 constexpr Ms MinReportInterval{300};
 constexpr Ms MaxReportInterval{1500};
-/// The pause after refusals is this times 2 to the power of the number of refusals in a row, which is counted up to the maximum.
-constexpr Ms RefusalPauseUnit{75};
-constexpr int MaxRefusals = 5;
 /// Weights of the latest request in the smoothed latency and failure ratio.
 constexpr double LatencyWeight = 0.15;
 constexpr double FailureWeight = 0.3;
 constexpr double FailureHalfLifeMs = 2500;
 
+/// Returns whether the endpoint takes whole requests, in contrast to an engine that holds layers.
+bool isPlain(const EndpointState &state)
+{
+    return state.entry.accelerator.empty();
+}
+
 } // namespace
 
 double failureRatioAt(const EndpointState &state, Instant now)
@@ -35,9 +38,7 @@
     state.listedAsDraining = false;
     state.silentCheckAt = Instant{0};
     state.silenceCount = 0;
-    state.pausedUntil = Instant{0};
-    state.refusalShare = {};
-    state.refusals = 0;
+    state.refusals = {};
     state.orderCount = 0;
 }
 
@@ -156,20 +157,19 @@
     state.silentCheckAt = now + interval;
 }
 
-void EndpointRegistry::onRefused(EndpointIndex index, Instant now, Ms minimum)
+void EndpointRegistry::onRefused(EndpointIndex index, Instant sentAt, Instant now, Ms minimum)
 {
     EndpointState &state = states_[index];
-    state.refusalShare.onOutcome(true, now);
-    if (!state.refusalShare.isMost()) {
-        state.pausedUntil = std::max(state.pausedUntil, now + minimum);
-        return;
-    }
-    // Refusals of attempts that were under way at the same time count as one.
-    if (now >= state.pausedUntil) {
-        state.refusals = std::min(state.refusals + 1, MaxRefusals);
+    if (isPlain(state)) {
+        return state.refusals.onRefused(sentAt, now, state.openRequests, minimum);
     }
-    state.pausedUntil = std::max(state.pausedUntil, now + std::max(minimum, RefusalPauseUnit * (1 << state.refusals)));
-    state.refusedAt = now;
+    // Where an engine has room is predicted from its load, and its answers come late: it gets no window.
+    state.refusals.onRefused(now, now, 0, minimum);
+}
+
+bool EndpointRegistry::hasRoom(EndpointIndex index, Instant now) const
+{
+    return states_[index].refusals.hasRoom(now, states_[index].openRequests);
 }
 
 void EndpointRegistry::backOff(EndpointIndex index, Instant now, Ms duration)
@@ -214,10 +214,7 @@
 void EndpointRegistry::onAccepted(EndpointIndex index, Instant sentAt, Instant now)
 {
     EndpointState &state = states_[index];
-    state.refusalShare.onOutcome(false, now);
-    if (sentAt > state.refusedAt) {
-        state.refusals = 0;
-    }
+    state.refusals.onAccepted(sentAt, now, isPlain(state) ? state.openRequests : 0);
 }
 
 void EndpointRegistry::forgetLayers(EndpointIndex index)
@@ -243,7 +240,7 @@
 bool EndpointRegistry::isUsable(EndpointIndex index, Instant now) const
 {
     const EndpointState &state = states_[index];
-    return state.listed && !state.entry.draining && state.silentCheckAt.count() == 0 && now >= state.pausedUntil && now >= state.heldUntil;
+    return state.listed && !state.entry.draining && state.silentCheckAt.count() == 0 && state.refusals.isOver(now) && now >= state.heldUntil;
 }
 
 std::optional<EndpointIndex> EndpointRegistry::find(const std::string &id) const
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -33,7 +33,7 @@
     double bestCost = 0;
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         const EndpointState &state = endpoints.at(i);
-        const bool isUsable = endpoints.isUsable(i, now) && endpoints.backoffLeft(i, now).count() == 0;
+        const bool isUsable = endpoints.isUsable(i, now) && endpoints.backoffLeft(i, now).count() == 0 && endpoints.hasRoom(i, now);
         if (state.entry.service != call.service->name || call.isExcluded(i) || !isUsable || !limits.maySend(i, nextFraction(), now)) {
             continue;
         }
@@ -115,10 +115,11 @@
     const double latency = msBetween(attempts.at(attempt).sentAt, now);
     if (head.notRun) {
         driver.record({"attempt_refused", call.requestId, endpoints.at(endpoint).entry.id, "status " + std::to_string(head.status)});
-        endpoints.onRefused(endpoint, now, head.retryAfter);
+        const Instant sentAt = attempts.at(attempt).sentAt;
         exclude(call, endpoint);
         forgetRun(call, attempt);
         dropAttempt(attempt);
+        endpoints.onRefused(endpoint, sentAt, now, head.retryAfter);
         return retryPlainOrFail(now, call, base::ErrorKind::Overloaded, "the endpoint refused the request without running it");
     }
     call.mayHaveRun = true;
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -123,6 +123,7 @@
 void RelayKernel::Impl::onStreamRefused(Instant now, Call &call, AttemptId attempt, const AnswerHead &head)
 {
     const EndpointIndex first = attempts.at(attempt).stages.front();
+    const Instant sentAt = attempts.at(attempt).sentAt;
     if (!head.notRun) {
         return onStreamFailed(now, call, attempt, head);
     }
@@ -134,7 +135,7 @@
         endpoints.forgetLayers(atFault);
     } else {
         // The time that the first stage asks for isn't that of another stage, whose refusal it passes on.
-        endpoints.onRefused(atFault, now, atFault == first ? head.retryAfter : Ms(0));
+        endpoints.onRefused(atFault, sentAt, now, atFault == first ? head.retryAfter : Ms(0));
     }
     if (endpoints.backoffLeft(atFault, now).count() == 0) {
         requestReport(now, atFault);
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "details/RecentFailures.h"
-#include "details/RefusalShare.h"
+#include "details/RefusalPause.h"
 
 #include <optional>
 #include <unordered_map>
@@ -33,12 +33,8 @@
     Instant silentCheckAt{0};
     /// How often in a row it was marked as silent without a report in between.
     int silenceCount = 0;
-    /// The endpoint gets no new work until this time, since it refused work without running it. A report doesn't end that.
-    Instant pausedUntil{0};
-    RefusalShare refusalShare;
-    /// Refusals in a row, up to a maximum, and the time of the last one.
-    int refusals = 0;
-    Instant refusedAt{0};
+    /// What its refusals say of what it may be sent. A report doesn't change that.
+    RefusalPause refusals;
     /// The endpoint gets no new work until this time or until it reports, since a report is awaited or others have found it silent.
     Instant heldUntil{0};
     /// The endpoint has asked for no requests from this instance until this time, when it said so, and its incarnation then. Zero if it hasn't.
@@ -106,9 +102,12 @@
     /// request further.
     void setSilent(EndpointIndex index, Instant now);
 
-    /// Takes note that the endpoint has refused work without running it, for lack of capacity or since it is leaving. If it refuses most of what it is sent, it
-    /// gets no new work for a pause that doubles with each refusal in a row. The pause is at least as long as the endpoint has asked for.
-    void onRefused(EndpointIndex index, Instant now, Ms minimum = Ms(0));
+    /// Takes note that the endpoint has refused work, sent at that time, without running it, for lack of capacity or since it is leaving; see RefusalPause. If
+    /// it gets no new work for a pause, that is at least as long as the endpoint has asked for.
+    void onRefused(EndpointIndex index, Instant sentAt, Instant now, Ms minimum = Ms(0));
+
+    /// Returns whether a plain endpoint that has refused work has room for one more request.
+    bool hasRoom(EndpointIndex index, Instant now) const;
 
     /// Sends the endpoint no requests for a time that it has asked for itself. Neither a report nor an accepted request ends that, only a new incarnation.
     void backOff(EndpointIndex index, Instant now, Ms duration);
@@ -125,7 +124,7 @@
     /// Gives the endpoint no new work for at least the given time, or until it reports.
     void hold(EndpointIndex index, Instant now, Ms duration);
 
-    /// Takes note that the endpoint has accepted work. Resets the number of refusals in a row if the work was sent after the last of them.
+    /// Takes note that the endpoint has accepted work, which ends a pause if the work was sent after the refusal.
     void onAccepted(EndpointIndex index, Instant sentAt, Instant now);
 
     /// Clears the layers of an endpoint that doesn't hold what it was expected to hold. It counts as empty until a report or list shows its layers.
--- a/libs/relay/src/details/RefusalShare.h
+++ b/libs/relay/src/details/RefusalShare.h
@@ -31,6 +31,18 @@
         return share_ >= MostShare;
     }
 
+    /// Returns whether it has refused so many of them that they are more than chance.
+    bool isHigh() const
+    {
+        return share_ >= HighShare;
+    }
+
+    /// Returns whether it has refused hardly any of them.
+    bool isRare() const
+    {
+        return share_ < RareShare;
+    }
+
 private:
     /// Weight of the latest of many requests: small enough that some refusals in a row by chance don't count as most, large enough to find a full endpoint
     /// soon.
@@ -38,6 +50,8 @@
     /// Time after which an earlier request counts half.
     static constexpr std::chrono::duration<double> HalfLife = Ms(300);
     static constexpr double MostShare = 0.5;
+    static constexpr double HighShare = 1.0 / 3;
+    static constexpr double RareShare = 0.0625;
 
     double share_ = 0;
     Instant updatedAt_{0};
