Refusals that name a time: one log line an episode

What operators saw: an endpoint that refuses with Retry-After while many requests are under way to it wrote "backoff_requested" for each of them. Cause: the line was written at each such answer, also if the endpoint's wish was known.

AnEndpointThatWantsNoRequestsForATime.isLoggedOnceAnEpisode failed before: "expected <3>, but was <20>"; the wishes in it are absurdly short and usual in turn. Not changed: "attempt_refused" tells of each request, and the log's own bound holds for it.

--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -277,9 +277,12 @@
         impl_->onLeaving(first, impl_->incarnationOf(attempt), "in an answer to this instance");
     }
     if (head.retryAfter.count() > 0) {
+        const bool isKnown = impl_->endpoints.backoffLeft(first, now).count() > 0;
         impl_->endpoints.backOff(first, now, head.retryAfter);
-        const std::string &endpoint = impl_->endpoints.at(first).entry.id;
-        impl_->driver.record({"backoff_requested", "", endpoint, "no requests for " + std::to_string(head.retryAfter.count()) + " ms"});
+        if (!isKnown) {
+            const std::string &endpoint = impl_->endpoints.at(first).entry.id;
+            impl_->driver.record({"backoff_requested", "", endpoint, "no requests for " + std::to_string(head.retryAfter.count()) + " ms"});
+        }
     }
     if (impl_->limits.onStated(first, head.requestLimit, now)) {
         impl_->recordLimit(first, head.requestLimit, "to this instance");
--- a/libs/relay/tests/BackoffTests.cpp
+++ b/libs/relay/tests/BackoffTests.cpp
@@ -9,6 +9,7 @@
 {
     static constexpr Ms Wish{2000};
     RelayTestBed bed;
+    std::size_t linesExpected = 0;
 
     /// Answers the most recent attempt with a refusal that names the wish, and the stage at fault if there is one.
     void refuse(const std::string &faultAddress = "", bool notRun = true, bool verified = true)
@@ -174,3 +175,31 @@
     bed.kernel.onEndpoints(bed.now, bed.entries, {0, ++bed.storeRevision});
     CHECK(sentTo(first, "/read/x", Wish) > 0);
 }
+
+/// Guards against a log that a stream of refusals fills: those of requests that were under way when the endpoint first said so add no line.
+TEST(AnEndpointThatWantsNoRequestsForATime, isLoggedOnceAnEpisode)
+{
+    constexpr std::size_t Requests = 20;
+    for (std::size_t episode = 1; episode <= 2; ++episode) {
+        const std::size_t before = bed.driver.sent.size();
+        for (std::size_t i = 0; i < Requests; ++i) {
+            bed.call("/book/x");
+        }
+        std::set<std::string> refusing;
+        const std::size_t underWay = bed.driver.sent.size();
+        CHECK(underWay > before);
+        for (std::size_t i = before; i < underWay; ++i) {
+            const Dispatch sent = bed.driver.sent[i];
+            refusing.insert(sent.endpoint);
+            AnswerHead head;
+            head.status = 503;
+            head.notRun = true;
+            head.retryAfter = i % 2 == 0 ? Ms(1) : Wish;
+            bed.kernel.onHead(bed.now, sent.attempt, head);
+            bed.kernel.onAnswer(bed.now, sent.attempt, head);
+        }
+        linesExpected += refusing.size();
+        LONGS_EQUAL(linesExpected, bed.driver.recorded["backoff_requested"]);
+        bed.advance(Wish + Ms(3000));
+    }
+}
--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -3,6 +3,7 @@
 #include "relay/RelayKernel.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <stdexcept>
 #include <string>
@@ -141,8 +142,9 @@
     {
         exited = true;
     }
-    void record(const relay::Decision &) override
+    void record(const relay::Decision &decision) override
     {
+        ++recorded[std::string(decision.event)];
     }
 
     /// Whether the kernel cancelled that attempt.
@@ -151,6 +153,8 @@
         return std::find(cancelled.begin(), cancelled.end(), attempt) != cancelled.end();
     }
 
+    /// Number of log lines by their event.
+    std::map<std::string, std::size_t> recorded;
     /// What unfinishedExchanges() returns.
     std::size_t unfinished = 0;
     std::vector<relay::Dispatch> sent;
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -156,6 +156,7 @@
 relay refusal-window-never-falls RefusalPause.cpp 's/    window_ = std::max(1.0, halved);/    window_ = window_.value_or(MaxWindow);/'
 relay refusal-window-waits-for-ever RefusalPause.cpp 's/ || now >= sentAt_ + ProbePeriod;/;/'
 relay refusals-of-one-burst-count-each RefusalPause.cpp 's/window_ \&\& sentAt <= refusedAt_;/false;/'
+relay refusal-each-is-logged RelayKernel.cpp 's/const bool isKnown = .*/const bool isKnown = false;/'
 relay refusal-proof-ends-nothing RefusalPause.cpp 's/^    pausedUntil_ = askedUntil_;/    (void)0;/'
 relay refusal-proof-ends-a-wish RefusalPause.cpp 's/^    pausedUntil_ = askedUntil_;/    pausedUntil_ = Instant{0};/'
 relay plain-stream-does-not-wait PlainCalls.cpp 's/if (hasEndpointLeft(call) \&\& waitsForEndpoints(now, call)) {/if (false) {/'
