--- a/libs/relay/tests/FakeDriver.h
+++ b/libs/relay/tests/FakeDriver.h
@@ -3,6 +3,7 @@
 #include "relay/RelayKernel.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <stdexcept>
 #include <string>
@@ -147,6 +148,7 @@
     }
     void record(const relay::Decision &decision) override
     {
+        ++recorded[std::string(decision.event)];
         if (keepsDecisions) {
             decisions.push_back(decision);
         }
@@ -158,6 +160,8 @@
         return std::find(cancelled.begin(), cancelled.end(), attempt) != cancelled.end();
     }
 
+    /// Number of log lines by their event.
+    std::map<std::string, std::size_t> recorded;
     /// The log lines, if they are kept: those of long runs would take much memory.
     bool keepsDecisions = false;
     std::vector<relay::Decision> decisions;
