--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -10,6 +10,8 @@
 passed=0
 failed=0
 skipped=0
+# Number of test programs that run at the same time.
+programs_at_once=4
 
 # is_known_red TEST: succeeds if the test is listed in KNOWN-RED.txt.
 is_known_red() {
@@ -27,19 +29,30 @@
     fi
 }
 
+# run_program PROGRAM: runs a test program; its output and its exit code go to files of its name.
+run_program() {
+    "$1" -v >"$work/$(basename "$1").out" 2>&1
+    echo $? >"$work/$(basename "$1").code"
+}
+export -f run_program
+export work
+
+# Most programs wait or use one processor, so some of them run at the same time.
+find "$build/tests" -maxdepth 1 -name '*Tests' -executable -print0 | sort -z | xargs -0 -P "$programs_at_once" -I{} bash -c 'run_program {}'
+
 for program in "$build"/tests/*Tests; do
     [ -x "$program" ] || continue
-    "$program" -v >"$work/out" 2>&1
-    code=$?
-    ran=$(grep -oE '[0-9]+ ran' "$work/out" | tail -1 | cut -d' ' -f1)
+    out=$work/$(basename "$program").out
+    code=$(cat "$work/$(basename "$program").code")
+    ran=$(grep -oE '[0-9]+ ran' "$out" | tail -1 | cut -d' ' -f1)
     ran=${ran:-0}
-    failures=$(grep -o 'Failure in TEST(.*)' "$work/out" | sort -u | sed 's/Failure in //')
+    failures=$(grep -o 'Failure in TEST(.*)' "$out" | sort -u | sed 's/Failure in //')
     if [ -n "$failures" ]; then
-        cat "$work/out"
+        cat "$out"
         while read -r name; do report_failure "$(basename "$program") $name"; done <<<"$failures"
         ran=$((ran - $(grep -c . <<<"$failures")))
-    elif [ $code -ne 0 ]; then
-        cat "$work/out"
+    elif [ "$code" -ne 0 ]; then
+        cat "$out"
         report_failure "$(basename "$program")"
     fi
     [ $ran -lt 0 ] && ran=0
