--- a/libs/net/tests/FramingTests.cpp
+++ b/libs/net/tests/FramingTests.cpp
@@ -149,3 +149,23 @@
     CHECK(answerTo("POST /whole HTTP/1.1\r\nHost: a\r\nContent-Length: 950\r\n\r\n").starts_with("HTTP/1.1 408"));
     LONGS_EQUAL(0, server.requests());
 }
+
+/// Guards against a request that ends the process: an assertion of the HTTP library didn't hold for an empty body in chunks that arrives byte by byte.
+TEST(TheEndOfABody, isTheSameWhenItArrivesByteByByte)
+{
+    SmallServer server;
+    for (const FramedBody &row : FramedBodies) {
+        if (!row.body) {
+            continue;
+        }
+        RawClient client(server.address());
+        client.send("POST /whole HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" + row.fields + "\r\n");
+        boost::system::error_code ignored;
+        for (const char byte : row.bytes) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+            client.send(std::string(1, byte), ignored);
+        }
+        const std::string answer = client.receiveAll();
+        CHECK_TEXT(answer.ends_with("whole " + *row.body), (row.fields + "|" + row.bytes).c_str());
+    }
+}
