--- /dev/null
+++ b/libs/net/fuzz/FuzzEvents.cpp
@@ -0,0 +1,22 @@
+// A stream of events, cut into events that must follow each other and stay within the stream.
+
+#include "net/EventFrames.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::string_view stream(reinterpret_cast<const char *>(data), size);
+    std::size_t consumed = 0;
+    while (const auto frame = net::firstEvent(stream.substr(consumed))) {
+        const bool follows = frame->bytes.data() == stream.data() + consumed && !frame->bytes.empty();
+        consumed += frame->bytes.size();
+        if (!follows || consumed > size) {
+            std::abort();
+        }
+    }
+    return 0;
+}
