Test: an instance that is upgraded again names the configuration that it has read

isNotSentToAnInstanceThatHasBeenRolledBack failed on the joined code (expected two, was three): since "Hand-overs: an instance that is behind its sender's configuration refuses", an instance whose digest names no configuration isn't asked, and the digest of the test named none. A real one that is upgraded has read it. As strict as before: the instance must be asked again.

--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -306,8 +306,9 @@
         bed.call("/book/x");
         STRCMP_EQUAL("three", lastHandOver().instance.c_str());
     }
-    // It is upgraded again.
+    // It is upgraded again, and has read the configuration.
     digest.handOverAddress = "two:2";
+    digest.configVersion = 1;
     bed.kernel.onPeerMessage(bed.now, digest);
     bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}});
     bed.call("/book/x");
