--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -119,9 +119,8 @@
         return onHandOverRefused(now, call, attempt, isOutdated ? base::ErrorKind::Unconfirmed : *head.peerError, head.peerRetryAfter);
     }
     call.mayHaveRun = true;
-    if (!head.verified) {
-        dropHandOver(attempt);
-        return fail(now, call, base::ErrorKind::UpstreamBroken, peer + " gave a damaged answer");
+    if (!head.verified || call.streamBegun) {
+        return onHandOverFailed(now, call, attempt, AttemptFailure::Broken); // It is damaged, or no continuation of the stream.
     }
     const CallId id = call.id;
     driver.forward(id, attempt);
--- /dev/null
+++ b/libs/relay/tests/HandOverFailureTests.cpp
@@ -0,0 +1,73 @@
+#include "FakeDriver.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace relay;
+
+/// A stream that was handed over since its instance has lost all endpoints, while its own attempt is kept, comes to nothing at the other instance.
+TEST_GROUP(AHandOverThatFails)
+{
+    RelayTestBed bed;
+    CallId stream = 0;
+    AttemptId ownAttempt = 0;
+
+    void setup() override
+    {
+        bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}, {"three", "three:1", "zone-b", "three:2"}});
+        stream = bed.startStream(3);
+        ownAttempt = bed.lastAttempt();
+        for (const EndpointEntry &entry : bed.entries) {
+            bed.unreachable.insert(entry.id);
+        }
+        bed.call("/book/x");
+        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::NotSent);
+        while (handOversOfStream() == 0 && bed.driver.brokenStreams.empty()) {
+            bed.advance(Ms(50));
+        }
+        LONGS_EQUAL(1, handOversOfStream());
+        CHECK(!bed.driver.wasCancelled(ownAttempt));
+    }
+
+    long handOversOfStream() const
+    {
+        return std::count_if(bed.driver.handOvers.begin(), bed.driver.handOvers.end(), [this](const HandOver &each) { return each.call == stream; });
+    }
+
+    void answer(const AnswerHead &head)
+    {
+        const auto last =
+            std::find_if(bed.driver.handOvers.rbegin(), bed.driver.handOvers.rend(), [this](const HandOver &each) { return each.call == stream; });
+        bed.kernel.onAnswer(bed.now, last->attempt, head);
+    }
+
+    void refuse(base::ErrorKind kind)
+    {
+        AnswerHead head;
+        head.peerError = kind;
+        answer(head);
+    }
+
+    void requireToGoOn()
+    {
+        CHECK(bed.driver.brokenStreams.empty());
+        CHECK(bed.kernel.onEvent(bed.now, ownAttempt, 4));
+    }
+};
+
+/// Guards against a damaged answer of another instance that cuts a stream whose own attempt goes on.
+TEST(AHandOverThatFails, leavesTheOwnAttemptOpenIfItsAnswerIsDamaged)
+{
+    answer(AnswerHead{});
+    requireToGoOn();
+}
+
+/// Guards against a whole answer of another instance, such as an error of its endpoint, that is written into a stream that has begun.
+TEST(AHandOverThatFails, leavesTheOwnAttemptOpenIfItsAnswerIsNoStream)
+{
+    AnswerHead head;
+    head.status = 500;
+    head.verified = true;
+    answer(head);
+    LONGS_EQUAL(0, bed.driver.forwarded.size());
+    requireToGoOn();
+}
