--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -135,19 +135,16 @@
     const std::string detail = peer + " says " + std::string(base::nameOf(kind));
     driver.record({"handover_refused", call.requestId, peer, std::string(base::nameOf(kind))});
     dropHandOver(attempt);
+    call.triedPeers.push_back(peer);
     if (base::errorAnswer(kind).ran != base::HasRun::No) {
         call.mayHaveRun = true;
+        ++call.priorRuns;
+        ++call.failedHandOvers;
         if (isUnderWay(call)) {
             return;
         }
-        if (call.route->kind != RequestKind::Stream) {
-            return fail(now, call, kind, detail);
-        }
-        call.triedPeers.push_back(peer);
-        ++call.priorRuns;
-        return retryStreamOrFail(now, call, detail);
+        return call.route->kind == RequestKind::Stream ? retryStreamOrFail(now, call, detail) : fail(now, call, kind, detail);
     }
-    call.triedPeers.push_back(peer);
     if (concernsInstanceOnly(kind)) {
         kind == base::ErrorKind::Unconfirmed ? handOverPeers.avoidWhileBehind(peer, now) : handOverPeers.avoid(peer, now);
         if (handOver(now, call)) {
--- a/libs/relay/tests/HandOverFailureTests.cpp
+++ b/libs/relay/tests/HandOverFailureTests.cpp
@@ -71,3 +71,13 @@
     LONGS_EQUAL(0, bed.driver.forwarded.size());
     requireToGoOn();
 }
+
+/// Guards against a run at another instance that isn't counted while an attempt is open: the request was handed over again and again.
+TEST(AHandOverThatFails, countsAsARunIfItMayHaveRun)
+{
+    refuse(base::ErrorKind::UpstreamBroken);
+    bed.advance(Ms(500));
+    // Its route permits two runs.
+    LONGS_EQUAL(1, handOversOfStream());
+    requireToGoOn();
+}
