--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -151,10 +151,8 @@
             return;
         }
     }
-    if (isUnderWay(call)) {
-        return; // An attempt that this instance has sent itself may still be answered.
-    }
-    if (waitsForEndpoints(now, call)) {
+    // An attempt that this instance has sent itself may still be answered.
+    if (isUnderWay(call) || waitsForEndpoints(now, call)) {
         if (concernsInstanceOnly(kind)) {
             call.triedPeers.clear(); // They are avoided for a while, and may take it later.
         }
--- a/libs/relay/tests/HandOverFailureTests.cpp
+++ b/libs/relay/tests/HandOverFailureTests.cpp
@@ -81,3 +81,14 @@
     LONGS_EQUAL(1, handOversOfStream());
     requireToGoOn();
 }
+
+/// Guards against instances that lack a new configuration for a moment being left out for the rest of a request, while an attempt of its own is open.
+TEST(AHandOverThatFails, isTriedAgainOnceTheOthersHaveTheConfiguration)
+{
+    refuse(base::ErrorKind::Unconfirmed);
+    refuse(base::ErrorKind::Unconfirmed);
+    const long before = handOversOfStream();
+    bed.advance(Ms(500));
+    CHECK(handOversOfStream() > before);
+    requireToGoOn();
+}
