--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -134,6 +134,10 @@
     const std::string peer = handOvers.at(attempt).peer;
     const std::string detail = peer + " says " + std::string(base::nameOf(kind));
     driver.record({"handover_refused", call.requestId, peer, std::string(base::nameOf(kind))});
+    if (const OpenHandOver &refused = handOvers.at(attempt); kind == base::ErrorKind::Unconfirmed && refused.isRetry) {
+        // An instance that lacks the configuration has sent the request to no endpoint.
+        retries.onRetryNotSent(call.service->name, refused.begunAt, now);
+    }
     dropHandOver(attempt);
     call.triedPeers.push_back(peer);
     if (base::errorAnswer(kind).ran != base::HasRun::No) {
--- a/libs/relay/tests/HandOverFailureTests.cpp
+++ b/libs/relay/tests/HandOverFailureTests.cpp
@@ -54,6 +54,16 @@
     }
 };
 
+/// Guards against a run at another instance that isn't counted while an attempt is open: the request was handed over again and again.
+TEST(AHandOverThatFails, countsAsARunIfItMayHaveRun)
+{
+    refuse(base::ErrorKind::UpstreamBroken);
+    bed.advance(Ms(500));
+    // Its route permits two runs.
+    LONGS_EQUAL(1, handOversOfStream());
+    requireToGoOn();
+}
+
 /// Guards against a damaged answer of another instance that cuts a stream whose own attempt goes on.
 TEST(AHandOverThatFails, leavesTheOwnAttemptOpenIfItsAnswerIsDamaged)
 {
@@ -72,16 +82,6 @@
     requireToGoOn();
 }
 
-/// Guards against a run at another instance that isn't counted while an attempt is open: the request was handed over again and again.
-TEST(AHandOverThatFails, countsAsARunIfItMayHaveRun)
-{
-    refuse(base::ErrorKind::UpstreamBroken);
-    bed.advance(Ms(500));
-    // Its route permits two runs.
-    LONGS_EQUAL(1, handOversOfStream());
-    requireToGoOn();
-}
-
 /// Guards against instances that lack a new configuration for a moment being left out for the rest of a request, while an attempt of its own is open.
 TEST(AHandOverThatFails, isTriedAgainOnceTheOthersHaveTheConfiguration)
 {
@@ -92,3 +92,21 @@
     CHECK(handOversOfStream() > before);
     requireToGoOn();
 }
+
+/// Guards against a limit on retries that is used up by hand-overs to instances that lack a new configuration, so that streams are broken off.
+TEST(AHandOverThatFails, isNotCountedAsARetryIfTheOtherLacksTheConfiguration)
+{
+    constexpr int Streams = 40;
+    bed.kernel.onCallerGone(bed.now, stream);
+    for (int i = 0; i < Streams; ++i) {
+        stream = bed.call("/stream/x");
+        LONGS_EQUAL(1, handOversOfStream());
+        CHECK(bed.kernel.onEvent(bed.now, bed.driver.handOvers.back().attempt, 1));
+        refuse(base::ErrorKind::UpstreamBroken);
+        LONGS_EQUAL(2, handOversOfStream());
+        refuse(base::ErrorKind::Unconfirmed);
+        bed.kernel.onCallerGone(bed.now, stream);
+        bed.advance(Ms(300));
+    }
+    LONGS_EQUAL(0, bed.driver.recorded["retry_refused"]);
+}
