--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -119,9 +119,8 @@
         return onHandOverRefused(now, call, attempt, isOutdated ? base::ErrorKind::Unconfirmed : *head.peerError, head.peerRetryAfter);
     }
     call.mayHaveRun = true;
-    if (!head.verified) {
-        dropHandOver(attempt);
-        return fail(now, call, base::ErrorKind::UpstreamBroken, peer + " gave a damaged answer");
+    if (!head.verified || call.streamBegun) {
+        return onHandOverFailed(now, call, attempt, AttemptFailure::Broken); // It is damaged, or no continuation of the stream.
     }
     const CallId id = call.id;
     driver.forward(id, attempt);
@@ -135,30 +134,29 @@
     const std::string peer = handOvers.at(attempt).peer;
     const std::string detail = peer + " says " + std::string(base::nameOf(kind));
     driver.record({"handover_refused", call.requestId, peer, std::string(base::nameOf(kind))});
+    if (const OpenHandOver &refused = handOvers.at(attempt); kind == base::ErrorKind::Unconfirmed && refused.isRetry) {
+        // An instance that lacks the configuration has sent the request to no endpoint.
+        retries.onRetryNotSent(call.service->name, refused.begunAt, now);
+    }
     dropHandOver(attempt);
+    call.triedPeers.push_back(peer);
     if (base::errorAnswer(kind).ran != base::HasRun::No) {
         call.mayHaveRun = true;
+        ++call.priorRuns;
+        ++call.failedHandOvers;
         if (isUnderWay(call)) {
             return;
         }
-        if (call.route->kind != RequestKind::Stream) {
-            return fail(now, call, kind, detail);
-        }
-        call.triedPeers.push_back(peer);
-        ++call.priorRuns;
-        return retryStreamOrFail(now, call, detail);
+        return call.route->kind == RequestKind::Stream ? retryStreamOrFail(now, call, detail) : fail(now, call, kind, detail);
     }
-    call.triedPeers.push_back(peer);
     if (concernsInstanceOnly(kind)) {
         kind == base::ErrorKind::Unconfirmed ? handOverPeers.avoidWhileBehind(peer, now) : handOverPeers.avoid(peer, now);
         if (handOver(now, call)) {
             return;
         }
     }
-    if (isUnderWay(call)) {
-        return; // An attempt that this instance has sent itself may still be answered.
-    }
-    if (waitsForEndpoints(now, call)) {
+    // An attempt that this instance has sent itself may still be answered.
+    if (isUnderWay(call) || waitsForEndpoints(now, call)) {
         if (concernsInstanceOnly(kind)) {
             call.triedPeers.clear(); // They are avoided for a while, and may take it later.
         }
