--- a/build.sh
+++ b/build.sh
@@ -6,6 +6,8 @@
 root=$PWD
 build=${BUILD_DIR:-$root/build}
 jobs=${JOBS:-$(nproc)}
+# Lets the compiler's cache serve every checkout, wherever it is.
+export CCACHE_BASEDIR=$root CCACHE_NOHASHDIR=1
 
 # Lists the C++ sources, without the generated ones.
 sources() {
