--- a/libs/net/fuzz/FuzzEvents.cpp
+++ b/libs/net/fuzz/FuzzEvents.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <string_view>
 
+// The name is the one that the fuzzer calls. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view stream(reinterpret_cast<const char *>(data), size);
--- a/libs/net/fuzz/FuzzRequest.cpp
+++ b/libs/net/fuzz/FuzzRequest.cpp
@@ -63,6 +63,7 @@
 
 } // namespace
 
+// The name is the one that the fuzzer calls. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const char *const text = reinterpret_cast<const char *>(data);
