--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -155,8 +155,12 @@
         dialect_.encodeDetour(detour),
         DetourTimeout,
         true,
-        [this, attempt](const net::HttpResponse &response) {
-            kernel_.onDetourAnswer(now(), attempt, dialect_.decodeOrderAnswer(response.status), dialect_.decodeDetourFault(response));
+        [this, detour](const net::HttpResponse &response) {
+            const relay::OrderOutcome outcome = dialect_.decodeOrderAnswer(response.status);
+            if (outcome != relay::OrderOutcome::Accepted) {
+                record({"detour_answered", detour.requestId, detour.endpoint, "status " + std::to_string(response.status)});
+            }
+            kernel_.onDetourAnswer(now(), detour.attempt, outcome, dialect_.decodeDetourFault(response));
         },
         [this, attempt](net::CallFailure) { kernel_.onDetourAnswer(now(), attempt, relay::OrderOutcome::NoAnswer, ""); });
 }
