--- a/libs/relay/src/Detours.cpp
+++ b/libs/relay/src/Detours.cpp
@@ -58,6 +58,9 @@
             replacements.holders[stage.holder].usable = false;
         }
     }
+    if (!attempt.pathBeforeDetours) {
+        attempt.pathBeforeDetours = StagePath{attempt.stages, attempt.layers};
+    }
     ++attempt.detours;
     attempt.detourPending = true;
     attempt.lastProgressAt = now;
@@ -90,11 +93,26 @@
     driver.sendDetour({id, call.requestId, first.entry.id, first.entry.address, hopsOf(attempt)});
 }
 
+void RelayKernel::Impl::undoDetours(Attempt &attempt)
+{
+    if (attempt.pathBeforeDetours) {
+        replaceStages(attempt, std::move(attempt.pathBeforeDetours->stages), std::move(attempt.pathBeforeDetours->layers));
+        attempt.pathBeforeDetours.reset();
+    }
+}
+
 void RelayKernel::Impl::onDetourAnswer(Instant now, Call &call, AttemptId id, OrderOutcome outcome, const std::string &faultAddress)
 {
     Attempt &attempt = attempts.at(id);
     attempt.detourPending = false;
-    if (outcome == OrderOutcome::Accepted || attempt.isSuperseded) {
+    if (outcome == OrderOutcome::Accepted) {
+        attempt.pathBeforeDetours.reset();
+        return;
+    }
+    if (outcome != OrderOutcome::NoAnswer) {
+        undoDetours(attempt);
+    }
+    if (attempt.isSuperseded) {
         return;
     }
     driver.record({"detour_failed", call.requestId, faultAddress, std::string(base::nameIn(OrderOutcomeNames, outcome))});
@@ -103,25 +121,29 @@
         exclude(call, *fault);
         endpoints.onRefused(*fault, now, now);
     }
-    const bool canRetry = outcome == OrderOutcome::NoAnswer || (outcome == OrderOutcome::Refused && fault);
-    if (canRetry && detour(now, call, id, fault)) {
+    if (outcome != OrderOutcome::NoAnswer && !fault) {
+        // The first stage reroutes nothing. Perhaps it has just ended the run: the rest of the answer gets a moment to arrive before the stream is moved.
+        attempt.detours = MaxDetours;
+        attempt.lastProgressAt = now;
         return;
     }
-    if (!call.route->isResumable) {
-        return; // The endpoints may still finish the stream, and a new attempt isn't permitted.
+    const bool isOnLostStage =
+        std::any_of(attempt.stages.begin(), attempt.stages.end(), [&](EndpointIndex stage) { return isSilent(stage) || stage == fault; });
+    if (fault && !isOnLostStage) {
+        return; // The lost stage has come back.
+    }
+    if (detour(now, call, id, fault) || !call.route->isResumable) {
+        return; // Endpoints may still finish a stream that can't be resumed, and a new attempt isn't permitted.
     }
     const EndpointIndex first = attempt.stages.front();
     if (isSilent(first)) {
         return moveStream(now, call, id, first);
     }
-    // The first stage knows the stream and may still go on with it, unless it has refused for no other stage's sake.
-    const bool mayGoOn = outcome != OrderOutcome::Refused || fault;
-    const auto reason = mayGoOn ? reasonToKeepAttempt(now, call) : std::nullopt;
-    if (reason) {
+    if (const auto reason = reasonToKeepAttempt(now, call)) {
         return keepAttempt(call, id, fault.value_or(first), *reason);
     }
-    const std::string moved = "the way round a lost stage was refused";
-    mayGoOn && !isBarred(call) ? supersedeAttempt(now, call, id, moved) : replaceAttempt(now, call, id, moved);
+    const std::string moved = "there is no way round a lost stage";
+    isBarred(call) ? replaceAttempt(now, call, id, moved) : supersedeAttempt(now, call, id, moved);
 }
 
 } // namespace relay
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -23,6 +23,12 @@
 /// Status of an endpoint that isn't the one that the request names, or doesn't hold the layers that the pipeline expects of it.
 inline constexpr int MisdirectedStatus = 421;
 
+/// The endpoints that an attempt passes through, first stage first, and the layers that each of them runs.
+struct StagePath {
+    std::vector<EndpointIndex> stages;
+    std::vector<placement::LayerRange> layers;
+};
+
 /// An open attempt: one dispatch of a call to an endpoint or a pipeline.
 struct Attempt {
     CallId call = 0;
@@ -53,6 +59,8 @@
     /// Detours that were sent to its first stage, and whether the last one is unanswered.
     int detours = 0;
     bool detourPending = false;
+    /// The path that the first stage is known to follow, while it isn't known whether it has taken the last detours.
+    std::optional<StagePath> pathBeforeDetours;
     /// The silent stage that was last reported to the crash guard.
     std::optional<EndpointIndex> suspected;
     /// A further attempt, or a hand-over, has been begun beside it, since it has a silent stage. The first one with the next event goes on with the stream.
@@ -410,7 +418,10 @@
     /// Returns a pipeline of other endpoints over the layers of the stages [first, end) of an attempt; `first` is above 0. It has no stages if there is
     /// none.
     placement::Pipeline chooseDetour(const Call &call, const Attempt &attempt, std::size_t first, std::size_t end, const Candidates &replacements) const;
-    /// After a failed detour, tries another one, starts a new attempt, or leaves the attempt as it is.
+    /// Counts an attempt as on the path that it had before detours which its first stage has not taken.
+    void undoDetours(Attempt &attempt);
+    /// After a failed detour, tries another one, starts a new attempt beside this one, or leaves the attempt as it is. The answer to an order never ends the
+    /// attempt: only its own connection tells whether the rest of its answer is on its way.
     void onDetourAnswer(Instant now, Call &call, AttemptId attempt, OrderOutcome outcome, const std::string &faultAddress);
     /// Returns true if the endpoint is marked as silent.
     bool isSilent(EndpointIndex stage) const;
--- a/libs/relay/tests/DetourTests.cpp
+++ b/libs/relay/tests/DetourTests.cpp
@@ -111,9 +111,14 @@
     const AttemptId original = bed.lastAttempt();
     loseUpperStage();
     bed.kernel.onDetourAnswer(bed.now, original, OrderOutcome::Refused, "");
-    CHECK(bed.driver.wasCancelled(original));
+    CHECK(!bed.driver.wasCancelled(original));
+    LONGS_EQUAL(1, bed.driver.sent.size());
+    bed.advance(Ms(100));
+    LONGS_EQUAL(1, bed.driver.detours.size());
     LONGS_EQUAL(2, bed.driver.sent.size());
     STRCMP_EQUAL("2", bed.driver.sent.back().lastEventId.c_str());
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    CHECK(bed.driver.wasCancelled(original));
 }
 
 TEST(ADetour, isFollowedByARetryIfItsOrderHasNoAnswer)
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -157,6 +157,8 @@
     bed.advance(Ms(300));
     bed.kernel.onReport(bed.now, first, reportOf(bed.upperStage()));
     bed.kernel.onDetourAnswer(bed.now, bed.lastAttempt(), OrderOutcome::Refused, "");
+    LONGS_EQUAL(1, bed.driver.sent.size());
+    bed.advance(Ms(100));
     LONGS_EQUAL(2, bed.driver.sent.size());
     CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
     bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
