--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -124,6 +124,11 @@
     return true;
 }
 
+bool RelayKernel::Impl::waitsForRetry(Instant now, Call &call)
+{
+    return hasAttemptsLeft(call) && waitsForEndpoints(now, call);
+}
+
 double RelayKernel::Impl::patienceLeftMs(Instant now, const Call &call)
 {
     const Instant patience = call.route->callerPatience - (now - call.lastDeliveredAt);
@@ -173,6 +178,9 @@
         }
         return startStream(now, call);
     }
+    if (waitsForRetry(now, call)) {
+        return;
+    }
     fail(now, call, base::ErrorKind::Overloaded, "the path's endpoints refused the request without running it");
 }
 
@@ -207,6 +215,9 @@
     }
     const bool canContinue = !call.mayHaveRun || call.route->isResumable;
     if (!canContinue || !mayRetry(now, call)) {
+        if (canContinue && waitsForRetry(now, call)) {
+            return;
+        }
         return fail(now, call, call.mayHaveRun ? base::ErrorKind::UpstreamBroken : base::ErrorKind::NoEndpoint, detail);
     }
     counters.streamsResumed += call.streamBegun ? 1 : 0;
--- a/libs/relay/src/StreamMoves.cpp
+++ b/libs/relay/src/StreamMoves.cpp
@@ -47,7 +47,13 @@
         if (isBarred(call)) {
             return fail(now, call, base::ErrorKind::PromptPartQuarantined, "requests like it have crashed endpoints meanwhile");
         }
-        return retryIsPermitted(now, call) ? startStream(now, call) : fail(now, call, base::ErrorKind::Overloaded, "the limit on retries is used up");
+        if (retryIsPermitted(now, call)) {
+            return startStream(now, call);
+        }
+        if (waitsForRetry(now, call)) {
+            return;
+        }
+        return fail(now, call, base::ErrorKind::Overloaded, "the limit on retries is used up");
     }
     const AttemptId id = watchedAttempt(call);
     const Attempt &attempt = attempts.at(id);
