--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -218,13 +218,21 @@
     endStream(call, attempt, handOvers.at(attempt).peer);
 }
 
+bool RelayKernel::Impl::canLeaveReceiver(Instant now, Call &call)
+{
+    call.triedPeers.push_back(handOvers.at(*call.handOver).peer);
+    const bool canLeave = mayRetry(now, call) && canStartStream(now, call);
+    call.triedPeers.pop_back();
+    return canLeave;
+}
+
 void RelayKernel::Impl::watchHandOver(Instant now, Call &call)
 {
     const AttemptId attempt = *call.handOver;
     const OpenHandOver &open = handOvers.at(attempt);
     const Instant firstEventLimit = base::boundedMs(MaxFirstEventRatio * static_cast<double>(call.route->callerPatience.count()));
     const Instant limit = open.hasEvents ? Instant(StalledTimeout) : std::max(Instant(StalledTimeout), firstEventLimit);
-    if (!call.route->isResumable || now < open.lastProgressAt + limit) {
+    if (!call.route->isResumable || now < open.lastProgressAt + limit || !canLeaveReceiver(now, call)) {
         return;
     }
     driver.cancel(attempt);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -335,6 +335,8 @@
     /// Handles an event; returns true if it must be forwarded to the caller.
     bool onHandOverEvent(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId);
     void onHandOverStreamEnd(Instant now, Call &call, AttemptId attempt);
+    /// Returns whether something else could take a stream from the instance that it was handed over to.
+    bool canLeaveReceiver(Instant now, Call &call);
     /// Moves a stream to a further instance if it makes no progress at this one.
     void watchHandOver(Instant now, Call &call);
 
--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -232,6 +232,20 @@
     LONGS_EQUAL(2, bed.driver.handOvers.size());
 }
 
+/// Guards against LOST (issue 44): a stream is taken from an instance that is silent for a while, although nothing else takes it.
+TEST(ARequestThatIsHandedOver, staysWhereItIsIfNothingElseTakesItsStream)
+{
+    bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}});
+    bed.call("/stream/x");
+    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1));
+    const AttemptId silent = lastHandOver().attempt;
+    bed.advance(Ms(1800));
+    CHECK(!bed.driver.wasCancelled(silent));
+    CHECK(bed.kernel.onEvent(bed.now, silent, 2));
+    bed.kernel.onStreamEnd(bed.now, silent);
+    LONGS_EQUAL(1, bed.driver.endedStreams.size());
+}
+
 /// Guards against the limit on retries being used up by hand-overs, or passed by those that repeat a request that may have run.
 TEST(ARequestThatIsHandedOver, countsAsARetryOnlyIfItMayRunTwice)
 {
