--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -278,6 +278,13 @@
     }
     if (!isNext) {
         driver.record({"event_gap", call.requestId, "", "event " + std::to_string(eventId) + " after " + std::to_string(call.lastEvent)});
+        const std::size_t openAttempts = call.attempts.size() + (call.handOver ? 1 : 0);
+        if (openAttempts > 1) {
+            driver.cancel(attempt);
+            dropAttempt(attempt);
+            dropHandOver(attempt);
+            return false; // Another attempt may still go on.
+        }
         fail(now, call, base::ErrorKind::AnswerIncomplete, "an event of the stream is missing");
         return false;
     }
--- a/libs/relay/tests/SilentStageTests.cpp
+++ b/libs/relay/tests/SilentStageTests.cpp
@@ -265,6 +265,18 @@
     LONGS_EQUAL(1, bed.driver.endedStreams.size());
 }
 
+/// Guards against LOST (issue 44): a second attempt that skips an event cuts a stream whose first attempt goes on.
+TEST(AStreamThatIsMoved, outlivesAGapInItsSecondAttempt)
+{
+    CHECK(!bed.kernel.onEvent(bed.now, second, 4));
+    CHECK(bed.driver.wasCancelled(second));
+    CHECK(bed.driver.brokenStreams.empty());
+    CHECK(bed.kernel.onEvent(bed.now, first, 3));
+    bed.kernel.onStreamEnd(bed.now, first);
+    LONGS_EQUAL(1, bed.driver.endedStreams.size());
+    LONGS_EQUAL(0, bed.kernel.openCalls());
+}
+
 /// Guards against an attempt that stays under way after its caller has left.
 TEST(AStreamThatIsMoved, endsBothAttemptsWhenItsCallerLeaves)
 {
