--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -220,9 +220,14 @@
 
 bool RelayKernel::Impl::canLeaveReceiver(Instant now, Call &call)
 {
+    // It counts as a run and as a failed hand-over once it is left.
     call.triedPeers.push_back(handOvers.at(*call.handOver).peer);
+    ++call.priorRuns;
+    ++call.failedHandOvers;
     const bool canLeave = mayRetry(now, call) && canStartStream(now, call);
     call.triedPeers.pop_back();
+    --call.priorRuns;
+    --call.failedHandOvers;
     return canLeave;
 }
 
--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -246,6 +246,26 @@
     LONGS_EQUAL(1, bed.driver.endedStreams.size());
 }
 
+/// Guards likewise where another instance is there, but the route permits no further run once this one counts as given up.
+TEST(ARequestThatIsHandedOver, staysWhereItIsIfItsRunsAreUsedUp)
+{
+    bed.kernel.onInstances(bed.now,
+                           {{"one", "one:1", "zone-a", "one:2"},
+                            {"two", "two:1", "zone-a", "two:2"},
+                            {"three", "three:1", "zone-b", "three:2"},
+                            {"four", "four:1", "zone-b", "four:2"}});
+    bed.call("/stream/x");
+    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1));
+    bed.advance(Ms(1700));
+    LONGS_EQUAL(2, bed.driver.handOvers.size());
+    const AttemptId second = lastHandOver().attempt;
+    CHECK(bed.kernel.onEvent(bed.now, second, 2));
+    bed.advance(Ms(1800));
+    CHECK(!bed.driver.wasCancelled(second));
+    CHECK(bed.driver.brokenStreams.empty());
+    CHECK(bed.kernel.onEvent(bed.now, second, 3));
+}
+
 /// Guards against the limit on retries being used up by hand-overs, or passed by those that repeat a request that may have run.
 TEST(ARequestThatIsHandedOver, countsAsARetryOnlyIfItMayRunTwice)
 {
