--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -280,9 +280,7 @@
         driver.record({"event_gap", call.requestId, "", "event " + std::to_string(eventId) + " after " + std::to_string(call.lastEvent)});
         const std::size_t openAttempts = call.attempts.size() + (call.handOver ? 1 : 0);
         if (openAttempts > 1) {
-            driver.cancel(attempt);
-            dropAttempt(attempt);
-            dropHandOver(attempt);
+            leaveAfterGap(now, call, attempt);
             return false; // Another attempt may still go on.
         }
         fail(now, call, base::ErrorKind::AnswerIncomplete, "an event of the stream is missing");
@@ -306,6 +304,16 @@
     return true;
 }
 
+void RelayKernel::Impl::leaveAfterGap(Instant now, Call &call, AttemptId attempt)
+{
+    driver.cancel(attempt);
+    if (call.handOver == attempt) {
+        return onHandOverFailed(now, call, attempt, AttemptFailure::Broken);
+    }
+    exclude(call, attempts.at(attempt).stages.front());
+    dropAttempt(attempt);
+}
+
 void RelayKernel::onStreamEnd(Instant now, AttemptId attempt)
 {
     if (Call *handedOver = impl_->callOfHandOver(attempt)) {
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -414,6 +414,8 @@
     void replaceAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason);
     /// Takes an event of the call's stream, whoever sends it; returns true if it is the next one, which the caller must get.
     bool deliverEvent(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId);
+    /// Gives up an attempt or a hand-over that has left out an event, while another one is open.
+    void leaveAfterGap(Instant now, Call &call, AttemptId attempt);
     /// Ends a stream as complete, after the last event of the attempt or the hand-over.
     void endStream(Call &call, AttemptId attempt, const std::string &server);
     /// Gives up an attempt that was to resume a stream and whose first event shows a run from the beginning: its events and those of the run before don't
--- a/libs/relay/tests/HandOverFailureTests.cpp
+++ b/libs/relay/tests/HandOverFailureTests.cpp
@@ -110,3 +110,12 @@
     }
     LONGS_EQUAL(0, bed.driver.recorded["retry_refused"]);
 }
+
+/// Guards against a run at another instance that isn't counted since it left out an event while an attempt is open: the route permits two runs.
+TEST(AHandOverThatFails, countsAsARunIfItLeavesOutAnEvent)
+{
+    CHECK(!bed.kernel.onEvent(bed.now, bed.driver.handOvers.back().attempt, 5));
+    bed.advance(Ms(500));
+    LONGS_EQUAL(1, handOversOfStream());
+    requireToGoOn();
+}
--- a/libs/relay/tests/SilentStageTests.cpp
+++ b/libs/relay/tests/SilentStageTests.cpp
@@ -314,3 +314,25 @@
     bed.kernel.onStreamEnd(bed.now, only);
     LONGS_EQUAL(1, bed.driver.endedStreams.size());
 }
+
+/// Guards against a stream that is tried again at the endpoint that has left out an event.
+TEST(AStreamThatIsMoved, leavesOutAnEndpointThatSkipsAnEvent)
+{
+    auto config = std::make_shared<FleetConfig>(*RelayTestBed::config(2));
+    config->routes.front().maxAttempts = 3;
+    bed.kernel.onConfig(bed.now, bed.now, config);
+    bed.kernel.onCallerGone(bed.now, bed.lastCall);
+    bed.driver.sent.clear();
+    bed.entries.push_back(RelayTestBed::engineEntry("low-c", "zone-c", {0, RelayTestBed::HalfLayers}));
+    bed.advance(Ms(3000));
+    bed.startStream(2);
+    bed.advance(Ms(300));
+    bed.kernel.onReport(bed.now, bed.driver.sent.back().endpoint, std::nullopt);
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    const std::string skipping = bed.driver.sent.back().endpoint;
+    CHECK(!bed.kernel.onEvent(bed.now, bed.lastAttempt(), 4));
+    bed.advance(Ms(200));
+    for (std::size_t i = 2; i < bed.driver.sent.size(); ++i) {
+        CHECK(bed.driver.sent[i].endpoint != skipping);
+    }
+}
