--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -167,7 +167,9 @@
         requestReport(now, atFault);
     }
     if (isUnderWay(call)) {
-        return; // The attempt that it was to supersede may go on.
+        // The attempt that it was to supersede may go on. The next one beside it is delayed as are those below: refusals use up the limit on retries, too.
+        call.nextCheckAt = now + ResumePeriod * ++call.refusals;
+        return;
     }
     if (mayRetry(now, call)) {
         // A stream that has begun can't be rejected any more. Its retries are delayed: endpoints accept work again soon, and the caller waits for the
--- a/libs/relay/tests/SilentStageTests.cpp
+++ b/libs/relay/tests/SilentStageTests.cpp
@@ -315,6 +315,27 @@
     LONGS_EQUAL(1, bed.driver.endedStreams.size());
 }
 
+/// Guards against a limit on retries that one stream uses up at once: while its first attempt is open, it tries one endpoint after the other that refuses it.
+TEST(AStreamThatIsMoved, triesTheNextEndpointAfterAPauseIfOneRefusesIt)
+{
+    for (const char *const id : {"low-c", "low-d", "low-e", "low-f", "low-g", "low-h"}) {
+        bed.entries.push_back(RelayTestBed::engineEntry(id, "zone-b", {0, RelayTestBed::HalfLayers}));
+    }
+    bed.kernel.onEndpoints(bed.now, bed.entries, {0, ++bed.storeRevision});
+    constexpr Ms Tick{20};
+    for (Ms elapsed{0}; elapsed < Ms(160); elapsed += Tick) {
+        if (!bed.driver.wasCancelled(bed.lastAttempt())) {
+            bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {503, true, true, ""});
+        }
+        bed.now += Tick;
+        bed.kernel.onTick(bed.now);
+    }
+    // Attempts 1 and 2, and those that follow refusals after 50 and 100 ms.
+    CHECK(bed.driver.sent.size() <= 4);
+    CHECK(!bed.driver.wasCancelled(first));
+    CHECK(bed.kernel.onEvent(bed.now, first, 3));
+}
+
 /// Guards against a stream that is tried again at the endpoint that has left out an event.
 TEST(AStreamThatIsMoved, leavesOutAnEndpointThatSkipsAnEvent)
 {
