--- a/libs/relay/src/Detours.cpp
+++ b/libs/relay/src/Detours.cpp
@@ -98,6 +98,9 @@
     if (attempt.pathBeforeDetours) {
         replaceStages(attempt, std::move(attempt.pathBeforeDetours->stages), std::move(attempt.pathBeforeDetours->layers));
         attempt.pathBeforeDetours.reset();
+        if (attempt.hasEvents) {
+            clearPendingPrefill(attempt); // Its stages have read the prompt already.
+        }
     }
 }
 
--- a/libs/relay/tests/OrderAnswerTests.cpp
+++ b/libs/relay/tests/OrderAnswerTests.cpp
@@ -119,3 +119,23 @@
     LONGS_EQUAL(1, bed.driver.sent.size());
     mustEndWhole(attempt);
 }
+
+/// Guards against a stage that seems to have a prompt to read since a detour around it was refused, and gets less work than it can take.
+TEST(AnAnswerToAnOrder, countsNoPrefillOnTheStageThatStays)
+{
+    const AttemptId attempt = startDetour();
+    const std::string lost = bed.upperStage();
+    const std::string lostId = lost.substr(0, lost.find(':'));
+    bed.kernel.onDetourAnswer(bed.now, attempt, OrderOutcome::Refused, "");
+    EndpointReport report;
+    report.incarnation = 1;
+    report.layers = {RelayTestBed::HalfLayers, 80};
+    bed.kernel.onReport(bed.now, lostId, report);
+    bed.driver.digests.clear();
+    bed.advance(Ms(1000));
+    const std::vector<wire::EndpointLoad> &loads = bed.driver.digests.back().loads;
+    const auto found = std::find_if(loads.begin(), loads.end(), [&](const wire::EndpointLoad &load) { return load.endpoint == wire::endpointHash(lostId); });
+    CHECK(found != loads.end());
+    LONGS_EQUAL(1, found->openRequests);
+    LONGS_EQUAL(0, found->pendingPrefillTokens);
+}
