--- a/libs/relay/src/StreamMoves.cpp
+++ b/libs/relay/src/StreamMoves.cpp
@@ -47,7 +47,8 @@
         if (isBarred(call)) {
             return fail(now, call, base::ErrorKind::PromptPartQuarantined, "requests like it have crashed endpoints meanwhile");
         }
-        if (retryIsPermitted(now, call)) {
+        // An earlier run that counted as ended may have turned out to go on.
+        if (mayRunAgain(call) && retryIsPermitted(now, call)) {
             return startStream(now, call);
         }
         if (waitsForRetry(now, call)) {
--- a/libs/relay/tests/RetryWaitTests.cpp
+++ b/libs/relay/tests/RetryWaitTests.cpp
@@ -98,3 +98,27 @@
     CHECK(bed.kernel.onEvent(bed.now, slow, 3));
     CHECK(bed.driver.wasCancelled(bed.lastAttempt()));
 }
+
+/// Guards against a run beyond the route's limit: an endpoint that counted as ended has come back while the stream waited.
+TEST(AStreamBeyondTheLimitOnRetries, runsNoMoreOftenThanItsRoutePermits)
+{
+    bed.entries.push_back(RelayTestBed::engineEntry("low-c", "zone-c", {0, RelayTestBed::HalfLayers}));
+    bed.kernel.onEndpoints(bed.now, bed.entries, {0, ++bed.storeRevision});
+    bed.startStream(2);
+    const std::string first = bed.driver.sent.back().endpoint;
+    bed.advance(Ms(300));
+    bed.kernel.onReport(bed.now, first, std::nullopt);
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    const std::vector<EndpointEntry> all = bed.entries;
+    std::erase_if(bed.entries, [&](const EndpointEntry &entry) { return entry.id == first; });
+    bed.advance(Ms(50));
+    setRetries(0);
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    bed.advance(Ms(100));
+    CHECK(bed.driver.brokenStreams.empty());
+    bed.entries = all;
+    setRetries(100);
+    bed.advance(Ms(200));
+    LONGS_EQUAL(2, bed.driver.sent.size());
+}
