--- a/trefoilport/src/PipelineFailures.cpp
+++ b/trefoilport/src/PipelineFailures.cpp
@@ -31,6 +31,11 @@
     startWaiting(now, actions);
 }
 
+bool PipelineCalls::mayFailOver(const Call &call) const
+{
+    return call.attempts < static_cast<std::uint64_t>(call.limits.attempts) && context_.retries.hasRetry();
+}
+
 void PipelineCalls::failOver(Call &call, base::Now now, Actions &actions)
 {
     if (context_.quarantine.isQuarantined(call.fingerprint, now.mono)) {
@@ -121,6 +126,9 @@
     }
     for (const CallId id : affected) {
         Call &call = calls_.at(id);
+        if (!mayFailOver(call)) {
+            continue; // Its tokens may be on their way. If they aren't, checkStall() ends it.
+        }
         context_.counters.add(Counter::Stalls);
         actions.push_back(Record{TimelineKind::AttemptFailed, id, context_.endpoints.at(endpoint).info.id, "silent"});
         actions.push_back(CancelAttempt{call.attempt});
--- a/trefoilport/src/details/PipelineCalls.h
+++ b/trefoilport/src/details/PipelineCalls.h
@@ -39,7 +39,8 @@
     /// Cancels the call of a caller that closed its connection; ignores calls that aren't completion calls.
     void onCallerGone(CallId call, Actions &actions);
 
-    /// Handles a failed probe: fails each attempt that uses the endpoint and has made no progress for a quarter of stall_ms, and retries its call.
+    /// Handles a failed probe: fails each attempt that uses the endpoint and has made no progress for a quarter of stall_ms, and retries its call. One whose
+    /// call may not be retried is left alone.
     void onEndpointSilent(EndpointIndex endpoint, base::Now now, Actions &actions);
 
     /// Detects stalled attempts, fails queued calls whose deadline has passed, and starts waiting calls.
@@ -132,6 +133,8 @@
     void startAttempt(Call &call, const std::vector<EndpointIndex> &pipeline, base::Now now, Actions &actions);
     /// Ends the running attempt in this instance's records and frees its room at the endpoints. Doesn't cancel it there.
     void leavePipeline(Call &call);
+    /// Returns whether the call's attempts and the retry budget permit a further pipeline.
+    bool mayFailOver(const Call &call) const;
     /// Lets the call wait for a replacement pipeline, or fails it if the request is quarantined, its attempts are used up or the retry budget is empty.
     void failOver(Call &call, base::Now now, Actions &actions);
     /// Ends a call that is answered completely.
--- a/trefoilport/src/details/RetryBudget.h
+++ b/trefoilport/src/details/RetryBudget.h
@@ -31,10 +31,16 @@
         saved_ = std::min(limit_, saved_ + percent_);
     }
 
+    /// Returns whether at least one retry is left.
+    bool hasRetry() const
+    {
+        return saved_ >= UnitsPerRetry;
+    }
+
     /// Takes one retry from the balance; returns false if less than one is left.
     bool tryAcquire()
     {
-        if (saved_ < UnitsPerRetry) {
+        if (!hasRetry()) {
             return false;
         }
         saved_ -= UnitsPerRetry;
--- a/trefoilport/tests/KernelEventTests.cpp
+++ b/trefoilport/tests/KernelEventTests.cpp
@@ -75,6 +75,11 @@
         return now_;
     }
 
+    void advance(std::chrono::milliseconds duration)
+    {
+        now_.mono += duration;
+    }
+
 private:
     base::Now now_{std::chrono::seconds(100), 1000000};
     Kernel kernel_;
@@ -182,3 +187,66 @@
         return failure != nullptr && failure->error.kind == base::ErrorKind::UnknownModel;
     }));
 }
+
+/// A probe of an engine travels on another connection than the streams that the engine runs, whose answers may be on their way.
+TEST_GROUP(AProbeThatIsNotAnswered)
+{
+    SingleKernel kernel;
+
+    /// Puts limits in force that permit no further pipeline for a call.
+    void permitNoRetry(std::int64_t attempts, std::int64_t retryReserve)
+    {
+        settings::RoutingConfig config = *SingleKernel::head().accepted.parsed;
+        config.limits.attempts = attempts;
+        config.limits.retryPercent = 0;
+        config.limits.retryReserve = retryReserve;
+        ParsedHead head = SingleKernel::head();
+        head.epoch = 2;
+        head.accepted.document.revision = 2;
+        head.accepted.parsed = std::make_shared<const settings::RoutingConfig>(config);
+        kernel.receive(HeadReceived{kernel.now().mono, 2, head});
+    }
+
+    /// Starts a stream on the only engine, and lets a probe of that fail after half of the time without progress after which the stream is given up.
+    /// Requires that the stream goes on.
+    void mustLeaveTheStreamAlone()
+    {
+        wire::EndpointInfo engine;
+        engine.id = "engine";
+        engine.address = "127.0.0.1:1";
+        engine.serves = "tutor";
+        engine.endLayer = 1;
+        kernel.receive(ListReceived{{engine}, {}});
+        CompletionArrived arrived;
+        arrived.call = 1;
+        arrived.keySha256 = KeySha256;
+        arrived.request.model = "tutor";
+        arrived.request.prompt = "x";
+        arrived.request.maxTokens = 2;
+        CHECK(holds<StartPipeline>(kernel.receive(arrived)));
+        kernel.advance(std::chrono::milliseconds(settings::Limits().stallMs / 2));
+        const Actions actions = kernel.receive(ProbeFailed{"engine"});
+        CHECK(!holds<CancelAttempt>(actions));
+        CHECK(!holds<AnswerFailure>(actions));
+    }
+
+    template<typename Kind>
+    static bool holds(const Actions &actions)
+    {
+        return std::any_of(actions.begin(), actions.end(), [](const Action &action) { return std::holds_alternative<Kind>(action); });
+    }
+};
+
+/// Guards against a stream that is cut at an engine which is silent for a moment, although it may have no further pipeline.
+TEST(AProbeThatIsNotAnswered, endsNoStreamWhoseAttemptsAreUsedUp)
+{
+    permitNoRetry(1, 50);
+    mustLeaveTheStreamAlone();
+}
+
+/// Guards likewise while the limit on retries is used up.
+TEST(AProbeThatIsNotAnswered, endsNoStreamBeyondTheLimitOnRetries)
+{
+    permitNoRetry(6, 0);
+    mustLeaveTheStreamAlone();
+}
