--- a/libs/relay/src/StreamMoves.cpp
+++ b/libs/relay/src/StreamMoves.cpp
@@ -182,6 +182,7 @@
     if (const auto handedOver = call.handOver; handedOver && *handedOver != attempt) {
         driver.cancel(*handedOver);
         dropHandOver(*handedOver);
+        ++call.priorRuns; // The other instance may have run it.
     }
     if (const auto winner = attempts.find(attempt); winner != attempts.end()) {
         winner->second.isSuperseded = false;
--- a/libs/relay/tests/HandOverFailureTests.cpp
+++ b/libs/relay/tests/HandOverFailureTests.cpp
@@ -119,3 +119,12 @@
     LONGS_EQUAL(1, handOversOfStream());
     requireToGoOn();
 }
+
+/// Guards against a third run on a route that permits two: the other instance may have run the request although the own attempt had the next event first.
+TEST(AHandOverThatFails, countsAsARunIfTheOwnAttemptGoesOnFirst)
+{
+    requireToGoOn();
+    bed.advance(Ms(1000));
+    CHECK(!bed.kernel.reachesEndpoints());
+    LONGS_EQUAL(1, handOversOfStream());
+}
