--- a/libs/relay/src/StreamMoves.cpp
+++ b/libs/relay/src/StreamMoves.cpp
@@ -58,7 +58,9 @@
     }
     const AttemptId id = watchedAttempt(call);
     const Attempt &attempt = attempts.at(id);
-    if (attempt.isKept && hasEnded(runOf(id)) && mayRetry(now, call) && canStartStream(now, call)) {
+    // Its connection may say nothing of that, and a first stage that is back is no longer marked as silent.
+    const bool isLate = call.service->engine && now - attempt.lastProgressAt >= SilentStageTimeout;
+    if ((attempt.isKept || isLate) && hasEnded(runOf(id)) && mayRetry(now, call) && canStartStream(now, call)) {
         return supersedeAttempt(now, call, id, "its first stage has ended");
     }
     if (const auto silent = silentStage(now, attempt)) {
--- a/libs/relay/tests/SilentStageTests.cpp
+++ b/libs/relay/tests/SilentStageTests.cpp
@@ -357,3 +357,21 @@
         CHECK(bed.driver.sent[i].endpoint != skipping);
     }
 }
+
+/// Guards against a stream that waits to its deadline at a first stage that has restarted since, and whose connection says nothing.
+TEST(AStreamWhoseFirstStageIsSilent, leavesItIfItHasRestartedBeforeItsSilenceWasNoticed)
+{
+    bed.startStream(2);
+    const AttemptId only = bed.lastAttempt();
+    const std::string first = bed.driver.sent.back().endpoint;
+    std::find_if(bed.entries.begin(), bed.entries.end(), [&](const EndpointEntry &entry) { return entry.id == first; })->incarnation = 2;
+    bed.advance(Ms(300));
+    EndpointReport report;
+    report.incarnation = 2;
+    report.layers = {0, RelayTestBed::HalfLayers};
+    bed.kernel.onReport(bed.now, first, report);
+    bed.advance(Ms(1500));
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    CHECK(bed.driver.wasCancelled(only));
+}
