--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -126,7 +126,8 @@
 
 bool RelayKernel::Impl::waitsForRetry(Instant now, Call &call)
 {
-    return hasAttemptsLeft(call) && waitsForEndpoints(now, call);
+    // The caller of a stream that hasn't begun loses nothing by an answer at once, and may ask again.
+    return call.streamBegun && hasAttemptsLeft(call) && waitsForEndpoints(now, call);
 }
 
 double RelayKernel::Impl::patienceLeftMs(Instant now, const Call &call)
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -366,7 +366,7 @@
     bool hasEndpointLeft(const Call &call) const;
     /// Lets a stream that may have run wait for endpoints that take it up again, if its caller waits that long; false if it can't wait.
     bool waitsForEndpoints(Instant now, Call &call);
-    /// Lets a stream that may have run wait likewise until the limit on retries has room for it; false if anything else forbids a further attempt.
+    /// Lets a stream that has begun wait likewise until the limit on retries has room for it; false if anything else forbids a further attempt.
     bool waitsForRetry(Instant now, Call &call);
     /// Returns the time that is left until the caller abandons its stream for lack of events.
     static double patienceLeftMs(Instant now, const Call &call);
--- a/libs/relay/tests/RetryWaitTests.cpp
+++ b/libs/relay/tests/RetryWaitTests.cpp
@@ -64,6 +64,17 @@
     LONGS_EQUAL(0, bed.kernel.openCalls());
 }
 
+/// Guards likewise against a caller that waits for nothing: it has got no event yet, and may ask again at once.
+TEST(AStreamBeyondTheLimitOnRetries, isAnsweredAtOnceIfItHasNotBegun)
+{
+    bed.startStream(0);
+    setRetries(0);
+    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    LONGS_EQUAL(1, bed.driver.rejected.size());
+    CHECK(bed.driver.rejected.back().rejection.kind == base::ErrorKind::UpstreamBroken);
+    LONGS_EQUAL(0, bed.kernel.openCalls());
+}
+
 /// Guards against LOST (issue 44): a stream that makes no progress is given up for an attempt that isn't permitted.
 TEST(AStreamBeyondTheLimitOnRetries, staysAtItsAttemptWithoutProgress)
 {
