--- a/libs/relay/include/relay/RelayDriver.h
+++ b/libs/relay/include/relay/RelayDriver.h
@@ -107,15 +107,18 @@
     Refused,
     /// The endpoint has seen a higher fencing number.
     Fenced,
+    /// The endpoint doesn't know the request of a detour: it has ended it, perhaps just now with its answer on the way, or lost it.
+    UnknownRequest,
     /// No answer arrived in time, so that the outcome is unknown.
     NoAnswer,
 };
 
 /// Names of the outcomes in the log.
-inline constexpr base::EnumNames<OrderOutcome, 4> OrderOutcomeNames = {{
+inline constexpr base::EnumNames<OrderOutcome, 5> OrderOutcomeNames = {{
     {OrderOutcome::Accepted, "accepted"},
     {OrderOutcome::Refused, "refused"},
     {OrderOutcome::Fenced, "fenced"},
+    {OrderOutcome::UnknownRequest, "unknown_request"},
     {OrderOutcome::NoAnswer, "no_answer"},
 }};
 
--- a/libs/relay/src/Detours.cpp
+++ b/libs/relay/src/Detours.cpp
@@ -93,15 +93,22 @@
     driver.sendDetour({id, call.requestId, first.entry.id, first.entry.address, hopsOf(attempt)});
 }
 
-void RelayKernel::Impl::undoDetours(Attempt &attempt)
+std::optional<EndpointIndex> RelayKernel::Impl::undoDetours(Attempt &attempt)
 {
-    if (attempt.pathBeforeDetours) {
-        replaceStages(attempt, std::move(attempt.pathBeforeDetours->stages), std::move(attempt.pathBeforeDetours->layers));
-        attempt.pathBeforeDetours.reset();
-        if (attempt.hasEvents) {
-            clearPendingPrefill(attempt); // Its stages have read the prompt already.
-        }
+    if (!attempt.pathBeforeDetours) {
+        return std::nullopt;
     }
+    const std::vector<EndpointIndex> refused = attempt.stages;
+    replaceStages(attempt, std::move(attempt.pathBeforeDetours->stages), std::move(attempt.pathBeforeDetours->layers));
+    attempt.pathBeforeDetours.reset();
+    if (attempt.hasEvents) {
+        clearPendingPrefill(attempt); // Its stages have read the prompt already.
+    }
+    std::vector<EndpointIndex> added;
+    std::copy_if(refused.begin(), refused.end(), std::back_inserter(added), [&](EndpointIndex stage) {
+        return std::find(attempt.stages.begin(), attempt.stages.end(), stage) == attempt.stages.end();
+    });
+    return added.size() == 1 ? std::optional(added.front()) : std::nullopt;
 }
 
 void RelayKernel::Impl::onDetourAnswer(Instant now, Call &call, AttemptId id, OrderOutcome outcome, const std::string &faultAddress)
@@ -112,20 +119,22 @@
         attempt.pathBeforeDetours.reset();
         return;
     }
-    if (outcome != OrderOutcome::NoAnswer) {
-        undoDetours(attempt);
-    }
+    const std::optional<EndpointIndex> added = outcome == OrderOutcome::NoAnswer ? std::nullopt : undoDetours(attempt);
+    attempt.isUnknown = outcome == OrderOutcome::UnknownRequest;
     if (attempt.isSuperseded) {
         return;
     }
     driver.record({"detour_failed", call.requestId, faultAddress, std::string(base::nameIn(OrderOutcomeNames, outcome))});
-    const auto fault = endpoints.findAddress(faultAddress);
+    auto fault = endpoints.findAddress(faultAddress);
+    if (!fault && outcome == OrderOutcome::Refused) {
+        fault = added;
+    }
     if (fault) {
         exclude(call, *fault);
         endpoints.onRefused(*fault, now, now);
     }
     if (outcome != OrderOutcome::NoAnswer && !fault) {
-        // The first stage reroutes nothing. Perhaps it has just ended the run: the rest of the answer gets a moment to arrive before the stream is moved.
+        // The first stage reroutes nothing. If it has just ended the run, the rest of the answer gets a moment to arrive before the stream is moved.
         attempt.detours = MaxDetours;
         attempt.lastProgressAt = now;
         return;
--- a/libs/relay/src/StreamMoves.cpp
+++ b/libs/relay/src/StreamMoves.cpp
@@ -67,6 +67,9 @@
         return bypassStage(now, call, id, *silent);
     }
     const Instant silence = now - attempt.lastProgressAt;
+    if (attempt.isUnknown && silence >= SilentStageTimeout && call.route->isResumable) {
+        return leaveUnknownRun(now, call, id);
+    }
     // Streams over connections that live on through a cut make progress.
     if (reach.isCutOff() && silence >= CheckAfterEventGap && call.route->isResumable && mayRetry(now, call) && canStartStream(now, call)) {
         return supersedeAttempt(now, call, id, "this instance reaches no endpoint");
@@ -132,6 +135,16 @@
     isBarred(call) ? replaceAttempt(now, call, attempt, reason) : supersedeAttempt(now, call, attempt, reason);
 }
 
+void RelayKernel::Impl::leaveUnknownRun(Instant now, Call &call, AttemptId attempt)
+{
+    if (const auto reason = reasonToKeepAttempt(now, call)) {
+        call.nextCheckAt = now + CheckPeriod;
+        return keepAttempt(call, attempt, attempts.at(attempt).stages.front(), *reason);
+    }
+    const std::string moved = "its first stage doesn't know it any more";
+    isBarred(call) ? replaceAttempt(now, call, attempt, moved) : supersedeAttempt(now, call, attempt, moved);
+}
+
 std::optional<std::string> RelayKernel::Impl::reasonToKeepAttempt(Instant now, Call &call)
 {
     if (isBarred(call)) {
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -59,6 +59,8 @@
     /// Detours that were sent to its first stage, and whether the last one is unanswered.
     int detours = 0;
     bool detourPending = false;
+    /// Its first stage doesn't know the request any more.
+    bool isUnknown = false;
     /// The path that the first stage is known to follow, while it isn't known whether it has taken the last detours.
     std::optional<StagePath> pathBeforeDetours;
     /// The silent stage that was last reported to the crash guard.
@@ -426,8 +428,11 @@
     /// Returns a pipeline of other endpoints over the layers of the stages [first, end) of an attempt; `first` is above 0. It has no stages if there is
     /// none.
     placement::Pipeline chooseDetour(const Call &call, const Attempt &attempt, std::size_t first, std::size_t end, const Candidates &replacements) const;
-    /// Counts an attempt as on the path that it had before detours which its first stage has not taken.
-    void undoDetours(Attempt &attempt);
+    /// Counts an attempt as on the path that it had before detours which its first stage has not taken. Returns the stage that has refused a part of the path
+    /// without being named, if only one can have done that.
+    std::optional<EndpointIndex> undoDetours(Attempt &attempt);
+    /// Goes on with a stream beside an attempt whose first stage doesn't know it any more, once the rest of its answer has had time to arrive.
+    void leaveUnknownRun(Instant now, Call &call, AttemptId attempt);
     /// After a failed detour, tries another one, starts a new attempt beside this one, or leaves the attempt as it is. The answer to an order never ends the
     /// attempt: only its own connection tells whether the rest of its answer is on its way.
     void onDetourAnswer(Instant now, Call &call, AttemptId attempt, OrderOutcome outcome, const std::string &faultAddress);
--- a/libs/relay/tests/DetourTests.cpp
+++ b/libs/relay/tests/DetourTests.cpp
@@ -110,7 +110,7 @@
     bed.startStream(2);
     const AttemptId original = bed.lastAttempt();
     loseUpperStage();
-    bed.kernel.onDetourAnswer(bed.now, original, OrderOutcome::Refused, "");
+    bed.kernel.onDetourAnswer(bed.now, original, OrderOutcome::UnknownRequest, "");
     CHECK(!bed.driver.wasCancelled(original));
     LONGS_EQUAL(1, bed.driver.sent.size());
     bed.advance(Ms(100));
--- a/libs/relay/tests/OrderAnswerTests.cpp
+++ b/libs/relay/tests/OrderAnswerTests.cpp
@@ -48,6 +48,14 @@
 
 /// Guards against LOST (issue 44): the first stage has just ended the run and refuses the order, while the rest of the answer is on its way.
 TEST(AnAnswerToAnOrder, endsNoStreamIfTheRequestIsUnknown)
+{
+    const AttemptId attempt = startDetour();
+    bed.kernel.onDetourAnswer(bed.now, attempt, OrderOutcome::UnknownRequest, "");
+    mustEndWhole(attempt);
+}
+
+/// Guards likewise where the order is refused for a reason that isn't known.
+TEST(AnAnswerToAnOrder, endsNoStreamIfItIsARefusal)
 {
     const AttemptId attempt = startDetour();
     bed.kernel.onDetourAnswer(bed.now, attempt, OrderOutcome::Refused, "");
@@ -97,7 +105,7 @@
 TEST(AnAnswerToAnOrder, isFollowedByAnAttemptBesideTheFirst)
 {
     const AttemptId attempt = startDetour();
-    bed.kernel.onDetourAnswer(bed.now, attempt, OrderOutcome::Refused, "");
+    bed.kernel.onDetourAnswer(bed.now, attempt, OrderOutcome::UnknownRequest, "");
     bed.advance(Ms(150));
     LONGS_EQUAL(2, bed.driver.sent.size());
     STRCMP_EQUAL("2", bed.driver.sent.back().lastEventId.c_str());
@@ -139,3 +147,33 @@
     LONGS_EQUAL(1, found->openRequests);
     LONGS_EQUAL(0, found->pendingPrefillTokens);
 }
+
+/// Guards against a stream that waits at a first stage which has lost it, since the stage on which it stalled has come back.
+TEST(AnAnswerToAnOrder, movesTheStreamIfTheRequestIsUnknownAndNothingFollows)
+{
+    const AttemptId attempt = startDetour();
+    const std::string lost = bed.upperStage();
+    bed.kernel.onDetourAnswer(bed.now, attempt, OrderOutcome::UnknownRequest, "");
+    EndpointReport report;
+    report.incarnation = 1;
+    report.layers = {RelayTestBed::HalfLayers, 80};
+    bed.kernel.onReport(bed.now, lost.substr(0, lost.find(':')), report);
+    bed.advance(Ms(150));
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(!bed.driver.wasCancelled(attempt));
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    CHECK(bed.driver.wasCancelled(attempt));
+}
+
+/// Guards against a full stage that bars all ways round, since the refusal doesn't name it: it can only be the one that is new on the path.
+TEST(AnAnswerToAnOrder, isTakenAsARefusalOfTheOnlyNewStage)
+{
+    bed.entries.push_back(RelayTestBed::engineEntry("high-c", "zone-c", {RelayTestBed::HalfLayers, 80}));
+    bed.kernel.onEndpoints(bed.now, bed.entries, {0, ++bed.storeRevision});
+    const AttemptId attempt = startDetour();
+    const std::string full = bed.driver.detours.back().hops.back().address;
+    bed.kernel.onDetourAnswer(bed.now, attempt, OrderOutcome::Refused, "");
+    LONGS_EQUAL(2, bed.driver.detours.size());
+    CHECK(bed.driver.detours.back().hops.back().address != full);
+    LONGS_EQUAL(1, bed.driver.sent.size());
+}
--- a/libs/relay/tests/StreamCallTests.cpp
+++ b/libs/relay/tests/StreamCallTests.cpp
@@ -156,7 +156,7 @@
     const std::string first = bed.driver.sent.back().endpoint;
     bed.advance(Ms(300));
     bed.kernel.onReport(bed.now, first, reportOf(bed.upperStage()));
-    bed.kernel.onDetourAnswer(bed.now, bed.lastAttempt(), OrderOutcome::Refused, "");
+    bed.kernel.onDetourAnswer(bed.now, bed.lastAttempt(), OrderOutcome::UnknownRequest, "");
     LONGS_EQUAL(1, bed.driver.sent.size());
     bed.advance(Ms(100));
     LONGS_EQUAL(2, bed.driver.sent.size());
--- a/libs/relay/tests/VirtualEndpoints.cpp
+++ b/libs/relay/tests/VirtualEndpoints.cpp
@@ -281,7 +281,7 @@
     Endpoint &endpoint = *endpointNamed(detour.endpoint);
     const auto found = std::find_if(endpoint.runs.begin(), endpoint.runs.end(), [&](const auto &entry) { return entry.second.requestId == detour.requestId; });
     if (found == endpoint.runs.end()) {
-        return relay::OrderOutcome::Refused;
+        return relay::OrderOutcome::UnknownRequest;
     }
     checkPipeline(detour.hops, detour.requestId);
     for (const relay::Hop &hop : detour.hops) {
