--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -5,6 +5,7 @@
 # Environment:
 #   AT_ONCE            number of seeds that run in parallel, with three instances each (default: 12)
 #   SECONDS_OF_FAULTS  how long faults are injected (default: 20)
+#   HUSH               1: engines fall silent while the configuration changes, in place of the other faults
 #   OLDER              an earlier commit: instances start from either build and are replaced by the other one after the other, forward and back. It is
 #                      built from the history into BUILD/older.
 set -uo pipefail
@@ -19,12 +20,14 @@
 if [ -n "${OLDER:-}" ]; then
     older_arguments="--older_daemon $(bash scripts/older.sh "$build" "$OLDER")" || exit 1
 fi
-export build seconds work older_arguments
+hush_argument=
+[ "${HUSH:-0}" = 1 ] && hush_argument=--hush
+export build seconds work older_arguments hush_argument
 
 run_seed() {
     # shellcheck disable=SC2086
-    if "$build/platform/trefoilSoak" --daemon "$build/programs/trefoilportd/trefoilportd" --seed "$1" --seconds "$seconds" $older_arguments >"$work/$1" 2>&1; then
-        tail -1 "$work/$1"
+    if "$build/platform/trefoilSoak" --daemon "$build/programs/trefoilportd/trefoilportd" --seed "$1" --seconds "$seconds" $hush_argument $older_arguments >"$work/$1" 2>&1; then
+        tail -2 "$work/$1"
         touch "$work/$1.passed"
     else
         echo "FAILED seed $1"
