--- a/libs/relay/tests/VirtualInstance.h
+++ b/libs/relay/tests/VirtualInstance.h
@@ -32,6 +32,9 @@
 class VirtualFleet::Driver : public relay::RelayDriver
 {
 public:
+    /// Time that an instance waits for an answer of the store.
+    static constexpr relay::Ms StoreTimeout{900};
+
     /// `index` is the position of the instance in the fleet.
     Driver(VirtualFleet &fleet, std::size_t index)
         : fleet_(fleet)
