relay tests: a change of the instances makes one list for all of them

The fleet of instances made a list of all instances for each instance whenever one joined: with 195 of them and 390 restarts, some 15 million entries of strings in the longest test of the tree. A join makes one list for each kind of landing now. What the kernels are given is the same.

--- a/libs/relay/tests/InstanceFleet.cpp
+++ b/libs/relay/tests/InstanceFleet.cpp
@@ -81,20 +81,23 @@
     instance.kernel = std::make_unique<RelayKernel>(settings, instance.driver);
     instance.kernel->onConfig(now, now, config_);
     instance.kernel->onEndpoints(now, listedEntries(), {0, ++storeRevision_});
-    for (const auto &each : instances) {
-        if (each->kernel) {
-            tellInstances(*each);
-        }
-    }
+    listInstances();
 }
 
-void InstanceFleet::tellInstances(Instance &instance)
+void InstanceFleet::listInstances()
 {
+    // One list for each kind of landing, since large fleets would make very many.
     std::vector<InstanceEntry> entries;
+    std::vector<InstanceEntry> entriesWithoutHandOvers;
     for (std::size_t i = 0; i < instances.size(); ++i) {
-        entries.push_back({nameOf(i), addressOf(i), "zone-a", handsOver(instance) ? listedHandOvers_[i] : ""});
+        entriesWithoutHandOvers.push_back({nameOf(i), addressOf(i), "zone-a", ""});
+        entries.push_back({nameOf(i), addressOf(i), "zone-a", listedHandOvers_[i]});
+    }
+    for (const auto &instance : instances) {
+        if (instance->kernel) {
+            instance->kernel->onInstances(now, handsOver(*instance) ? entries : entriesWithoutHandOvers);
+        }
     }
-    instance.kernel->onInstances(now, entries);
 }
 
 bool InstanceFleet::handsOver(const Instance &instance)
--- a/libs/relay/tests/InstanceFleet.h
+++ b/libs/relay/tests/InstanceFleet.h
@@ -174,8 +174,8 @@
 
     void step();
     void join(Instance &instance, std::size_t number);
-    /// Gives an instance the list of instances, as its landing reads it.
-    void tellInstances(Instance &instance);
+    /// Gives every instance the list of instances, as its landing reads it.
+    void listInstances();
     /// Returns a message as it arrives at an instance from another one, each of its own landing.
     static wire::RelayMessage received(const wire::RelayMessage &message, const Instance &sender, const Instance &receiver);
     /// Returns whether a process of that landing takes requests from others and keeps quarantines.
