relay tests: one set-up of an instance that is cut off

The set-up stood in three files of hand-over tests, its loss of all endpoints twice more in SilentStageTests. CutOffBed.h has it once. In SilentStageTests the loss of both first stages and the end of a stream at a silent endpoint are functions of the group; two tests check there now, too, that the stream wasn't broken off.

--- a/libs/relay/tests/HandOverChangeTests.cpp
+++ b/libs/relay/tests/HandOverChangeTests.cpp
@@ -1,4 +1,4 @@
-#include "FakeDriver.h"
+#include "CutOffBed.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -7,30 +7,12 @@
 /// An instance that reaches no endpoint, and two others that take its requests, of which some have read a change of the configuration and some have not.
 TEST_GROUP(AHandOverBesideAChange)
 {
-    RelayTestBed bed;
+    CutOffBed bed;
 
     void setup() override
     {
-        bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}, {"three", "three:1", "zone-b", "three:2"}});
-        cutOff();
-    }
-
-    /// Makes all endpoints unreachable, and lets the instance find that.
-    void cutOff()
-    {
-        for (const EndpointEntry &entry : bed.entries) {
-            bed.unreachable.insert(entry.id);
-        }
-        bed.call("/book/x");
-        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::NotSent);
-        bed.advance(Ms(600));
-        bed.driver.sent.clear();
-        bed.driver.rejected.clear();
-    }
-
-    const HandOver &lastHandOver() const
-    {
-        return bed.driver.handOvers.back();
+        bed.listTakers();
+        bed.cutOff();
     }
 
     /// Lets the instance with the last hand-over refuse it under that version of its configuration; 0 if it names none.
@@ -39,7 +21,7 @@
         AnswerHead head;
         head.peerError = kind;
         head.peerConfigVersion = version;
-        bed.kernel.onAnswer(bed.now, lastHandOver().attempt, head);
+        bed.kernel.onAnswer(bed.now, bed.lastHandOver().attempt, head);
     }
 
     void tellVersionOf(const std::string &instance, std::uint64_t version)
@@ -89,7 +71,7 @@
 {
     bed.kernel.onConfig(bed.now, bed.now, RelayTestBed::config(5));
     bed.call("/book/x");
-    LONGS_EQUAL(5, lastHandOver().configVersion);
+    LONGS_EQUAL(5, bed.lastHandOver().configVersion);
 }
 
 /// Guards against a 401 or 404 for what the instance that the caller asked allows, from one of a version that names no configuration or an older one.
@@ -123,13 +105,13 @@
     tellVersionOf("three", 2);
     for (int i = 0; i < 20; ++i) {
         bed.call("/book/x");
-        STRCMP_EQUAL("three", lastHandOver().instance.c_str());
+        STRCMP_EQUAL("three", bed.lastHandOver().instance.c_str());
     }
     tellVersionOf("two", 2);
     bool isUsed = false;
     for (int i = 0; i < 20; ++i) {
         bed.call("/book/x");
-        isUsed = isUsed || lastHandOver().instance == "two";
+        isUsed = isUsed || bed.lastHandOver().instance == "two";
     }
     CHECK(isUsed);
 }
@@ -152,8 +134,8 @@
 {
     for (const base::ErrorKind kind : {base::ErrorKind::Unconfirmed, base::ErrorKind::NoEndpoint, base::ErrorKind::Stopping}) {
         const CallId stream = bed.call("/stream/x");
-        CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1));
-        bed.kernel.onFailure(bed.now, lastHandOver().attempt, AttemptFailure::Broken);
+        CHECK(bed.kernel.onEvent(bed.now, bed.lastHandOver().attempt, 1));
+        bed.kernel.onFailure(bed.now, bed.lastHandOver().attempt, AttemptFailure::Broken);
         refuse(kind);
         CHECK(bed.driver.brokenStreams.empty());
         bed.unreachable.clear();
@@ -164,6 +146,6 @@
         bed.kernel.onStreamEnd(bed.now, bed.lastAttempt());
         LONGS_EQUAL(stream, bed.driver.endedStreams.back());
         bed.advance(Ms(2100));
-        cutOff();
+        bed.cutOff();
     }
 }
--- a/libs/relay/tests/HandOverFailureTests.cpp
+++ b/libs/relay/tests/HandOverFailureTests.cpp
@@ -1,4 +1,4 @@
-#include "FakeDriver.h"
+#include "CutOffBed.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -7,20 +7,16 @@
 /// A stream that was handed over since its instance has lost all endpoints, while its own attempt is kept, comes to nothing at the other instance.
 TEST_GROUP(AHandOverThatFails)
 {
-    RelayTestBed bed;
+    CutOffBed bed;
     CallId stream = 0;
     AttemptId ownAttempt = 0;
 
     void setup() override
     {
-        bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}, {"three", "three:1", "zone-b", "three:2"}});
+        bed.listTakers();
         stream = bed.startStream(3);
         ownAttempt = bed.lastAttempt();
-        for (const EndpointEntry &entry : bed.entries) {
-            bed.unreachable.insert(entry.id);
-        }
-        bed.call("/book/x");
-        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::NotSent);
+        bed.loseEndpoints();
         while (handOversOfStream() == 0 && bed.driver.brokenStreams.empty()) {
             bed.advance(Ms(50));
         }
--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -1,3 +1,4 @@
+#include "CutOffBed.h"
 #include "InstanceFleet.h"
 
 #include <CppUTest/TestHarness.h>
@@ -99,37 +100,19 @@
 /// One instance that reaches no endpoint, and two others that take its requests.
 TEST_GROUP(ARequestThatIsHandedOver)
 {
-    RelayTestBed bed;
+    CutOffBed bed;
 
     void setup() override
     {
-        bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}, {"three", "three:1", "zone-b", "three:2"}});
-        cutOff();
-    }
-
-    /// Makes all endpoints unreachable, and lets the instance find that.
-    void cutOff()
-    {
-        for (const EndpointEntry &entry : bed.entries) {
-            bed.unreachable.insert(entry.id);
-        }
-        bed.call("/book/x");
-        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::NotSent);
-        bed.advance(Ms(600));
-        bed.driver.sent.clear();
-        bed.driver.rejected.clear();
-    }
-
-    const HandOver &lastHandOver() const
-    {
-        return bed.driver.handOvers.back();
+        bed.listTakers();
+        bed.cutOff();
     }
 
     void refuse(base::ErrorKind kind)
     {
         AnswerHead head;
         head.peerError = kind;
-        bed.kernel.onAnswer(bed.now, lastHandOver().attempt, head);
+        bed.kernel.onAnswer(bed.now, bed.lastHandOver().attempt, head);
     }
 
     static bool saysNotRun(const FakeDriver::Rejected &rejected)
@@ -155,7 +138,7 @@
     for (const AttemptFailure failure : {AttemptFailure::Broken, AttemptFailure::TimedOut}) {
         const std::size_t before = bed.driver.handOvers.size();
         bed.call("/book/x");
-        bed.kernel.onFailure(bed.now, lastHandOver().attempt, failure);
+        bed.kernel.onFailure(bed.now, bed.lastHandOver().attempt, failure);
         LONGS_EQUAL(before + 1, bed.driver.handOvers.size());
         CHECK(!saysNotRun(bed.driver.rejected.back()));
     }
@@ -165,10 +148,10 @@
 TEST(ARequestThatIsHandedOver, goesToAFurtherInstanceIfOneSaysThatItHasNotRun)
 {
     bed.call("/book/x");
-    const std::string first = lastHandOver().instance;
+    const std::string first = bed.lastHandOver().instance;
     refuse(base::ErrorKind::Stopping);
     LONGS_EQUAL(2, bed.driver.handOvers.size());
-    CHECK(lastHandOver().instance != first);
+    CHECK(bed.lastHandOver().instance != first);
     refuse(base::ErrorKind::NoEndpoint);
     LONGS_EQUAL(2, bed.driver.handOvers.size());
     LONGS_EQUAL(1, bed.driver.rejected.size());
@@ -179,8 +162,8 @@
 TEST(ARequestThatIsHandedOver, isRejectedAtOnceIfNoInstanceCanBeReached)
 {
     bed.call("/book/x");
-    bed.kernel.onFailure(bed.now, lastHandOver().attempt, AttemptFailure::NotSent);
-    bed.kernel.onFailure(bed.now, lastHandOver().attempt, AttemptFailure::NotSent);
+    bed.kernel.onFailure(bed.now, bed.lastHandOver().attempt, AttemptFailure::NotSent);
+    bed.kernel.onFailure(bed.now, bed.lastHandOver().attempt, AttemptFailure::NotSent);
     LONGS_EQUAL(0, bed.driver.sent.size());
     LONGS_EQUAL(1, bed.driver.rejected.size());
     CHECK(saysNotRun(bed.driver.rejected.front()));
@@ -195,7 +178,7 @@
     bed.call("/read/x");
     const AttemptId open = bed.lastAttempt();
     bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}});
-    cutOff();
+    bed.cutOff();
     bed.advance(Ms(200));
     AnswerHead head;
     head.status = 200;
@@ -209,14 +192,14 @@
 {
     const std::size_t openBefore = bed.kernel.openCalls();
     bed.call("/stream/x");
-    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1));
-    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 2));
-    bed.kernel.onFailure(bed.now, lastHandOver().attempt, AttemptFailure::Broken);
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastHandOver().attempt, 1));
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastHandOver().attempt, 2));
+    bed.kernel.onFailure(bed.now, bed.lastHandOver().attempt, AttemptFailure::Broken);
     LONGS_EQUAL(2, bed.driver.handOvers.size());
-    STRCMP_EQUAL("2", lastHandOver().lastEventId.c_str());
-    CHECK(!bed.kernel.onEvent(bed.now, lastHandOver().attempt, 2));
-    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 3));
-    bed.kernel.onStreamEnd(bed.now, lastHandOver().attempt);
+    STRCMP_EQUAL("2", bed.lastHandOver().lastEventId.c_str());
+    CHECK(!bed.kernel.onEvent(bed.now, bed.lastHandOver().attempt, 2));
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastHandOver().attempt, 3));
+    bed.kernel.onStreamEnd(bed.now, bed.lastHandOver().attempt);
     LONGS_EQUAL(1, bed.driver.endedStreams.size());
     LONGS_EQUAL(openBefore, bed.kernel.openCalls());
 }
@@ -225,8 +208,8 @@
 TEST(ARequestThatIsHandedOver, isMovedIfItsStreamStandsStill)
 {
     bed.call("/stream/x");
-    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1));
-    const AttemptId silent = lastHandOver().attempt;
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastHandOver().attempt, 1));
+    const AttemptId silent = bed.lastHandOver().attempt;
     bed.advance(Ms(1700));
     CHECK(bed.driver.wasCancelled(silent));
     LONGS_EQUAL(2, bed.driver.handOvers.size());
@@ -237,8 +220,8 @@
 {
     bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}});
     bed.call("/stream/x");
-    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1));
-    const AttemptId silent = lastHandOver().attempt;
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastHandOver().attempt, 1));
+    const AttemptId silent = bed.lastHandOver().attempt;
     bed.advance(Ms(1800));
     CHECK(!bed.driver.wasCancelled(silent));
     CHECK(bed.kernel.onEvent(bed.now, silent, 2));
@@ -256,23 +239,23 @@
     LONGS_EQUAL(before, bed.kernel.counters().retries);
     bed.advance(Ms(2100));
     bed.call("/stream/x");
-    bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1);
-    bed.kernel.onFailure(bed.now, lastHandOver().attempt, AttemptFailure::Broken);
+    bed.kernel.onEvent(bed.now, bed.lastHandOver().attempt, 1);
+    bed.kernel.onFailure(bed.now, bed.lastHandOver().attempt, AttemptFailure::Broken);
     LONGS_EQUAL(before + 1, bed.kernel.counters().retries);
-    LONGS_EQUAL(1, lastHandOver().runs);
+    LONGS_EQUAL(1, bed.lastHandOver().runs);
 }
 
 /// Guards against an instance staying away from endpoints that it reaches again, and against open hand-overs being cut then.
 TEST(ARequestThatIsHandedOver, endsThereAlthoughTheCutIsOver)
 {
     bed.call("/stream/x");
-    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1));
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastHandOver().attempt, 1));
     bed.unreachable.clear();
     bed.advance(Ms(800));
     bed.call("/book/x");
     LONGS_EQUAL(1, bed.driver.handOvers.size());
     LONGS_EQUAL(1, bed.driver.sent.size());
-    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 2));
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastHandOver().attempt, 2));
 }
 
 /// Guards against callers being sent to an instance that can't serve them in any way, and against one that can being taken out.
@@ -298,7 +281,7 @@
     bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a"}, {"three", "three:1", "zone-b", "three:2"}});
     for (int i = 0; i < 20; ++i) {
         bed.call("/book/x");
-        STRCMP_EQUAL("three", lastHandOver().instance.c_str());
+        STRCMP_EQUAL("three", bed.lastHandOver().instance.c_str());
     }
 }
 
@@ -313,12 +296,12 @@
     bed.kernel.onPeerMessage(bed.now, digest);
     for (int i = 0; i < 20; ++i) {
         bed.call("/book/x");
-        STRCMP_EQUAL("three", lastHandOver().instance.c_str());
+        STRCMP_EQUAL("three", bed.lastHandOver().instance.c_str());
     }
     for (int i = 0; i < 20; ++i) {
-        bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}, {"three", "three:1", "zone-b", "three:2"}});
+        bed.listTakers();
         bed.call("/book/x");
-        STRCMP_EQUAL("three", lastHandOver().instance.c_str());
+        STRCMP_EQUAL("three", bed.lastHandOver().instance.c_str());
     }
     // It is upgraded again, and has read the configuration.
     digest.handOverAddress = "two:2";
@@ -326,7 +309,7 @@
     bed.kernel.onPeerMessage(bed.now, digest);
     bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}});
     bed.call("/book/x");
-    STRCMP_EQUAL("two", lastHandOver().instance.c_str());
+    STRCMP_EQUAL("two", bed.lastHandOver().instance.c_str());
 }
 
 /// Guards against a stream that may be resumed being given up since the endpoints of one other instance have failed it, for instance as that one stops.
@@ -336,9 +319,9 @@
     refuse(base::ErrorKind::UpstreamBroken);
     LONGS_EQUAL(0, bed.driver.rejected.size());
     LONGS_EQUAL(2, bed.driver.handOvers.size());
-    LONGS_EQUAL(1, lastHandOver().runs);
-    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1));
-    bed.kernel.onStreamEnd(bed.now, lastHandOver().attempt);
+    LONGS_EQUAL(1, bed.lastHandOver().runs);
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastHandOver().attempt, 1));
+    bed.kernel.onStreamEnd(bed.now, bed.lastHandOver().attempt);
     LONGS_EQUAL(stream, bed.driver.endedStreams.back());
     // A request that may run once only is not sent again, nor called "not run".
     bed.call("/book/x");
--- a/libs/relay/tests/SilentStageTests.cpp
+++ b/libs/relay/tests/SilentStageTests.cpp
@@ -1,4 +1,4 @@
-#include "FakeDriver.h"
+#include "CutOffBed.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -7,7 +7,7 @@
 /// An endpoint that is silent may have ended, or may go on after a second. The route of the streams permits two attempts.
 TEST_GROUP(AStreamWhoseFirstStageIsSilent)
 {
-    RelayTestBed bed;
+    CutOffBed bed;
 
     /// Adds a third endpoint that can be a first stage.
     void addThirdFirstStage()
@@ -26,6 +26,28 @@
         LONGS_EQUAL(2, bed.driver.sent.size());
         return first;
     }
+
+    /// Starts a stream and lets both endpoints that can be its first stage fall silent after two events. Returns the id of the one that doesn't run it.
+    std::string loseBothFirstStages()
+    {
+        bed.startStream(2);
+        const std::string first = bed.driver.sent.back().endpoint;
+        std::string other = first == "low-a" ? "low-b" : "low-a";
+        bed.advance(Ms(300));
+        bed.kernel.onReport(bed.now, other, std::nullopt);
+        bed.kernel.onReport(bed.now, first, std::nullopt);
+        return other;
+    }
+
+    /// Lets the stream go on with that attempt until its end.
+    void mustEndThere(AttemptId attempt, std::uint64_t nextEvent)
+    {
+        CHECK(!bed.driver.wasCancelled(attempt));
+        CHECK(bed.driver.brokenStreams.empty());
+        CHECK(bed.kernel.onEvent(bed.now, attempt, nextEvent));
+        bed.kernel.onStreamEnd(bed.now, attempt);
+        LONGS_EQUAL(1, bed.driver.endedStreams.size());
+    }
 };
 
 /// Guards against a stream that fails although the endpoint of one of its attempts is known to have ended, and no longer runs it.
@@ -74,11 +96,7 @@
     bed.kernel.onReport(bed.now, bed.driver.sent.back().endpoint, std::nullopt);
     bed.advance(Ms(1000));
     LONGS_EQUAL(2, bed.driver.sent.size());
-    CHECK(!bed.driver.wasCancelled(second));
-    CHECK(bed.driver.brokenStreams.empty());
-    CHECK(bed.kernel.onEvent(bed.now, second, 4));
-    bed.kernel.onStreamEnd(bed.now, second);
-    LONGS_EQUAL(1, bed.driver.endedStreams.size());
+    mustEndThere(second, 4);
 }
 
 /// Guards against a stream that stays at a silent endpoint although an earlier one turns out to have ended meanwhile.
@@ -99,18 +117,10 @@
 /// Guards against a stream that is given up at an endpoint that is silent for a second, although no other one could go on with it.
 TEST(AStreamWhoseFirstStageIsSilent, staysThereWhileNoOtherEndpointTakesIt)
 {
-    bed.startStream(2);
+    loseBothFirstStages();
     const AttemptId only = bed.lastAttempt();
-    const std::string first = bed.driver.sent.back().endpoint;
-    const std::string other = first == "low-a" ? "low-b" : "low-a";
-    bed.advance(Ms(300));
-    bed.kernel.onReport(bed.now, other, std::nullopt);
-    bed.kernel.onReport(bed.now, first, std::nullopt);
     bed.advance(Ms(1000));
-    CHECK(!bed.driver.wasCancelled(only));
-    CHECK(bed.kernel.onEvent(bed.now, only, 3));
-    bed.kernel.onStreamEnd(bed.now, only);
-    LONGS_EQUAL(1, bed.driver.endedStreams.size());
+    mustEndThere(only, 3);
 }
 
 /// Guards likewise where all endpoints with the upper layers are silent at once.
@@ -122,21 +132,13 @@
     bed.kernel.onReport(bed.now, "high-a", std::nullopt);
     bed.kernel.onReport(bed.now, "high-b", std::nullopt);
     bed.advance(Ms(2500));
-    CHECK(!bed.driver.wasCancelled(only));
-    CHECK(bed.kernel.onEvent(bed.now, only, 3));
-    bed.kernel.onStreamEnd(bed.now, only);
-    LONGS_EQUAL(1, bed.driver.endedStreams.size());
+    mustEndThere(only, 3);
 }
 
 /// Guards against a stream that waits for a silent endpoint although another one is there for it meanwhile.
 TEST(AStreamWhoseFirstStageIsSilent, leavesItOnceAnotherOneIsBack)
 {
-    bed.startStream(2);
-    const std::string first = bed.driver.sent.back().endpoint;
-    const std::string other = first == "low-a" ? "low-b" : "low-a";
-    bed.advance(Ms(300));
-    bed.kernel.onReport(bed.now, other, std::nullopt);
-    bed.kernel.onReport(bed.now, first, std::nullopt);
+    const std::string other = loseBothFirstStages();
     bed.advance(Ms(500));
     LONGS_EQUAL(1, bed.driver.sent.size());
     EndpointReport report;
@@ -173,11 +175,7 @@
     bed.kernel.onInstances(bed.now, {{"one", "10.0.0.1:7000"}});
     bed.startStream(2);
     const AttemptId only = bed.lastAttempt();
-    for (const EndpointEntry &entry : bed.entries) {
-        bed.unreachable.insert(entry.id);
-    }
-    bed.call("/book/x");
-    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::NotSent);
+    bed.loseEndpoints();
     bed.advance(Ms(1200));
     CHECK(!bed.kernel.reachesEndpoints());
     CHECK(!bed.driver.wasCancelled(only));
@@ -295,11 +293,7 @@
     bed.kernel.onInstances(bed.now, {{"one", "one:1", "zone-a", "one:2"}, {"two", "two:1", "zone-a", "two:2"}});
     bed.startStream(2);
     const AttemptId only = bed.lastAttempt();
-    for (const EndpointEntry &entry : bed.entries) {
-        bed.unreachable.insert(entry.id);
-    }
-    bed.call("/book/x");
-    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::NotSent);
+    bed.loseEndpoints();
     bed.advance(Ms(1000));
     CHECK(!bed.kernel.reachesEndpoints());
     CHECK(!bed.driver.handOvers.empty());
@@ -308,9 +302,5 @@
         head.peerError = base::ErrorKind::NoEndpoint;
         bed.kernel.onAnswer(bed.now, order.attempt, head);
     }
-    CHECK(!bed.driver.wasCancelled(only));
-    CHECK(bed.driver.brokenStreams.empty());
-    CHECK(bed.kernel.onEvent(bed.now, only, 3));
-    bed.kernel.onStreamEnd(bed.now, only);
-    LONGS_EQUAL(1, bed.driver.endedStreams.size());
+    mustEndThere(only, 3);
 }
