--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -126,7 +126,8 @@
 
 bool RelayKernel::Impl::waitsForRetry(Instant now, Call &call)
 {
-    return hasAttemptsLeft(call) && waitsForEndpoints(now, call);
+    // The caller of a stream that hasn't begun loses nothing by an answer at once, and may ask again.
+    return call.streamBegun && hasAttemptsLeft(call) && waitsForEndpoints(now, call);
 }
 
 double RelayKernel::Impl::patienceLeftMs(Instant now, const Call &call)
@@ -167,7 +168,9 @@
         requestReport(now, atFault);
     }
     if (isUnderWay(call)) {
-        return; // The attempt that it was to supersede may go on.
+        // The attempt that it was to supersede may go on. The next one beside it is delayed as are those below: refusals use up the limit on retries, too.
+        call.nextCheckAt = now + ResumePeriod * ++call.refusals;
+        return;
     }
     if (mayRetry(now, call)) {
         // A stream that has begun can't be rejected any more. Its retries are delayed: endpoints accept work again soon, and the caller waits for the
@@ -280,9 +283,7 @@
         driver.record({"event_gap", call.requestId, "", "event " + std::to_string(eventId) + " after " + std::to_string(call.lastEvent)});
         const std::size_t openAttempts = call.attempts.size() + (call.handOver ? 1 : 0);
         if (openAttempts > 1) {
-            driver.cancel(attempt);
-            dropAttempt(attempt);
-            dropHandOver(attempt);
+            leaveAfterGap(now, call, attempt);
             return false; // Another attempt may still go on.
         }
         fail(now, call, base::ErrorKind::AnswerIncomplete, "an event of the stream is missing");
@@ -306,6 +307,16 @@
     return true;
 }
 
+void RelayKernel::Impl::leaveAfterGap(Instant now, Call &call, AttemptId attempt)
+{
+    driver.cancel(attempt);
+    if (call.handOver == attempt) {
+        return onHandOverFailed(now, call, attempt, AttemptFailure::Broken);
+    }
+    exclude(call, attempts.at(attempt).stages.front());
+    dropAttempt(attempt);
+}
+
 void RelayKernel::onStreamEnd(Instant now, AttemptId attempt)
 {
     if (Call *handedOver = impl_->callOfHandOver(attempt)) {
--- a/libs/relay/src/StreamMoves.cpp
+++ b/libs/relay/src/StreamMoves.cpp
@@ -47,7 +47,8 @@
         if (isBarred(call)) {
             return fail(now, call, base::ErrorKind::PromptPartQuarantined, "requests like it have crashed endpoints meanwhile");
         }
-        if (retryIsPermitted(now, call)) {
+        // An earlier run that counted as ended may have turned out to go on.
+        if (mayRunAgain(call) && retryIsPermitted(now, call)) {
             return startStream(now, call);
         }
         if (waitsForRetry(now, call)) {
@@ -57,7 +58,9 @@
     }
     const AttemptId id = watchedAttempt(call);
     const Attempt &attempt = attempts.at(id);
-    if (attempt.isKept && hasEnded(runOf(id)) && mayRetry(now, call) && canStartStream(now, call)) {
+    // Its connection may say nothing of that, and a first stage that is back is no longer marked as silent.
+    const bool isLate = call.service->engine && now - attempt.lastProgressAt >= SilentStageTimeout;
+    if ((attempt.isKept || isLate) && hasEnded(runOf(id)) && mayRetry(now, call) && canStartStream(now, call)) {
         return supersedeAttempt(now, call, id, "its first stage has ended");
     }
     if (const auto silent = silentStage(now, attempt)) {
@@ -181,6 +184,7 @@
     if (const auto handedOver = call.handOver; handedOver && *handedOver != attempt) {
         driver.cancel(*handedOver);
         dropHandOver(*handedOver);
+        ++call.priorRuns; // The other instance may have run it.
     }
     if (const auto winner = attempts.find(attempt); winner != attempts.end()) {
         winner->second.isSuperseded = false;
--- a/libs/relay/tests/HandOverFailureTests.cpp
+++ b/libs/relay/tests/HandOverFailureTests.cpp
@@ -106,3 +106,21 @@
     }
     LONGS_EQUAL(0, bed.driver.recorded["retry_refused"]);
 }
+
+/// Guards against a run at another instance that isn't counted since it left out an event while an attempt is open: the route permits two runs.
+TEST(AHandOverThatFails, countsAsARunIfItLeavesOutAnEvent)
+{
+    CHECK(!bed.kernel.onEvent(bed.now, bed.driver.handOvers.back().attempt, 5));
+    bed.advance(Ms(500));
+    LONGS_EQUAL(1, handOversOfStream());
+    requireToGoOn();
+}
+
+/// Guards against a third run on a route that permits two: the other instance may have run the request although the own attempt had the next event first.
+TEST(AHandOverThatFails, countsAsARunIfTheOwnAttemptGoesOnFirst)
+{
+    requireToGoOn();
+    bed.advance(Ms(1000));
+    CHECK(!bed.kernel.reachesEndpoints());
+    LONGS_EQUAL(1, handOversOfStream());
+}
--- a/libs/relay/tests/SilentStageTests.cpp
+++ b/libs/relay/tests/SilentStageTests.cpp
@@ -304,3 +304,64 @@
     }
     mustEndThere(only, 3);
 }
+
+/// Guards against a limit on retries that one stream uses up at once: while its first attempt is open, it tries one endpoint after the other that refuses it.
+TEST(AStreamThatIsMoved, triesTheNextEndpointAfterAPauseIfOneRefusesIt)
+{
+    for (const char *const id : {"low-c", "low-d", "low-e", "low-f", "low-g", "low-h"}) {
+        bed.entries.push_back(RelayTestBed::engineEntry(id, "zone-b", {0, RelayTestBed::HalfLayers}));
+    }
+    bed.kernel.onEndpoints(bed.now, bed.entries, {0, ++bed.storeRevision});
+    constexpr Ms Tick{20};
+    for (Ms elapsed{0}; elapsed < Ms(160); elapsed += Tick) {
+        if (!bed.driver.wasCancelled(bed.lastAttempt())) {
+            bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {503, true, true, ""});
+        }
+        bed.now += Tick;
+        bed.kernel.onTick(bed.now);
+    }
+    // Attempts 1 and 2, and those that follow refusals after 50 and 100 ms.
+    CHECK(bed.driver.sent.size() <= 4);
+    CHECK(!bed.driver.wasCancelled(first));
+    CHECK(bed.kernel.onEvent(bed.now, first, 3));
+}
+
+/// Guards against a stream that is tried again at the endpoint that has left out an event.
+TEST(AStreamThatIsMoved, leavesOutAnEndpointThatSkipsAnEvent)
+{
+    auto config = std::make_shared<FleetConfig>(*RelayTestBed::config(2));
+    config->routes.front().maxAttempts = 3;
+    bed.kernel.onConfig(bed.now, bed.now, config);
+    bed.kernel.onCallerGone(bed.now, bed.lastCall);
+    bed.driver.sent.clear();
+    bed.entries.push_back(RelayTestBed::engineEntry("low-c", "zone-c", {0, RelayTestBed::HalfLayers}));
+    bed.advance(Ms(3000));
+    bed.startStream(2);
+    bed.advance(Ms(300));
+    bed.kernel.onReport(bed.now, bed.driver.sent.back().endpoint, std::nullopt);
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    const std::string skipping = bed.driver.sent.back().endpoint;
+    CHECK(!bed.kernel.onEvent(bed.now, bed.lastAttempt(), 4));
+    bed.advance(Ms(200));
+    for (std::size_t i = 2; i < bed.driver.sent.size(); ++i) {
+        CHECK(bed.driver.sent[i].endpoint != skipping);
+    }
+}
+
+/// Guards against a stream that waits to its deadline at a first stage that has restarted since, and whose connection says nothing.
+TEST(AStreamWhoseFirstStageIsSilent, leavesItIfItHasRestartedBeforeItsSilenceWasNoticed)
+{
+    bed.startStream(2);
+    const AttemptId only = bed.lastAttempt();
+    const std::string first = bed.driver.sent.back().endpoint;
+    std::find_if(bed.entries.begin(), bed.entries.end(), [&](const EndpointEntry &entry) { return entry.id == first; })->incarnation = 2;
+    bed.advance(Ms(300));
+    EndpointReport report;
+    report.incarnation = 2;
+    report.layers = {0, RelayTestBed::HalfLayers};
+    bed.kernel.onReport(bed.now, first, report);
+    bed.advance(Ms(1500));
+    LONGS_EQUAL(2, bed.driver.sent.size());
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+    CHECK(bed.driver.wasCancelled(only));
+}
