--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -238,10 +238,10 @@
                             {"three", "three:1", "zone-b", "three:2"},
                             {"four", "four:1", "zone-b", "four:2"}});
     bed.call("/stream/x");
-    CHECK(bed.kernel.onEvent(bed.now, lastHandOver().attempt, 1));
+    CHECK(bed.kernel.onEvent(bed.now, bed.lastHandOver().attempt, 1));
     bed.advance(Ms(1700));
     LONGS_EQUAL(2, bed.driver.handOvers.size());
-    const AttemptId second = lastHandOver().attempt;
+    const AttemptId second = bed.lastHandOver().attempt;
     CHECK(bed.kernel.onEvent(bed.now, second, 2));
     bed.advance(Ms(1800));
     CHECK(!bed.driver.wasCancelled(second));
