--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -150,7 +150,7 @@
 relay stop-holds-callers-back Admission.cpp 's/kind == base::ErrorKind::Stopping ? stopRetryDelay(now) : //'
 relay retry-on-a-kept-connection Calls.cpp 's/runsOnce(\*call.route) || call.attemptCount > 1;/runsOnce(*call.route);/'
 relay limit-counts-what-was-not-sent Calls.cpp 's/reachedNothing && failed.isRetry/false/'
-relay new-run-is-joined details/KernelImpl.h 's/return resumedAfter > 0 \&\& .*;/return resumedAfter > 0 \&\& firstEvent == 0;/'
+relay new-run-is-joined details/OpenCalls.h 's/return resumedAfter > 0 \&\& .*;/return resumedAfter > 0 \&\& firstEvent == 0;/'
 relay refusal-is-a-state RefusalPause.cpp 's/!(window_ ? share_.isHigh() : share_.isMost())/false/; s/ \&\& share_.isMost()//'
 relay refusals-never-pause RefusalPause.cpp 's/if (halved < 1 \&\& share_.isMost()) {/if (false) {/'
 relay refusal-gives-no-window RefusalPause.cpp 's/return !window_ || open < .*/return true;/'
