--- /dev/null
+++ b/libs/net/src/HeldBytes.cpp
@@ -0,0 +1,234 @@
+#include "net/HeldBytes.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace net {
+
+struct HeldBytes::Entry : std::enable_shared_from_this<Entry> {
+    std::shared_ptr<Ledger> ledger;
+    Holder holder = Holder::Caller;
+    /// Shares that were made later have a higher number.
+    std::uint64_t number = 0;
+    std::function<void()> end;
+    std::size_t bytes = 0;
+    bool isEnded = false;
+};
+
+struct HeldBytes::Ledger {
+    explicit Ledger(EventLoop &eventLoop)
+        : loop(eventLoop)
+    {
+    }
+
+    /// What one holder's shares have in common.
+    struct Account {
+        /// Those that weren't ended.
+        std::unordered_set<Entry *> entries;
+        std::size_t bytes = 0;
+        std::size_t mostBytes = 0;
+        std::uint64_t ended = 0;
+    };
+
+    Account &accountOf(Holder holder)
+    {
+        return accounts[static_cast<std::size_t>(holder)];
+    }
+
+    /// Counts other bytes for an entry.
+    void count(Entry &entry, std::size_t bytes);
+    /// Takes an entry out of its account.
+    void remove(Entry &entry);
+    /// Ends shares until the holder's rest and the rest of all are within their bounds.
+    void enforce(Holder holder);
+    /// Returns the account's entry that goes first; null if none holds anything.
+    static Entry *firstToEnd(const Account &account);
+    /// Returns the entry of all accounts that goes first; null if none holds anything.
+    Entry *firstToEnd() const;
+    /// Ends a share.
+    void end(Entry &entry, HeldBound bound);
+
+    EventLoop &loop;
+    HeldLimits limits;
+    EndedHandler onEnded;
+    std::array<Account, HolderCount> accounts;
+    std::size_t bytes = 0;
+    std::uint64_t nextNumber = 0;
+};
+
+namespace {
+
+/// Returns whichever of two entries goes first; either may be null.
+template<typename Entry>
+Entry *firstOf(Entry *one, Entry *other)
+{
+    if (!one || !other) {
+        return one ? one : other;
+    }
+    return std::pair(one->bytes, one->number) > std::pair(other->bytes, other->number) ? one : other;
+}
+
+} // namespace
+
+void HeldBytes::Ledger::count(Entry &entry, std::size_t newBytes)
+{
+    Account &account = accountOf(entry.holder);
+    account.bytes += newBytes - entry.bytes;
+    bytes += newBytes - entry.bytes;
+    entry.bytes = newBytes;
+}
+
+void HeldBytes::Ledger::remove(Entry &entry)
+{
+    count(entry, 0);
+    accountOf(entry.holder).entries.erase(&entry);
+}
+
+void HeldBytes::Ledger::enforce(Holder holder)
+{
+    Account &account = accountOf(holder);
+    while (account.bytes > limits.of(holder)) {
+        end(*firstToEnd(account), HeldBound::Holder);
+    }
+    while (bytes > limits.all) {
+        end(*firstToEnd(), HeldBound::All);
+    }
+    account.mostBytes = std::max(account.mostBytes, account.bytes);
+}
+
+HeldBytes::Entry *HeldBytes::Ledger::firstToEnd(const Account &account)
+{
+    Entry *first = nullptr;
+    for (Entry *entry : account.entries) {
+        first = firstOf(first, entry);
+    }
+    return first;
+}
+
+HeldBytes::Entry *HeldBytes::Ledger::firstToEnd() const
+{
+    Entry *first = nullptr;
+    for (const Account &account : accounts) {
+        first = firstOf(first, firstToEnd(account));
+    }
+    return first;
+}
+
+void HeldBytes::Ledger::end(Entry &entry, HeldBound bound)
+{
+    const std::size_t heldBytes = entry.bytes;
+    remove(entry);
+    entry.isEnded = true;
+    ++accountOf(entry.holder).ended;
+    if (onEnded) {
+        loop.post([report = onEnded, holder = entry.holder, heldBytes, bound]() { report(holder, heldBytes, bound); });
+    }
+    loop.post([weak = entry.weak_from_this()]() {
+        // Kept while its callback runs, which may release the share.
+        const std::shared_ptr<Entry> ended = weak.lock();
+        if (ended && ended->end) {
+            ended->end();
+        }
+    });
+}
+
+HeldBytes::HeldBytes(EventLoop &loop, const HeldLimits &limits, EndedHandler onEnded)
+    : ledger_(std::make_shared<Ledger>(loop))
+{
+    ledger_->limits = limits;
+    ledger_->onEnded = std::move(onEnded);
+}
+
+HeldBytes::~HeldBytes() = default;
+
+HeldBytes::Share HeldBytes::share(Holder holder, std::function<void()> end)
+{
+    auto entry = std::make_shared<Entry>();
+    entry->ledger = ledger_;
+    entry->holder = holder;
+    entry->number = ledger_->nextNumber++;
+    entry->end = std::move(end);
+    ledger_->accountOf(holder).entries.insert(entry.get());
+    return Share(std::move(entry));
+}
+
+void HeldBytes::setLimits(const HeldLimits &limits)
+{
+    ledger_->limits = limits;
+    for (const auto &[holder, name] : HolderNames) {
+        ledger_->enforce(holder);
+    }
+}
+
+std::size_t HeldBytes::bytes(Holder holder) const
+{
+    return ledger_->accountOf(holder).bytes;
+}
+
+std::size_t HeldBytes::bytes() const
+{
+    return ledger_->bytes;
+}
+
+std::size_t HeldBytes::mostBytes(Holder holder) const
+{
+    return ledger_->accountOf(holder).mostBytes;
+}
+
+std::uint64_t HeldBytes::ended(Holder holder) const
+{
+    return ledger_->accountOf(holder).ended;
+}
+
+HeldBytes::Share::Share(std::shared_ptr<Entry> entry)
+    : entry_(std::move(entry))
+{
+}
+
+HeldBytes::Share::~Share()
+{
+    release();
+}
+
+HeldBytes::Share::Share(Share &&other) noexcept
+    : entry_(std::move(other.entry_))
+{
+}
+
+HeldBytes::Share &HeldBytes::Share::operator=(Share &&other) noexcept
+{
+    if (this != &other) {
+        release();
+        entry_ = std::move(other.entry_);
+    }
+    return *this;
+}
+
+void HeldBytes::Share::set(std::size_t bytes)
+{
+    if (!entry_ || entry_->isEnded) {
+        return;
+    }
+    entry_->ledger->count(*entry_, bytes);
+    entry_->ledger->enforce(entry_->holder);
+}
+
+std::size_t HeldBytes::Share::bytes() const
+{
+    return entry_ ? entry_->bytes : 0;
+}
+
+bool HeldBytes::Share::isEnded() const
+{
+    return entry_ && entry_->isEnded;
+}
+
+void HeldBytes::Share::release()
+{
+    if (entry_ && !entry_->isEnded) {
+        entry_->ledger->remove(*entry_);
+    }
+    entry_.reset();
+}
+
+} // namespace net
