--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "base/EnumNames.h"
 #include "net/EventLoop.h"
+#include "net/HeldBytes.h"
 #include "net/Http.h"
 
 #include <chrono>
@@ -19,7 +20,7 @@
 
 /// Limits on what clients may send and on the resources that they use.
 struct ServerLimits {
-    /// Maximum size of a request's header, in bytes.
+    /// Maximum size of a request's header, in bytes. Chunk headers with their extensions and the trailer have bounds of their own.
     std::size_t headerBytes = 16 * 1024;
     /// Maximum size of a request's body, in bytes.
     std::size_t bodyBytes = 1024 * 1024;
@@ -27,7 +28,8 @@
     std::size_t connections = 4096;
     /// Response bytes that may wait for a slow client; see HttpServer::writeChunk().
     std::size_t queuedResponseBytes = 1024 * 1024;
-    /// Longest time from the first bytes of a request to its last ones, and for writing a refusal.
+    /// Longest time from the first bytes of a request to the end of its header, from there to its last bytes, and for writing a refusal. If bytes wait to be
+    /// read when it is over, since the process was held up, as much time is added once.
     std::chrono::milliseconds requestTimeout{10000};
     /// Longest time that a connection waits for the first bytes of a request.
     std::chrono::milliseconds idleTimeout{60000};
@@ -41,12 +43,15 @@
 /// Why the server itself answered a request.
 enum class RefusalKind {
     Malformed,
+    /// The header, the header of a chunk or the trailer is too large, or there is too much of these two.
     HeaderTooLarge,
     BodyTooLarge,
     /// The request wasn't received completely within a timeout.
     RequestTooSlow,
-    /// Handlers::onRequest threw an exception; it may have acted on the request.
+    /// Handlers::onRequest threw an exception, or HeldBytes ended the exchange before its answer had begun; the request may have been acted on.
     HandlerFailed,
+    /// HeldBytes ended the request while it arrived. No part of it was run.
+    TooMuchHeld,
     /// The request had not arrived completely when the server had to end. No part of it was run.
     Stopping,
     /// The client has closed its sending side before it got a response, which counts as leaving. It may read on, though.
@@ -69,10 +74,12 @@
     Misused,
     /// Handlers::onRequest threw an exception.
     HandlerFailed,
+    /// HeldBytes ended the exchange.
+    TooMuchHeld,
 };
 
 /// Names of the ends in the log.
-inline constexpr base::EnumNames<ExchangeEnd, 7> ExchangeEndNames = {{
+inline constexpr base::EnumNames<ExchangeEnd, 8> ExchangeEndNames = {{
     {ExchangeEnd::Answered, "answered"},
     {ExchangeEnd::CallerLeft, "caller_left"},
     {ExchangeEnd::CallerTooSlow, "caller_too_slow"},
@@ -80,6 +87,7 @@
     {ExchangeEnd::Aborted, "aborted"},
     {ExchangeEnd::Misused, "misused"},
     {ExchangeEnd::HandlerFailed, "handler_failed"},
+    {ExchangeEnd::TooMuchHeld, "too_much_held"},
 }};
 
 /// An HTTP/1.1 server that sends responses either complete or in chunks.
@@ -102,8 +110,10 @@
         std::function<void(std::string_view)> onException = {};
     };
 
-    /// Starts to listen; port 0 means any free port. Throws base::ListenError if the address can't be bound.
-    HttpServer(EventLoop &loop, const Address &address, ServerLimits limits, Handlers handlers);
+    /// Starts to listen; port 0 means any free port. Throws base::ListenError if the address can't be bound. What each connection holds counts for `holder` in
+    /// `held`, which may be null and otherwise must outlive the server and its connections: its read buffer, the request until its exchange has ended, and
+    /// what waits to be written. A connection that is ended there is closed; its request is refused, or its exchange aborted.
+    HttpServer(EventLoop &loop, const Address &address, ServerLimits limits, Handlers handlers, HeldBytes *held = nullptr, Holder holder = Holder::Caller);
     ~HttpServer();
 
     /// Returns the address on which the server listens, with the actual port.
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -35,6 +35,9 @@
     beast::error_code ignored;
     socket_.non_blocking(true, ignored);
     server_->open.insert(this);
+    if (server_->held) {
+        held_ = server_->held->share(server_->holder, [this]() { onTooMuchHeld(); });
+    }
 }
 
 Connection::~Connection()
@@ -167,10 +170,14 @@
         }
         co_return false;
     }
-    RequestParser parser;
-    parser.header_limit(static_cast<std::uint32_t>(server_->limits.headerBytes));
-    parser.body_limit(server_->limits.bodyBytes);
-    if (const beast::error_code error = co_await readRequest(parser)) {
+    std::optional<RequestParser> parser(std::in_place);
+    parser->header_limit(static_cast<std::uint32_t>(server_->limits.headerBytes));
+    parser->body_limit(server_->limits.bodyBytes);
+    buffer_.max_size(std::max(buffer_.size(), readBufferLimit(server_->limits.headerBytes)));
+    if (const beast::error_code error = co_await readRequest(*parser)) {
+        // Nothing of it is used any more while the refusal is written.
+        parser.reset();
+        forgetRequest();
         co_await refuse(error);
         co_return false;
     }
@@ -179,10 +186,13 @@
         co_await refuseAs(RefusalKind::CallerLeft);
         co_return false;
     }
-    startExchange(parser.release());
+    startExchange(parser->release());
+    parser.reset();
     watchForClose();
     co_await writeQueued();
     server_->endExchange(id_, broken_ ? ExchangeEnd::WriteFailed : ExchangeEnd::Answered);
+    requestBytes_ = 0;
+    countHeld();
     if (leftUnanswered_) {
         co_await refuseAs(RefusalKind::CallerLeft);
     } else if (!keepAlive_ && !broken_) {
@@ -204,24 +214,49 @@
         server_->handlers.onRequest(id_, std::move(request));
     } catch (const std::exception &exception) {
         server_->reportException(exception);
-        onHandlerFailed();
+        failExchange(ExchangeEnd::HandlerFailed);
     }
 }
 
-void Connection::onHandlerFailed()
+void Connection::failExchange(ExchangeEnd end)
 {
     const bool isUnanswered = responseState_ == ResponseState::None && !ended_;
     if (!isUnanswered) {
-        abortExchange(ExchangeEnd::HandlerFailed);
+        abortExchange(end);
         return close();
     }
     const ExchangeId id = id_;
     keepAlive_ = false;
     respond(server_->handlers.refusal(RefusalKind::HandlerFailed));
-    server_->endExchange(id, ExchangeEnd::HandlerFailed);
+    server_->endExchange(id, end);
     server_->reportAbort(id);
 }
 
+void Connection::countHeld()
+{
+    held_.set(buffer_.capacity() + requestBytes_ + output_.size() + writtenBytes_);
+}
+
+void Connection::forgetRequest()
+{
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+    requestBytes_ = 0;
+    countHeld();
+}
+
+void Connection::onTooMuchHeld()
+{
+    if (isReading_) {
+        isTooMuchHeld_ = true;
+        return endReading();
+    }
+    if (server_->connectionOf(id_)) {
+        return failExchange(ExchangeEnd::TooMuchHeld);
+    }
+    close();
+}
+
 asio::awaitable<void> Connection::linger()
 {
     char scratch[4096];
@@ -304,8 +339,11 @@
         }
         std::string data;
         data.swap(output_);
+        writtenBytes_ = data.size();
         beast::error_code error;
         co_await asio::async_write(socket_, asio::buffer(data), asio::redirect_error(asio::use_awaitable, error));
+        writtenBytes_ = 0;
+        countHeld();
         if (error) {
             abortExchange(ExchangeEnd::WriteFailed);
             broken_ = true;
@@ -319,6 +357,7 @@
         return;
     }
     output_ += data;
+    countHeld();
     if (output_.size() > server_->limits.queuedResponseBytes + data.size()) {
         abortExchange(ExchangeEnd::CallerTooSlow);
         close();
--- a/libs/net/src/ConnectionReading.cpp
+++ b/libs/net/src/ConnectionReading.cpp
@@ -42,8 +42,9 @@
 {
     beast::error_code error;
     isReading_ = true;
+    isReadingOver_ = false;
     startReadTimeout(readTimeout());
-    co_await http::async_read_header(socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    error = co_await readHeader(parser);
     // Taken before the body: the parser adds the fields behind a body in chunks to those of the header.
     headers_ = headersOf(parser.get());
     if (!error && !hasClearEnd(headers_, parser.get().version() >= Http11)) {
@@ -54,13 +55,44 @@
         if (parser.get().version() >= Http11) {
             co_await sendContinue();
         }
-        co_await http::async_read(socket_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+        error = co_await readBody(parser);
     }
     timeout_.stop();
     isReading_ = false;
     co_return error;
 }
 
+asio::awaitable<beast::error_code> Connection::readHeader(RequestParser &parser)
+{
+    ReadStep step;
+    parser.eager(false);
+    while (!step.error && !parser.is_header_done()) {
+        step = co_await readStep(socket_, buffer_, parser, isReadingOver_);
+        requestBytes_ += step.parsedBytes;
+        countHeld();
+    }
+    co_return step.error;
+}
+
+asio::awaitable<beast::error_code> Connection::readBody(RequestParser &parser)
+{
+    ReadStep step;
+    const std::size_t headerBytes = requestBytes_;
+    std::uint64_t bytesBehindHeader = 0;
+    parser.eager(true);
+    while (!step.error && !parser.is_done()) {
+        step = co_await readStep(socket_, buffer_, parser, isReadingOver_);
+        bytesBehindHeader += step.parsedBytes;
+        const std::size_t bodyBytes = parser.get().body().size();
+        requestBytes_ = headerBytes + bodyBytes;
+        countHeld();
+        if (!step.error && hasTooMuchFraming(bytesBehindHeader, bodyBytes)) {
+            step.error = http::error::buffer_overflow;
+        }
+    }
+    co_return step.error;
+}
+
 std::chrono::milliseconds Connection::readTimeout() const
 {
     return server_->refusesArriving ? std::min(LastReadTime, server_->limits.requestTimeout) : server_->limits.requestTimeout;
@@ -111,20 +143,31 @@
 void Connection::startReadTimeout(std::chrono::nanoseconds timeout)
 {
     timeout_.start(timeout, shared_from_this(), [this, timeout]() {
-        // After a hold-up of the process the bytes may be there already.
-        hasInput() ? startReadTimeout(timeout) : cancelOperations();
+        // After a hold-up of the process the bytes may be there already. A sender that never pauses has always sent some.
+        if (hasInput()) {
+            timeout_.start(timeout, shared_from_this(), [this]() { endReading(); });
+        } else {
+            endReading();
+        }
     });
 }
 
+void Connection::endReading()
+{
+    // A read that has ended already can't be cancelled any more.
+    isReadingOver_ = true;
+    cancelOperations();
+}
+
 asio::awaitable<void> Connection::refuse(beast::error_code error)
 {
     RefusalKind kind = RefusalKind::Malformed;
-    if (error == http::error::header_limit) {
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
         kind = RefusalKind::HeaderTooLarge;
     } else if (error == http::error::body_limit) {
         kind = RefusalKind::BodyTooLarge;
     } else if (error == asio::error::operation_aborted) {
-        kind = server_->refusesArriving ? RefusalKind::Stopping : RefusalKind::RequestTooSlow;
+        kind = isTooMuchHeld_ ? RefusalKind::TooMuchHeld : server_->refusesArriving ? RefusalKind::Stopping : RefusalKind::RequestTooSlow;
     } else if (error == http::error::end_of_stream || error == asio::error::connection_reset) {
         co_return;
     }
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -12,12 +12,14 @@
 namespace beast = boost::beast;
 using asio::ip::tcp;
 
-HttpServer::Impl::Impl(EventLoop &loop, const Address &address, ServerLimits serverLimits, Handlers serverHandlers)
+HttpServer::Impl::Impl(EventLoop &loop, const Address &address, ServerLimits serverLimits, Handlers serverHandlers, HeldBytes *heldBytes, Holder bytesHolder)
     : io(loop.impl().io)
     , acceptor(io)
     , limits(serverLimits)
     , idleTimeouts(serverLimits.idleTimeout)
     , handlers(std::move(serverHandlers))
+    , held(heldBytes)
+    , holder(bytesHolder)
 {
     try {
         const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
@@ -94,8 +96,8 @@
     }
 }
 
-HttpServer::HttpServer(EventLoop &loop, const Address &address, ServerLimits limits, Handlers handlers)
-    : impl_(std::make_shared<Impl>(loop, address, limits, std::move(handlers)))
+HttpServer::HttpServer(EventLoop &loop, const Address &address, ServerLimits limits, Handlers handlers, HeldBytes *held, Holder holder)
+    : impl_(std::make_shared<Impl>(loop, address, limits, std::move(handlers), held, holder))
 {
     asio::co_spawn(
         impl_->io, [impl = impl_]() { return impl->acceptLoop(); }, asio::detached);
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "details/BoundedRead.h"
 #include "details/HttpServerImpl.h"
 #include "details/OperationTimeout.h"
 
+#include <optional>
+
 namespace net {
 
 /// A client connection. It reads a request, passes it to the handler, writes the queued parts of the response, and meanwhile checks whether the
@@ -58,16 +61,28 @@
     void startIdleTimeout();
     /// Reads the rest of a request of which some bytes have been received.
     boost::asio::awaitable<boost::beast::error_code> readRequest(RequestParser &parser);
-    /// Cancels the pending read after a timeout; if it has received bytes that aren't taken yet, the read goes on for as long again.
+    /// Reads until the parser has the header.
+    boost::asio::awaitable<boost::beast::error_code> readHeader(RequestParser &parser);
+    /// Reads until the parser has the whole request.
+    boost::asio::awaitable<boost::beast::error_code> readBody(RequestParser &parser);
+    /// Ends the reading of a request after a timeout. If bytes wait to be read then, it goes on for as long again, but only once.
     void startReadTimeout(std::chrono::nanoseconds timeout);
+    /// Ends the reading of a request, also while there is always something to read.
+    void endReading();
     /// Returns the time that the rest of a request's header, or of its body, has to arrive.
     std::chrono::milliseconds readTimeout() const;
     /// Tells a client that waits before it sends the body that it may send it.
     boost::asio::awaitable<void> sendContinue();
     /// Starts an exchange for a request and passes it to the handler.
     void startExchange(Request &&message);
-    /// Ends the exchange because its handler has thrown an exception: by an error response if nothing was sent yet. Reports it by onAbort.
-    void onHandlerFailed();
+    /// Ends the exchange because of a fault that isn't its client's: by an error response if nothing was sent yet. Reports it by onAbort.
+    void failExchange(ExchangeEnd end);
+    /// Frees what was received of a request that is refused.
+    void forgetRequest();
+    /// Counts what the connection holds now.
+    void countHeld();
+    /// Ends the connection, since this process holds too much for its clients.
+    void onTooMuchHeld();
     /// Answers a request that couldn't be read, unless the client is gone.
     boost::asio::awaitable<void> refuse(boost::beast::error_code error);
     /// Writes the response to a request that the server refuses itself, and ends the connection.
@@ -106,8 +121,14 @@
     boost::asio::steady_timer wakeTimer_;
     /// For reading a request, or for writing a refusal.
     OperationTimeout timeout_;
-    /// Received bytes that aren't parsed yet.
+    /// Received bytes that aren't parsed yet. Its size is limited while a request is read.
     boost::beast::flat_buffer buffer_;
+    /// What the connection holds, as far as anything counts it.
+    HeldBytes::Share held_;
+    /// Bytes of the request's header and body that were received, until its exchange has ended.
+    std::size_t requestBytes_ = 0;
+    /// Response bytes that are being written.
+    std::size_t writtenBytes_ = 0;
     /// Header fields of the request that is being read.
     Headers headers_;
     /// Response bytes that aren't passed to the socket yet.
@@ -128,6 +149,10 @@
     bool isIdle_ = false;
     /// It waits for the rest of a request.
     bool isReading_ = false;
+    /// The reading of the request was ended.
+    bool isReadingOver_ = false;
+    /// That was done by onTooMuchHeld().
+    bool isTooMuchHeld_ = false;
     /// The client has closed its sending side, and nothing was sent of the response.
     bool leftUnanswered_ = false;
     /// The client has had its time to close its side, in linger().
--- a/libs/net/src/details/HttpServerImpl.h
+++ b/libs/net/src/details/HttpServerImpl.h
@@ -13,7 +13,7 @@
 class Connection;
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
-    Impl(EventLoop &loop, const Address &address, ServerLimits serverLimits, Handlers serverHandlers);
+    Impl(EventLoop &loop, const Address &address, ServerLimits serverLimits, Handlers serverHandlers, HeldBytes *heldBytes, Holder bytesHolder);
 
     /// Accepts connections until the listening socket is closed.
     boost::asio::awaitable<void> acceptLoop();
@@ -34,6 +34,9 @@
     ServerLimits limits;
     IdleTimeouts idleTimeouts;
     Handlers handlers;
+    /// Counts what the connections hold; may be null.
+    HeldBytes *held;
+    Holder holder;
     /// Connections by the exchange that they are running; a connection runs one at a time.
     std::unordered_map<ExchangeId, std::shared_ptr<Connection>> exchanges;
     ExchangeId nextId = 1;
--- a/libs/net/tests/RawClient.h
+++ b/libs/net/tests/RawClient.h
@@ -63,6 +63,11 @@
         socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
     }
 
+    void closeSendingSide(boost::system::error_code &error)
+    {
+        socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
+    }
+
     void send(const std::string &bytes, boost::system::error_code &error)
     {
         boost::asio::write(socket_, boost::asio::buffer(bytes), error);
--- a/libs/net/tests/SmallServer.h
+++ b/libs/net/tests/SmallServer.h
@@ -65,7 +65,8 @@
 class SmallServer
 {
 public:
-    explicit SmallServer(const net::ServerLimits &limits = smallLimits())
+    explicit SmallServer(const net::ServerLimits &limits = smallLimits(), const net::HeldLimits &heldLimits = {})
+        : held_(loop_, heldLimits)
     {
         net::HttpServer::Handlers handlers;
         handlers.onRequest = [this](net::ExchangeId id, const net::HttpRequest &request) {
@@ -82,6 +83,8 @@
         };
         handlers.refusal = [](net::RefusalKind kind) {
             static const std::map<net::RefusalKind, int> statuses = {{net::RefusalKind::HandlerFailed, 500},
+                                                                     {net::RefusalKind::HeaderTooLarge, 431},
+                                                                     {net::RefusalKind::TooMuchHeld, 503},
                                                                      {net::RefusalKind::BodyTooLarge, 413},
                                                                      {net::RefusalKind::RequestTooSlow, 408},
                                                                      {net::RefusalKind::Stopping, 503},
@@ -92,7 +95,7 @@
         handlers.onEnded = [this](net::ExchangeId, net::ExchangeEnd end) {
             ends_.push(end);
         };
-        server_.emplace(loop_, net::Address{"127.0.0.1", 0}, limits, handlers);
+        server_.emplace(loop_, net::Address{"127.0.0.1", 0}, limits, handlers, &held_);
         address_ = server_->address();
         thread_ = std::thread([this]() { loop_.run(); });
     }
@@ -248,6 +251,22 @@
         }
     }
 
+    /// The most that the connections have held at once, in bytes.
+    std::size_t mostHeld()
+    {
+        std::size_t bytes = 0;
+        runInLoop([&]() { bytes = held_.mostBytes(net::Holder::Caller); });
+        return bytes;
+    }
+
+    /// What the connections hold, in bytes.
+    std::size_t heldNow()
+    {
+        std::size_t bytes = 0;
+        runInLoop([&]() { bytes = held_.bytes(); });
+        return bytes;
+    }
+
     /// Number of requests that were passed to the handler.
     int requests() const
     {
@@ -338,6 +357,7 @@
     WaitingQueue<std::string> exceptions_;
     WaitingQueue<net::ExchangeEnd> ends_;
     net::EventLoop loop_;
+    net::HeldBytes held_;
     std::optional<net::HttpServer> server_;
     net::Address address_;
     std::thread thread_;
--- a/libs/relayhost/src/HostCallers.cpp
+++ b/libs/relayhost/src/HostCallers.cpp
@@ -23,6 +23,8 @@
         return base::ErrorKind::RequestTimeout;
     case net::RefusalKind::HandlerFailed:
         return base::ErrorKind::Internal;
+    case net::RefusalKind::TooMuchHeld:
+        return base::ErrorKind::Overloaded;
     case net::RefusalKind::Stopping:
         return base::ErrorKind::Stopping;
     case net::RefusalKind::CallerLeft:
@@ -39,6 +41,8 @@
     switch (refusal) {
     case net::RefusalKind::HandlerFailed:
         return "the request met an internal error";
+    case net::RefusalKind::TooMuchHeld:
+        return "this instance holds too much for its callers";
     case net::RefusalKind::Stopping:
         return "this instance had to stop before the whole request had arrived";
     case net::RefusalKind::CallerLeft:
@@ -55,6 +59,7 @@
     case net::RefusalKind::HandlerFailed:
         return "request_failed";
     case net::RefusalKind::Stopping:
+    case net::RefusalKind::TooMuchHeld:
         return "arrival_cut";
     case net::RefusalKind::CallerLeft:
         return "";
--- a/programs/trefoilportd/CallersDuty.cpp
+++ b/programs/trefoilportd/CallersDuty.cpp
@@ -43,6 +43,8 @@
         return openai::problemResponse({base::ErrorKind::RequestTimeout, "the request did not arrive in time"});
     case net::RefusalKind::HandlerFailed:
         return openai::problemResponse({base::ErrorKind::Internal, "the request met an internal error"});
+    case net::RefusalKind::TooMuchHeld:
+        return openai::problemResponse({base::ErrorKind::Overloaded, "this instance holds too much for its callers"});
     case net::RefusalKind::Stopping:
         return openai::problemResponse({base::ErrorKind::Stopping, "this instance had to stop before the whole request had arrived"});
     case net::RefusalKind::CallerLeft:
