--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/EventLoop.h"
+#include "net/HeldBytes.h"
 #include "net/Http.h"
 
 #include <chrono>
@@ -17,8 +18,13 @@
 enum class CallFailure {
     /// The call failed, timed out or was cancelled before its first byte was written, or its request can't be written as HTTP.
     NotSent,
-    /// The connection was closed, or the response is malformed or too large.
+    /// The connection was closed or failed before the response was complete, or a handler threw an exception.
     Broken,
+    /// What was received is no HTTP response, or more than a bound permits: on the header, on interim ones, on the body, or on the chunk headers and the
+    /// trailer. A sound server doesn't send that.
+    Malformed,
+    /// HeldBytes ended the call. The server may be sound.
+    TooMuchHeld,
     /// The total timeout has passed.
     TimedOut,
     /// HttpClient::cancel() was called.
@@ -61,12 +67,16 @@
     /// Use a new connection and close it after the call. The server may close a kept-alive connection while the request is being written, which
     /// leaves the outcome unknown; calls that must run at most once avoid this with a new connection.
     bool freshConnection = false;
-    /// Maximum size of the response body, in bytes; a larger one fails the call as Broken.
+    /// Maximum size of the response body, in bytes; a larger one fails the call as Malformed.
     std::size_t bodyLimit = 4 * 1024 * 1024;
     /// Returns whether the response with this header answers another request than the call's. A faulty server may send a response once more where the next
     /// one is expected. Asked only on a connection that has carried other calls before; such a response is skipped, and the connection is closed after
     /// the call. May be null.
     std::function<bool(const Headers &)> isStray = nullptr;
+    /// Counts what the call holds of the response for `holder`: its read buffer, and the body if HttpClient::fetch() collects it. May be null; otherwise it
+    /// must live until the call has begun, which is in the next turn of the event loop.
+    HeldBytes *held = nullptr;
+    Holder holder = Holder::Endpoint;
 };
 
 /// Callbacks of a call, called in the loop's thread. Exactly one of onEnd and onFailure is called, after all others.
@@ -90,7 +100,7 @@
     ~HttpClient();
 
     /// Starts a call. Its handlers are called after start() has returned. A call whose request can't be written as HTTP fails as NotSent; one whose
-    /// onHead or onData throws fails as Broken.
+    /// onHead or onData throws fails as Broken. What onData is given is no longer counted as held by the call.
     ClientCallId start(ClientCall call, ClientHandlers handlers);
 
     /// Starts a call, collects the response, and calls one of the handlers with the complete response or with the failure.
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -26,11 +26,19 @@
     std::shared_ptr<asio::steady_timer> timer;
     bool cancelled = false;
     bool timedOut = false;
+    /// What was received was no response, or more than a bound permits.
+    bool malformed = false;
+    /// HeldBytes cancelled the call.
+    bool tooMuchHeld = false;
+    /// The body is collected.
+    bool keepsBody = false;
     /// From here on, the server may have received the request and acted on it.
     bool sent = false;
     /// The connection isn't the call's any more. The total timeout may have passed just before that, with its handler still to come.
     bool ended = false;
     CallProgress progress;
+    /// What is held of the response.
+    HeldBytes::Share held;
 };
 
 void closeSocket(tcp::socket &socket)
@@ -39,6 +47,13 @@
     socket.close(ignored);
 }
 
+/// Ends a call from outside of its coroutine, which goes on with its failure.
+void cancelCall(RunningCall &running)
+{
+    running.cancelled = true;
+    closeSocket(*running.socket);
+}
+
 } // namespace
 
 struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
@@ -128,7 +143,13 @@
     if (running.timedOut) {
         return CallFailure::TimedOut;
     }
-    return running.cancelled ? CallFailure::Cancelled : CallFailure::Broken;
+    if (running.tooMuchHeld) {
+        return CallFailure::TooMuchHeld;
+    }
+    if (running.cancelled) {
+        return CallFailure::Cancelled;
+    }
+    return running.malformed ? CallFailure::Malformed : CallFailure::Broken;
 }
 
 /// Takes the body of a response that is skipped.
@@ -184,6 +205,12 @@
     auto self = shared_from_this();
     auto state = running[id];
     startTimer(call, state);
+    if (call.held) {
+        state->held = call.held->share(call.holder, [running = state.get()]() {
+            running->tooMuchHeld = true;
+            cancelCall(*running);
+        });
+    }
     bool isDone = false;
     try {
         isDone = co_await exchange(call, handlers, state);
@@ -192,6 +219,7 @@
         std::cerr << "call to " << toString(call.address) << " failed: " << error.what() << "\n";
     }
     state->ended = true;
+    state->held = {};
     state->timer->cancel();
     running.erase(id);
     if (isDone) {
@@ -234,9 +262,10 @@
 
 asio::awaitable<bool> HttpClient::Impl::receive(const ClientCall &call, const ClientHandlers &handlers, RunningCall &state)
 {
-    ResponseReader reader(*state.socket, call, state.progress, state.cancelled);
+    ResponseReader reader(*state.socket, call, state.progress, state.cancelled, state.held, state.keepsBody);
     for (int strays = 0; strays <= MaxStrayResponses; ++strays) {
         const auto headers = co_await reader.readHeader();
+        state.malformed = reader.isMalformed();
         if (!headers) {
             co_return false;
         }
@@ -246,6 +275,7 @@
             handlers.onHead(reader.status(), *headers);
         }
         if (!co_await reader.readBody(isStray ? DropData : handlers.onData)) {
+            state.malformed = reader.isMalformed();
             co_return false;
         }
         if (!isStray) {
@@ -315,7 +345,9 @@
     handlers.onFailure = [onFailure = std::move(onFailure)](CallFailure failure, const CallProgress &) {
         onFailure(failure);
     };
-    return start(std::move(call), std::move(handlers));
+    const ClientCallId id = start(std::move(call), std::move(handlers));
+    impl_->running[id]->keepsBody = true;
+    return id;
 }
 
 void HttpClient::cancel(ClientCallId id)
@@ -324,8 +356,7 @@
     if (found == impl_->running.end()) {
         return;
     }
-    found->second->cancelled = true;
-    closeSocket(*found->second->socket);
+    cancelCall(*found->second);
 }
 
 BlockingResult callAndWait(ClientCall call)
--- a/libs/net/src/details/ResponseReader.h
+++ b/libs/net/src/details/ResponseReader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "details/Asio.h"
+#include "details/BoundedRead.h"
 #include "net/HttpClient.h"
 
 #include <optional>
@@ -13,12 +13,16 @@
 public:
     using DataHandler = std::function<void(std::string data)>;
 
-    /// All references must outlive the reader. Reading a body ends early once `isCancelled` is true.
-    ResponseReader(boost::asio::ip::tcp::socket &socket, const ClientCall &call, CallProgress &progress, const bool &isCancelled)
+    /// All references must outlive the reader. Reading ends early once `isCancelled` is true. The body counts as held if `keepsBody` is true.
+    ResponseReader(
+        boost::asio::ip::tcp::socket &socket, const ClientCall &call, CallProgress &progress, const bool &isCancelled, HeldBytes::Share &held, bool keepsBody)
         : socket_(socket)
         , call_(call)
         , progress_(progress)
         , isCancelled_(isCancelled)
+        , held_(held)
+        , keepsBody_(keepsBody)
+        , buffer_(readBufferLimit(ResponseHeaderBytes))
     {
     }
 
@@ -29,6 +33,12 @@
     /// Counts the response whose header was read as the one to the call, not to an earlier one.
     void beginResponse();
 
+    /// Returns whether reading has failed for bytes that are no HTTP response, or more than a bound permits.
+    bool isMalformed() const
+    {
+        return isMalformed_;
+    }
+
     /// Reads the body and passes on each part. Returns false if that fails or the call was cancelled.
     boost::asio::awaitable<bool> readBody(const DataHandler &onData);
 
@@ -48,13 +58,23 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    /// Maximum size of a response's header, and of each interim one, in bytes.
+    static constexpr std::size_t ResponseHeaderBytes = 8 * 1024;
+
     /// Reads one header; none if that fails.
     boost::asio::awaitable<std::optional<Headers>> readOneHeader();
+    /// Notes an error of reading.
+    void noteError(const boost::beast::error_code &error);
+    /// Counts what is held of the response now.
+    void countHeld();
 
     boost::asio::ip::tcp::socket &socket_;
     const ClientCall &call_;
     CallProgress &progress_;
     const bool &isCancelled_;
+    HeldBytes::Share &held_;
+    const bool keepsBody_;
+    bool isMalformed_ = false;
     /// Bytes that were received and not yet parsed.
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
--- a/programs/trefoilportd/EndpointsDuty.cpp
+++ b/programs/trefoilportd/EndpointsDuty.cpp
@@ -56,6 +56,8 @@
     case net::CallFailure::TimedOut:
         return wire::AttemptFailure::TimedOut;
     case net::CallFailure::Broken:
+    case net::CallFailure::Malformed:
+    case net::CallFailure::TooMuchHeld:
     case net::CallFailure::Cancelled:
         return wire::AttemptFailure::Broken;
     }
