--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -125,7 +125,7 @@
 void Connection::decideKeepAlive()
 {
     const bool isLast = server_->closing && buffer_.size() == 0 && !hasInput();
-    keepAlive_ = keepAlive_ && !isLast;
+    keepAlive_ = keepAlive_ && !isLast && !held_.isEnded();
 }
 
 void Connection::abort()
@@ -254,7 +254,8 @@
     if (server_->connectionOf(id_)) {
         return failExchange(ExchangeEnd::TooMuchHeld);
     }
-    close();
+    // A request that has arrived since is answered, as the last one.
+    isIdle_ ? closeIfIdle() : close();
 }
 
 asio::awaitable<void> Connection::linger()
--- a/libs/net/src/ConnectionReading.cpp
+++ b/libs/net/src/ConnectionReading.cpp
@@ -26,6 +26,8 @@
     if (server_->closing && !isNew && !hasInput()) {
         co_return false;
     }
+    // Most connections wait most of the time: what the last request needed isn't kept meanwhile.
+    forgetRequest();
     beast::error_code error;
     idleSince_ = IdleTimeouts::Clock::now();
     startIdleTimeout();
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -77,7 +77,7 @@
     void startExchange(Request &&message);
     /// Ends the exchange because of a fault that isn't its client's: by an error response if nothing was sent yet. Reports it by onAbort.
     void failExchange(ExchangeEnd end);
-    /// Frees what was received of a request that is refused.
+    /// Frees what was received of a request that is refused, or has been answered.
     void forgetRequest();
     /// Counts what the connection holds now.
     void countHeld();
--- a/libs/net/tests/EndlessRequestTests.cpp
+++ b/libs/net/tests/EndlessRequestTests.cpp
@@ -83,6 +83,18 @@
     LONGS_EQUAL(0, server.heldNow());
 }
 
+/// Guards against idle connections that keep the buffers of their largest request.
+TEST(ACallerThatSendsWithoutEnd, isTheOnlyOneThatHoldsSomethingWhileOthersAreIdle)
+{
+    RawClient idle(server.address());
+    idle.send("GET /whole HTTP/1.1\r\nHost: a\r\nX: " + std::string(10000, 'a') + "\r\n\r\n");
+    idle.receiveUntil("whole ");
+    CHECK(server.mostHeld() > 10000);
+    CHECK(server.waitUntilFinished());
+    LONGS_EQUAL(0, server.heldNow());
+    CHECK(!idle.isClosed());
+}
+
 /// Guards against the requests of others that fail beside it.
 TEST(ACallerThatSendsWithoutEnd, leavesTheOthersAlone)
 {
