--- a/libs/relayhost/include/relayhost/HostSettings.h
+++ b/libs/relayhost/include/relayhost/HostSettings.h
@@ -3,10 +3,14 @@
 #include "net/Http.h"
 #include "relay/RelayKernel.h"
 
+#include <cstddef>
 #include <string>
 
 namespace relayhost {
 
+/// Memory that a process may use if its settings name no limit.
+inline constexpr std::size_t DefaultMemoryBytes = 256UL * 1024 * 1024;
+
 /// Settings of one instance, read from its settings file. When the file changes later, only `store` and `relay` are applied; the other members
 /// keep their values until the process restarts.
 struct HostSettings {
@@ -26,6 +30,8 @@
     net::Address handOvers;
     /// Address of the platform's store.
     net::Address store;
+    /// Memory that the process may use before the platform ends it. What peers make it hold is bounded by it.
+    std::size_t memoryBytes = DefaultMemoryBytes;
     /// Settings of the kernel. Its `instance` and `seed` are not in the file: they are chosen at the start of each process.
     relay::RelaySettings relay;
 };
