--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -95,10 +95,12 @@
 enum class AttemptFailure {
     /// No byte of the request was sent, so that it can't have run.
     NotSent,
-    /// The connection was lost, or the answer was malformed.
+    /// The connection was lost, or the answer ended before it was whole.
     Broken,
     /// No whole answer arrived before the timeout.
     TimedOut,
+    /// What came was no answer: it was malformed, or larger than any answer may be.
+    Malformed,
 };
 
 /// Event counts since the start of the process.
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -4,6 +4,26 @@
 
 namespace relay {
 
+namespace {
+
+/// Returns what follows an endpoint's name in the log when an attempt there has failed.
+std::string phraseOf(AttemptFailure failure)
+{
+    switch (failure) {
+    case AttemptFailure::NotSent:
+        return " could not be reached";
+    case AttemptFailure::TimedOut:
+        return " did not answer in time";
+    case AttemptFailure::Malformed:
+        return " sent what is no answer";
+    case AttemptFailure::Broken:
+        break;
+    }
+    return " broke off";
+}
+
+} // namespace
+
 Call *RelayKernel::Impl::callOf(AttemptId attempt)
 {
     const auto found = attempts.find(attempt);
@@ -302,12 +322,13 @@
         return;
     }
     const EndpointIndex first = impl_->attempts.at(attempt).stages.front();
-    const std::string detail = impl_->endpoints.at(first).entry.id
-        + (failure == AttemptFailure::NotSent        ? " could not be reached"
-               : failure == AttemptFailure::TimedOut ? " did not answer in time"
-                                                     : " broke off");
+    const std::string detail = impl_->endpoints.at(first).entry.id + phraseOf(failure);
     impl_->driver.record({"attempt_failed", call->requestId, impl_->endpoints.at(first).entry.id, progress.empty() ? detail : detail + "; " + progress});
-    impl_->reach.onFailed(first, now);
+    if (failure == AttemptFailure::Malformed) {
+        impl_->endpoints.at(first).damage.onDamaged(impl_->attempts.at(attempt).sentAt, now);
+    } else {
+        impl_->reach.onFailed(first, now); // What is damaged has come from there.
+    }
     if (failure == AttemptFailure::TimedOut) {
         impl_->suspectLateCrash(now, *call);
     } else if (failure == AttemptFailure::Broken) {
--- a/libs/relay/src/Candidates.cpp
+++ b/libs/relay/src/Candidates.cpp
@@ -42,7 +42,8 @@
         // about as much as this one, so that its own pending prefill is multiplied by their number. So are its prompts on the link between zones.
         const double uncertainPrefill = std::max(0.0, state.pendingPrefillTokens * instances - load.pendingPrefillTokens);
         const bool isLimited = state.entry.layers.first == 0 && !limits.maySend(i, nextFraction(), now);
-        const bool canBeFirst = !isLimited && !backoff;
+        const bool isAvoided = state.entry.layers.first == 0 && endpoints.isAvoided(i, now);
+        const bool canBeFirst = !isLimited && !backoff && !isAvoided;
         if (isLimited) {
             found.limitWait = std::min(found.limitWait.value_or(Ms::max()), limits.expectedWait(i, now));
         }
--- a/libs/relay/src/EndpointRegistry.cpp
+++ b/libs/relay/src/EndpointRegistry.cpp
@@ -39,6 +39,7 @@
     state.silentCheckAt = Instant{0};
     state.silenceCount = 0;
     state.refusals = {};
+    state.damage = {};
     state.orderCount = 0;
 }
 
@@ -217,6 +218,20 @@
     state.refusals.onAccepted(sentAt, now, isPlain(state) ? state.openRequests : 0);
 }
 
+bool EndpointRegistry::isAvoided(EndpointIndex index, Instant now) const
+{
+    const EndpointState &state = states_[index];
+    if (!state.damage.isAvoided(now, state.openRequests)) {
+        return false;
+    }
+    const auto canReplace = [&](const EndpointState &other) {
+        const bool isAlike = other.entry.service == state.entry.service && other.entry.layers.first == state.entry.layers.first;
+        const bool isInService = other.listed && !other.entry.draining && other.silentCheckAt.count() == 0;
+        return isAlike && isInService && !other.damage.isAvoided(now, other.openRequests);
+    };
+    return std::any_of(states_.begin(), states_.end(), canReplace);
+}
+
 void EndpointRegistry::forgetLayers(EndpointIndex index)
 {
     states_[index].entry.layers = {};
--- a/libs/relay/src/PlainCalls.cpp
+++ b/libs/relay/src/PlainCalls.cpp
@@ -33,7 +33,8 @@
     double bestCost = 0;
     for (EndpointIndex i = 0; i < endpoints.size(); ++i) {
         const EndpointState &state = endpoints.at(i);
-        const bool isUsable = endpoints.isUsable(i, now) && endpoints.backoffLeft(i, now).count() == 0 && endpoints.hasRoom(i, now);
+        const bool isUsable =
+            endpoints.isUsable(i, now) && endpoints.backoffLeft(i, now).count() == 0 && endpoints.hasRoom(i, now) && !endpoints.isAvoided(i, now);
         if (state.entry.service != call.service->name || call.isExcluded(i) || !isUsable || !limits.maySend(i, nextFraction(), now)) {
             continue;
         }
@@ -130,6 +131,7 @@
     const bool isSuccess = head.status < FirstFailureStatus && head.verified;
     if (isSuccess) {
         endpoints.onPlainAnswer(endpoint, latency, now);
+        endpoints.at(endpoint).damage.onSound(attempts.at(attempt).sentAt);
         crashGuard.onServed(call.signatures, now);
     } else {
         endpoints.onPlainFailure(endpoint, now);
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -322,6 +322,7 @@
         call->mayHaveRun = true;
         return impl_->retryStreamOrFail(now, *call, "the stream ended without an event");
     }
+    impl_->endpoints.at(first).damage.onSound(impl_->attempts.at(attempt).sentAt);
     impl_->endStream(*call, attempt, impl_->endpoints.at(first).entry.id);
 }
 
--- a/libs/relay/src/details/EndpointRegistry.h
+++ b/libs/relay/src/details/EndpointRegistry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "details/DamagePause.h"
 #include "details/RecentFailures.h"
 #include "details/RefusalPause.h"
 
@@ -35,6 +36,8 @@
     int silenceCount = 0;
     /// What its refusals say of what it may be sent. A report doesn't change that.
     RefusalPause refusals;
+    /// What its damaged answers say of whether it is sound.
+    DamagePause damage;
     /// The endpoint gets no new work until this time or until it reports, since a report is awaited or others have found it silent.
     Instant heldUntil{0};
     /// The endpoint has asked for no requests from this instance until this time, when it said so, and its incarnation then. Zero if it hasn't.
@@ -127,6 +130,10 @@
     /// Takes note that the endpoint has accepted work, which ends a pause if the work was sent after the refusal.
     void onAccepted(EndpointIndex index, Instant sentAt, Instant now);
 
+    /// Returns whether the endpoint is avoided for its damaged answers. It isn't while no other endpoint in service could take its place: a request that may
+    /// fail is better than none.
+    bool isAvoided(EndpointIndex index, Instant now) const;
+
     /// Clears the layers of an endpoint that doesn't hold what it was expected to hold. It counts as empty until a report or list shows its layers.
     void forgetLayers(EndpointIndex index);
 
--- a/libs/relay/tests/InstanceFleet.cpp
+++ b/libs/relay/tests/InstanceFleet.cpp
@@ -368,6 +368,10 @@
                 continue;
             }
             sent_.push_back({now, lastPartOfCall_.at({i, dispatch.call}), dispatch.endpoint});
+            if (endpointOf(dispatch.endpoint).isDamaged) {
+                instance.kernel->onFailure(now, dispatch.attempt, AttemptFailure::Malformed);
+                continue;
+            }
             runs_.push_back({i, dispatch.attempt, dispatch.call, dispatch.endpoint, now + FirstEventDelay});
         }
     }
--- a/libs/relay/tests/InstanceFleet.h
+++ b/libs/relay/tests/InstanceFleet.h
@@ -39,6 +39,8 @@
         double requestLimit = 0;
         /// It answers every request with an error.
         bool fails = false;
+        /// It answers every request with bytes that are no answer.
+        bool isDamaged = false;
     };
     /// A request that one instance has sent to an endpoint.
     struct Run {
