--- a/libs/mesh/src/Mesh.cpp
+++ b/libs/mesh/src/Mesh.cpp
@@ -16,6 +16,10 @@
 
 /// Messages that wait to be sent to one peer before further ones are dropped.
 constexpr int MaxQueuedMessagesPerPeer = 64;
+/// Messages that were received from one peer and wait for run(); ZeroMQ reads no more from the peer meanwhile. Peers send a few a second.
+constexpr int MaxReceivedMessagesPerPeer = 16;
+/// Messages that are passed to the handler before run() sends what is queued: a peer that never stops must not keep this instance from sending.
+constexpr int MaxMessagesPerRound = 256;
 /// Limits of the connections to peers. Peers that get regular messages get them within the timeout.
 constexpr std::size_t MaxPeerConnections = 512;
 constexpr std::chrono::milliseconds IdleTimeout{10000};
@@ -25,8 +29,8 @@
 constexpr std::chrono::milliseconds PollTimeout{100};
 /// Size of a key in Z85 encoding: 40 characters and the terminating zero.
 constexpr std::size_t Z85KeyBytes = 41;
-/// ZeroMQ closes the connection of a peer that sends a larger message.
-constexpr std::int64_t MaxMessageBytes = 4 * 1024 * 1024;
+/// ZeroMQ closes the connection of a peer that sends a larger message. The largest is the list of all endpoints, of about 100 bytes each.
+constexpr std::int64_t MaxMessageBytes = 2 * 1024 * 1024;
 
 /// Ignores the error of a call that a signal has interrupted, since nothing is lost by going on; rethrows any other error.
 void rethrowUnlessInterrupted(const zmq::error_t &error)
@@ -63,6 +67,7 @@
     {
         socket.set(zmq::sockopt::linger, 0);
         socket.set(zmq::sockopt::sndhwm, MaxQueuedMessagesPerPeer);
+        socket.set(zmq::sockopt::rcvhwm, MaxReceivedMessagesPerPeer);
         socket.set(zmq::sockopt::reconnect_ivl, 50);
         socket.set(zmq::sockopt::reconnect_ivl_max, 1000);
         socket.set(zmq::sockopt::maxmsgsize, MaxMessageBytes);
@@ -120,11 +125,11 @@
         }
     }
 
-    /// Passes all received messages to the handler.
-    void receiveAll()
+    /// Passes received messages to the handler, all unless there are very many.
+    void receiveSome()
     {
         zmq::message_t message;
-        while (receiver.recv(message, zmq::recv_flags::dontwait)) {
+        for (int i = 0; i < MaxMessagesPerRound && receiver.recv(message, zmq::recv_flags::dontwait); ++i) {
             bytesReceived += message.size();
             handler(message.to_string());
         }
@@ -196,7 +201,7 @@
             zmq::message_t wake;
             while (impl_->wakeReceiver.recv(wake, zmq::recv_flags::dontwait)) { }
             impl_->sendQueued();
-            impl_->receiveAll();
+            impl_->receiveSome();
         } catch (const zmq::error_t &error) {
             rethrowUnlessInterrupted(error);
         }
--- a/libs/mesh/tests/MeshTests.cpp
+++ b/libs/mesh/tests/MeshTests.cpp
@@ -1,12 +1,15 @@
 #include "mesh/Mesh.h"
 
-#include <CppUTest/TestHarness.h>
-
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <csignal>
 #include <thread>
 
+#include <zmq.hpp>
+
+#include <CppUTest/TestHarness.h>
+
 namespace {
 
 /// Sends a message repeatedly from one mesh to another; returns true if it is received within the timeout.
@@ -68,6 +71,69 @@
     LONGS_EQUAL(Messages, received);
 }
 
+/// Guards against an instance that sends nothing, and can't stop, while a peer sends it messages without end: each message here is followed by another.
+TEST(TheMesh, sendsAndStopsWhileAPeerNeverStops)
+{
+    constexpr int MessagesUnderWay = 50;
+    constexpr int MaxHandledBefore = 2000;
+    std::atomic<bool> isReceived{false};
+    std::atomic<int> handled{0};
+    std::atomic<int> handledBefore{0};
+    zmq::context_t context;
+    zmq::socket_t peer(context, zmq::socket_type::push);
+    peer.set(zmq::sockopt::linger, 0);
+    mesh::Mesh other("127.0.0.1:0", {}, 64, [&](const std::string &) { handledBefore = isReceived.exchange(true) ? handledBefore.load() : handled.load(); });
+    mesh::Mesh busy("127.0.0.1:0", {}, 64, [&](const std::string &) {
+        ++handled;
+        while (!peer.send(zmq::str_buffer("again"), zmq::send_flags::dontwait)) { }
+        std::this_thread::sleep_for(std::chrono::milliseconds(1)); // It arrives meanwhile.
+    });
+    peer.connect("tcp://" + busy.address());
+    for (int i = 0; i < MessagesUnderWay; ++i) {
+        peer.send(zmq::str_buffer("first"), zmq::send_flags::none);
+    }
+    std::thread busyThread([&]() { busy.run(); });
+    std::thread otherThread([&]() { other.run(); });
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!isReceived && std::chrono::steady_clock::now() < deadline) {
+        busy.send(other.address(), "hello");
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    busy.stop();
+    other.stop();
+    busyThread.join();
+    otherThread.join();
+    CHECK(isReceived);
+    CHECK_TEXT(handledBefore <= MaxHandledBefore, std::to_string(handledBefore).c_str());
+}
+
+/// Guards against a peer that makes this instance hold a message without end: its connection is closed, and a new one is taken.
+TEST(TheMesh, takesNoMessageThatIsLargerThanAnyMayBe)
+{
+    constexpr std::size_t TooManyBytes = 3 * 1024 * 1024;
+    std::atomic<std::size_t> largest{0};
+    std::atomic<bool> isReceived{false};
+    mesh::Mesh receiver("127.0.0.1:0", {}, 64, [&](const std::string &bytes) {
+        largest = std::max(largest.load(), bytes.size());
+        isReceived = bytes == "hello";
+    });
+    mesh::Mesh sender("127.0.0.1:0", {}, 64, [](const std::string &) {});
+    std::thread receiverThread([&]() { receiver.run(); });
+    std::thread senderThread([&]() { sender.run(); });
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    sender.send(receiver.address(), std::string(TooManyBytes, 'x'));
+    while (!isReceived && std::chrono::steady_clock::now() < deadline) {
+        sender.send(receiver.address(), "hello");
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    receiver.stop();
+    sender.stop();
+    receiverThread.join();
+    senderThread.join();
+    CHECK(isReceived);
+    CHECK(largest < TooManyBytes);
+}
+
 TEST(TheMesh, rejectsMessagesFromAPeerWithoutTheKeys)
 {
     CHECK(!isDelivered({}, mesh::makeKeys(), std::chrono::milliseconds(500)));
