--- a/build.sh
+++ b/build.sh
@@ -77,7 +77,7 @@
 ./build.sh spec             checks the protocol models, and that each of their mutants is refuted
 ./build.sh check            checks the sources with the formatter and the linter
 ./build.sh demo [--keep]    starts a small fleet, sends requests to it and stops it; --keep leaves it running until Ctrl-C
-./build.sh bench NAME       runs a benchmark: throughput, overload, recovery, overhead, control or refusals
+./build.sh bench NAME       runs a benchmark: throughput, overload, recovery, overhead, control, refusals or endless
 ./build.sh soak [SEEDS]     runs real instances under injected faults; SEEDS are numbers or ranges (7 or 1-50). OLDER=COMMIT builds an earlier
                             commit from the history, by which instances are replaced one after the other, and back
 ./build.sh mutants [REGEX]  introduces one fault at a time into the code and requires the tests to notice each
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# bench.sh BUILD throughput|overload|recovery|overhead|control|refusals
+# bench.sh BUILD throughput|overload|recovery|overhead|control|refusals|endless
 # Runs a benchmark against a local fleet with stand-in engines. The last line is "NAME key=value ...".
 # Environment:
 #   OUT       folder for the JSON results, plots and summaries (default: BUILD/bench-out)
@@ -10,7 +10,8 @@
 #   SHARES    parts of 100 that endpoints refuse in refusals (default: 0 5 16 100)
 #   ROUNDS    how often refusals plays each of them, in turns (default: 1)
 #   PLAY_S    how long each play of refusals lasts, in seconds (default: 15)
-#   DAEMON    program of another build, which refusals plays beside this one
+#   DAEMON    program of another build, which refusals plays beside this one, and endless in place of it
+#   PLACES    where endless lets an endpoint send without end (default: field extension trailer body chunks event)
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=$1
@@ -296,10 +297,23 @@
     echo "$line"
 }
 
+# Plays an endpoint that sends without end beside three sound ones, before three instances, once for each place in an answer. Prints the requests that were
+# served, how those ended that met it, and the most memory that each instance had resident, in MB.
+bench_endless() {
+    local place line=endless figures
+    for place in ${PLACES:-field extension trailer body chunks event}; do
+        "$build/platform/trefoilEndless" --daemon "${DAEMON:-$build/programs/trefoilportd/trefoilportd}" --place "$place" --seconds "${PLAY_S:-8}" \
+            | tee "$out/endless-$place.txt"
+        figures=$(sed 's/ peak_mb=\([0-9]*\),\([0-9]*\),\([0-9]*\)/ peak_a_mb=\1 peak_b_mb=\2 peak_c_mb=\3/' "$out/endless-$place.txt")
+        line="$line $(tr ' ' '\n' <<<"$figures" | grep -v '^place=' | sed "s/^/${place}_/" | tr '\n' ' ')"
+    done
+    echo "$line"
+}
+
 case $name in
-throughput | overload | recovery | overhead | control | refusals) "bench_$name" ;;
+throughput | overload | recovery | overhead | control | refusals | endless) "bench_$name" ;;
 *)
-    echo "usage: bench.sh BUILD throughput|overload|recovery|overhead|control|refusals" >&2
+    echo "usage: bench.sh BUILD throughput|overload|recovery|overhead|control|refusals|endless" >&2
     exit 1
     ;;
 esac
