--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "mesh/Mesh.h"
+#include "net/HeldBytes.h"
 #include "net/HttpServer.h"
 #include "record/DecisionLog.h"
 #include "record/Latency.h"
 #include "relayhost/CallerResponse.h"
 #include "relayhost/Dialect.h"
 #include "relayhost/StoreFollower.h"
+#include "relayhost/WaitingBytes.h"
 
 #include <thread>
 #include <unordered_map>
@@ -79,6 +81,9 @@
     void record(const relay::Decision &decision) override;
 
 private:
+    /// Messages of other instances that may wait for the event loop: a few seconds' worth of a large fleet.
+    static constexpr std::size_t MaxWaitingMeshBytes = 4UL * 1024 * 1024;
+
     /// A caller's request whose answer has not been written in full.
     struct OpenCall {
         CallerResponse<net::HttpServer> response;
@@ -101,6 +106,8 @@
         net::Headers headers;
         /// The body; of a stream only the bytes after its last complete event.
         std::string body;
+        /// Counts the body.
+        net::HeldBytes::Share held;
         /// The call is answered by a stream.
         bool mayStream = false;
         /// It is a hand-over to another instance.
@@ -150,7 +157,8 @@
     void recordCutExchanges();
     /// Answers the readiness check, and serves the metrics, the status and the commands of operators, on either of the two servers.
     void onOperatorRequest(net::HttpServer &server, net::ExchangeId exchange, const net::HttpRequest &request);
-    /// Passes a message from another instance to the kernel, in the event loop's thread; drops it if it is malformed. Called in the mesh's thread.
+    /// Passes a message from another instance to the kernel, in the event loop's thread; drops it if it is malformed, or too many wait there. Called in the
+    /// mesh's thread.
     void onMeshMessage(const std::string &bytes);
     /// Logs that the kernel's decision on an answer didn't fit to what the caller has got, so that the connection was cut.
     void recordMisfit(relay::CallId call, const std::string &part);
@@ -164,6 +172,14 @@
     void onEnd(relay::AttemptId id);
     /// Tells the kernel that an attempt has ended without a whole answer, and how far it came.
     void onFailure(relay::AttemptId id, net::CallFailure failure, const std::string &progress);
+    /// Ends an attempt whose answer is no answer, or takes too much memory.
+    void giveUp(relay::AttemptId id, const std::string &reason);
+    /// Logs that something was ended since its peer made the process hold too much.
+    void recordOverLimit(net::Holder holder, std::size_t bytes, net::HeldBound bound);
+    /// Logs messages of other instances that were dropped since the last call.
+    void recordMeshDrops();
+    /// Returns the metrics of what is held, by holder.
+    std::string heldMetricsText() const;
     /// Returns the metrics in the Prometheus text format.
     std::string metricsText() const;
     /// Returns the state of the instance as JSON, for operators.
@@ -180,7 +196,7 @@
     net::HttpServer::Handlers callerHandlers(Origin origin);
     /// Starts a server; a base::ListenError that this throws names the setting of the address.
     std::unique_ptr<net::HttpServer>
-    listen(const std::string &setting, const net::Address &address, const net::ServerLimits &limits, net::HttpServer::Handlers handlers);
+    listen(const std::string &setting, const net::Address &address, const net::ServerLimits &limits, net::HttpServer::Handlers handlers, net::Holder holder);
     /// Handlers of the readiness or metrics server that `server` will hold.
     net::HttpServer::Handlers operatorHandlers(std::unique_ptr<net::HttpServer> &server);
 
@@ -190,10 +206,16 @@
     /// Text of the settings file from which the current settings were parsed.
     std::string settingsText_;
     net::EventLoop loop_;
+    /// Counts what peers make this process hold.
+    net::HeldBytes held_;
     net::HttpClient endpointClient_;
     record::DecisionLog log_;
     relay::RelayKernel kernel_;
     StoreFollower store_;
+    /// Messages from other instances on their way to the kernel.
+    WaitingBytes meshMessages_{MaxWaitingMeshBytes};
+    /// The dropped ones that the log has counted.
+    std::uint64_t loggedMeshDrops_ = 0;
     mesh::Mesh mesh_;
     std::thread meshThread_;
     std::unique_ptr<net::HttpServer> callerServer_;
--- a/libs/relayhost/include/relayhost/StoreClient.h
+++ b/libs/relayhost/include/relayhost/StoreClient.h
@@ -87,7 +87,7 @@
     virtual void removeQuarantine(std::uint64_t signature, std::function<void(bool)> done) = 0;
 };
 
-/// Creates the client for the store at an address, on the host's event loop.
-using StoreFactory = std::function<std::unique_ptr<StoreClient>(net::EventLoop &loop, const net::Address &address)>;
+/// Creates the client for the store at an address, on the host's event loop. What it holds of the store's answers counts in `held`, which outlives it.
+using StoreFactory = std::function<std::unique_ptr<StoreClient>(net::EventLoop &loop, net::HeldBytes &held, const net::Address &address)>;
 
 } // namespace relayhost
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -13,6 +13,8 @@
 constexpr relay::Ms ReportTimeout{350};
 constexpr relay::Ms OrderTimeout{700};
 constexpr relay::Ms DetourTimeout{350};
+/// Answers to the router's own requests are reports, or not read at all.
+constexpr std::size_t MaxReportBytes = 1024 * 1024;
 
 relay::Instant now()
 {
@@ -101,6 +103,9 @@
     call.connectTimeout = std::min(timeout, ConnectTimeout);
     call.totalTimeout = timeout;
     call.freshConnection = freshConnection;
+    call.bodyLimit = MaxReportBytes;
+    call.held = &held_;
+    call.holder = net::Holder::Endpoint;
     call.isStray = [this](const net::Headers &headers) {
         return dialect_.answerIdOf(headers, "") == AnswerId::Other;
     };
@@ -201,8 +206,21 @@
 void RelayHost::onMeshMessage(const std::string &bytes)
 {
     auto message = wire::decodeRelayMessage(bytes);
-    if (base::isOk(message)) {
-        loop_.post([this, message = std::get<wire::RelayMessage>(std::move(message))]() { kernel_.onPeerMessage(now(), message); });
+    if (!base::isOk(message) || !meshMessages_.add(bytes.size())) {
+        return;
+    }
+    loop_.post([this, size = bytes.size(), message = std::get<wire::RelayMessage>(std::move(message))]() {
+        meshMessages_.take(size);
+        kernel_.onPeerMessage(now(), message);
+    });
+}
+
+void RelayHost::recordMeshDrops()
+{
+    const std::uint64_t dropped = meshMessages_.dropped();
+    if (dropped > loggedMeshDrops_) {
+        record({"peer_over_limit", "", "instance", std::to_string(dropped - loggedMeshDrops_) + " messages between instances dropped, too many wait"});
+        loggedMeshDrops_ = dropped;
     }
 }
 
--- a/libs/relayhost/src/HostAttempts.cpp
+++ b/libs/relayhost/src/HostAttempts.cpp
@@ -12,6 +12,8 @@
 /// Added to the time left for the call, so that the endpoint can still answer that the request timed out there.
 constexpr relay::Ms AnswerTimeoutMargin{300};
 constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
+/// A larger event of a stream has no end: it is held until it is complete, and the call would go on until its time limit.
+constexpr std::size_t MaxEventBytes = 1024 * 1024;
 
 relay::Instant now()
 {
@@ -25,6 +27,9 @@
         return relay::AttemptFailure::NotSent;
     case net::CallFailure::TimedOut:
         return relay::AttemptFailure::TimedOut;
+    case net::CallFailure::Malformed:
+    case net::CallFailure::TooMuchHeld:
+        return relay::AttemptFailure::Malformed;
     default:
         return relay::AttemptFailure::Broken;
     }
@@ -69,6 +74,9 @@
     OpenCall &open = calls_.at(call);
     request.connectTimeout = ConnectTimeout;
     request.bodyLimit = MaxAnswerBytes;
+    const net::Holder holder = attempts_[id].isHandOver ? net::Holder::Instance : net::Holder::Endpoint;
+    request.held = &held_;
+    request.holder = holder;
     request.isStray = [this, requestId = open.requestId, receiver](const net::Headers &headers) {
         const bool isStray = dialect_.answerIdOf(headers, requestId) == AnswerId::Other;
         if (isStray) {
@@ -96,6 +104,7 @@
         runForCall(call, [&]() { onFailure(id, failure, net::toText(progress)); });
     };
     attempts_[id].call = call;
+    attempts_[id].held = held_.share(holder, [this, id]() { giveUp(id, "it takes more memory than is left for it"); });
     attempts_[id].clientCall = endpointClient_.start(std::move(request), std::move(handlers));
 }
 
@@ -140,7 +149,7 @@
     }
     attempt->second.body += data;
     if (!attempt->second.isStream) {
-        return;
+        return attempt->second.held.set(attempt->second.body.capacity());
     }
     const relay::CallId call = attempt->second.call;
     std::string forwardedBytes;
@@ -167,8 +176,13 @@
         }
     }
     attempt = attempts_.find(id);
-    if (attempt != attempts_.end()) {
-        attempt->second.body.erase(0, consumedBytes);
+    if (attempt == attempts_.end()) {
+        return;
+    }
+    attempt->second.body.erase(0, consumedBytes);
+    attempt->second.held.set(attempt->second.body.capacity());
+    if (attempt->second.body.size() > MaxEventBytes) {
+        giveUp(id, "an event has more than " + std::to_string(MaxEventBytes) + " bytes");
     }
 }
 
@@ -213,6 +227,17 @@
     }
 }
 
+void RelayHost::giveUp(relay::AttemptId id, const std::string &reason)
+{
+    const auto attempt = attempts_.find(id);
+    if (attempt == attempts_.end()) {
+        return;
+    }
+    const relay::CallId call = attempt->second.call;
+    cancel(id);
+    runForCall(call, [&]() { kernel_.onFailure(now(), id, relay::AttemptFailure::Malformed, reason); });
+}
+
 void RelayHost::cancel(relay::AttemptId attempt)
 {
     const auto found = attempts_.find(attempt);
--- a/libs/relayhost/src/HostMetrics.cpp
+++ b/libs/relayhost/src/HostMetrics.cpp
@@ -30,12 +30,14 @@
     counter("orders", counters.orders);
     counter("callers_gone", counters.callersGone);
     counter("exchanges_unanswered", unansweredExchanges_);
+    counter("mesh_messages_dropped", meshMessages_.dropped());
     counter("log_lines_left_out", log_.droppedLines());
     text << "# TYPE trefoilport_open_calls gauge\ntrefoilport_open_calls " << kernel_.openCalls() << "\n";
     text << "# TYPE trefoilport_config_version gauge\ntrefoilport_config_version " << kernel_.configVersion() << "\n";
     text << "# TYPE trefoilport_planner gauge\ntrefoilport_planner " << (kernel_.isPlanner(base::readBootTimeClock()) ? 1 : 0) << "\n";
     text << "# TYPE trefoilport_reaches_endpoints gauge\ntrefoilport_reaches_endpoints " << (kernel_.reachesEndpoints() ? 1 : 0) << "\n";
     text << "# TYPE trefoilport_quarantined gauge\ntrefoilport_quarantined " << kernel_.quarantine(base::readBootTimeClock()).size() << "\n";
+    text << heldMetricsText();
     text << firstEventLatency_.exposition("trefoilport_first_event_seconds");
     text << eventIntervals_.exposition("trefoilport_between_events_seconds");
     text << plainAnswerLatency_.exposition("trefoilport_plain_answer_seconds");
@@ -46,6 +48,21 @@
     return text.str();
 }
 
+std::string RelayHost::heldMetricsText() const
+{
+    std::ostringstream text;
+    const auto family = [&](const char *name, const char *type, const auto &valueOf) {
+        text << "# TYPE trefoilport_" << name << " " << type << "\n";
+        for (const auto &[holder, label] : net::HolderNames) {
+            text << "trefoilport_" << name << "{holder=\"" << label << "\"} " << valueOf(holder) << "\n";
+        }
+    };
+    family("held_bytes", "gauge", [&](net::Holder holder) { return held_.bytes(holder); });
+    family("held_bytes_most", "gauge", [&](net::Holder holder) { return held_.mostBytes(holder); });
+    family("peers_over_limit_total", "counter", [&](net::Holder holder) { return held_.ended(holder); });
+    return text.str();
+}
+
 std::string RelayHost::statusText() const
 {
     boost::json::array quarantine;
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -2,6 +2,7 @@
 
 #include "base/ListenError.h"
 #include "base/Time.h"
+#include "relayhost/MemoryShares.h"
 
 #include <algorithm>
 #include <atomic>
@@ -103,24 +104,29 @@
     , settings_(std::move(settings))
     , settingsPath_(std::move(settingsPath))
     , settingsText_(readFile(settingsPath_))
+    , held_(loop_,
+            heldLimitsFor(settings_.memoryBytes),
+            [this](net::Holder holder, std::size_t bytes, net::HeldBound bound) { recordOverLimit(holder, bytes, bound); })
     , endpointClient_(loop_)
     , kernel_(settings_.relay, *this)
-    , store_(loop_, makeStore(loop_, settings_.store), storeHandlers())
+    , store_(loop_, makeStore(loop_, held_, settings_.store), storeHandlers())
     , mesh_(base::listenBySetting(
           "mesh",
           [this]() { return mesh::Mesh(net::toString(settings_.mesh), {}, MeshRingItems, [this](const std::string &bytes) { onMeshMessage(bytes); }); }))
-    , callerServer_(listen("callers", settings_.callers, serverLimits({}), callerHandlers(Origin::Caller)))
-    , handOverServer_(settings_.handOvers.host.empty() ? nullptr
-                                                       : listen("hand-overs", settings_.handOvers, handOverLimits({}), callerHandlers(Origin::Instance)))
-    , readinessServer_(listen("readiness", settings_.readiness, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(readinessServer_)))
-    , metricsServer_(listen("metrics", settings_.metrics, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(metricsServer_)))
+    , callerServer_(listen("callers", settings_.callers, serverLimits({}), callerHandlers(Origin::Caller), net::Holder::Caller))
+    , handOverServer_(settings_.handOvers.host.empty()
+                          ? nullptr
+                          : listen("hand-overs", settings_.handOvers, handOverLimits({}), callerHandlers(Origin::Instance), net::Holder::Instance))
+    , readinessServer_(
+          listen("readiness", settings_.readiness, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(readinessServer_), net::Holder::Operator))
+    , metricsServer_(listen("metrics", settings_.metrics, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(metricsServer_), net::Holder::Operator))
 {
 }
 
-std::unique_ptr<net::HttpServer>
-RelayHost::listen(const std::string &setting, const net::Address &address, const net::ServerLimits &limits, net::HttpServer::Handlers handlers)
+std::unique_ptr<net::HttpServer> RelayHost::listen(
+    const std::string &setting, const net::Address &address, const net::ServerLimits &limits, net::HttpServer::Handlers handlers, net::Holder holder)
 {
-    return base::listenBySetting(setting, [&]() { return std::make_unique<net::HttpServer>(loop_, address, limits, std::move(handlers)); });
+    return base::listenBySetting(setting, [&]() { return std::make_unique<net::HttpServer>(loop_, address, limits, std::move(handlers), &held_, holder); });
 }
 
 StoreHandlers RelayHost::storeHandlers()
@@ -217,6 +223,7 @@
     }
     kernel_.onTick(now());
     mesh_.flush();
+    recordMeshDrops();
 }
 
 bool RelayHost::runLogged(std::string_view step, const std::function<void()> &run)
@@ -286,6 +293,12 @@
     server.respond(exchange, {NotFound, {}, ""});
 }
 
+void RelayHost::recordOverLimit(net::Holder holder, std::size_t bytes, net::HeldBound bound)
+{
+    const std::string limit = bound == net::HeldBound::All ? "what may be held at all" : "what may be held for its kind";
+    record({"peer_over_limit", "", std::string(base::nameIn(net::HolderNames, holder)), std::to_string(bytes) + " bytes given up, past " + limit});
+}
+
 void RelayHost::record(const relay::Decision &decision)
 {
     log_.write({decision.event, decision.requestId, decision.subject, decision.detail}, now());
