--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -296,6 +296,19 @@
     return text + ", " + std::to_string(crossings) + " changes of zone";
 }
 
+void RelayKernel::Impl::countLateAttempts(Instant now, const Call &call)
+{
+    for (const AttemptId id : call.attempts) {
+        const Attempt &attempt = attempts.at(id);
+        const EndpointIndex first = attempt.stages.front();
+        const bool isPlain = endpoints.at(first).entry.accelerator.empty();
+        // One that was begun, or has gone on, a moment ago isn't late. The silence of a pipeline is looked into stage by stage.
+        if (isPlain && now >= attempt.lastProgressAt + call.route->targetLatency) {
+            endpoints.onPlainFailure(first, now);
+        }
+    }
+}
+
 void RelayKernel::Impl::failExpiredCalls(Instant now)
 {
     std::vector<CallId> due;
@@ -307,6 +320,7 @@
     for (const CallId id : due) {
         Call &call = *calls.at(id);
         suspectLateCrash(now, call);
+        countLateAttempts(now, call);
         const bool neverSent = !call.mayHaveRun && !isUnderWay(call);
         fail(now, call, neverSent ? base::ErrorKind::DeadlineUnreachable : base::ErrorKind::UpstreamTimeout, "no whole answer within the time limit");
     }
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -269,6 +269,8 @@
     std::string pipelineText(const Attempt &attempt) const;
     /// Fails the calls whose deadline has passed.
     void failExpiredCalls(Instant now);
+    /// Counts a call that has reached its time limit as failures of the endpoints that had time enough to answer it.
+    void countLateAttempts(Instant now, const Call &call);
     /// Requests an endpoint's report, unless one is pending or was requested within the period. Endpoints without an accelerator give none.
     void requestReport(Instant now, EndpointIndex index, Ms period = Ms(120));
     /// Looks for a sign of life of an endpoint that may have crashed: by its report, or by a check if it gives none. Limited like requestReport().
--- a/libs/relay/tests/PlainCallTests.cpp
+++ b/libs/relay/tests/PlainCallTests.cpp
@@ -292,6 +292,52 @@
     LONGS_EQUAL(10, bed.driver.sent.size());
 }
 
+/// Guards against an endpoint from which nothing is learnt, since its calls end with their time limit and not with an answer of its own: it may send without
+/// end, or nothing.
+TEST_GROUP(AnEndpointThatAnswersNothingInTime)
+{
+    RelayTestBed bed;
+    const std::string late = "desk-a";
+
+    /// Starts requests, of which the other endpoints answer theirs at once. Returns how many the late one has got.
+    std::size_t sentToLate(std::size_t requests)
+    {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < requests; ++i) {
+            bed.call("/book/seat");
+            if (bed.driver.sent.back().endpoint == late) {
+                ++count;
+            } else {
+                bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {200, false, true, ""});
+            }
+        }
+        return count;
+    }
+};
+
+TEST(AnEndpointThatAnswersNothingInTime, getsFewerRequestsOnceTheirTimeIsOver)
+{
+    CHECK(sentToLate(12) > 0);
+    bed.advance(Ms(1500));
+    UNSIGNED_LONGS_EQUAL(0, sentToLate(12));
+}
+
+/// Guards against a mark on an endpoint that was sent a request shortly before the end of its time.
+TEST(AnEndpointThatAnswersNothingInTime, isNotBlamedForARequestThatCameTooLate)
+{
+    bed.call("/book/seat");
+    const std::string first = bed.driver.sent.back().endpoint;
+    bed.advance(Ms(1100));
+    bed.kernel.onAnswer(bed.now, bed.lastAttempt(), {503, true, false, ""});
+    const std::string second = bed.driver.sent.back().endpoint;
+    bed.advance(Ms(150));
+    CHECK(bed.driver.rejected.back().rejection.kind == base::ErrorKind::UpstreamTimeout);
+    std::erase_if(bed.entries, [&](const EndpointEntry &entry) { return entry.id == first; });
+    bed.advance(Ms(25));
+    bed.call("/book/seat");
+    STRCMP_EQUAL(second.c_str(), bed.driver.sent.back().endpoint.c_str());
+}
+
 TEST_GROUP(AnIdempotentRequestAnsweredByEvents)
 {
     RelayTestBed bed;
