relay tests: a stream outlives the refusal of all attempts beside its first one

The mutant refused-move-ends-the-stream applies again, and no test noticed it: a refusal beside an open attempt fell through to the end of the stream only once it may have no further attempt. The new test plays that: seven attempts are refused while the first one is silent, and the stream goes on there. No change of the product; it passes today.

--- a/libs/relay/tests/SilentStageTests.cpp
+++ b/libs/relay/tests/SilentStageTests.cpp
@@ -244,6 +244,23 @@
     LONGS_EQUAL(0, bed.kernel.openCalls());
 }
 
+/// Guards against a stream that is broken off once so many attempts beside its first one were refused that it gets no further one.
+TEST(AStreamThatIsMoved, outlivesTheRefusalOfAllItsOtherAttempts)
+{
+    constexpr std::size_t MaxAttempts = 8;
+    std::size_t processed = 1;
+    for (int round = 0; round < 24; ++round) {
+        for (; processed < bed.driver.sent.size(); ++processed) {
+            bed.kernel.onAnswer(bed.now, bed.driver.sent[processed].attempt, {503, true, true, ""});
+        }
+        bed.advance(Ms(500));
+    }
+    LONGS_EQUAL(MaxAttempts, processed);
+    CHECK(bed.driver.brokenStreams.empty());
+    CHECK(!bed.driver.wasCancelled(first));
+    CHECK(bed.kernel.onEvent(bed.now, first, 3));
+}
+
 TEST(AStreamThatIsMoved, outlivesTheBreakOfItsFirstAttempt)
 {
     bed.kernel.onFailure(bed.now, first, AttemptFailure::Broken);
