--- a/libs/net/include/net/HeldBytes.h
+++ b/libs/net/include/net/HeldBytes.h
@@ -14,7 +14,7 @@
 namespace net {
 
 /// Whose bytes the process holds.
-enum class Holder {
+enum class PeerKind {
     Caller,
     /// Answers, status checks, reports, and answers to orders.
     Endpoint,
@@ -24,29 +24,29 @@
     Operator,
 };
 
-/// Number of holders.
-inline constexpr std::size_t HolderCount = 5;
+/// Number of kinds of peers.
+inline constexpr std::size_t PeerKindCount = 5;
 
-/// Names of the holders in logs and metrics.
-inline constexpr base::EnumNames<Holder, HolderCount> HolderNames = {{
-    {Holder::Caller, "caller"},
-    {Holder::Endpoint, "endpoint"},
-    {Holder::Instance, "instance"},
-    {Holder::Store, "store"},
-    {Holder::Operator, "operator"},
+/// Names of the kinds of peers in logs and metrics.
+inline constexpr base::EnumNames<PeerKind, PeerKindCount> PeerKindNames = {{
+    {PeerKind::Caller, "caller"},
+    {PeerKind::Endpoint, "endpoint"},
+    {PeerKind::Instance, "instance"},
+    {PeerKind::Store, "store"},
+    {PeerKind::Operator, "operator"},
 }};
 
 /// Which bound was passed when a share was ended.
 enum class HeldBound {
-    /// The one of the share's holder.
-    Holder,
-    /// The one of all holders together.
+    /// The one of the share's kind of peer.
+    Kind,
+    /// The one of all kinds together.
     All,
 };
 
 /// Names of the bounds in logs.
 inline constexpr base::EnumNames<HeldBound, 2> HeldBoundNames = {{
-    {HeldBound::Holder, "holder"},
+    {HeldBound::Kind, "holder"},
     {HeldBound::All, "all"},
 }};
 
@@ -54,30 +54,30 @@
 struct HeldLimits {
     static constexpr std::size_t Unbounded = std::numeric_limits<std::size_t>::max();
 
-    /// Returns limits with the same bound for each holder.
+    /// Returns limits with the same bound for each kind of peer.
     static HeldLimits withEach(std::size_t bytes)
     {
         HeldLimits limits;
-        limits.holders.fill(bytes);
+        limits.kinds.fill(bytes);
         return limits;
     }
 
-    std::size_t &of(Holder holder)
+    std::size_t &of(PeerKind kind)
     {
-        return holders[static_cast<std::size_t>(holder)];
+        return kinds[static_cast<std::size_t>(kind)];
     }
-    std::size_t of(Holder holder) const
+    std::size_t of(PeerKind kind) const
     {
-        return holders[static_cast<std::size_t>(holder)];
+        return kinds[static_cast<std::size_t>(kind)];
     }
 
-    /// The bound of each holder.
-    std::array<std::size_t, HolderCount> holders = withAll(Unbounded);
-    /// The bound of all holders together.
+    /// The bound of each kind of peer.
+    std::array<std::size_t, PeerKindCount> kinds = withAll(Unbounded);
+    /// The bound of all kinds together.
     std::size_t all = Unbounded;
 
 private:
-    static constexpr std::array<std::size_t, HolderCount> withAll(std::size_t bytes)
+    static constexpr std::array<std::size_t, PeerKindCount> withAll(std::size_t bytes)
     {
         return {bytes, bytes, bytes, bytes, bytes};
     }
@@ -90,8 +90,8 @@
 class HeldBytes
 {
 public:
-    /// Reports an ended share: its holder, its bytes, and the bound that was passed.
-    using EndedHandler = std::function<void(Holder, std::size_t bytes, HeldBound)>;
+    /// Reports an ended share: its kind of peer, its bytes, and the bound that was passed.
+    using EndedHandler = std::function<void(PeerKind, std::size_t bytes, HeldBound)>;
 
     class Share;
 
@@ -101,19 +101,19 @@
     HeldBytes &operator=(const HeldBytes &) = delete;
 
     /// Returns a share of no bytes. If it is ended, `end` is run once, later by the event loop, unless the share is gone by then.
-    Share share(Holder holder, std::function<void()> end);
+    Share share(PeerKind kind, std::function<void()> end);
 
     /// Replaces the limits, and ends shares if less may be held now.
     void setLimits(const HeldLimits &limits);
 
-    /// Bytes of the holder's shares that weren't ended.
-    std::size_t bytes(Holder holder) const;
+    /// Bytes of the kind's shares that weren't ended.
+    std::size_t bytes(PeerKind kind) const;
     /// Bytes of all shares that weren't ended.
     std::size_t bytes() const;
-    /// The most that bytes(holder) has ever been.
-    std::size_t mostBytes(Holder holder) const;
-    /// Number of the holder's shares that were ended.
-    std::uint64_t ended(Holder holder) const;
+    /// The most that bytes(kind) has ever been.
+    std::size_t mostBytes(PeerKind kind) const;
+    /// Number of the kind's shares that were ended.
+    std::uint64_t ended(PeerKind kind) const;
 
 private:
     struct Ledger;
--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -73,10 +73,10 @@
     /// one is expected. Asked only on a connection that has carried other calls before; such a response is skipped, and the connection is closed after
     /// the call. May be null.
     std::function<bool(const Headers &)> isStray = nullptr;
-    /// Counts what the call holds of the response for `holder`: its read buffer, and the body if HttpClient::fetch() collects it. May be null; otherwise it
+    /// Counts what the call holds of the response for `peerKind`: its read buffer, and the body if HttpClient::fetch() collects it. May be null; otherwise it
     /// must live until the call has begun, which is in the next turn of the event loop.
     HeldBytes *held = nullptr;
-    Holder holder = Holder::Endpoint;
+    PeerKind peerKind = PeerKind::Endpoint;
 };
 
 /// Callbacks of a call, called in the loop's thread. Exactly one of onEnd and onFailure is called, after all others.
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -110,10 +110,11 @@
         std::function<void(std::string_view)> onException = {};
     };
 
-    /// Starts to listen; port 0 means any free port. Throws base::ListenError if the address can't be bound. What each connection holds counts for `holder` in
-    /// `held`, which may be null and otherwise must outlive the server and its connections: its read buffer, the request until its exchange has ended, and
+    /// Starts to listen; port 0 means any free port. Throws base::ListenError if the address can't be bound. What each connection holds counts for `peerKind`
+    /// in `held`, which may be null and otherwise must outlive the server and its connections: its read buffer, the request until its exchange has ended, and
     /// what waits to be written. A connection that is ended there is closed; its request is refused, or its exchange aborted.
-    HttpServer(EventLoop &loop, const Address &address, ServerLimits limits, Handlers handlers, HeldBytes *held = nullptr, Holder holder = Holder::Caller);
+    HttpServer(
+        EventLoop &loop, const Address &address, ServerLimits limits, Handlers handlers, HeldBytes *held = nullptr, PeerKind peerKind = PeerKind::Caller);
     ~HttpServer();
 
     /// Returns the address on which the server listens, with the actual port.
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -36,7 +36,7 @@
     socket_.non_blocking(true, ignored);
     server_->open.insert(this);
     if (server_->held) {
-        held_ = server_->held->share(server_->holder, [this]() { onTooMuchHeld(); });
+        held_ = server_->held->share(server_->peerKind, [this]() { onTooMuchHeld(); });
     }
 }
 
--- a/libs/net/src/HeldBytes.cpp
+++ b/libs/net/src/HeldBytes.cpp
@@ -7,7 +7,7 @@
 
 struct HeldBytes::Entry : std::enable_shared_from_this<Entry> {
     std::shared_ptr<Ledger> ledger;
-    Holder holder = Holder::Caller;
+    PeerKind kind = PeerKind::Caller;
     /// Shares that were made later have a higher number.
     std::uint64_t number = 0;
     std::function<void()> end;
@@ -21,7 +21,7 @@
     {
     }
 
-    /// What one holder's shares have in common.
+    /// What one kind's shares have in common.
     struct Account {
         /// Those that weren't ended.
         std::unordered_set<Entry *> entries;
@@ -30,17 +30,17 @@
         std::uint64_t ended = 0;
     };
 
-    Account &accountOf(Holder holder)
+    Account &accountOf(PeerKind kind)
     {
-        return accounts[static_cast<std::size_t>(holder)];
+        return accounts[static_cast<std::size_t>(kind)];
     }
 
     /// Counts other bytes for an entry.
     void count(Entry &entry, std::size_t bytes);
     /// Takes an entry out of its account.
     void remove(Entry &entry);
-    /// Ends shares until the holder's rest and the rest of all are within their bounds.
-    void enforce(Holder holder);
+    /// Ends shares until the kind's rest and the rest of all are within their bounds.
+    void enforce(PeerKind kind);
     /// Returns the account's entry that goes first; null if none holds anything.
     static Entry *firstToEnd(const Account &account);
     /// Returns the entry of all accounts that goes first; null if none holds anything.
@@ -51,7 +51,7 @@
     EventLoop &loop;
     HeldLimits limits;
     EndedHandler onEnded;
-    std::array<Account, HolderCount> accounts;
+    std::array<Account, PeerKindCount> accounts;
     std::size_t bytes = 0;
     std::uint64_t nextNumber = 0;
 };
@@ -72,7 +72,7 @@
 
 void HeldBytes::Ledger::count(Entry &entry, std::size_t newBytes)
 {
-    Account &account = accountOf(entry.holder);
+    Account &account = accountOf(entry.kind);
     account.bytes += newBytes - entry.bytes;
     bytes += newBytes - entry.bytes;
     entry.bytes = newBytes;
@@ -81,14 +81,14 @@
 void HeldBytes::Ledger::remove(Entry &entry)
 {
     count(entry, 0);
-    accountOf(entry.holder).entries.erase(&entry);
+    accountOf(entry.kind).entries.erase(&entry);
 }
 
-void HeldBytes::Ledger::enforce(Holder holder)
+void HeldBytes::Ledger::enforce(PeerKind kind)
 {
-    Account &account = accountOf(holder);
-    while (account.bytes > limits.of(holder)) {
-        end(*firstToEnd(account), HeldBound::Holder);
+    Account &account = accountOf(kind);
+    while (account.bytes > limits.of(kind)) {
+        end(*firstToEnd(account), HeldBound::Kind);
     }
     while (bytes > limits.all) {
         end(*firstToEnd(), HeldBound::All);
@@ -119,9 +119,9 @@
     const std::size_t heldBytes = entry.bytes;
     remove(entry);
     entry.isEnded = true;
-    ++accountOf(entry.holder).ended;
+    ++accountOf(entry.kind).ended;
     if (onEnded) {
-        loop.post([report = onEnded, holder = entry.holder, heldBytes, bound]() { report(holder, heldBytes, bound); });
+        loop.post([report = onEnded, kind = entry.kind, heldBytes, bound]() { report(kind, heldBytes, bound); });
     }
     loop.post([weak = entry.weak_from_this()]() {
         // Kept while its callback runs, which may release the share.
@@ -141,28 +141,28 @@
 
 HeldBytes::~HeldBytes() = default;
 
-HeldBytes::Share HeldBytes::share(Holder holder, std::function<void()> end)
+HeldBytes::Share HeldBytes::share(PeerKind kind, std::function<void()> end)
 {
     auto entry = std::make_shared<Entry>();
     entry->ledger = ledger_;
-    entry->holder = holder;
+    entry->kind = kind;
     entry->number = ledger_->nextNumber++;
     entry->end = std::move(end);
-    ledger_->accountOf(holder).entries.insert(entry.get());
+    ledger_->accountOf(kind).entries.insert(entry.get());
     return Share(std::move(entry));
 }
 
 void HeldBytes::setLimits(const HeldLimits &limits)
 {
     ledger_->limits = limits;
-    for (const auto &[holder, name] : HolderNames) {
-        ledger_->enforce(holder);
+    for (const auto &[kind, name] : PeerKindNames) {
+        ledger_->enforce(kind);
     }
 }
 
-std::size_t HeldBytes::bytes(Holder holder) const
+std::size_t HeldBytes::bytes(PeerKind kind) const
 {
-    return ledger_->accountOf(holder).bytes;
+    return ledger_->accountOf(kind).bytes;
 }
 
 std::size_t HeldBytes::bytes() const
@@ -170,14 +170,14 @@
     return ledger_->bytes;
 }
 
-std::size_t HeldBytes::mostBytes(Holder holder) const
+std::size_t HeldBytes::mostBytes(PeerKind kind) const
 {
-    return ledger_->accountOf(holder).mostBytes;
+    return ledger_->accountOf(kind).mostBytes;
 }
 
-std::uint64_t HeldBytes::ended(Holder holder) const
+std::uint64_t HeldBytes::ended(PeerKind kind) const
 {
-    return ledger_->accountOf(holder).ended;
+    return ledger_->accountOf(kind).ended;
 }
 
 HeldBytes::Share::Share(std::shared_ptr<Entry> entry)
@@ -210,7 +210,7 @@
         return;
     }
     entry_->ledger->count(*entry_, bytes);
-    entry_->ledger->enforce(entry_->holder);
+    entry_->ledger->enforce(entry_->kind);
 }
 
 std::size_t HeldBytes::Share::bytes() const
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -206,7 +206,7 @@
     auto state = running[id];
     startTimer(call, state);
     if (call.held) {
-        state->held = call.held->share(call.holder, [running = state.get()]() {
+        state->held = call.held->share(call.peerKind, [running = state.get()]() {
             running->tooMuchHeld = true;
             cancelCall(*running);
         });
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -12,14 +12,14 @@
 namespace beast = boost::beast;
 using asio::ip::tcp;
 
-HttpServer::Impl::Impl(EventLoop &loop, const Address &address, ServerLimits serverLimits, Handlers serverHandlers, HeldBytes *heldBytes, Holder bytesHolder)
+HttpServer::Impl::Impl(EventLoop &loop, const Address &address, ServerLimits serverLimits, Handlers serverHandlers, HeldBytes *heldBytes, PeerKind kindOfPeers)
     : io(loop.impl().io)
     , acceptor(io)
     , limits(serverLimits)
     , idleTimeouts(serverLimits.idleTimeout)
     , handlers(std::move(serverHandlers))
     , held(heldBytes)
-    , holder(bytesHolder)
+    , peerKind(kindOfPeers)
 {
     try {
         const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
@@ -96,8 +96,8 @@
     }
 }
 
-HttpServer::HttpServer(EventLoop &loop, const Address &address, ServerLimits limits, Handlers handlers, HeldBytes *held, Holder holder)
-    : impl_(std::make_shared<Impl>(loop, address, limits, std::move(handlers), held, holder))
+HttpServer::HttpServer(EventLoop &loop, const Address &address, ServerLimits limits, Handlers handlers, HeldBytes *held, PeerKind peerKind)
+    : impl_(std::make_shared<Impl>(loop, address, limits, std::move(handlers), held, peerKind))
 {
     asio::co_spawn(
         impl_->io, [impl = impl_]() { return impl->acceptLoop(); }, asio::detached);
--- a/libs/net/src/details/HttpServerImpl.h
+++ b/libs/net/src/details/HttpServerImpl.h
@@ -13,7 +13,7 @@
 class Connection;
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
-    Impl(EventLoop &loop, const Address &address, ServerLimits serverLimits, Handlers serverHandlers, HeldBytes *heldBytes, Holder bytesHolder);
+    Impl(EventLoop &loop, const Address &address, ServerLimits serverLimits, Handlers serverHandlers, HeldBytes *heldBytes, PeerKind kindOfPeers);
 
     /// Accepts connections until the listening socket is closed.
     boost::asio::awaitable<void> acceptLoop();
@@ -36,7 +36,7 @@
     Handlers handlers;
     /// Counts what the connections hold; may be null.
     HeldBytes *held;
-    Holder holder;
+    PeerKind peerKind;
     /// Connections by the exchange that they are running; a connection runs one at a time.
     std::unordered_map<ExchangeId, std::shared_ptr<Connection>> exchanges;
     ExchangeId nextId = 1;
--- a/libs/net/tests/EndlessResponseTests.cpp
+++ b/libs/net/tests/EndlessResponseTests.cpp
@@ -109,7 +109,7 @@
 client.loop.run();
 CHECK_TEXT(client.bodies.empty(), bytes.what);
 CHECK_TEXT(client.failures.at(0) == net::CallFailure::Malformed, bytes.what);
-CHECK_TEXT(client.held.mostBytes(net::Holder::Endpoint) < MostOfOneCall, bytes.what);
+CHECK_TEXT(client.held.mostBytes(net::PeerKind::Endpoint) < MostOfOneCall, bytes.what);
 LONGS_EQUAL_TEXT(0, client.held.bytes(), bytes.what);
 CHECK_TEXT(server.hasClientClosed(), bytes.what);
 }
@@ -143,7 +143,7 @@
     client.stream(call);
     client.loop.run();
     CHECK(client.failures.at(0) == net::CallFailure::TimedOut);
-    CHECK(client.held.mostBytes(net::Holder::Endpoint) < MostOfOneCall);
+    CHECK(client.held.mostBytes(net::PeerKind::Endpoint) < MostOfOneCall);
     CHECK(server.hasClientClosed());
 }
 
@@ -260,8 +260,8 @@
     LONGS_EQUAL(2, client.bodies.size());
     LONGS_EQUAL(1, client.failures.size());
     CHECK(client.failures.at(0) == net::CallFailure::TooMuchHeld);
-    CHECK(client.held.mostBytes(net::Holder::Endpoint) <= Bound);
-    LONGS_EQUAL(1, client.held.ended(net::Holder::Endpoint));
+    CHECK(client.held.mostBytes(net::PeerKind::Endpoint) <= Bound);
+    LONGS_EQUAL(1, client.held.ended(net::PeerKind::Endpoint));
     LONGS_EQUAL(0, client.held.bytes());
 }
 
@@ -271,5 +271,5 @@
     client.stream(callFor("/large"));
     client.loop.run();
     LONGS_EQUAL(0, client.failures.size());
-    LONGS_EQUAL(0, client.held.ended(net::Holder::Endpoint));
+    LONGS_EQUAL(0, client.held.ended(net::PeerKind::Endpoint));
 }
--- a/libs/net/tests/SmallServer.h
+++ b/libs/net/tests/SmallServer.h
@@ -255,7 +255,7 @@
     std::size_t mostHeld()
     {
         std::size_t bytes = 0;
-        runInLoop([&]() { bytes = held_.mostBytes(net::Holder::Caller); });
+        runInLoop([&]() { bytes = held_.mostBytes(net::PeerKind::Caller); });
         return bytes;
     }
 
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -175,10 +175,10 @@
     /// Ends an attempt whose answer is no answer, or takes too much memory.
     void giveUp(relay::AttemptId id, const std::string &reason);
     /// Logs that something was ended since its peer made the process hold too much.
-    void recordOverLimit(net::Holder holder, std::size_t bytes, net::HeldBound bound);
+    void recordOverLimit(net::PeerKind peerKind, std::size_t bytes, net::HeldBound bound);
     /// Logs messages of other instances that were dropped since the last call.
     void recordMeshDrops();
-    /// Returns the metrics of what is held, by holder.
+    /// Returns the metrics of what is held, by kind of peer.
     std::string heldMetricsText() const;
     /// Returns the metrics in the Prometheus text format.
     std::string metricsText() const;
@@ -195,8 +195,8 @@
     }
     net::HttpServer::Handlers callerHandlers(Origin origin);
     /// Starts a server; a base::ListenError that this throws names the setting of the address.
-    std::unique_ptr<net::HttpServer>
-    listen(const std::string &setting, const net::Address &address, const net::ServerLimits &limits, net::HttpServer::Handlers handlers, net::Holder holder);
+    std::unique_ptr<net::HttpServer> listen(
+        const std::string &setting, const net::Address &address, const net::ServerLimits &limits, net::HttpServer::Handlers handlers, net::PeerKind peerKind);
     /// Handlers of the readiness or metrics server that `server` will hold.
     net::HttpServer::Handlers operatorHandlers(std::unique_ptr<net::HttpServer> &server);
 
--- a/libs/relayhost/src/HostActions.cpp
+++ b/libs/relayhost/src/HostActions.cpp
@@ -105,7 +105,7 @@
     call.freshConnection = freshConnection;
     call.bodyLimit = MaxReportBytes;
     call.held = &held_;
-    call.holder = net::Holder::Endpoint;
+    call.peerKind = net::PeerKind::Endpoint;
     call.isStray = [this](const net::Headers &headers) {
         return dialect_.answerIdOf(headers, "") == AnswerId::Other;
     };
--- a/libs/relayhost/src/HostAttempts.cpp
+++ b/libs/relayhost/src/HostAttempts.cpp
@@ -74,9 +74,9 @@
     OpenCall &open = calls_.at(call);
     request.connectTimeout = ConnectTimeout;
     request.bodyLimit = MaxAnswerBytes;
-    const net::Holder holder = attempts_[id].isHandOver ? net::Holder::Instance : net::Holder::Endpoint;
+    const net::PeerKind peerKind = attempts_[id].isHandOver ? net::PeerKind::Instance : net::PeerKind::Endpoint;
     request.held = &held_;
-    request.holder = holder;
+    request.peerKind = peerKind;
     request.isStray = [this, requestId = open.requestId, receiver](const net::Headers &headers) {
         const bool isStray = dialect_.answerIdOf(headers, requestId) == AnswerId::Other;
         if (isStray) {
@@ -104,7 +104,7 @@
         runForCall(call, [&]() { onFailure(id, failure, net::toText(progress)); });
     };
     attempts_[id].call = call;
-    attempts_[id].held = held_.share(holder, [this, id]() { giveUp(id, "it takes more memory than is left for it"); });
+    attempts_[id].held = held_.share(peerKind, [this, id]() { giveUp(id, "it takes more memory than is left for it"); });
     attempts_[id].clientCall = endpointClient_.start(std::move(request), std::move(handlers));
 }
 
--- a/libs/relayhost/src/HostMetrics.cpp
+++ b/libs/relayhost/src/HostMetrics.cpp
@@ -53,13 +53,13 @@
     std::ostringstream text;
     const auto family = [&](const char *name, const char *type, const auto &valueOf) {
         text << "# TYPE trefoilport_" << name << " " << type << "\n";
-        for (const auto &[holder, label] : net::HolderNames) {
-            text << "trefoilport_" << name << "{holder=\"" << label << "\"} " << valueOf(holder) << "\n";
+        for (const auto &[peerKind, label] : net::PeerKindNames) {
+            text << "trefoilport_" << name << "{holder=\"" << label << "\"} " << valueOf(peerKind) << "\n";
         }
     };
-    family("held_bytes", "gauge", [&](net::Holder holder) { return held_.bytes(holder); });
-    family("held_bytes_most", "gauge", [&](net::Holder holder) { return held_.mostBytes(holder); });
-    family("peers_over_limit_total", "counter", [&](net::Holder holder) { return held_.ended(holder); });
+    family("held_bytes", "gauge", [&](net::PeerKind peerKind) { return held_.bytes(peerKind); });
+    family("held_bytes_most", "gauge", [&](net::PeerKind peerKind) { return held_.mostBytes(peerKind); });
+    family("peers_over_limit_total", "counter", [&](net::PeerKind peerKind) { return held_.ended(peerKind); });
     return text.str();
 }
 
--- a/libs/relayhost/src/MemoryShares.cpp
+++ b/libs/relayhost/src/MemoryShares.cpp
@@ -34,11 +34,11 @@
     const std::size_t countedBytes = sharedBytes / 100 * CountedPercent;
     net::HeldLimits limits;
     limits.all = countedBytes;
-    limits.of(net::Holder::Caller) = countedBytes / 100 * CallerPercent;
-    limits.of(net::Holder::Endpoint) = countedBytes / 100 * EndpointPercent;
-    limits.of(net::Holder::Instance) = countedBytes / 100 * InstancePercent;
-    limits.of(net::Holder::Store) = countedBytes / 100 * StorePercent;
-    limits.of(net::Holder::Operator) = countedBytes / 100 * OperatorPercent;
+    limits.of(net::PeerKind::Caller) = countedBytes / 100 * CallerPercent;
+    limits.of(net::PeerKind::Endpoint) = countedBytes / 100 * EndpointPercent;
+    limits.of(net::PeerKind::Instance) = countedBytes / 100 * InstancePercent;
+    limits.of(net::PeerKind::Store) = countedBytes / 100 * StorePercent;
+    limits.of(net::PeerKind::Operator) = countedBytes / 100 * OperatorPercent;
     return limits;
 }
 
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -106,27 +106,27 @@
     , settingsText_(readFile(settingsPath_))
     , held_(loop_,
             heldLimitsFor(settings_.memoryBytes),
-            [this](net::Holder holder, std::size_t bytes, net::HeldBound bound) { recordOverLimit(holder, bytes, bound); })
+            [this](net::PeerKind peerKind, std::size_t bytes, net::HeldBound bound) { recordOverLimit(peerKind, bytes, bound); })
     , endpointClient_(loop_)
     , kernel_(settings_.relay, *this)
     , store_(loop_, makeStore(loop_, held_, settings_.store), storeHandlers())
     , mesh_(base::listenBySetting(
           "mesh",
           [this]() { return mesh::Mesh(net::toString(settings_.mesh), {}, MeshRingItems, [this](const std::string &bytes) { onMeshMessage(bytes); }); }))
-    , callerServer_(listen("callers", settings_.callers, serverLimits({}), callerHandlers(Origin::Caller), net::Holder::Caller))
+    , callerServer_(listen("callers", settings_.callers, serverLimits({}), callerHandlers(Origin::Caller), net::PeerKind::Caller))
     , handOverServer_(settings_.handOvers.host.empty()
                           ? nullptr
-                          : listen("hand-overs", settings_.handOvers, handOverLimits({}), callerHandlers(Origin::Instance), net::Holder::Instance))
+                          : listen("hand-overs", settings_.handOvers, handOverLimits({}), callerHandlers(Origin::Instance), net::PeerKind::Instance))
     , readinessServer_(
-          listen("readiness", settings_.readiness, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(readinessServer_), net::Holder::Operator))
-    , metricsServer_(listen("metrics", settings_.metrics, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(metricsServer_), net::Holder::Operator))
+          listen("readiness", settings_.readiness, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(readinessServer_), net::PeerKind::Operator))
+    , metricsServer_(listen("metrics", settings_.metrics, serverLimits({MaxOperatorHeaderBytes, 0}), operatorHandlers(metricsServer_), net::PeerKind::Operator))
 {
 }
 
 std::unique_ptr<net::HttpServer> RelayHost::listen(
-    const std::string &setting, const net::Address &address, const net::ServerLimits &limits, net::HttpServer::Handlers handlers, net::Holder holder)
+    const std::string &setting, const net::Address &address, const net::ServerLimits &limits, net::HttpServer::Handlers handlers, net::PeerKind peerKind)
 {
-    return base::listenBySetting(setting, [&]() { return std::make_unique<net::HttpServer>(loop_, address, limits, std::move(handlers), &held_, holder); });
+    return base::listenBySetting(setting, [&]() { return std::make_unique<net::HttpServer>(loop_, address, limits, std::move(handlers), &held_, peerKind); });
 }
 
 StoreHandlers RelayHost::storeHandlers()
@@ -293,10 +293,10 @@
     server.respond(exchange, {NotFound, {}, ""});
 }
 
-void RelayHost::recordOverLimit(net::Holder holder, std::size_t bytes, net::HeldBound bound)
+void RelayHost::recordOverLimit(net::PeerKind peerKind, std::size_t bytes, net::HeldBound bound)
 {
     const std::string limit = bound == net::HeldBound::All ? "what may be held at all" : "what may be held for its kind";
-    record({"peer_over_limit", "", std::string(base::nameIn(net::HolderNames, holder)), std::to_string(bytes) + " bytes given up, past " + limit});
+    record({"peer_over_limit", "", std::string(base::nameIn(net::PeerKindNames, peerKind)), std::to_string(bytes) + " bytes given up, past " + limit});
 }
 
 void RelayHost::record(const relay::Decision &decision)
--- a/libs/relayhost/tests/MemorySharesTests.cpp
+++ b/libs/relayhost/tests/MemorySharesTests.cpp
@@ -26,7 +26,7 @@
 TEST(TheSharesOfTheMemory, leaveEachKindSomethingOfWhatAnotherMayTake)
 {
     const net::HeldLimits limits = relayhost::heldLimitsFor(160 * Megabyte);
-    for (const std::size_t bytes : limits.holders) {
+    for (const std::size_t bytes : limits.kinds) {
         CHECK(bytes > 0);
         CHECK(bytes <= limits.all / 4 * 3);
     }
@@ -36,7 +36,7 @@
 TEST(TheSharesOfTheMemory, areNeverNothing)
 {
     for (const std::size_t memory : {std::size_t(0), std::size_t(1), Megabyte, 24 * Megabyte}) {
-        CHECK(relayhost::heldLimitsFor(memory).of(net::Holder::Operator) >= 256UL * 1024);
+        CHECK(relayhost::heldLimitsFor(memory).of(net::PeerKind::Operator) >= 256UL * 1024);
     }
 }
 
