A request refused by another instance is served here if the cut is over

An instance that reaches no endpoint hands its requests over. If the other instance refused one as not run, for a reason of its own (it reaches none either, it stops, it lacks the configuration), and this instance reached its endpoints again by then, the caller got a 503 at once, although sound endpoints would have answered: onHandOverRefused() only looked for a further instance. A hand-over that could not be sent at all did go back to the own endpoints.

Both now take the same way, retryOrFail(), which sends the request again within the limit on retries; what may run once only if nothing can have run it.

Tests: isServedHereIfTheCutIsOver (three reasons, /book/ and /read/) and isServedHereIfItIsAStreamToo failed before (WholeRequestTests.cpp:255 and 267, CHECK(!bed.rejection())). The other error: a request that may have run there and one that is rejected for its own sake aren't sent again; both tests passed before and pass now. The four tests of AWholeRequestThatIsOpen passed before: 23 things that others say of an endpoint, the list, the configuration, the settings and 30 refusals of hand-overs end no open whole request.

--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -226,6 +226,15 @@
     return call.attemptCount == 0 || (hasAttemptsLeft(call) && retryIsPermitted(now, call));
 }
 
+void RelayKernel::Impl::retryOrFail(Instant now, Call &call, base::ErrorKind kind, const std::string &detail)
+{
+    if (call.route->kind == RequestKind::Stream) {
+        retryStreamOrFail(now, call, detail);
+    } else {
+        retryPlainOrFail(now, call, kind, detail);
+    }
+}
+
 AttemptId RelayKernel::Impl::startAttempt(Instant now, Call &call, Attempt attempt)
 {
     const AttemptId id = nextAttempt++;
@@ -366,14 +375,13 @@
         } else {
             impl_->requestReport(now, first);
         }
-        impl_->retryStreamOrFail(now, *call, detail);
     } else {
         impl_->endpoints.onPlainFailure(first, now);
         if (reachedNothing) {
             impl_->endpoints.at(first).foundGoneAt = now;
         }
-        impl_->retryPlainOrFail(now, *call, reachedNothing ? base::ErrorKind::NoEndpoint : base::ErrorKind::UpstreamBroken, detail);
     }
+    impl_->retryOrFail(now, *call, reachedNothing ? base::ErrorKind::NoEndpoint : base::ErrorKind::UpstreamBroken, detail);
 }
 
 } // namespace relay
--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -154,6 +154,9 @@
         if (handOver(now, call)) {
             return;
         }
+        if (!reach.isCutOff() && !isUnderWay(call)) {
+            return retryOrFail(now, call, kind, detail); // It can be served here again.
+        }
     }
     // An attempt that this instance has sent itself may still be answered.
     if (isUnderWay(call) || waitsForEndpoints(now, call)) {
@@ -187,13 +190,7 @@
         call.mayHaveRun = true;
         ++call.priorRuns;
     }
-    if (isUnderWay(call)) {
-        return;
-    }
-    if (call.route->kind == RequestKind::Stream) {
-        return retryStreamOrFail(now, call, detail);
-    }
-    retryPlainOrFail(now, call, call.mayHaveRun ? base::ErrorKind::UpstreamBroken : base::ErrorKind::NoEndpoint, detail);
+    retryOrFail(now, call, call.mayHaveRun ? base::ErrorKind::UpstreamBroken : base::ErrorKind::NoEndpoint, detail);
 }
 
 bool RelayKernel::Impl::onHandOverEvent(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId)
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -102,6 +102,9 @@
     void suspectLateCrash(Instant now, const Call &call);
     /// Returns what identifies a call as a possible cause of a crash, as it is written to the log.
     static std::string suspectText(const Call &call);
+    /// Sends a call again after an attempt or a hand-over that has come to nothing, or fails it; does nothing while another one is open. The error is the one
+    /// that a whole request fails with.
+    void retryOrFail(Instant now, Call &call, base::ErrorKind kind, const std::string &detail);
     /// Registers an attempt, adds its load to its stages and counts it; returns its id. The caller dispatches it.
     AttemptId startAttempt(Instant now, Call &call, Attempt attempt);
     /// Returns what the driver must send for an attempt that has just started.
