A barred stream stays at its endpoint: what others report ends no open attempt

A stream that had not begun was cancelled and answered 502 as soon as a stage of its path fell silent, if others had reported by then that requests like it crash endpoints: moveStream(), leaveUnknownRun() and the answer to a detour took the evidence of others as a reason to end the attempt, so that a sound stream whose endpoint was silent for a second was lost to the quarantine.

Now the attempt is kept as any other that nothing can replace (stream_kept), and replaceAttempt() is gone. A request that crashes its endpoint is still never sent to a second one. Its caller now waits for the end of its connection or its time limit, where the endpoint's silence used to end it at once.

--- a/libs/relay/src/Detours.cpp
+++ b/libs/relay/src/Detours.cpp
@@ -154,8 +154,7 @@
     if (const auto reason = reasonToKeepAttempt(now, call)) {
         return keepAttempt(call, id, fault.value_or(first), *reason);
     }
-    const std::string moved = "there is no way round a lost stage";
-    isBarred(call) ? replaceAttempt(now, call, id, moved) : supersedeAttempt(now, call, id, moved);
+    supersedeAttempt(now, call, id, "there is no way round a lost stage");
 }
 
 } // namespace relay
--- a/libs/relay/src/StreamMoves.cpp
+++ b/libs/relay/src/StreamMoves.cpp
@@ -131,8 +131,7 @@
         call.nextCheckAt = now + CheckPeriod;
         return keepAttempt(call, attempt, silent, *reason);
     }
-    const std::string reason = endpoints.at(silent).entry.id + " is silent";
-    isBarred(call) ? replaceAttempt(now, call, attempt, reason) : supersedeAttempt(now, call, attempt, reason);
+    supersedeAttempt(now, call, attempt, endpoints.at(silent).entry.id + " is silent");
 }
 
 void RelayKernel::Impl::leaveUnknownRun(Instant now, Call &call, AttemptId attempt)
@@ -141,14 +140,13 @@
         call.nextCheckAt = now + CheckPeriod;
         return keepAttempt(call, attempt, attempts.at(attempt).stages.front(), *reason);
     }
-    const std::string moved = "its first stage doesn't know it any more";
-    isBarred(call) ? replaceAttempt(now, call, attempt, moved) : supersedeAttempt(now, call, attempt, moved);
+    supersedeAttempt(now, call, attempt, "its first stage doesn't know it any more");
 }
 
 std::optional<std::string> RelayKernel::Impl::reasonToKeepAttempt(Instant now, Call &call)
 {
     if (isBarred(call)) {
-        return std::nullopt; // It has not begun, and is rejected.
+        return "requests like it have crashed endpoints";
     }
     if (!mayRetry(now, call)) {
         return "no further attempt is permitted; runs " + std::to_string(countedRuns(call)) + " of " + std::to_string(call.route->maxAttempts);
@@ -212,16 +210,6 @@
     }
 }
 
-void RelayKernel::Impl::replaceAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason)
-{
-    call.mayHaveRun = true;
-    const EndpointIndex first = attempts.at(attempt).stages.front();
-    driver.record({"stream_moved", call.requestId, endpoints.at(first).entry.id, reason});
-    driver.cancel(attempt);
-    dropAttempt(attempt);
-    retryStreamOrFail(now, call, reason);
-}
-
 void RelayKernel::Impl::moveStreams(Instant now)
 {
     std::vector<AttemptId> open;
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -259,8 +259,6 @@
     void settle(Call &call, AttemptId attempt);
     /// Tells the driver which attempt the caller's stream goes on with.
     void continueWith(Call &call, AttemptId attempt);
-    /// Aborts an attempt and starts a new one if the call may be retried, else fails the call.
-    void replaceAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason);
     /// Takes an event of the call's stream, whoever sends it; returns true if it is the next one, which the caller must get.
     bool deliverEvent(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId);
     /// Gives up an attempt or a hand-over that has left out an event, while another one is open.
--- a/libs/relay/tests/WholeRequestTests.cpp
+++ b/libs/relay/tests/WholeRequestTests.cpp
@@ -6,8 +6,8 @@
 
 using namespace relay;
 
-/// A request that is answered as a whole and is open at one endpoint, which is sound and answers late. Only the connection of the request itself, its caller and
-/// its time limit may end it: what others say of its endpoint decides only what is tried beside it.
+/// A request that is answered as a whole and is open at one endpoint, which is sound and answers late. Only the connection of the request itself, its caller
+/// and its time limit may end it: what others say of its endpoint decides only what is tried beside it.
 TEST_GROUP(AWholeRequestThatIsOpen)
 {
     static constexpr std::uint64_t Fingerprint = 4711;
@@ -80,8 +80,13 @@
     {
         return {
             {"its endpoint is no longer listed",
-             [](CutOffBed &bed, const std::string &endpoint) { std::erase_if(bed.entries, [&](const EndpointEntry &entry) { return entry.id == endpoint; }); }},
-            {"nothing is listed", [](CutOffBed &bed, const std::string &) { bed.entries.clear(); }},
+             [](CutOffBed &bed, const std::string &endpoint) {
+                 std::erase_if(bed.entries, [&](const EndpointEntry &entry) { return entry.id == endpoint; });
+             }},
+            {"nothing is listed",
+             [](CutOffBed &bed, const std::string &) {
+                 bed.entries.clear();
+             }},
             {"its endpoint's address is another one's",
              [](CutOffBed &bed, const std::string &endpoint) {
                  std::erase_if(bed.entries, [&](const EndpointEntry &entry) { return entry.id == endpoint; });
@@ -101,11 +106,17 @@
     {
         return {
             reported("another instance finds its endpoint silent",
-                     [](wire::RelayDigest &digest, const std::string &endpoint) { digest.silent.push_back({wire::endpointHash(endpoint), 1}); }),
+                     [](wire::RelayDigest &digest, const std::string &endpoint) {
+                         digest.silent.push_back({wire::endpointHash(endpoint), 1});
+                     }),
             reported("another instance says that its endpoint leaves",
-                     [](wire::RelayDigest &digest, const std::string &endpoint) { digest.leavingEndpoints.push_back({wire::endpointHash(endpoint), 1}); }),
+                     [](wire::RelayDigest &digest, const std::string &endpoint) {
+                         digest.leavingEndpoints.push_back({wire::endpointHash(endpoint), 1});
+                     }),
             reported("requests like it are quarantined",
-                     [](wire::RelayDigest &digest, const std::string &) { digest.crashReports = {{Fingerprint, 1}, {Fingerprint, 2}, {Fingerprint, 3}}; }),
+                     [](wire::RelayDigest &digest, const std::string &) {
+                         digest.crashReports = {{Fingerprint, 1}, {Fingerprint, 2}, {Fingerprint, 3}};
+                     }),
             otherFails("its endpoint can't be reached by others", AttemptFailure::NotSent),
             otherFails("its endpoint breaks off others", AttemptFailure::Broken),
             otherFails("its endpoint answers others too late", AttemptFailure::TimedOut),
@@ -147,7 +158,10 @@
                  settings.retryReserve = 0;
                  bed.kernel.onSettings(settings);
              }},
-            {"its instance stops", [](CutOffBed &bed, const std::string &) { bed.kernel.onStop(bed.now); }},
+            {"its instance stops",
+             [](CutOffBed &bed, const std::string &) {
+                 bed.kernel.onStop(bed.now);
+             }},
         };
     }
 
@@ -236,7 +250,8 @@
         /// Returns why the request was rejected; none if it wasn't.
         std::optional<base::ErrorKind> rejection() const
         {
-            const auto found = std::find_if(driver.rejected.begin(), driver.rejected.end(), [&](const FakeDriver::Rejected &each) { return each.call == request; });
+            const auto found =
+                std::find_if(driver.rejected.begin(), driver.rejected.end(), [&](const FakeDriver::Rejected &each) { return each.call == request; });
             return found == driver.rejected.end() ? std::nullopt : std::optional(found->rejection.kind);
         }
 
