--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -102,6 +102,9 @@
     void suspectLateCrash(Instant now, const Call &call);
     /// Returns what identifies a call as a possible cause of a crash, as it is written to the log.
     static std::string suspectText(const Call &call);
+    /// Sends a call again after an attempt or a hand-over that has come to nothing, or fails it; does nothing while another one is open. The error is the one
+    /// that a whole request fails with.
+    void retryOrFail(Instant now, Call &call, base::ErrorKind kind, const std::string &detail);
     /// Registers an attempt, adds its load to its stages and counts it; returns its id. The caller dispatches it.
     AttemptId startAttempt(Instant now, Call &call, Attempt attempt);
     /// Returns what the driver must send for an attempt that has just started.
@@ -256,8 +259,6 @@
     void settle(Call &call, AttemptId attempt);
     /// Tells the driver which attempt the caller's stream goes on with.
     void continueWith(Call &call, AttemptId attempt);
-    /// Aborts an attempt and starts a new one if the call may be retried, else fails the call.
-    void replaceAttempt(Instant now, Call &call, AttemptId attempt, const std::string &reason);
     /// Takes an event of the call's stream, whoever sends it; returns true if it is the next one, which the caller must get.
     bool deliverEvent(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId);
     /// Gives up an attempt or a hand-over that has left out an event, while another one is open.
