--- a/libs/placement/include/placement/LayerPlanner.h
+++ b/libs/placement/include/placement/LayerPlanner.h
@@ -48,6 +48,18 @@
 /// its range before the requests that pass through it have ended.
 std::optional<Assignment> planMove(const EngineProfile &profile, const std::vector<PlannerEndpoint> &endpoints);
 
+/// Returns the first layer of the block on which the fleet can serve the fewest requests at the same time, if it is scarce: other layers have far more
+/// capacity, so that their holders are partly idle while requests are rejected for want of this one.
+std::optional<std::uint32_t> scarcestLayer(const EngineProfile &profile, const std::vector<PlannerEndpoint> &endpoints);
+
+/// Returns whether that layer is scarce in the same sense, also if it isn't the scarcest one.
+bool isScarce(const EngineProfile &profile, const std::vector<PlannerEndpoint> &endpoints, std::uint32_t layer);
+
+/// Returns the best move of one endpoint to layers that include a scarce one, or nothing if each would make others as scarce. In contrast to planMove(), any
+/// gain is enough, since one endpoint of many never gains much, and requests that pass through an endpoint only make others preferable to it. Moves of both
+/// kinds raise the same measure, so that none undoes another one.
+std::optional<Assignment> planRelief(const EngineProfile &profile, const std::vector<PlannerEndpoint> &endpoints, std::uint32_t layer);
+
 /// Estimates how many typical requests a holder of the given number of layers serves at the same time; the lower one of the limits by memory
 /// and by speed. 0 for an unknown kind or no layers.
 double concurrentRequests(const EngineProfile &profile, std::uint32_t kind, std::uint32_t layers);
--- a/libs/placement/src/LayerPlanner.cpp
+++ b/libs/placement/src/LayerPlanner.cpp
@@ -24,6 +24,8 @@
 constexpr double FleetWeight = 0.4;
 /// Smallest gain for which an endpoint is moved.
 constexpr double MinMoveGain = 0.35;
+/// Layers are scarce if other layers have at least this multiple of their capacity in the whole fleet.
+constexpr double MinScarceRatio = 1.5;
 /// Subtracted from the gain of a move for each request that passes through the endpoint.
 constexpr double OpenRequestCost = 0.05;
 
@@ -51,6 +53,15 @@
     {
     }
 
+    /// Coverage by what the endpoints hold.
+    Coverage(const EngineProfile &profile, std::uint32_t block, const std::vector<PlannerEndpoint> &endpoints)
+        : Coverage(profile, block)
+    {
+        for (const PlannerEndpoint &endpoint : endpoints) {
+            add(endpoint, endpoint.held);
+        }
+    }
+
     /// Adds the capacity of an endpoint that holds the range; a sign of -1 removes it.
     void add(const PlannerEndpoint &endpoint, LayerRange range, double sign = 1)
     {
@@ -75,6 +86,36 @@
         return sum;
     }
 
+    /// First layer of the block with the lowest capacity in the whole fleet.
+    std::uint32_t scarcestLayer() const
+    {
+        const auto lowest = std::min_element(fleetCapacities_.begin(), fleetCapacities_.end());
+        return static_cast<std::uint32_t>(lowest - fleetCapacities_.begin()) * block_;
+    }
+
+    /// Capacity of the whole fleet on that layer.
+    double capacityOn(std::uint32_t layer) const
+    {
+        return fleetCapacities_[layer / block_];
+    }
+
+    /// The lowest capacity of the whole fleet on any layer of the range; infinite for a range without a block.
+    double lowestCapacity(LayerRange range) const
+    {
+        double lowest = HUGE_VAL;
+        for (std::uint32_t b = range.first / block_; b < endBlock(range); ++b) {
+            lowest = std::min(lowest, fleetCapacities_[b]);
+        }
+        return lowest;
+    }
+
+    /// Returns whether other layers have far more capacity than that one.
+    bool isScarce(std::uint32_t layer) const
+    {
+        const double highest = *std::max_element(fleetCapacities_.begin(), fleetCapacities_.end());
+        return highest > 0 && capacityOn(layer) * MinScarceRatio <= highest;
+    }
+
 private:
     /// Returns the block after the last one of the range. An endpoint may say that it holds layers which the model doesn't have.
     std::uint32_t endBlock(LayerRange range) const
@@ -98,13 +139,27 @@
     std::map<std::uint32_t, std::vector<double>> capacitiesByZone_;
 };
 
-/// Returns the range of the given size with the highest gain for the endpoint; the first one of equals.
-LayerRange bestRange(const EngineProfile &profile, Coverage &coverage, const PlannerEndpoint &endpoint, std::uint32_t size, std::uint32_t block)
+bool includes(LayerRange range, std::uint32_t layer)
+{
+    return range.first <= layer && layer < range.end;
+}
+
+/// Returns the range of the given size with the highest gain for the endpoint; the first one of equals. If `layer` is given, only ranges that include it
+/// are considered.
+LayerRange bestRange(const EngineProfile &profile,
+                     Coverage &coverage,
+                     const PlannerEndpoint &endpoint,
+                     std::uint32_t size,
+                     std::uint32_t block,
+                     std::optional<std::uint32_t> layer = std::nullopt)
 {
     LayerRange best;
     double bestGain = -1;
     for (std::uint32_t first = 0; first + size <= profile.layers; first += block) {
         const LayerRange range{first, first + size};
+        if (layer && !includes(range, *layer)) {
+            continue;
+        }
         const double gain = coverage.gain(endpoint, range);
         if (gain > bestGain + 1e-9) {
             bestGain = gain;
@@ -167,10 +222,7 @@
     if (block == 0) {
         return std::nullopt;
     }
-    Coverage coverage(profile, block);
-    for (const PlannerEndpoint &endpoint : endpoints) {
-        coverage.add(endpoint, endpoint.held);
-    }
+    Coverage coverage(profile, block, endpoints);
     std::optional<Assignment> best;
     double bestGain = MinMoveGain;
     for (std::uint32_t i = 0; i < endpoints.size(); ++i) {
@@ -191,6 +243,54 @@
     return best;
 }
 
+std::optional<std::uint32_t> scarcestLayer(const EngineProfile &profile, const std::vector<PlannerEndpoint> &endpoints)
+{
+    const std::uint32_t block = layersPerBlock(profile);
+    if (block == 0) {
+        return std::nullopt;
+    }
+    const Coverage coverage(profile, block, endpoints);
+    const std::uint32_t layer = coverage.scarcestLayer();
+    return coverage.isScarce(layer) ? std::optional(layer) : std::nullopt;
+}
+
+bool isScarce(const EngineProfile &profile, const std::vector<PlannerEndpoint> &endpoints, std::uint32_t layer)
+{
+    const std::uint32_t block = layersPerBlock(profile);
+    return block != 0 && layer < profile.layers && Coverage(profile, block, endpoints).isScarce(layer);
+}
+
+std::optional<Assignment> planRelief(const EngineProfile &profile, const std::vector<PlannerEndpoint> &endpoints, std::uint32_t layer)
+{
+    const std::uint32_t block = layersPerBlock(profile);
+    if (block == 0) {
+        return std::nullopt;
+    }
+    Coverage coverage(profile, block, endpoints);
+    const double before = coverage.capacityOn(layer);
+    std::optional<Assignment> best;
+    double bestRank = -HUGE_VAL;
+    for (std::uint32_t i = 0; i < endpoints.size(); ++i) {
+        const PlannerEndpoint &endpoint = endpoints[i];
+        const std::uint32_t size = layersPerRange(profile, endpoint.kind);
+        if (!endpoint.mayMove || endpoint.held.empty() || includes(endpoint.held, layer) || size == 0) {
+            continue;
+        }
+        coverage.add(endpoint, endpoint.held, -1);
+        const LayerRange range = bestRange(profile, coverage, endpoint, size, block, layer);
+        const double gain = coverage.gain(endpoint, range) - coverage.gain(endpoint, endpoint.held);
+        // The layers that it gives up must not become as scarce as those that it takes were.
+        const bool isAffordable = coverage.lowestCapacity(endpoint.held) > before;
+        const double rank = gain - OpenRequestCost * endpoint.openRequests;
+        if (isAffordable && gain > 0 && rank > bestRank) {
+            bestRank = rank;
+            best = Assignment{i, range};
+        }
+        coverage.add(endpoint, endpoint.held);
+    }
+    return best;
+}
+
 std::vector<Assignment> planLayers(const EngineProfile &profile, const std::vector<PlannerEndpoint> &endpoints)
 {
     std::vector<Assignment> plan;
--- a/libs/placement/tests/PlacementTests.cpp
+++ b/libs/placement/tests/PlacementTests.cpp
@@ -177,6 +177,12 @@
     CHECK(!planMove(profile, endpoints));
 }
 
+/// Guards against loads of layers in a fleet as it was planned.
+TEST(ThePlan, leavesNoLayersScarce)
+{
+    CHECK(!scarcestLayer(profile, endpoints));
+}
+
 /// Guards against layers that stay slow after a loss: the only fast holder of some layers in its zone is lost for seconds or for good.
 TEST(ThePlan, movesAnIdleEndpointToLayersThatLostAHolder)
 {
--- a/libs/relay/src/PlannerDuty.cpp
+++ b/libs/relay/src/PlannerDuty.cpp
@@ -18,6 +18,8 @@
 constexpr Ms PlanPeriod{100};
 /// Minimum interval between two moves of endpoints that hold layers.
 constexpr Ms MovePeriod{300};
+/// Layers that stay scarce for this time are relieved. Longer than a silence of a moment, in which their holders only seem to be lost.
+constexpr Ms ScarcityPeriod{3000};
 /// If no endpoint holds layers, planning waits until no new endpoint has been listed for this time.
 constexpr Ms SettlePeriod{1500};
 /// A report is requested this long after an order without an answer, and again after each further period.
@@ -61,6 +63,7 @@
     maintainLease(now, mayTakeLease);
     if (!holdsLease(now)) {
         pending_.clear();
+        scarceLayers_.clear();
         return;
     }
     checkPendingOrders(now);
@@ -255,7 +258,7 @@
     }
     const auto assignments = placement::planLayers(profile, plannerEndpoints);
     if (assignments.empty()) {
-        return orderMove(now, profile, plannerEndpoints, registryIndices);
+        return orderMove(now, service, plannerEndpoints, registryIndices);
     }
     for (const placement::Assignment &assignment : assignments) {
         if (!endpoints_.at(registryIndices[assignment.endpoint]).loading) {
@@ -265,14 +268,20 @@
 }
 
 void PlannerDuty::orderMove(Instant now,
-                            const placement::EngineProfile &profile,
+                            const Service &service,
                             const std::vector<placement::PlannerEndpoint> &plannerEndpoints,
                             const std::vector<EndpointIndex> &registryIndices)
 {
+    const placement::EngineProfile &profile = *service.engine;
+    const auto layer = lastingScarceLayer(now, service, plannerEndpoints);
     if (now < nextMove_ || pending_.size() >= std::max(1U, profile.maxConcurrentLoads)) {
         return;
     }
-    const auto move = placement::planMove(profile, plannerEndpoints);
+    auto move = placement::planMove(profile, plannerEndpoints);
+    if (!move && layer) {
+        move = placement::planRelief(profile, plannerEndpoints, *layer);
+        recordScarcity(service, *layer, move.has_value());
+    }
     if (!move) {
         return;
     }
@@ -284,6 +293,32 @@
     endpoints_.at(index).reportedAt = now;
 }
 
+std::optional<std::uint32_t>
+PlannerDuty::lastingScarceLayer(Instant now, const Service &service, const std::vector<placement::PlannerEndpoint> &plannerEndpoints)
+{
+    const auto known = scarceLayers_.find(service.name);
+    if (known != scarceLayers_.end() && placement::isScarce(*service.engine, plannerEndpoints, known->second.layer)) {
+        return now >= known->second.since + ScarcityPeriod ? std::optional(known->second.layer) : std::nullopt;
+    }
+    const auto layer = placement::scarcestLayer(*service.engine, plannerEndpoints);
+    if (layer) {
+        scarceLayers_[service.name] = {*layer, now};
+    } else {
+        scarceLayers_.erase(service.name);
+    }
+    return std::nullopt;
+}
+
+void PlannerDuty::recordScarcity(const Service &service, std::uint32_t layer, bool isRelieved)
+{
+    ScarceLayer &scarce = scarceLayers_[service.name];
+    if (isRelieved || !scarce.isRecorded) {
+        const std::string outcome = isRelieved ? "an endpoint moves there" : "no endpoint can move there without making others as scarce";
+        driver_.record({"layers_scarce", "", service.name, "from layer " + std::to_string(layer) + " on; " + outcome});
+    }
+    scarce.isRecorded = true;
+}
+
 void PlannerDuty::orderRange(Instant now, EndpointIndex index, placement::LayerRange range, const placement::EngineProfile &profile)
 {
     const EndpointState &state = endpoints_.at(index);
--- a/libs/relay/src/details/PlannerDuty.h
+++ b/libs/relay/src/details/PlannerDuty.h
@@ -54,6 +54,13 @@
         /// The endpoint has confirmed that it takes the order.
         bool accepted = false;
     };
+    /// A layer that has been scarce since that time.
+    struct ScarceLayer {
+        std::uint32_t layer = 0;
+        Instant since{0};
+        /// The log says so.
+        bool isRecorded = false;
+    };
 
     /// Renews, reads or takes the lease when its next action is due.
     void maintainLease(Instant now, bool mayTakeLease);
@@ -74,9 +81,13 @@
     /// Orders at most one endpoint to move to other layers. `registryIndices` holds the index in the registry of each planner
     /// endpoint.
     void orderMove(Instant now,
-                   const placement::EngineProfile &profile,
+                   const Service &service,
                    const std::vector<placement::PlannerEndpoint> &plannerEndpoints,
                    const std::vector<EndpointIndex> &registryIndices);
+    /// Returns a layer of the service that has been scarce for a while, see placement::scarcestLayer(); nothing if none has.
+    std::optional<std::uint32_t> lastingScarceLayer(Instant now, const Service &service, const std::vector<placement::PlannerEndpoint> &plannerEndpoints);
+    /// Records that a layer has been scarce for a while: with each move that relieves it, and once if there is none.
+    void recordScarcity(const Service &service, std::uint32_t layer, bool isRelieved);
     /// Sends an order to load a range.
     void orderRange(Instant now, EndpointIndex index, placement::LayerRange range, const placement::EngineProfile &profile);
 
@@ -117,6 +128,8 @@
     std::uint64_t refusedFence_ = 0;
 
     std::map<EndpointIndex, PendingOrder> pending_;
+    /// The layer of each service that became scarce first of those that are, if any is.
+    std::map<std::string, ScarceLayer> scarceLayers_;
     Instant nextPlan_{0};
     Instant nextMove_{0};
 };
--- a/libs/relay/tests/SilentEnginesTests.cpp
+++ b/libs/relay/tests/SilentEnginesTests.cpp
@@ -175,3 +175,42 @@
     CHECK(lower >= 5);
     CHECK(holdersOf(Upper) >= 5);
 }
+
+/// Guards against a plan that only the instance which has seen the silence would mend: the lease changes hands afterwards.
+TEST(ThePlanAfterASilence, isEvenAgainUnderAnotherPlanner)
+{
+    for (const placement::LayerRange held : {Lower, Upper, Upper, Lower, Upper, Upper}) {
+        addEngine(held);
+    }
+    startPlanner();
+    advance(Ms(10000));
+    LONGS_EQUAL(3, holdersOf(Lower));
+    LONGS_EQUAL(3, holdersOf(Upper));
+}
+
+/// Guards against requests that are cut or wait: of the endpoints that can move, the one with the fewest requests does, also if each serves some.
+TEST(ThePlanAfterASilence, isEvenAgainUnderLoad)
+{
+    constexpr int Streams = 40;
+    for (const placement::LayerRange held : {Lower, Upper, Upper, Lower, Upper, Upper}) {
+        addEngine(held);
+    }
+    startPlanner();
+    for (int stream = 1; stream <= Streams; ++stream) {
+        CallArrival arrival;
+        arrival.call = static_cast<CallId>(stream);
+        arrival.requestId = "request-" + std::to_string(stream);
+        arrival.host = "api.example";
+        arrival.path = "/stream/x";
+        arrival.keySha256 = "key-a";
+        arrival.timeLimit = Ms(60000);
+        arrival.promptTokens = 500;
+        arrival.answerTokens = 100;
+        arrival.fingerprint = static_cast<std::uint64_t>(stream);
+        kernel->onCall(now, arrival);
+    }
+    LONGS_EQUAL(Streams, driver.sent.size());
+    advance(Ms(5000));
+    LONGS_EQUAL(3, holdersOf(Lower));
+    LONGS_EQUAL(3, holdersOf(Upper));
+}
