--- a/libs/placement/tests/ScarceLayersTests.cpp
+++ b/libs/placement/tests/ScarceLayersTests.cpp
@@ -129,6 +129,35 @@
     CHECK(!planRelief(profile, endpoints, 0));
 }
 
+/// Guards against a fleet that can serve fewer requests after the move: an endpoint that holds several blocks gives up one that has hardly more holders.
+TEST(ScarceLayers, areLeftIfOneOfTheBlocksThatAreGivenUpWouldBecomeAsScarce)
+{
+    constexpr std::uint32_t Quarter = 1;
+    profile.kinds.push_back({"small", 25000, 1, 1});
+    LONGS_EQUAL(40, layersPerRange(profile, 0));
+    LONGS_EQUAL(20, layersPerRange(profile, Quarter));
+    endpoints = {{0, 0, Upper, 0, true, 1}};
+    for (const std::uint32_t first : {0, 20, 40, 60, 60}) {
+        endpoints.push_back({Quarter, 0, {first, first + 20}, 0, false, 1});
+    }
+    LONGS_EQUAL(0, scarcestLayer(profile, endpoints).value());
+    CHECK(!planRelief(profile, endpoints, 0));
+    endpoints.push_back({Quarter, 0, {40, 60}, 0, false, 1});
+    LONGS_EQUAL(0, planRelief(profile, endpoints, 0).value().endpoint);
+}
+
+/// Guards against requests that have to leave their zone: the only endpoint that could move is the last one there with its layers.
+TEST(ScarceLayers, areNotRelievedAtTheCostOfAZone)
+{
+    add(0, 2, 1);
+    add(1, 0, 4);
+    for (PlannerEndpoint &endpoint : endpoints) {
+        endpoint.mayMove = endpoint.zone == 0;
+    }
+    LONGS_EQUAL(0, scarcestLayer(profile, endpoints).value());
+    CHECK(!planRelief(profile, endpoints, 0));
+}
+
 TEST(ScarceLayers, areNotRelievedByEndpointsThatMustStay)
 {
     add(0, 2, 4);
