--- a/libs/mesh/tests/MeshTests.cpp
+++ b/libs/mesh/tests/MeshTests.cpp
@@ -12,23 +12,62 @@
 
 namespace {
 
+/// Long enough for a message to arrive on a busy machine.
+constexpr std::chrono::seconds DeliveryTimeout{20};
+
+/// Runs a mesh in a thread of its own, and stops it at the end.
+class RunningMesh
+{
+public:
+    explicit RunningMesh(mesh::Mesh &mesh)
+        : mesh_(mesh)
+        , thread_([this]() { mesh_.run(); })
+    {
+    }
+    ~RunningMesh()
+    {
+        mesh_.stop();
+        thread_.join();
+    }
+    RunningMesh(const RunningMesh &) = delete;
+    RunningMesh &operator=(const RunningMesh &) = delete;
+
+    pthread_t handle()
+    {
+        return thread_.native_handle();
+    }
+
+private:
+    mesh::Mesh &mesh_;
+    std::thread thread_;
+};
+
+/// Repeats an action until the condition holds or the timeout has passed.
+template<typename Condition, typename Action>
+void repeatUntil(const Condition &isMet, std::chrono::milliseconds timeout, std::chrono::milliseconds interval, const Action &action)
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    while (!isMet() && std::chrono::steady_clock::now() < deadline) {
+        action();
+        std::this_thread::sleep_for(interval);
+    }
+}
+
+/// Sends "hello" again and again to an address, until it is received or the timeout has passed.
+void greetUntil(const std::atomic<bool> &isReceived, mesh::Mesh &sender, const std::string &address, std::chrono::milliseconds timeout = DeliveryTimeout)
+{
+    repeatUntil([&]() { return isReceived.load(); }, timeout, std::chrono::milliseconds(10), [&]() { sender.send(address, "hello"); });
+}
+
 /// Sends a message repeatedly from one mesh to another; returns true if it is received within the timeout.
 bool isDelivered(const mesh::MeshKeys &senderKeys, const mesh::MeshKeys &receiverKeys, std::chrono::milliseconds timeout)
 {
     std::atomic<bool> isReceived{false};
     mesh::Mesh receiver("127.0.0.1:0", receiverKeys, 64, [&](const std::string &bytes) { isReceived = bytes == "hello"; });
     mesh::Mesh sender("127.0.0.1:0", senderKeys, 64, [](const std::string &) {});
-    std::thread receiverThread([&]() { receiver.run(); });
-    std::thread senderThread([&]() { sender.run(); });
-    const auto deadline = std::chrono::steady_clock::now() + timeout;
-    while (!isReceived && std::chrono::steady_clock::now() < deadline) {
-        sender.send(receiver.address(), "hello");
-        std::this_thread::sleep_for(std::chrono::milliseconds(10));
-    }
-    receiver.stop();
-    sender.stop();
-    receiverThread.join();
-    senderThread.join();
+    const RunningMesh runningReceiver(receiver);
+    const RunningMesh runningSender(sender);
+    greetUntil(isReceived, sender, receiver.address(), timeout);
     return isReceived;
 }
 
@@ -38,13 +77,13 @@
 
 TEST(TheMesh, deliversMessagesUnencryptedWithoutKeys)
 {
-    CHECK(isDelivered({}, {}, std::chrono::seconds(20)));
+    CHECK(isDelivered({}, {}, DeliveryTimeout));
 }
 
 TEST(TheMesh, deliversMessagesEncryptedWithTheSharedKeys)
 {
     const mesh::MeshKeys keys = mesh::makeKeys();
-    CHECK(isDelivered(keys, keys, std::chrono::seconds(20)));
+    CHECK(isDelivered(keys, keys, DeliveryTimeout));
 }
 
 /// More messages than the ring holds are sent at once, as by an aggregator to the instances of its zone, and none afterwards.
@@ -57,17 +96,11 @@
     for (int i = 0; i < Messages; ++i) {
         sender.send(receiver.address(), "hello");
     }
-    std::thread receiverThread([&]() { receiver.run(); });
-    std::thread senderThread([&]() { sender.run(); });
-    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
-    while (received < Messages && std::chrono::steady_clock::now() < deadline) {
-        sender.flush();
-        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    {
+        const RunningMesh runningReceiver(receiver);
+        const RunningMesh runningSender(sender);
+        repeatUntil([&]() { return received >= Messages; }, DeliveryTimeout, std::chrono::milliseconds(5), [&]() { sender.flush(); });
     }
-    receiver.stop();
-    sender.stop();
-    receiverThread.join();
-    senderThread.join();
     LONGS_EQUAL(Messages, received);
 }
 
@@ -92,17 +125,11 @@
     for (int i = 0; i < MessagesUnderWay; ++i) {
         peer.send(zmq::str_buffer("first"), zmq::send_flags::none);
     }
-    std::thread busyThread([&]() { busy.run(); });
-    std::thread otherThread([&]() { other.run(); });
-    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
-    while (!isReceived && std::chrono::steady_clock::now() < deadline) {
-        busy.send(other.address(), "hello");
-        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    {
+        const RunningMesh runningOther(other);
+        const RunningMesh runningBusy(busy);
+        greetUntil(isReceived, busy, other.address());
     }
-    busy.stop();
-    other.stop();
-    busyThread.join();
-    otherThread.join();
     CHECK(isReceived);
     CHECK_TEXT(handledBefore <= MaxHandledBefore, std::to_string(handledBefore).c_str());
 }
@@ -118,18 +145,12 @@
         isReceived = bytes == "hello";
     });
     mesh::Mesh sender("127.0.0.1:0", {}, 64, [](const std::string &) {});
-    std::thread receiverThread([&]() { receiver.run(); });
-    std::thread senderThread([&]() { sender.run(); });
-    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
-    sender.send(receiver.address(), std::string(TooManyBytes, 'x'));
-    while (!isReceived && std::chrono::steady_clock::now() < deadline) {
-        sender.send(receiver.address(), "hello");
-        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    {
+        const RunningMesh runningReceiver(receiver);
+        const RunningMesh runningSender(sender);
+        sender.send(receiver.address(), std::string(TooManyBytes, 'x'));
+        greetUntil(isReceived, sender, receiver.address());
     }
-    receiver.stop();
-    sender.stop();
-    receiverThread.join();
-    senderThread.join();
     CHECK(isReceived);
     CHECK(largest < TooManyBytes);
 }
@@ -153,19 +174,15 @@
     sigaction(SIGUSR1, &action, &previousAction);
     std::atomic<bool> isReceived{false};
     mesh::Mesh mesh("127.0.0.1:0", {}, 64, [&](const std::string &) { isReceived = true; });
-    std::thread meshThread([&]() { mesh.run(); });
-    constexpr int Signals = 100;
-    for (int i = 0; i < Signals; ++i) {
-        pthread_kill(meshThread.native_handle(), SIGUSR1);
-        std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    }
-    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
-    while (!isReceived && std::chrono::steady_clock::now() < deadline) {
-        mesh.send(mesh.address(), "hello");
-        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    {
+        RunningMesh running(mesh);
+        constexpr int Signals = 100;
+        for (int i = 0; i < Signals; ++i) {
+            pthread_kill(running.handle(), SIGUSR1);
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        greetUntil(isReceived, mesh, mesh.address());
     }
-    mesh.stop();
-    meshThread.join();
     sigaction(SIGUSR1, &previousAction, nullptr);
     CHECK(isReceived);
 }
