--- a/libs/relayhost/include/relayhost/StoreClient.h
+++ b/libs/relayhost/include/relayhost/StoreClient.h
@@ -11,6 +11,9 @@
 
 namespace relayhost {
 
+/// An answer of the store that is larger than this counts as none. Pages of lists and objects have about a megabyte at most.
+inline constexpr std::size_t MaxStoreAnswerBytes = 4UL * 1024 * 1024;
+
 /// The result of reading the configuration.
 struct ConfigReadResult {
     /// The store answered with a valid configuration, or that there is none.
