Metrics: requests that can't be read, by reason

Now trefoilport_unreadable_requests_total{reason=...} counts what the server itself refuses and requests that lack an id, a host or a path, by the kind of error that the caller gets. Test: ARequestThatCantBeRead isCountedByItsReason (two codings, two lengths, a header that is too large); there was nothing to count before.

--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/ErrorKind.h"
 #include "mesh/Mesh.h"
 #include "net/HeldBytes.h"
 #include "net/HttpServer.h"
@@ -10,6 +11,7 @@
 #include "relayhost/StoreFollower.h"
 #include "relayhost/WaitingBytes.h"
 
+#include <array>
 #include <thread>
 #include <unordered_map>
 
@@ -194,6 +196,11 @@
         };
     }
     net::HttpServer::Handlers callerHandlers(Origin origin);
+    /// Counts a request that never came to the kernel.
+    void countUnreadable(base::ErrorKind kind)
+    {
+        ++unreadableRequests_.at(static_cast<std::size_t>(kind));
+    }
     /// Starts a server; a base::ListenError that this throws names the setting of the address.
     std::unique_ptr<net::HttpServer> listen(
         const std::string &setting, const net::Address &address, const net::ServerLimits &limits, net::HttpServer::Handlers handlers, net::PeerKind peerKind);
@@ -233,6 +240,8 @@
     record::Latency plainAnswerLatency_;
     /// Callers' requests that were read and whose answers were not written in full, for whatever reason.
     std::uint64_t unansweredExchanges_ = 0;
+    /// Requests that the server itself has refused, or that lack what every request must have, by the error kind of their answer.
+    std::array<std::uint64_t, base::ErrorKindCount> unreadableRequests_{};
     /// Time of the last tick; zero before the first.
     relay::Instant lastTickAt_{0};
     /// Number of times that the periodic work has failed without a success in between.
--- a/libs/relayhost/src/HostCallers.cpp
+++ b/libs/relayhost/src/HostCallers.cpp
@@ -83,6 +83,7 @@
         onExchangeEnded(callOf(origin, exchange), end);
     };
     handlers.refusal = [this](net::RefusalKind refusal) {
+        countUnreadable(kindOf(refusal));
         if (const std::string event = eventOf(refusal); !event.empty()) {
             record({event, "", std::string(base::nameOf(kindOf(refusal))), ""});
         }
@@ -128,6 +129,7 @@
     call.request = std::move(request);
     calls_.emplace(id, std::move(call));
     if (decoded.isMalformed) {
+        countUnreadable(base::ErrorKind::BadRequest);
         return reject(id, {base::ErrorKind::BadRequest, "the request lacks an id, a host or an absolute path", relay::Ms(0)});
     }
     kernel_.onCall(now(), decoded.arrival);
--- a/libs/relayhost/src/HostMetrics.cpp
+++ b/libs/relayhost/src/HostMetrics.cpp
@@ -4,10 +4,25 @@
 
 #include <boost/json.hpp>
 
+#include <array>
 #include <sstream>
 
 namespace relayhost {
 
+namespace {
+
+/// The error kinds with which requests are refused that never come to the kernel.
+constexpr std::array UnreadableKinds = {base::ErrorKind::BadRequest,
+                                        base::ErrorKind::HeaderTooLarge,
+                                        base::ErrorKind::BodyTooLarge,
+                                        base::ErrorKind::RequestTimeout,
+                                        base::ErrorKind::Overloaded,
+                                        base::ErrorKind::Stopping,
+                                        base::ErrorKind::AnswerIncomplete,
+                                        base::ErrorKind::Internal};
+
+} // namespace
+
 std::string RelayHost::metricsText() const
 {
     const relay::RelayCounters &counters = kernel_.counters();
@@ -37,6 +52,11 @@
     text << "# TYPE trefoilport_planner gauge\ntrefoilport_planner " << (kernel_.isPlanner(base::readBootTimeClock()) ? 1 : 0) << "\n";
     text << "# TYPE trefoilport_reaches_endpoints gauge\ntrefoilport_reaches_endpoints " << (kernel_.reachesEndpoints() ? 1 : 0) << "\n";
     text << "# TYPE trefoilport_quarantined gauge\ntrefoilport_quarantined " << kernel_.quarantine(base::readBootTimeClock()).size() << "\n";
+    text << "# TYPE trefoilport_unreadable_requests_total counter\n";
+    for (const base::ErrorKind kind : UnreadableKinds) {
+        text << "trefoilport_unreadable_requests_total{reason=\"" << base::nameOf(kind) << "\"} " << unreadableRequests_.at(static_cast<std::size_t>(kind))
+             << "\n";
+    }
     text << heldMetricsText();
     text << firstEventLatency_.exposition("trefoilport_first_event_seconds");
     text << eventIntervals_.exposition("trefoilport_between_events_seconds");
