Tests of orders and silent stages: set-ups that stood three times each are functions of their groups

An order answered in one of three ways, a sound report of the stage that stalled, and a second attempt that breaks. Their comments that began with 'Guards likewise' say which failure they guard against. The same tests and checks.

--- a/libs/relay/tests/OrderAnswerTests.cpp
+++ b/libs/relay/tests/OrderAnswerTests.cpp
@@ -8,6 +8,7 @@
 /// beside the attempt, and only the attempt's own connection ends it.
 TEST_GROUP(AnAnswerToAnOrder)
 {
+    static constexpr std::uint32_t AllLayers = 80;
     RelayTestBed bed;
 
     /// Permits each stream one attempt only.
@@ -44,33 +45,46 @@
         LONGS_EQUAL(1, bed.driver.endedStreams.size());
         LONGS_EQUAL(0, bed.kernel.openCalls());
     }
+
+    /// Answers the order of a detour in that way, and requires that the stream goes on where it is.
+    void mustEndWholeAfter(OrderOutcome outcome)
+    {
+        const AttemptId attempt = startDetour();
+        bed.kernel.onDetourAnswer(bed.now, attempt, outcome, "");
+        mustEndWhole(attempt);
+    }
+
+    /// Delivers a sound report of the stage on which the stream stalled, given by its address. Returns the id of its endpoint.
+    std::string reportStage(const std::string &address)
+    {
+        EndpointReport report;
+        report.incarnation = 1;
+        report.layers = {RelayTestBed::HalfLayers, AllLayers};
+        std::string id = address.substr(0, address.find(':'));
+        bed.kernel.onReport(bed.now, id, report);
+        return id;
+    }
 };
 
 /// Guards against LOST (issue 44): the first stage has just ended the run and refuses the order, while the rest of the answer is on its way.
 TEST(AnAnswerToAnOrder, endsNoStreamIfTheRequestIsUnknown)
 {
-    const AttemptId attempt = startDetour();
-    bed.kernel.onDetourAnswer(bed.now, attempt, OrderOutcome::UnknownRequest, "");
-    mustEndWhole(attempt);
+    mustEndWholeAfter(OrderOutcome::UnknownRequest);
 }
 
-/// Guards likewise where the order is refused for a reason that isn't known.
+/// Guards against a stream that ends since the order about it is refused for a reason that isn't known.
 TEST(AnAnswerToAnOrder, endsNoStreamIfItIsARefusal)
 {
-    const AttemptId attempt = startDetour();
-    bed.kernel.onDetourAnswer(bed.now, attempt, OrderOutcome::Refused, "");
-    mustEndWhole(attempt);
+    mustEndWholeAfter(OrderOutcome::Refused);
 }
 
-/// Guards likewise where the first stage has been given orders of a later planner.
+/// Guards against a stream that ends since its first stage has been given orders of a later planner.
 TEST(AnAnswerToAnOrder, endsNoStreamIfTheOrderIsOutdated)
 {
-    const AttemptId attempt = startDetour();
-    bed.kernel.onDetourAnswer(bed.now, attempt, OrderOutcome::Fenced, "");
-    mustEndWhole(attempt);
+    mustEndWholeAfter(OrderOutcome::Fenced);
 }
 
-/// Guards likewise where no order is answered.
+/// Guards against a stream that ends since no order about it is answered.
 TEST(AnAnswerToAnOrder, endsNoStreamIfItStaysAway)
 {
     const AttemptId attempt = startDetour();
@@ -80,7 +94,7 @@
     mustEndWhole(attempt);
 }
 
-/// Guards likewise where no further attempt is permitted, for as long as the caller waits.
+/// Guards against a stream that ends by a refused order although no further attempt is permitted, for as long as its caller waits.
 TEST(AnAnswerToAnOrder, endsNoStreamThatMayNotRunAgain)
 {
     permitOneAttempt();
@@ -91,7 +105,7 @@
     mustEndWhole(attempt);
 }
 
-/// Guards likewise for a stage without room that the refusal names, when no other one can take its place.
+/// Guards against a stream that ends since a refusal names a stage without room, when no other one can take its place.
 TEST(AnAnswerToAnOrder, endsNoStreamForWantOfRoom)
 {
     permitOneAttempt();
@@ -119,10 +133,7 @@
     const AttemptId attempt = startDetour();
     const std::string lost = bed.upperStage();
     bed.kernel.onDetourAnswer(bed.now, attempt, OrderOutcome::Refused, "");
-    EndpointReport report;
-    report.incarnation = 1;
-    report.layers = {RelayTestBed::HalfLayers, 80};
-    bed.kernel.onReport(bed.now, lost.substr(0, lost.find(':')), report);
+    reportStage(lost);
     bed.advance(Ms(1000));
     LONGS_EQUAL(1, bed.driver.sent.size());
     mustEndWhole(attempt);
@@ -133,12 +144,8 @@
 {
     const AttemptId attempt = startDetour();
     const std::string lost = bed.upperStage();
-    const std::string lostId = lost.substr(0, lost.find(':'));
     bed.kernel.onDetourAnswer(bed.now, attempt, OrderOutcome::Refused, "");
-    EndpointReport report;
-    report.incarnation = 1;
-    report.layers = {RelayTestBed::HalfLayers, 80};
-    bed.kernel.onReport(bed.now, lostId, report);
+    const std::string lostId = reportStage(lost);
     bed.driver.digests.clear();
     bed.advance(Ms(1000));
     const std::vector<wire::EndpointLoad> &loads = bed.driver.digests.back().loads;
@@ -154,10 +161,7 @@
     const AttemptId attempt = startDetour();
     const std::string lost = bed.upperStage();
     bed.kernel.onDetourAnswer(bed.now, attempt, OrderOutcome::UnknownRequest, "");
-    EndpointReport report;
-    report.incarnation = 1;
-    report.layers = {RelayTestBed::HalfLayers, 80};
-    bed.kernel.onReport(bed.now, lost.substr(0, lost.find(':')), report);
+    reportStage(lost);
     bed.advance(Ms(150));
     LONGS_EQUAL(2, bed.driver.sent.size());
     CHECK(!bed.driver.wasCancelled(attempt));
@@ -168,7 +172,7 @@
 /// Guards against a full stage that bars all ways round, since the refusal doesn't name it: it can only be the one that is new on the path.
 TEST(AnAnswerToAnOrder, isTakenAsARefusalOfTheOnlyNewStage)
 {
-    bed.entries.push_back(RelayTestBed::engineEntry("high-c", "zone-c", {RelayTestBed::HalfLayers, 80}));
+    bed.entries.push_back(RelayTestBed::engineEntry("high-c", "zone-c", {RelayTestBed::HalfLayers, AllLayers}));
     bed.kernel.onEndpoints(bed.now, bed.entries, {0, ++bed.storeRevision});
     const AttemptId attempt = startDetour();
     const std::string full = bed.driver.detours.back().hops.back().address;
--- a/libs/relay/tests/SilentStageTests.cpp
+++ b/libs/relay/tests/SilentStageTests.cpp
@@ -39,6 +39,13 @@
         return other;
     }
 
+    /// Lets the stream go on with its latest attempt, which breaks after one event.
+    void breakSecondAttempt()
+    {
+        CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
+        bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    }
+
     /// Lets the stream go on with that attempt until its end.
     void mustEndThere(AttemptId attempt, std::uint64_t nextEvent)
     {
@@ -57,20 +64,18 @@
     const std::string first = loseFirstStage();
     std::find_if(bed.entries.begin(), bed.entries.end(), [&](const EndpointEntry &entry) { return entry.id == first; })->incarnation = 2;
     bed.kernel.onEndpoints(bed.now, bed.entries, {0, ++bed.storeRevision});
-    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
-    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    breakSecondAttempt();
     LONGS_EQUAL(3, bed.driver.sent.size());
 }
 
-/// Guards likewise where the endpoint is silent and has been removed from the list.
+/// Guards against a stream that fails although the silent endpoint of one of its attempts has been removed from the list.
 TEST(AStreamWhoseFirstStageIsSilent, mayMoveOnceMoreIfThatIsGone)
 {
     addThirdFirstStage();
     const std::string first = loseFirstStage();
     std::erase_if(bed.entries, [&](const EndpointEntry &entry) { return entry.id == first; });
     bed.kernel.onEndpoints(bed.now, bed.entries, {0, ++bed.storeRevision});
-    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
-    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    breakSecondAttempt();
     LONGS_EQUAL(3, bed.driver.sent.size());
 }
 
@@ -79,8 +84,7 @@
 {
     addThirdFirstStage();
     loseFirstStage();
-    CHECK(bed.kernel.onEvent(bed.now, bed.lastAttempt(), 3));
-    bed.kernel.onFailure(bed.now, bed.lastAttempt(), AttemptFailure::Broken);
+    breakSecondAttempt();
     LONGS_EQUAL(2, bed.driver.sent.size());
     LONGS_EQUAL(1, bed.driver.brokenStreams.size());
 }
@@ -123,7 +127,7 @@
     mustEndThere(only, 3);
 }
 
-/// Guards likewise where all endpoints with the upper layers are silent at once.
+/// Guards against a stream that is given up since all endpoints with the upper layers are silent at once.
 TEST(AStreamWhoseFirstStageIsSilent, staysThereWhileAllThatHoldALaterRangeAreSilent)
 {
     bed.startStream(2);
