--- a/libs/relay/tests/VirtualCallers.cpp
+++ b/libs/relay/tests/VirtualCallers.cpp
@@ -67,33 +67,44 @@
     caller->sentAt = time_.now();
     caller->key = !isAfterRecovery && draw(4) == 0 ? "key-c" : draw(2) == 0 ? "key-a" : "key-b";
     caller->events = MinEvents + draw(EventCountRange);
-    relay::CallArrival arrival;
-    arrival.call = caller->id;
-    arrival.requestId = caller->requestId;
-    arrival.host = "api.example";
+    relay::CallArrival arrival = arrivalOf(*caller);
     arrival.path = kind.path;
-    arrival.keySha256 = caller->key;
     arrival.timeLimit = kind.timeLimit;
-    arrival.promptTokens = 500;
-    arrival.answerTokens = 100;
-    arrival.fingerprint = caller->id;
     Caller &sent = *caller;
     openCallers_[{sent.instance, sent.id}] = &sent;
     callers_.push_back(std::move(caller));
     instances_[sent.instance]->kernel->onCall(time_.now(), arrival);
     if (!sent.ended && !isAfterRecovery && draw(20) == 0) {
-        time_.after(Ms(draw(1500)), [this, &sent]() {
-            runInInstance(sent.instance, sent.generation, [this, &sent]() {
-                if (!sent.ended) {
-                    sent.ended = true;
-                    openCallers_.erase({sent.instance, sent.id});
-                    instances_[sent.instance]->kernel->onCallerGone(time_.now(), sent.id);
-                }
-            });
-        });
+        leaveLater(sent);
     }
 }
 
+relay::CallArrival VirtualFleet::arrivalOf(const Caller &caller)
+{
+    relay::CallArrival arrival;
+    arrival.call = caller.id;
+    arrival.requestId = caller.requestId;
+    arrival.host = "api.example";
+    arrival.keySha256 = caller.key;
+    arrival.promptTokens = 500;
+    arrival.answerTokens = 100;
+    arrival.fingerprint = caller.id;
+    return arrival;
+}
+
+void VirtualFleet::leaveLater(Caller &caller)
+{
+    time_.after(Ms(draw(1500)), [this, &caller]() {
+        runInInstance(caller.instance, caller.generation, [this, &caller]() {
+            if (!caller.ended) {
+                caller.ended = true;
+                openCallers_.erase({caller.instance, caller.id});
+                instances_[caller.instance]->kernel->onCallerGone(time_.now(), caller.id);
+            }
+        });
+    });
+}
+
 VirtualFleet::Caller *VirtualFleet::callerOf(std::size_t instance, relay::CallId call)
 {
     const auto found = openCallers_.find({instance, call});
--- a/libs/relay/tests/VirtualEndpoints.cpp
+++ b/libs/relay/tests/VirtualEndpoints.cpp
@@ -154,35 +154,18 @@
                            [this, id, incarnation, number]() { advanceRun(id, incarnation, number); });
     }
     Run &run = found->second;
-    const std::string node = instances_[run.instance]->node;
-    const auto notify = [this, run, id, node](const std::function<void(relay::RelayKernel &)> &event) {
-        time_.after(delay(), [this, run, id, node, event]() {
-            if (reaches(node, id)) {
-                runInInstance(run.instance, run.generation, [this, run, event]() { event(*instances_[run.instance]->kernel); });
-            }
-        });
-    };
-    run.stalledOn.clear();
-    for (const relay::Hop &hop : run.pipeline) {
-        if (!isResponsive(*endpointAt(hop.address))) {
-            run.stalledOn = hop.address;
-        }
-    }
+    run.stalledOn = stalledStageOf(run);
     if (!run.stalledOn.empty()) {
         run.stalledSince = run.stalledSince.count() == 0 ? time_.now() : run.stalledSince;
         if (time_.now() - run.stalledSince > StallTimeout) {
-            notify([this, run](relay::RelayKernel &kernel) {
-                const auto caller = std::find_if(callers_.rbegin(), callers_.rend(), [&](const auto &entry) { return entry->requestId == run.requestId; });
-                (*caller)->wasBrokenByEndpoint = true;
-                kernel.onFailure(time_.now(), run.attempt, relay::AttemptFailure::Broken);
-            });
+            breakRun(run, id);
             endpoint.runs.erase(found);
             return;
         }
         return time_.after(EventPeriod, [this, id, incarnation, number]() { advanceRun(id, incarnation, number); });
     }
     run.stalledSince = Instant{0};
-    if (!reaches(node, id)) {
+    if (!reaches(instances_[run.instance]->node, id)) {
         // The endpoint notices the broken connection and ends the run; events that are still in the connection are lost.
         endpoint.runs.erase(found);
         return;
@@ -192,25 +175,63 @@
         run.hasBegun = true;
         recordRun(endpoint, run.requestId);
     }
-    const bool isLast = event >= run.lastEvent;
-    notify([this, run, event, isLast](relay::RelayKernel &kernel) {
+    sendEvent(run, id, event);
+    if (event >= run.lastEvent) {
+        endpoint.runs.erase(found);
+        return;
+    }
+    time_.after(EventPeriod, [this, id, incarnation, number]() { advanceRun(id, incarnation, number); });
+}
+
+std::string VirtualFleet::stalledStageOf(const Run &run)
+{
+    std::string stalledOn;
+    for (const relay::Hop &hop : run.pipeline) {
+        if (!isResponsive(*endpointAt(hop.address))) {
+            stalledOn = hop.address;
+        }
+    }
+    return stalledOn;
+}
+
+VirtualFleet::Caller &VirtualFleet::callerOf(const Run &run)
+{
+    return **std::find_if(callers_.rbegin(), callers_.rend(), [&](const auto &entry) { return entry->requestId == run.requestId; });
+}
+
+void VirtualFleet::notifyInstance(const Run &run, const std::string &endpoint, const std::function<void(relay::RelayKernel &)> &event)
+{
+    const std::string node = instances_[run.instance]->node;
+    time_.after(delay(), [this, run, endpoint, node, event]() {
+        if (reaches(node, endpoint)) {
+            runInInstance(run.instance, run.generation, [this, run, event]() { event(*instances_[run.instance]->kernel); });
+        }
+    });
+}
+
+void VirtualFleet::breakRun(const Run &run, const std::string &endpoint)
+{
+    notifyInstance(run, endpoint, [this, run](relay::RelayKernel &kernel) {
+        callerOf(run).wasBrokenByEndpoint = true;
+        kernel.onFailure(time_.now(), run.attempt, relay::AttemptFailure::Broken);
+    });
+}
+
+void VirtualFleet::sendEvent(const Run &run, const std::string &endpoint, std::uint64_t event)
+{
+    notifyInstance(run, endpoint, [this, run, event](relay::RelayKernel &kernel) {
         if (kernel.onEvent(time_.now(), run.attempt, event)) {
-            const auto caller = std::find_if(callers_.rbegin(), callers_.rend(), [&](const auto &entry) { return entry->requestId == run.requestId; });
-            if (event != (*caller)->delivered + 1) {
-                addViolation(run.requestId + " got event " + std::to_string(event) + " after " + std::to_string((*caller)->delivered));
+            Caller &caller = callerOf(run);
+            if (event != caller.delivered + 1) {
+                addViolation(run.requestId + " got event " + std::to_string(event) + " after " + std::to_string(caller.delivered));
             }
-            (*caller)->delivered = event;
-            (*caller)->deliveredAt = time_.now();
+            caller.delivered = event;
+            caller.deliveredAt = time_.now();
         }
-        if (isLast) {
+        if (event >= run.lastEvent) {
             kernel.onStreamEnd(time_.now(), run.attempt);
         }
     });
-    if (isLast) {
-        endpoint.runs.erase(found);
-        return;
-    }
-    time_.after(EventPeriod, [this, id, incarnation, number]() { advanceRun(id, incarnation, number); });
 }
 
 void VirtualFleet::deliverToDesk(std::size_t instance, std::uint64_t generation, const relay::Dispatch &dispatch, const std::string &requestId)
--- a/libs/relay/tests/VirtualFleet.h
+++ b/libs/relay/tests/VirtualFleet.h
@@ -4,6 +4,7 @@
 #include "VirtualTime.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -268,6 +269,14 @@
     void deliverToDesk(std::size_t instance, std::uint64_t generation, const relay::Dispatch &dispatch, const std::string &requestId);
     /// Sends the next event of a run, or breaks the run off if it has stalled for too long; schedules itself until the run ends.
     void advanceRun(const std::string &endpoint, std::uint64_t incarnation, std::uint64_t run);
+    /// Returns the address of a stage that is down; empty if the run makes progress.
+    std::string stalledStageOf(const Run &run);
+    /// Delivers something of a run to the instance that sent it, after the delay of the network, if that still reaches the endpoint.
+    void notifyInstance(const Run &run, const std::string &endpoint, const std::function<void(relay::RelayKernel &)> &event);
+    /// Breaks the connection of a run, and notes that its endpoint has done so.
+    void breakRun(const Run &run, const std::string &endpoint);
+    /// Sends an event of a run and, with the last one, the end of its stream.
+    void sendEvent(const Run &run, const std::string &endpoint, std::uint64_t event);
     /// Executes an order as a real endpoint would: checks the order count and the fence, and loads the layers.
     relay::OrderOutcome handleOrder(const relay::PlacementOrder &order);
     /// Replaces the pipeline of a run at its first stage. If a stage is unusable, the detour is refused and `faultAddress` names
@@ -285,8 +294,14 @@
     // Callers.
     /// Makes one call to a random instance and schedules the next one, until the last period ends.
     void sendCall();
+    /// Returns what an instance gets of a request, but for its route.
+    static relay::CallArrival arrivalOf(const Caller &caller);
+    /// Makes a caller leave after a random time, unless it has its answer by then.
+    void leaveLater(Caller &caller);
     /// Null if the call isn't open.
     Caller *callerOf(std::size_t instance, relay::CallId call);
+    /// Returns the caller of a request that runs.
+    Caller &callerOf(const Run &run);
     void endCall(Caller &caller, bool served);
     /// Returns whether only the router can be why a stream is broken off now.
     bool isBrokenByRouter(const Caller &caller) const;
