Words: received, reported and sent in place of heard and told; comments that are sentences of their own

Three tests are renamed, their bodies are as they were: isReportedAtOnceOnlyIfItChangesByMoreThanALittle, isAvoidedByInstancesThatGetItsFailuresByDigest, countsListedInstancesThatSendNothing. Comments of tests that began with 'Guards likewise' or 'The same' say what they guard against.

--- a/libs/net/tests/EndlessPeer.h
+++ b/libs/net/tests/EndlessPeer.h
@@ -17,7 +17,7 @@
 
 /// Bytes after which a test gives up: far more than any bound permits.
 inline constexpr std::size_t EndlessTotalBytes = 32 * 1024 * 1024;
-/// The same for a peer that sends them one by one.
+/// Bytes after which a test gives up a peer that sends them one by one.
 inline constexpr std::size_t EndlessSingleBytes = 128 * 1024;
 
 /// Returns the piece as often as fits into a large write.
--- a/libs/relay/src/CrashEvidence.cpp
+++ b/libs/relay/src/CrashEvidence.cpp
@@ -9,7 +9,7 @@
 
 /// Crashes that convict a signature.
 constexpr std::size_t ConvictingCrashes = 3;
-/// Crashes of one signature that are told from each other.
+/// Crashes of one signature that are distinguished from each other.
 constexpr std::size_t MaxCrashes = 32;
 /// Signatures that are remembered. A crash with many open requests names many; those with the least evidence are dropped first.
 constexpr std::size_t MaxSignatures = 1024;
@@ -68,7 +68,7 @@
 bool CrashEvidence::add(std::uint64_t signature, const Suspicion &suspicion)
 {
     if (Suspicion *known = find(signature, suspicion.crash, suspicion.inference)) {
-        // The report that came fastest tells best when the crash happened.
+        // The report that came fastest shows best when the crash happened.
         known->crashedAt = std::min(known->crashedAt, suspicion.crashedAt);
         return false;
     }
@@ -240,7 +240,7 @@
         bool wasServed = false;
         std::map<std::uint64_t, Instant> crashes;
 
-        /// Candidates of the same rank can't be told from each other.
+        /// Candidates of the same rank can't be distinguished.
         std::pair<bool, std::size_t> rank() const
         {
             return {!wasServed, crashes.size()};
--- a/libs/relay/src/CrashGuard.cpp
+++ b/libs/relay/src/CrashGuard.cpp
@@ -15,13 +15,13 @@
 constexpr Ms RefuteTimeout{20000};
 /// Limits the memory that a burst of broken attempts can take; the oldest are dropped first.
 constexpr std::size_t MaxBrokenAttempts = 1024;
-/// What convicts a signature is told again after this time.
+/// What convicts a signature is sent to the other instances again after this time.
 constexpr Ms RepeatPeriod{2400};
-/// Time in which a probe shows whether it crashes its endpoint and the others have heard of it.
+/// Time in which a probe shows whether it crashes its endpoint and the others have received the report.
 constexpr Ms ProbeTimeout{3000};
 /// Once a probe is due, the expected number of instances that may send it doubles in this time. The first one that gets such a request sends it.
 constexpr double TurnPeriodMs = 1000;
-/// A request with several convicted signatures tells little about each of them: it is probed only after this multiple of the interval.
+/// A request with several convicted signatures shows little about each of them: it is probed only after this multiple of the interval.
 constexpr int AmbiguousProbeFactor = 3;
 
 /// Time in which an endpoint that lives answers another instance that asks it after a report. No process that has crashed is back so soon.
@@ -346,8 +346,8 @@
 CrashNews CrashGuard::takeNews(Instant now)
 {
     CrashNews taken = std::exchange(news_, {});
-    if (now >= convictionsToldAt_ + RepeatPeriod) {
-        convictionsToldAt_ = now;
+    if (now >= convictionsSentAt_ + RepeatPeriod) {
+        convictionsSentAt_ = now;
         std::erase_if(taken.reports, [&](const wire::CrashReport &report) { return evidence_.conviction(report.signature) != nullptr; });
         const std::vector<wire::CrashReport> convicting = evidence_.convictingReports(now);
         taken.reports.insert(taken.reports.end(), convicting.begin(), convicting.end());
--- a/libs/relay/src/DigestRoutes.cpp
+++ b/libs/relay/src/DigestRoutes.cpp
@@ -50,7 +50,7 @@
         node.isListed = true;
         node.order = orderOf(instance.id);
         // What an instance says of itself is newer than the list.
-        if (node.heardAt.count() == 0) {
+        if (node.receivedAt.count() == 0) {
             node.meshAddress = instance.meshAddress;
             node.zone = instance.zone;
         }
@@ -70,7 +70,7 @@
         node.zone = digest.zone;
     }
     node.isStale = digest.isStale;
-    node.heardAt = now;
+    node.receivedAt = now;
     node.awaitedSince = Instant{0};
     node.avoidedUntil = digest.leaving ? now + AvoidPeriod : Instant{0};
     node.zoneSumAt = digest.scope == wire::DigestScope::Zone ? now : node.zoneSumAt;
@@ -118,12 +118,12 @@
 
 bool DigestRoutes::isLive(const Node &node, Instant now)
 {
-    return node.heardAt.count() != 0 && now < node.heardAt + AnswerTimeout;
+    return node.receivedAt.count() != 0 && now < node.receivedAt + AnswerTimeout;
 }
 
 void DigestRoutes::forget(Instant now)
 {
-    std::erase_if(nodes_, [&](const auto &entry) { return !entry.second.isListed && now >= entry.second.heardAt + NodeLifetime; });
+    std::erase_if(nodes_, [&](const auto &entry) { return !entry.second.isListed && now >= entry.second.receivedAt + NodeLifetime; });
 }
 
 void DigestRoutes::update(Instant now)
--- a/libs/relay/src/EndpointHealth.cpp
+++ b/libs/relay/src/EndpointHealth.cpp
@@ -138,7 +138,7 @@
         impl_->planner.onReport(now, *index, false);
         return;
     }
-    impl_->onHeard(now, *index, false);
+    impl_->onReceived(now, *index, false);
     const double slowdownBefore = state.slowdown;
     impl_->endpoints.onReport(*index, *report, now);
     if ((state.slowdown >= MinSlowdown) != (slowdownBefore >= MinSlowdown)) {
--- a/libs/relay/src/EndpointReach.cpp
+++ b/libs/relay/src/EndpointReach.cpp
@@ -10,13 +10,13 @@
 
 /// Endpoints that must fail before the instance counts as cut off; all, if there are fewer.
 constexpr std::size_t FailuresNeeded = 3;
-/// A single endpoint that fails tells nothing of the way to it.
+/// A single endpoint that fails shows nothing about the network.
 constexpr std::size_t MinEndpoints = 2;
 /// Failures at the same moment, as of a rack that is lost, are not yet a cut.
 constexpr Ms MinDoubt{100};
 /// Failures that no other one joins are forgotten after this time.
 constexpr Ms FailureLifetime{3000};
-/// An endpoint is checked if a request waits and nothing has been heard of any endpoint for this time, but no more often than that.
+/// An endpoint is checked if a request waits and nothing has been received from any endpoint for this time, but no more often than that.
 constexpr Ms MaxSilence{250};
 constexpr Ms SilenceCheckPeriod{1000};
 /// A check whose result isn't there after this time was not made, or has been lost.
@@ -35,7 +35,7 @@
 void EndpointReach::onReached(Instant now)
 {
     reachedAt_ = now;
-    heardAt_ = now;
+    receivedAt_ = now;
     failedAt_.clear();
     pendingChecks_.clear();
     isSilent_ = false;
@@ -55,7 +55,7 @@
 
 void EndpointReach::onWaiting(Instant since, Instant now)
 {
-    const Instant quietSince = std::max(since, heardAt_);
+    const Instant quietSince = std::max(since, receivedAt_);
     if (now >= quietSince + MaxSilence && now >= silentAt_ + SilenceCheckPeriod) {
         silentAt_ = now;
         isSilent_ = true;
--- a/libs/relay/src/HandOverPeers.cpp
+++ b/libs/relay/src/HandOverPeers.cpp
@@ -62,7 +62,7 @@
         }
     }
     if (found != peers_.end()) {
-        found->second.heardAt = now;
+        found->second.receivedAt = now;
         found->second.isUnfit = digest.leaving || digest.reachesNoEndpoint;
         found->second.configVersion = digest.configVersion;
     }
@@ -94,13 +94,13 @@
 
 bool HandOverPeers::isFit(const Peer &peer, Instant now) const
 {
-    const bool isKnownAsUnfit = peer.isUnfit && now < peer.heardAt + DigestLifetime;
+    const bool isKnownAsUnfit = peer.isUnfit && now < peer.receivedAt + DigestLifetime;
     return !peer.address.empty() && !isKnownAsUnfit && now >= peer.avoidedUntil;
 }
 
 bool HandOverPeers::isBehind(const Peer &peer, std::uint64_t configVersion, Instant now) const
 {
-    return now < peer.heardAt + DigestLifetime && peer.configVersion < configVersion;
+    return now < peer.receivedAt + DigestLifetime && peer.configVersion < configVersion;
 }
 
 std::optional<std::string> HandOverPeers::choose(std::span<const std::string> excluded, std::uint64_t configVersion, Instant now)
--- a/libs/relay/src/PeerLoads.cpp
+++ b/libs/relay/src/PeerLoads.cpp
@@ -52,7 +52,7 @@
 void PeerLoads::onInstances(const std::vector<InstanceEntry> &instances)
 {
     if (routes_.listedInstances() == 0) {
-        expedite(); // The others have not heard of this instance yet.
+        expedite(); // The others have no digest of this instance yet.
     }
     routes_.onInstances(instances);
 }
--- a/libs/relay/src/ReachChecks.cpp
+++ b/libs/relay/src/ReachChecks.cpp
@@ -15,13 +15,13 @@
     return inService;
 }
 
-void RelayKernel::Impl::onHeard(Instant now, EndpointIndex endpoint, bool isOnNewConnection)
+void RelayKernel::Impl::onReceived(Instant now, EndpointIndex endpoint, bool isOnNewConnection)
 {
     endpoints.at(endpoint).answeredAt = now;
     if (isOnNewConnection) {
         reach.onReached(now);
     } else {
-        reach.onHeard(now);
+        reach.onReceived(now);
     }
 }
 
@@ -108,7 +108,7 @@
     const bool givesReports = !state.entry.accelerator.empty();
     state.reportPending = state.reportPending && givesReports;
     if (outcome == CheckOutcome::Answered) {
-        impl_->onHeard(now, *index, true);
+        impl_->onReceived(now, *index, true);
         if (!givesReports) {
             impl_->endpoints.endSilence(*index);
         }
--- a/libs/relay/src/RelayKernel.cpp
+++ b/libs/relay/src/RelayKernel.cpp
@@ -272,7 +272,7 @@
         return; // Perhaps another endpoint has answered, at an address that is in use again.
     }
     const EndpointIndex first = found->second.stages.front();
-    impl_->onHeard(now, first, head.isOnNewConnection);
+    impl_->onReceived(now, first, head.isOnNewConnection);
     if (head.leaving) {
         impl_->onLeaving(first, impl_->incarnationOf(attempt), "in an answer to this instance");
     }
@@ -299,7 +299,7 @@
     if (call == nullptr) {
         return;
     }
-    impl_->onHeard(now, impl_->attempts.at(attempt).stages.front(), head.isOnNewConnection);
+    impl_->onReceived(now, impl_->attempts.at(attempt).stages.front(), head.isOnNewConnection);
     if (call->route->kind == RequestKind::Stream) {
         impl_->onStreamRefused(now, *call, attempt, head);
     } else {
--- a/libs/relay/src/RequestLimits.cpp
+++ b/libs/relay/src/RequestLimits.cpp
@@ -17,7 +17,7 @@
 constexpr Ms MinAdvance{100};
 /// A limit has changed for the log, and for a digest before its time, if it differs by more than this part of the higher one.
 constexpr double MinChange = 0.1;
-/// What an endpoint has said is told to other instances for this time; it is said again with each answer.
+/// A limit that an endpoint has stated is reported to other instances for this time; each answer states it again.
 constexpr Ms ReportLifetime{3000};
 /// A limit that no answer has repeated for this time is dropped: the endpoint may have no work that could end it.
 constexpr Ms LimitLifetime{30000};
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -258,7 +258,7 @@
         return false;
     }
     openAttempt.lastProgressAt = now;
-    impl_->onHeard(now, openAttempt.stages.front(), false);
+    impl_->onReceived(now, openAttempt.stages.front(), false);
     if (!openAttempt.hasEvents) {
         impl_->endpoints.at(openAttempt.stages.front()).recent.onAnswer(false, now);
         for (const EndpointIndex stage : openAttempt.stages) {
--- a/libs/relay/src/details/CrashGuard.h
+++ b/libs/relay/src/details/CrashGuard.h
@@ -40,7 +40,7 @@
     std::vector<wire::CrashReport> reports = {};
 };
 
-/// What an instance has to tell the others about crashes.
+/// What an instance reports to the others about crashes.
 struct CrashNews {
     std::vector<wire::CrashReport> reports;
     std::vector<wire::CrashRefutation> refutations;
@@ -123,7 +123,7 @@
 
     /// Returns the news since the last call. Those that convict a signature are among them again after a while, for instances that have missed them.
     CrashNews takeNews(Instant now);
-    /// Returns true if there are news that the others have not been told.
+    /// Returns true if there is something that has not been reported to the others yet.
     bool hasNews() const
     {
         return !news_.isEmpty();
@@ -214,7 +214,7 @@
     CrashNews news_;
     std::vector<std::uint64_t> acquitted_;
     /// When the convicting reports were last among the news.
-    Instant convictionsToldAt_{0};
+    Instant convictionsSentAt_{0};
 };
 
 } // namespace relay
--- a/libs/relay/src/details/DigestRoutes.h
+++ b/libs/relay/src/details/DigestRoutes.h
@@ -73,7 +73,7 @@
         /// Its knowledge of the store was stale when it sent its last digest.
         bool isStale = false;
         /// When its last digest arrived, and its last one with the sum of a zone.
-        Instant heardAt{0};
+        Instant receivedAt{0};
         Instant zoneSumAt{0};
         /// When it last used this instance as an aggregator, and whether it requested the loads of the fleet.
         Instant usedAt{0};
@@ -96,7 +96,7 @@
     static Aggregators choose(const std::vector<NodeMap::value_type *> &instances, std::optional<std::uint64_t> ownOrder, Instant now);
     /// Returns the aggregators of this instance's zone; the first live one comes first.
     Aggregators ownAggregators(Instant now) const;
-    /// Forgets instances that are neither listed nor heard.
+    /// Forgets instances that are not listed and have sent nothing lately.
     void forget(Instant now);
 
     std::string ownId_;
--- a/libs/relay/src/details/EndpointReach.h
+++ b/libs/relay/src/details/EndpointReach.h
@@ -32,9 +32,9 @@
     /// Takes that an endpoint has answered over a new connection: there is a way to the endpoints.
     void onReached(Instant now);
     /// Takes that something has come from an endpoint, perhaps over an old connection.
-    void onHeard(Instant now)
+    void onReceived(Instant now)
     {
-        heardAt_ = now;
+        receivedAt_ = now;
     }
     /// Takes that an endpoint could not be reached, broke off, or has not answered in time.
     void onFailed(EndpointIndex endpoint, Instant now);
@@ -69,12 +69,12 @@
     std::uint64_t seed_ = 0;
     std::uint64_t draws_ = 0;
     Instant reachedAt_{0};
-    Instant heardAt_{0};
+    Instant receivedAt_{0};
     /// Endpoints that have failed since one was reached last, and when they last did.
     std::map<EndpointIndex, Instant> failedAt_;
     /// When the first of them failed.
     Instant doubtSince_{0};
-    /// A check is wanted although nothing has failed: nothing has been heard for a while. When that was last so.
+    /// A check is wanted although nothing has failed: nothing has been received for a while. When that was last so.
     bool isSilent_ = false;
     Instant silentAt_{0};
     /// Checks whose results are awaited, and when they were chosen.
--- a/libs/relay/src/details/HandOverPeers.h
+++ b/libs/relay/src/details/HandOverPeers.h
@@ -45,7 +45,7 @@
         std::string zone;
         /// It reaches no endpoint either, or leaves, as its last digest says; and when that came.
         bool isUnfit = false;
-        Instant heardAt{0};
+        Instant receivedAt{0};
         /// Version of the configuration that it names there.
         std::uint64_t configVersion = 0;
         Instant avoidedUntil{0};
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -125,7 +125,7 @@
     void markSilent(Instant now, EndpointIndex index, const std::string &requestId, const std::string &evidence);
     /// Takes the loads, crash reports and endpoint states that another instance has sent.
     void onDigest(Instant now, const wire::RelayDigest &digest);
-    /// Takes from an endpoint itself, or from another instance, that an incarnation of it leaves: it gets no new requests, and the others are told.
+    /// Takes from an endpoint itself, or from another instance, that an incarnation of it leaves: it gets no new requests, and that is reported to the others.
     void onLeaving(EndpointIndex endpoint, std::uint64_t incarnation, const std::string &origin);
     /// Writes to the log what an endpoint has said about the requests that it takes, and to whom.
     void recordLimit(EndpointIndex endpoint, double perSecond, const std::string &origin);
@@ -152,7 +152,7 @@
     /// Returns the listed endpoints that aren't leaving.
     std::vector<EndpointIndex> endpointsInService() const;
     /// Takes note that an endpoint has answered.
-    void onHeard(Instant now, EndpointIndex endpoint, bool isOnNewConnection);
+    void onReceived(Instant now, EndpointIndex endpoint, bool isOnNewConnection);
     /// Decides whether this instance is cut off, and makes the checks that this takes.
     void checkReach(Instant now);
     /// Does what follows from the beginning and the end of a cut.
--- a/libs/relay/src/details/PeerLoads.h
+++ b/libs/relay/src/details/PeerLoads.h
@@ -82,7 +82,7 @@
     /// first list.
     std::optional<std::uint32_t> instances(Instant now) const;
     /// Returns the most instances that there may be: those known by digests or the listed ones, whichever are more; none before the first list. An instance
-    /// that is cut off from others hears of few of them, but they live.
+    /// that is cut off from others receives the digests of few of them, but they live.
     std::optional<std::uint32_t> mostInstances(Instant now) const;
 
 private:
--- a/libs/relay/src/details/RequestLimits.h
+++ b/libs/relay/src/details/RequestLimits.h
@@ -7,9 +7,9 @@
 
 /// Keeps the limits that endpoints name: the requests a second that one takes from all instances together.
 ///
-/// Each instance uses its share of a limit, so that no instance has to ask before it sends. What an endpoint has said last counts, whichever instance heard it:
-/// statements are exchanged with their age. Credit accrues with the share. In a large fleet a share may be a small fraction of a request a second, and if every
-/// instance could save up a whole request, all might send theirs at once. So credit is saved up only for a short time, and a part of a whole request is
+/// Each instance uses its share of a limit, so that no instance has to ask before it sends. What an endpoint has said last counts, whichever instance received
+/// it: statements are exchanged with their age. Credit accrues with the share. In a large fleet a share may be a small fraction of a request a second, and if
+/// every instance could save up a whole request, all might send theirs at once. So credit is saved up only for a short time, and a part of a whole request is
 /// exchanged for one with the probability that it stands for.
 class RequestLimits
 {
--- a/libs/relay/tests/BackoffTests.cpp
+++ b/libs/relay/tests/BackoffTests.cpp
@@ -150,7 +150,7 @@
     CHECK(bed.driver.rejected.back().rejection.retryAfter >= Wish);
 }
 
-/// Guards likewise for streams, whose first layers are held by endpoints that want no requests.
+/// Guards against a stream that is rejected without a time to return, while the endpoints that hold its first layers want no requests.
 TEST(AnEndpointThatWantsNoRequestsForATime, makesTheCallerOfAStreamReturnThen)
 {
     bed.call("/stream/x");
--- a/libs/relay/tests/CrashSignTests.cpp
+++ b/libs/relay/tests/CrashSignTests.cpp
@@ -154,7 +154,7 @@
 
     RelayTestBed bed;
 
-    void hearOfCrashes()
+    void receiveCrashReports()
     {
         wire::RelayDigest digest;
         digest.instance = "two";
@@ -169,7 +169,7 @@
 /// Guards against sound requests being rejected everywhere because one instance has lost its way to some endpoints.
 TEST(AnInstanceThatHearsOfCrashes, rejectsNoRequestIfTheEndpointsAnswerIt)
 {
-    hearOfCrashes();
+    receiveCrashReports();
     bed.advance(Ms(200));
     bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
     LONGS_EQUAL(1, bed.driver.sent.size());
@@ -179,7 +179,7 @@
 TEST(AnInstanceThatHearsOfCrashes, rejectsTheRequestIfNothingIsFoundThere)
 {
     bed.unreachable = {"desk-a", "desk-b", "desk-c"};
-    hearOfCrashes();
+    receiveCrashReports();
     bed.advance(Ms(200));
     bed.call("/book/x", "key-a", Ms(1000), Fingerprint);
     LONGS_EQUAL(0, bed.driver.sent.size());
--- a/libs/relay/tests/EndpointReachTests.cpp
+++ b/libs/relay/tests/EndpointReachTests.cpp
@@ -4,7 +4,7 @@
 
 using namespace relay;
 
-/// An instance before eight endpoints, whose answers and failures it is told.
+/// An instance before eight endpoints, whose answers and failures it receives.
 TEST_GROUP(TheReachOfAnInstance)
 {
     std::vector<EndpointIndex> endpoints = {0, 1, 2, 3, 4, 5, 6, 7};
@@ -44,7 +44,7 @@
     CHECK(advance(Ms(500)) == EndpointReach::Change::None);
 }
 
-/// Guards against a cut that isn't found: everything fails, or nothing is heard.
+/// Guards against a cut that isn't found: everything fails, or nothing is received.
 TEST(TheReachOfAnInstance, isLostOnceSeveralEndpointsHaveFailedAndNoneAnswers)
 {
     reach.onReached(now);
--- a/libs/relay/tests/HandOverTests.cpp
+++ b/libs/relay/tests/HandOverTests.cpp
@@ -229,7 +229,7 @@
     LONGS_EQUAL(1, bed.driver.endedStreams.size());
 }
 
-/// Guards likewise where another instance is there, but the route permits no further run once this one counts as given up.
+/// Guards against a stream that is taken from an instance that is silent for a while, although its route permits no further run elsewhere.
 TEST(ARequestThatIsHandedOver, staysWhereItIsIfItsRunsAreUsedUp)
 {
     bed.kernel.onInstances(bed.now,
--- a/libs/relay/tests/LeavingEndpointTests.cpp
+++ b/libs/relay/tests/LeavingEndpointTests.cpp
@@ -203,10 +203,10 @@
     RelayTestBed other;
     other.kernel.onPeerMessage(other.now, digest);
     STRCMP_EQUAL("draining", stateIn(other.kernel, "desk-a").c_str());
-    // The others pass it on, since some instances hear of this one only through them.
+    // The others pass it on, since some instances get its digests only through them.
     other.advance(Ms(150));
     LONGS_EQUAL(1, other.driver.digests.back().leavingEndpoints.size());
-    // The list tells it to all: the digests need not repeat it.
+    // The list shows it to all: the digests need not repeat it.
     entry("desk-a").draining = true;
     bed.advance(Ms(700));
     LONGS_EQUAL(0, bed.driver.digests.back().leavingEndpoints.size());
--- a/libs/relay/tests/RequestLimitTests.cpp
+++ b/libs/relay/tests/RequestLimitTests.cpp
@@ -107,7 +107,7 @@
     LONGS_EQUAL(Ms(2000) / InstanceFleet::Step, sent);
 }
 
-/// Guards against instances that were told by none of the endpoint's answers going past its limit, the new and the restarted ones included.
+/// Guards against instances that got the limit from none of the endpoint's answers going past it, the new and the restarted ones included.
 TEST(ARequestLimitOfAnEndpoint, isKnownToInstancesThatStartLater)
 {
     constexpr double Limit = 1.0;
@@ -124,7 +124,7 @@
 }
 
 /// Guards against a limit that varies from answer to answer making each answer a reason for a digest before its time.
-TEST(ARequestLimitOfAnEndpoint, isToldAtOnceOnlyIfItChangesByMoreThanALittle)
+TEST(ARequestLimitOfAnEndpoint, isReportedAtOnceOnlyIfItChangesByMoreThanALittle)
 {
     RelayTestBed bed;
     const auto digestsIn = [&](Ms duration) {
--- a/libs/relay/tests/RestoredStoreTests.cpp
+++ b/libs/relay/tests/RestoredStoreTests.cpp
@@ -107,7 +107,7 @@
     STRCMP_EQUAL("usable", stateOf("desk-b").c_str());
 }
 
-/// Instances that have not heard of the restore go on naming high revisions; each would cost a request, and a read of the store after it.
+/// Instances that don't know of the restore go on naming high revisions; each would cost a request, and a read of the store after it.
 TEST(AnInstanceWhoseStoreIsRestored, requestsNothingThatADigestOfTheEpochBeforeNames)
 {
     restore();
--- a/libs/relay/tests/RetryLimitTests.cpp
+++ b/libs/relay/tests/RetryLimitTests.cpp
@@ -110,8 +110,8 @@
     }
 }
 
-/// Guards against an instance that hears of one other only, since it is cut off from the rest, and takes half of the reserve.
-TEST(TheLimitOnRetries, countsListedInstancesThatAreNotHeard)
+/// Guards against an instance that receives the digests of one other only, since it is cut off from the rest, and takes half of the reserve.
+TEST(TheLimitOnRetries, countsListedInstancesThatSendNothing)
 {
     constexpr double Instances = 8;
     RelayTestBed bed;
--- a/libs/relay/tests/RetryWaitTests.cpp
+++ b/libs/relay/tests/RetryWaitTests.cpp
@@ -64,7 +64,7 @@
     LONGS_EQUAL(0, bed.kernel.openCalls());
 }
 
-/// Guards likewise against a caller that waits for nothing: it has got no event yet, and may ask again at once.
+/// Guards against a caller that waits for nothing: it has got no event yet, and may ask again at once.
 TEST(AStreamBeyondTheLimitOnRetries, isAnsweredAtOnceIfItHasNotBegun)
 {
     bed.startStream(0);
@@ -93,7 +93,7 @@
     CHECK(bed.kernel.onEvent(bed.now, slow, 3));
 }
 
-/// Guards likewise where a further attempt is permitted: the first one stays until the second has the next event.
+/// Guards against a stream that loses its first attempt to one that has nothing yet: the first stays until the second has the next event.
 TEST(AStreamBeyondTheLimitOnRetries, keepsAnAttemptWithoutProgressBesideTheNext)
 {
     bed.startStream(2);
--- a/libs/relay/tests/SharedKnowledgeTests.cpp
+++ b/libs/relay/tests/SharedKnowledgeTests.cpp
@@ -201,7 +201,7 @@
     CHECK(sentThere <= 3);
 }
 
-TEST(AnEndpointThatFailsItsStreams, isAvoidedByInstancesThatOthersHaveTold)
+TEST(AnEndpointThatFailsItsStreams, isAvoidedByInstancesThatGetItsFailuresByDigest)
 {
     wire::RelayDigest digest = digestOf("two");
     digest.failing.push_back({wire::endpointHash("low-a"), 10, 10});
--- a/libs/relay/tests/StreamResumeTests.cpp
+++ b/libs/relay/tests/StreamResumeTests.cpp
@@ -27,7 +27,7 @@
     CHECK(!bed.kernel.onEvent(bed.now, second, 4));
 }
 
-/// The same after one event only, where the new run's first event can't be told from a repeated one.
+/// Guards against the events of two runs in one stream that had one event only: the new run's first event looks like a repeated one.
 TEST(AResumedStream, isNotContinuedByANewRunAfterItsFirstEvent)
 {
     const CallId stream = bed.startStream(1);
@@ -49,7 +49,7 @@
     LONGS_EQUAL(stream, bed.driver.endedStreams.back());
 }
 
-/// The same where the caller itself resumes a stream that another instance has begun.
+/// Guards against the events of two runs in a stream that its caller resumes and another instance has begun.
 TEST(AResumedStream, isNotResumedForItsCallerByAnEndpointThatBeginsANewRun)
 {
     CallArrival arrival = bed.nextArrival("/stream/x");
--- a/libs/relay/tests/UpgradeTests.cpp
+++ b/libs/relay/tests/UpgradeTests.cpp
@@ -316,7 +316,7 @@
     CHECK(sum.leasesOfToday > 0);
 }
 
-/// An instance of today hears of crashes from one of an earlier landing, which infers them from what endpoints don't do and doesn't say so.
+/// An instance of today gets crash reports from one of an earlier landing, which infers them from what endpoints don't do and doesn't say so.
 TEST_GROUP(AnInstanceThatHearsOfCrashesFromAnEarlierLanding)
 {
     static constexpr std::uint64_t Fingerprint = 777;
@@ -325,7 +325,7 @@
 
     RelayTestBed bed;
 
-    void hearOfCrashes()
+    void receiveCrashReports()
     {
         wire::RelayDigest digest;
         digest.instance = "two";
@@ -348,7 +348,7 @@
 TEST(AnInstanceThatHearsOfCrashesFromAnEarlierLanding, rejectsNoRequestIfTheEndpointsLive)
 {
     for (int i = 0; i < 3; ++i) {
-        hearOfCrashes();
+        receiveCrashReports();
         bed.advance(Ms(200));
         LONGS_EQUAL(1, sentNow());
         bed.advance(ListLag);
@@ -360,7 +360,7 @@
 TEST(AnInstanceThatHearsOfCrashesFromAnEarlierLanding, rejectsTheRequestIfNothingIsFoundThere)
 {
     bed.unreachable = {"desk-a", "desk-b", "desk-c"};
-    hearOfCrashes();
+    receiveCrashReports();
     bed.advance(Ms(200));
     LONGS_EQUAL(0, sentNow());
 }
@@ -368,7 +368,7 @@
 /// Guards against true evidence being refuted by the answers of processes that have taken the place of those that crashed, before the list shows them.
 TEST(AnInstanceThatHearsOfCrashesFromAnEarlierLanding, rejectsTheRequestOnceTheListShowsTheRestarts)
 {
-    hearOfCrashes();
+    receiveCrashReports();
     bed.advance(Ms(1000));
     for (EndpointEntry &entry : bed.entries) {
         entry.incarnation += entry.id.starts_with("desk") ? 1 : 0;
--- a/trefoilport/tests/KernelEventTests.cpp
+++ b/trefoilport/tests/KernelEventTests.cpp
@@ -244,7 +244,7 @@
     mustLeaveTheStreamAlone();
 }
 
-/// Guards likewise while the limit on retries is used up.
+/// Guards against a stream that is cut at an engine which is silent for a moment, while the limit on retries is used up.
 TEST(AProbeThatIsNotAnswered, endsNoStreamBeyondTheLimitOnRetries)
 {
     permitNoRetry(6, 0);
