--- a/trefoilport/tests/TestFleet.cpp
+++ b/trefoilport/tests/TestFleet.cpp
@@ -152,6 +152,13 @@
     endpoint.info = {id, EndpointKind::Engine, id, "zone-0", 1 + ++state_->sequence, false, "tutor", firstLayer, endLayer, 1000, capacity};
 }
 
+void TestFleet::addPipeline(const std::string &suffix)
+{
+    constexpr std::uint32_t EngineCapacity = 64;
+    addEngine("front-" + suffix, 0, 4, EngineCapacity);
+    addEngine("back-" + suffix, 4, 12, EngineCapacity);
+}
+
 void TestFleet::addService(const std::string &id)
 {
     Endpoint &endpoint = state_->endpoints[id];
--- a/trefoilport/tests/TestFleet.h
+++ b/trefoilport/tests/TestFleet.h
@@ -115,6 +115,8 @@
     /// Adds an engine that holds the layers from firstLayer to endLayer, exclusive, and is listed with a capacity of `capacity` calls. An engine with
     /// this id is replaced by a new incarnation.
     void addEngine(const std::string &id, std::uint32_t firstLayer, std::uint32_t endLayer, std::uint32_t capacity = 16);
+    /// Adds the engines of a pipeline of two stages, front-SUFFIX and back-SUFFIX.
+    void addPipeline(const std::string &suffix);
     /// Adds an endpoint of the service that its id names up to the first hyphen, or replaces it by a new incarnation.
     void addService(const std::string &id);
     /// Ends an endpoint's process, so that its connections break.
