--- a/programs/trefoilctl/main.cpp
+++ b/programs/trefoilctl/main.cpp
@@ -110,10 +110,12 @@
     return ExitCode::Usage;
 }
 
-/// All commands by name.
-const std::map<std::string, Command> &commands()
+using Commands = std::map<std::string, Command>;
+
+/// The commands about settings.
+Commands settingsCommands()
 {
-    static const std::map<std::string, Command> table = {
+    return {
         {"check",
          {"FOLDER",
           "validates a folder of settings without contacting any server",
@@ -141,6 +143,22 @@
           [](const Arguments &a) {
               return diff(applyOptions(a[0]));
           }}},
+        {"settings",
+         {"",
+          "lists every setting with default, unit and range",
+          0,
+          false,
+          false,
+          [](const Arguments &) {
+              return listSettings();
+          }}},
+    };
+}
+
+/// The commands that show what instances know and have done.
+Commands viewCommands()
+{
+    return {
         {"status",
          {"",
           "shows the state of the given instances",
@@ -169,24 +187,6 @@
           [](const Arguments &) {
               return showInstances(showOptions());
           }}},
-        {"drain",
-         {"ENDPOINT",
-          "makes all instances give an endpoint no new work",
-          1,
-          false,
-          true,
-          [](const Arguments &a) {
-              return drainEndpoint(showOptions(), a[0]);
-          }}},
-        {"lift",
-         {"SIGNATURE",
-          "ends a quarantine that status lists, on all instances",
-          1,
-          false,
-          true,
-          [](const Arguments &a) {
-              return liftQuarantine(showOptions(), a[0]);
-          }}},
         {"timeline",
          {"",
           "shows the events of all given instances in order",
@@ -205,16 +205,43 @@
           [](const Arguments &a) {
               return explainRequest(a[0], {a.begin() + 1, a.end()}, FLAGS_json);
           }}},
-        {"settings",
-         {"",
-          "lists every setting with default, unit and range",
-          0,
+    };
+}
+
+/// The commands that make instances do something.
+Commands actionCommands()
+{
+    return {
+        {"drain",
+         {"ENDPOINT",
+          "makes all instances give an endpoint no new work",
+          1,
           false,
+          true,
+          [](const Arguments &a) {
+              return drainEndpoint(showOptions(), a[0]);
+          }}},
+        {"lift",
+         {"SIGNATURE",
+          "ends a quarantine that status lists, on all instances",
+          1,
           false,
-          [](const Arguments &) {
-              return listSettings();
+          true,
+          [](const Arguments &a) {
+              return liftQuarantine(showOptions(), a[0]);
           }}},
     };
+}
+
+/// All commands by name.
+const Commands &commands()
+{
+    static const Commands table = []() {
+        Commands all = settingsCommands();
+        all.merge(viewCommands());
+        all.merge(actionCommands());
+        return all;
+    }();
     return table;
 }
 
