HttpServer, HttpClient: a connection that fails with an answer not taken says so

Now: `delivery_failed` with the request's id, the system's error, the bytes not taken and whether the answer was written; also if a write fails, and if the caller's connection fails meanwhile. `input_discarded` for bytes behind the last request of a connection. `attempt_failed` ends with the system's error. A connection that has failed is no longer taken for a malformed request (a refusal was written to it before).

The bound on what isn't taken is a setting of the server now, its value is as it was (4 s).

--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -49,6 +49,8 @@
     std::uint64_t bodyBytes = 0;
     /// The length of the body that the header states, if it states one.
     std::optional<std::uint64_t> statedBytes;
+    /// What ended the connection, in the operating system's words; empty if it was closed in order, or by this process.
+    std::string error;
 };
 
 /// Returns a phrase such as "kept connection, 512 of 800 bytes of the body".
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -38,6 +38,25 @@
     std::chrono::milliseconds idleTimeoutMargin{0};
     /// Time after which clients know of a changed idle timeout; until then they may count on the earlier one if that is longer.
     std::chrono::milliseconds idleTimeoutNotice{0};
+    /// A connection is ended if its client takes nothing of what waits for it for this time, or for the time limit of its request if that is longer.
+    std::chrono::milliseconds untakenTimeout{4000};
+};
+
+/// What a server is told of an exchange.
+struct ExchangeTerms {
+    /// The client's id of the request, for reports.
+    std::string requestId;
+};
+
+/// A connection that has failed, and whose client hasn't taken all of its response.
+struct DeliveryFailure {
+    std::string requestId;
+    /// What ended the connection, in the operating system's words.
+    std::string error;
+    /// Bytes that the client hasn't acknowledged, or that were not passed to the operating system yet.
+    std::size_t untakenBytes = 0;
+    /// The whole response had been passed to the operating system.
+    bool isWritten = false;
 };
 
 /// Why the server itself answered a request.
@@ -108,6 +127,10 @@
         std::function<void(ExchangeId, ExchangeEnd)> onEnded = {};
         /// A handler has thrown an exception with this text. Its connection is closed, after an error response if possible. Optional.
         std::function<void(std::string_view)> onException = {};
+        /// A connection has failed. Called after onEnded if the exchange had ended, else before. Optional.
+        std::function<void(const DeliveryFailure &)> onDeliveryFailed = {};
+        /// Bytes that a client sent behind the request of its last response were discarded; that response has said that the connection ends. Optional.
+        std::function<void(const std::string &requestId, std::size_t bytes)> onDiscarded = {};
     };
 
     /// Starts to listen; port 0 means any free port. Throws base::ListenError if the address can't be bound. What each connection holds counts for `peerKind`
@@ -120,6 +143,9 @@
     /// Returns the address on which the server listens, with the actual port.
     Address address() const;
 
+    /// Tells the server about an exchange; best called before its response.
+    void describe(ExchangeId id, const ExchangeTerms &terms);
+
     /// Sends a complete response and ends the exchange. Here and below, a part that doesn't fit to those before it closes the connection, so that the client
     /// recognizes the response as incomplete; then onAbort is called.
     void respond(ExchangeId id, const HttpResponse &response);
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -2,9 +2,6 @@
 
 #include "details/ResponseText.h"
 
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
-
 namespace net {
 
 namespace asio = boost::asio;
@@ -12,20 +9,6 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
-namespace {
-
-/// Time that the client has to close its side after the last response has reached it.
-constexpr std::chrono::seconds LingerTime{1};
-
-/// Returns the number of bytes that were written but not acknowledged by the peer; 0 if that is unknown.
-int unacknowledgedBytes(tcp::socket &socket)
-{
-    int bytes = 0;
-    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : 0;
-}
-
-} // namespace
-
 Connection::Connection(std::shared_ptr<HttpServer::Impl> server, tcp::socket socket)
     : server_(std::move(server))
     , socket_(std::move(socket))
@@ -148,24 +131,10 @@
     wakeTimer_.cancel();
 }
 
-void Connection::closeIfIdle()
-{
-    // A wait that has ended can't be cancelled any more, and its request is answered.
-    if (isIdle_ && !hasInput()) {
-        cancelOperations();
-    }
-}
-
-bool Connection::isUnfinished()
-{
-    // A closed connection may exist for a moment, until its last operations have ended.
-    return socket_.is_open() && (!isIdle_ || hasInput() || unacknowledgedBytes(socket_) > 0);
-}
-
 asio::awaitable<bool> Connection::serveRequest()
 {
     if (buffer_.size() == 0 && !co_await waitForRequest()) {
-        if (unacknowledgedBytes(socket_) > 0) {
+        if (unacknowledgedBytes() > 0) {
             co_await linger();
         }
         co_return false;
@@ -204,6 +173,7 @@
 void Connection::startExchange(Request &&message)
 {
     id_ = server_->nextId++;
+    requestId_.clear();
     ended_ = false;
     responseState_ = ResponseState::None;
     isHead_ = message.method() == http::verb::head;
@@ -258,27 +228,6 @@
     isIdle_ ? closeIfIdle() : close();
 }
 
-asio::awaitable<void> Connection::linger()
-{
-    char scratch[4096];
-    beast::error_code error;
-    socket_.shutdown(tcp::socket::shutdown_send, error);
-    bool goesOn = !error;
-    while (goesOn) {
-        lingerIsOver_ = false;
-        timeout_.start(LingerTime, shared_from_this(), [this]() {
-            lingerIsOver_ = true;
-            cancelOperations();
-        });
-        while (!error && !lingerIsOver_) {
-            co_await socket_.async_read_some(asio::buffer(scratch), asio::redirect_error(asio::use_awaitable, error));
-        }
-        goesOn = lingerIsOver_ && unacknowledgedBytes(socket_) > 0;
-        error = {};
-    }
-    timeout_.stop();
-}
-
 void Connection::watchForClose()
 {
     auto self = shared_from_this();
@@ -289,6 +238,7 @@
         }
         if (self->hasClientLeft()) {
             self->leftUnanswered_ = self->responseState_ == ResponseState::None;
+            self->reportUndelivered(self->lastError_, self->writtenBytes_ + self->output_.size());
             self->abortExchange(ExchangeEnd::CallerLeft);
         }
     });
@@ -299,6 +249,7 @@
     char byte = 0;
     beast::error_code error;
     const std::size_t peekedBytes = socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    lastError_ = error;
     return peekedBytes == 0 && error != asio::error::would_block && error != asio::error::interrupted;
 }
 
@@ -342,9 +293,12 @@
         data.swap(output_);
         writtenBytes_ = data.size();
         beast::error_code error;
-        co_await asio::async_write(socket_, asio::buffer(data), asio::redirect_error(asio::use_awaitable, error));
+        const std::size_t sentBytes = co_await asio::async_write(socket_, asio::buffer(data), asio::redirect_error(asio::use_awaitable, error));
         writtenBytes_ = 0;
         countHeld();
+        if (error && !broken_) {
+            reportUndelivered(error, data.size() - sentBytes + output_.size());
+        }
         if (error) {
             abortExchange(ExchangeEnd::WriteFailed);
             broken_ = true;
--- a/libs/net/src/ConnectionReading.cpp
+++ b/libs/net/src/ConnectionReading.cpp
@@ -118,30 +118,6 @@
     co_await asio::async_write(socket_, asio::buffer(Continue), asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-std::chrono::nanoseconds Connection::idleTimeLeft() const
-{
-    return idleSince_ + server_->idleTimeouts.timeoutSince(idleSince_) - IdleTimeouts::Clock::now();
-}
-
-bool Connection::closeIfOverdue()
-{
-    const bool isOverdue = isIdle_ && idleTimeLeft().count() <= 0 && !hasInput();
-    if (isOverdue) {
-        closeIfIdle();
-    }
-    return isOverdue;
-}
-
-void Connection::startIdleTimeout()
-{
-    const auto timeLeft = idleTimeLeft() + server_->limits.idleTimeoutMargin;
-    if (timeLeft.count() <= 0) {
-        return closeIfIdle();
-    }
-    // The timeout may be longer by then.
-    timeout_.start(timeLeft, shared_from_this(), [this]() { startIdleTimeout(); });
-}
-
 void Connection::startReadTimeout(std::chrono::nanoseconds timeout)
 {
     timeout_.start(timeout, shared_from_this(), [this, timeout]() {
@@ -163,6 +139,11 @@
 
 asio::awaitable<void> Connection::refuse(beast::error_code error)
 {
+    if (!systemErrorText(error).empty()) {
+        // The connection has failed; the client may be without its last response.
+        reportUndelivered(error, 0);
+        co_return;
+    }
     RefusalKind kind = RefusalKind::Malformed;
     if (error == http::error::header_limit || error == http::error::buffer_overflow) {
         kind = RefusalKind::HeaderTooLarge;
@@ -170,7 +151,7 @@
         kind = RefusalKind::BodyTooLarge;
     } else if (error == asio::error::operation_aborted) {
         kind = isTooMuchHeld_ ? RefusalKind::TooMuchHeld : server_->refusesArriving ? RefusalKind::Stopping : RefusalKind::RequestTooSlow;
-    } else if (error == http::error::end_of_stream || error == asio::error::connection_reset) {
+    } else if (error == http::error::end_of_stream) {
         co_return;
     }
     co_await refuseAs(kind);
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::size_t MaxIdleConnectionsPerAddress = 64;
 constexpr std::chrono::seconds MaxIdleTime{20};
+/// A connection is ended if its peer acknowledges nothing of what was sent for this time.
+constexpr std::chrono::milliseconds UnacknowledgedTimeout{4000};
 /// Responses to other requests that are skipped before the response to a call.
 constexpr int MaxStrayResponses = 4;
 
@@ -182,7 +184,7 @@
         co_return false;
     }
     socket->set_option(tcp::no_delay(true), error);
-    setTcpUserTimeout(*socket);
+    setTcpUserTimeout(*socket, UnacknowledgedTimeout);
     co_return true;
 }
 
@@ -251,6 +253,7 @@
     state->sent = true;
     co_await http::async_write(*state->socket, message, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
+        state->progress.error = systemErrorText(error);
         co_return false;
     }
 
@@ -291,16 +294,17 @@
 std::string toText(const CallProgress &progress)
 {
     const std::string connection = progress.isOnKeptConnection ? "kept connection, " : "new connection, ";
+    const std::string error = progress.error.empty() ? "" : "; " + progress.error;
     switch (progress.part) {
     case ResponsePart::Nothing:
-        return connection + "nothing received";
+        return connection + "nothing received" + error;
     case ResponsePart::Header:
-        return connection + "a part of the header received";
+        return connection + "a part of the header received" + error;
     case ResponsePart::Body:
         break;
     }
     const std::string stated = progress.statedBytes ? " of " + std::to_string(*progress.statedBytes) : "";
-    return connection + std::to_string(progress.bodyBytes) + stated + " bytes of the body received";
+    return connection + std::to_string(progress.bodyBytes) + stated + " bytes of the body received" + error;
 }
 
 HttpClient::HttpClient(EventLoop &loop)
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -59,6 +59,20 @@
     }
 }
 
+void HttpServer::Impl::reportDeliveryFailure(const DeliveryFailure &failure) const
+{
+    if (handlers.onDeliveryFailed) {
+        handlers.onDeliveryFailed(failure);
+    }
+}
+
+void HttpServer::Impl::reportDiscarded(const std::string &requestId, std::size_t bytes) const
+{
+    if (handlers.onDiscarded && bytes > 0) {
+        handlers.onDiscarded(requestId, bytes);
+    }
+}
+
 bool HttpServer::Impl::closeOverdue()
 {
     return std::any_of(open.begin(), open.end(), [](Connection *connection) { return connection->closeIfOverdue(); });
@@ -89,7 +103,7 @@
             continue; // The destructor closes the socket. The client sees a closed connection; no part of a request was run.
         }
         socket.set_option(tcp::no_delay(true), error);
-        setTcpUserTimeout(socket);
+        setTcpUserTimeout(socket, limits.untakenTimeout);
         auto connection = std::make_shared<Connection>(self, std::move(socket));
         asio::co_spawn(
             io, [connection]() { return connection->run(); }, asio::detached);
@@ -114,6 +128,13 @@
     return {endpoint.address().to_string(), endpoint.port()};
 }
 
+void HttpServer::describe(ExchangeId id, const ExchangeTerms &terms)
+{
+    if (const auto connection = impl_->connectionOf(id)) {
+        connection->describe(terms);
+    }
+}
+
 void HttpServer::respond(ExchangeId id, const HttpResponse &response)
 {
     if (const auto connection = impl_->connectionOf(id)) {
--- a/libs/net/src/details/Asio.h
+++ b/libs/net/src/details/Asio.h
@@ -4,7 +4,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -14,14 +17,19 @@
 
 namespace net {
 
-/// A connection is closed if sent bytes aren't acknowledged by the peer within this time.
-inline constexpr int TcpUserTimeoutMs = 4000;
-
-/// Makes the kernel close the connection if the peer has disappeared without closing it. Without this, a write to it would hang for many minutes.
-inline void setTcpUserTimeout(boost::asio::ip::tcp::socket &socket)
+/// Makes the operating system end the connection if sent bytes aren't acknowledged within this time, or the peer takes none for as long; zero means the
+/// system's own limits. Without it, a write to a peer that has disappeared would hang for many minutes.
+inline void setTcpUserTimeout(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout)
 {
-    const int limit = TcpUserTimeoutMs;
+    const int limit = static_cast<int>(std::min<std::chrono::milliseconds::rep>(timeout.count(), std::numeric_limits<int>::max()));
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
 }
 
+/// Returns the operating system's words for an error of a connection; empty if the connection was ended in order, or by this process.
+inline std::string systemErrorText(const boost::system::error_code &error)
+{
+    const bool isOfSystem = error.category() == boost::system::system_category() && error != boost::asio::error::operation_aborted;
+    return error && isOfSystem ? error.message() : "";
+}
+
 } // namespace net
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -29,6 +29,9 @@
     /// Ends the exchange in the middle of its response, without onAbort. Closes the connection once the parts that were queued are written.
     void abort();
 
+    /// Takes what the reports and limits of the current exchange need.
+    void describe(const ExchangeTerms &terms);
+
     /// Closes the connection unless a request is being read or answered.
     void closeIfIdle();
     /// Closes the connection if it has waited for longer than the idle timeout, and returns true then.
@@ -102,6 +105,10 @@
     bool hasClientLeft();
     /// Returns true if the socket has received bytes that weren't read yet.
     bool hasInput() const;
+    /// Returns the number of bytes that were written but not acknowledged by the client; 0 if that is unknown.
+    std::size_t unacknowledgedBytes();
+    /// Reports that the connection has failed for this error, unless the client has taken all, or has closed the connection in order.
+    void reportUndelivered(const boost::beast::error_code &error, std::size_t unwrittenBytes);
     /// Cancels the operations of the socket.
     void cancelOperations();
     /// Ends the exchange because its connection has failed, and reports it by onAbort.
@@ -135,6 +142,10 @@
     std::string output_;
     /// The current exchange, or the last one.
     ExchangeId id_ = 0;
+    /// The client's id of that request, as far as it is kept.
+    std::string requestId_;
+    /// What hasClientLeft() has met last.
+    boost::beast::error_code lastError_;
     ResponseState responseState_ = ResponseState::None;
     /// The response in chunks has a body.
     bool isBodySent_ = true;
--- a/libs/net/src/details/HttpServerImpl.h
+++ b/libs/net/src/details/HttpServerImpl.h
@@ -26,6 +26,10 @@
     void endExchange(ExchangeId id, ExchangeEnd end);
     /// Reports that an exchange has failed.
     void reportAbort(ExchangeId id) const;
+    /// Reports that a connection has failed before its client had its whole response.
+    void reportDeliveryFailure(const DeliveryFailure &failure) const;
+    /// Reports that bytes behind the last request of a connection were discarded.
+    void reportDiscarded(const std::string &requestId, std::size_t bytes) const;
     /// Reports an exception that a handler has thrown.
     void reportException(const std::exception &exception) const;
 
--- a/libs/net/tests/SmallServer.h
+++ b/libs/net/tests/SmallServer.h
@@ -95,6 +95,12 @@
         handlers.onEnded = [this](net::ExchangeId, net::ExchangeEnd end) {
             ends_.push(end);
         };
+        handlers.onDeliveryFailed = [this](const net::DeliveryFailure &failure) {
+            deliveryFailures_.push(failure);
+        };
+        handlers.onDiscarded = [this](const std::string &requestId, std::size_t bytes) {
+            discarded_.push({requestId, bytes});
+        };
         server_.emplace(loop_, net::Address{"127.0.0.1", 0}, limits, handlers, &held_);
         address_ = server_->address();
         thread_ = std::thread([this]() { loop_.run(); });
@@ -291,10 +297,23 @@
         return ends_.pop();
     }
 
+    /// Waits until a connection has failed with an answer that its client hasn't taken; none within 10 s.
+    std::optional<net::DeliveryFailure> nextDeliveryFailure()
+    {
+        return deliveryFailures_.pop();
+    }
+
+    /// Waits until bytes behind a last request were discarded, and returns the id of that request and their number; none within 10 s.
+    std::optional<std::pair<std::string, std::size_t>> nextDiscarded()
+    {
+        return discarded_.pop();
+    }
+
 private:
     void answer(net::ExchangeId id, const net::HttpRequest &request)
     {
         ++requests_;
+        server_->describe(id, {request.target});
         if (request.target == "/silent") {
             return;
         }
@@ -356,6 +375,8 @@
     net::ExchangeId begun_ = 0;
     WaitingQueue<std::string> exceptions_;
     WaitingQueue<net::ExchangeEnd> ends_;
+    WaitingQueue<net::DeliveryFailure> deliveryFailures_;
+    WaitingQueue<std::pair<std::string, std::size_t>> discarded_;
     net::EventLoop loop_;
     net::HeldBytes held_;
     std::optional<net::HttpServer> server_;
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -153,6 +153,8 @@
     void onExchangeEnded(relay::CallId call, net::ExchangeEnd end);
     /// Sends a request for a call to an endpoint or another instance; what comes back is reported under the attempt's id.
     void startAttempt(relay::AttemptId id, relay::CallId call, const std::string &receiver, net::ClientCall request);
+    /// Logs that a connection has failed with an answer that its caller hasn't taken.
+    void recordDeliveryFailure(const net::DeliveryFailure &failure);
     /// Logs the exchanges that the end of the process cuts off.
     void recordCutExchanges();
     /// Answers the readiness check, and serves the metrics, the status and the commands of operators, on either of the two servers.
--- a/libs/relayhost/src/HostCallers.cpp
+++ b/libs/relayhost/src/HostCallers.cpp
@@ -88,6 +88,12 @@
         }
         return dialect_.encodeRejection({kindOf(refusal), detailOf(refusal), relay::Ms(0)}, "");
     };
+    handlers.onDeliveryFailed = [this](const net::DeliveryFailure &failure) {
+        recordDeliveryFailure(failure);
+    };
+    handlers.onDiscarded = [this](const std::string &requestId, std::size_t bytes) {
+        record({"input_discarded", requestId, "", std::to_string(bytes) + " bytes behind the last request of its connection"});
+    };
     handlers.onException = [this](std::string_view text) {
         record({"exception", "", "callers", std::string(text)});
     };
@@ -118,7 +124,9 @@
 {
     const relay::CallId id = callOf(origin, exchange);
     DecodedCall decoded = dialect_.decodeCall(id, request);
-    OpenCall call{CallerResponse<net::HttpServer>(origin == Origin::Instance ? *handOverServer_ : *callerServer_, exchange)};
+    net::HttpServer &server = origin == Origin::Instance ? *handOverServer_ : *callerServer_;
+    server.describe(exchange, {decoded.arrival.requestId});
+    OpenCall call{CallerResponse<net::HttpServer>(server, exchange)};
     if (origin == Origin::Instance) {
         call.isHandedOver = true;
         takeHandOver(request, decoded.arrival);
@@ -146,6 +154,12 @@
     calls_.erase(found);
 }
 
+void RelayHost::recordDeliveryFailure(const net::DeliveryFailure &failure)
+{
+    const std::string state = failure.isWritten ? " bytes of a written answer not taken" : " bytes of an unfinished answer not taken";
+    record({"delivery_failed", failure.requestId, failure.error, std::to_string(failure.untakenBytes) + state});
+}
+
 void RelayHost::recordCutExchanges()
 {
     for (const auto &[exchange, call] : calls_) {
