HttpServer, HttpClient: what a connection carries bounds it, not a constant of the connection

Cause: TCP_USER_TIMEOUT of 4 s on all connections also counts the time for which a living peer's window is closed, from the moment at which it closed, also if the peer takes a little now and then; idle timeout and planned stop closed a connection whose last answer wasn't acknowledged, and linger() dropped what came next.

Now (docs/design/0020-what-ends-an-answer.md): towards callers, the server looks at progress itself: 30 s or the request's time limit without any; a connection isn't idle before its last response is acknowledged, and a stop closes it as soon as it is. Towards endpoints, the 4 s stay but for requests above 4 KB, where TCP_INFO tells a peer that doesn't read from one that is gone. A request that is read, and a response that is written, keep the limits under which they began.

Ruled out: a longer TCP_USER_TIMEOUT (isDeliveredWholeIfALittleIsTakenNowAndThen fails with it: 8 KB each 150 ms, cut under 600 ms).

--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -66,6 +66,8 @@
     std::chrono::milliseconds connectTimeout{500};
     /// Longest time from the start of the call to its end; zero means no limit.
     std::chrono::milliseconds totalTimeout{5000};
+    /// A server that acknowledges nothing of what it was sent for this time is gone, and the call fails. One that acknowledges, but doesn't read, is not.
+    std::chrono::milliseconds unacknowledgedTimeout{4000};
     /// Use a new connection and close it after the call. The server may close a kept-alive connection while the request is being written, which
     /// leaves the outcome unknown; calls that must run at most once avoid this with a new connection.
     bool freshConnection = false;
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -38,14 +38,17 @@
     std::chrono::milliseconds idleTimeoutMargin{0};
     /// Time after which clients know of a changed idle timeout; until then they may count on the earlier one if that is longer.
     std::chrono::milliseconds idleTimeoutNotice{0};
-    /// A connection is ended if its client takes nothing of what waits for it for this time, or for the time limit of its request if that is longer.
-    std::chrono::milliseconds untakenTimeout{4000};
+    /// A connection is ended if its client takes nothing of what waits for it for this time, or for the time limit of its request if that is longer. While
+    /// `connections` are open, one that waits for its next request makes room for a new one if this time has passed since its last request.
+    std::chrono::milliseconds untakenTimeout{30000};
 };
 
 /// What a server is told of an exchange.
 struct ExchangeTerms {
     /// The client's id of the request, for reports.
     std::string requestId;
+    /// Time that the client gives the request: its connection isn't ended sooner because nothing is taken. Zero if it states none.
+    std::chrono::milliseconds timeLimit{0};
 };
 
 /// A connection that has failed, and whose client hasn't taken all of its response.
@@ -83,7 +86,7 @@
     Answered,
     /// The client closed the connection before the response was complete.
     CallerLeft,
-    /// The client read so slowly that more than ServerLimits::queuedResponseBytes waited for it.
+    /// The client read so slowly that more than ServerLimits::queuedResponseBytes waited for it, or took nothing for too long.
     CallerTooSlow,
     /// The connection failed while the response was written.
     WriteFailed,
@@ -164,12 +167,12 @@
     /// isn't called.
     void abort(ExchangeId id);
 
-    /// Replaces the limits. A connection that already reads a request keeps the header and body limits for this request. One that waits for a request does
-    /// so for the longest idle timeout that has been in force meanwhile.
+    /// Replaces the limits. A request that is being read keeps its limits, and a response that is being written keeps its; larger new ones hold for both. A
+    /// connection that waits for a request does so for the longest idle timeout that has been in force meanwhile.
     void setLimits(const ServerLimits &limits);
 
-    /// Closes idle connections, and from now on every connection after its last response, which says so: requests that have arrived are answered before.
-    /// New connections are still accepted.
+    /// Closes idle connections once their clients have taken what was sent to them, and from now on every connection after its last response, which says so:
+    /// requests that have arrived are answered before. New connections are still accepted.
     void closeConnections();
 
     /// Refuses the requests that are still arriving, and from now on those that don't arrive within a moment.
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -2,6 +2,8 @@
 
 #include "details/ResponseText.h"
 
+#include <algorithm>
+
 namespace net {
 
 namespace asio = boost::asio;
@@ -14,6 +16,7 @@
     , socket_(std::move(socket))
     , wakeTimer_(socket_.get_executor())
     , timeout_(socket_.get_executor())
+    , takenCheck_(socket_.get_executor())
 {
     beast::error_code ignored;
     socket_.non_blocking(true, ignored);
@@ -127,6 +130,7 @@
 {
     beast::error_code ignored;
     socket_.close(ignored);
+    takenCheck_.stop();
     ended_ = true;
     wakeTimer_.cancel();
 }
@@ -134,11 +138,9 @@
 asio::awaitable<bool> Connection::serveRequest()
 {
     if (buffer_.size() == 0 && !co_await waitForRequest()) {
-        if (unacknowledgedBytes() > 0) {
-            co_await linger();
-        }
         co_return false;
     }
+    requestTimeout_ = server_->limits.requestTimeout;
     std::optional<RequestParser> parser(std::in_place);
     parser->header_limit(static_cast<std::uint32_t>(server_->limits.headerBytes));
     parser->body_limit(server_->limits.bodyBytes);
@@ -173,7 +175,7 @@
 void Connection::startExchange(Request &&message)
 {
     id_ = server_->nextId++;
-    requestId_.clear();
+    beginTerms();
     ended_ = false;
     responseState_ = ResponseState::None;
     isHead_ = message.method() == http::verb::head;
@@ -238,7 +240,7 @@
         }
         if (self->hasClientLeft()) {
             self->leftUnanswered_ = self->responseState_ == ResponseState::None;
-            self->reportUndelivered(self->lastError_, self->writtenBytes_ + self->output_.size());
+            self->reportUndelivered(self->lastError_);
             self->abortExchange(ExchangeEnd::CallerLeft);
         }
     });
@@ -292,12 +294,11 @@
         std::string data;
         data.swap(output_);
         writtenBytes_ = data.size();
-        beast::error_code error;
-        const std::size_t sentBytes = co_await asio::async_write(socket_, asio::buffer(data), asio::redirect_error(asio::use_awaitable, error));
+        const beast::error_code error = co_await writeAll(data);
         writtenBytes_ = 0;
         countHeld();
         if (error && !broken_) {
-            reportUndelivered(error, data.size() - sentBytes + output_.size());
+            reportUndelivered(error);
         }
         if (error) {
             abortExchange(ExchangeEnd::WriteFailed);
@@ -306,6 +307,20 @@
     }
 }
 
+asio::awaitable<beast::error_code> Connection::writeAll(const std::string &data)
+{
+    beast::error_code error;
+    unsentBytes_ = data.size();
+    watchTaking();
+    while (!error && unsentBytes_ > 0) {
+        const auto rest = asio::buffer(data) + (data.size() - unsentBytes_);
+        const std::size_t sentBytes = co_await socket_.async_write_some(rest, asio::redirect_error(asio::use_awaitable, error));
+        passedBytes_ += sentBytes;
+        unsentBytes_ -= sentBytes;
+    }
+    co_return error;
+}
+
 void Connection::queue(const std::string &data)
 {
     if (ended_) {
@@ -313,7 +328,7 @@
     }
     output_ += data;
     countHeld();
-    if (output_.size() > server_->limits.queuedResponseBytes + data.size()) {
+    if (output_.size() > std::max(queuedLimit_, server_->limits.queuedResponseBytes) + data.size()) {
         abortExchange(ExchangeEnd::CallerTooSlow);
         close();
         return;
--- a/libs/net/src/ConnectionReading.cpp
+++ b/libs/net/src/ConnectionReading.cpp
@@ -23,14 +23,15 @@
 asio::awaitable<bool> Connection::waitForRequest()
 {
     const bool isNew = id_ == 0;
-    if (server_->closing && !isNew && !hasInput()) {
+    const bool isClosing = server_->closing && !isNew;
+    if (isClosing && !hasInput() && unacknowledgedBytes() == 0) {
         co_return false;
     }
     // Most connections wait most of the time: what the last request needed isn't kept meanwhile.
     forgetRequest();
     beast::error_code error;
     idleSince_ = IdleTimeouts::Clock::now();
-    startIdleTimeout();
+    isClosing ? closeWhenTaken() : startIdleTimeout();
     isIdle_ = true;
     // The bytes stay in the socket until this coroutine goes on, so that isUnfinished() sees them.
     co_await socket_.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
@@ -97,7 +98,8 @@
 
 std::chrono::milliseconds Connection::readTimeout() const
 {
-    return server_->refusesArriving ? std::min(LastReadTime, server_->limits.requestTimeout) : server_->limits.requestTimeout;
+    const std::chrono::milliseconds timeout = std::max(requestTimeout_, server_->limits.requestTimeout);
+    return server_->refusesArriving ? std::min(LastReadTime, timeout) : timeout;
 }
 
 void Connection::hurryReading()
@@ -115,7 +117,7 @@
     }
     // If it fails, so does the read that follows.
     beast::error_code ignored;
-    co_await asio::async_write(socket_, asio::buffer(Continue), asio::redirect_error(asio::use_awaitable, ignored));
+    passedBytes_ += co_await asio::async_write(socket_, asio::buffer(Continue), asio::redirect_error(asio::use_awaitable, ignored));
 }
 
 void Connection::startReadTimeout(std::chrono::nanoseconds timeout)
@@ -141,7 +143,7 @@
 {
     if (!systemErrorText(error).empty()) {
         // The connection has failed; the client may be without its last response.
-        reportUndelivered(error, 0);
+        reportUndelivered(error);
         co_return;
     }
     RefusalKind kind = RefusalKind::Malformed;
@@ -164,9 +166,8 @@
     }
     const HttpResponse response = server_->handlers.refusal(kind);
     const std::string text = headText(response.status, response.headers, {false, response.body.size()}, false) + response.body;
-    beast::error_code ignored;
     timeout_.start(server_->limits.requestTimeout, shared_from_this(), [this]() { cancelOperations(); });
-    co_await asio::async_write(socket_, asio::buffer(text), asio::redirect_error(asio::use_awaitable, ignored));
+    co_await writeAll(text);
     co_await linger();
 }
 
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "details/EventLoopImpl.h"
 #include "details/IdleConnections.h"
+#include "details/PeerWatch.h"
 #include "details/ResponseReader.h"
 
 #include <iostream>
@@ -17,8 +18,8 @@
 
 constexpr std::size_t MaxIdleConnectionsPerAddress = 64;
 constexpr std::chrono::seconds MaxIdleTime{20};
-/// A connection is ended if its peer acknowledges nothing of what was sent for this time.
-constexpr std::chrono::milliseconds UnacknowledgedTimeout{4000};
+/// Any living peer that has read what came before takes a request of this size at once, so that its bytes wait only for one that is gone.
+constexpr std::size_t MaxSmallRequestBytes = 4096;
 /// Responses to other requests that are skipped before the response to a call.
 constexpr int MaxStrayResponses = 4;
 
@@ -39,6 +40,8 @@
     /// The connection isn't the call's any more. The total timeout may have passed just before that, with its handler still to come.
     bool ended = false;
     CallProgress progress;
+    /// Tells a server that reads a large request slowly from one that is gone; else null.
+    std::shared_ptr<PeerWatch> watch;
     /// What is held of the response.
     HeldBytes::Share held;
 };
@@ -95,6 +98,8 @@
     /// Reads the response of a call whose request was sent, after the responses to other requests on a kept connection, and keeps the connection if it can be
     /// used again. Returns false if that fails. Throws what a handler throws.
     asio::awaitable<bool> receive(const ClientCall &call, const ClientHandlers &handlers, RunningCall &state);
+    /// Starts the watch of a call whose request is large.
+    static void startWatch(const ClientCall &call, const std::shared_ptr<RunningCall> &state);
     /// Starts the timer of the total timeout.
     static void startTimer(const ClientCall &call, const std::shared_ptr<RunningCall> &state);
 
@@ -124,6 +129,16 @@
     return message;
 }
 
+/// Returns the size of a request, without its framing.
+std::size_t sizeOf(const HttpRequest &request)
+{
+    std::size_t bytes = request.target.size() + request.body.size();
+    for (const auto &[name, value] : request.headers) {
+        bytes += name.size() + value.size();
+    }
+    return bytes;
+}
+
 /// Logs the exception with which a handler of a call's end has failed.
 void logFailure(const std::exception_ptr &failure)
 {
@@ -184,10 +199,21 @@
         co_return false;
     }
     socket->set_option(tcp::no_delay(true), error);
-    setTcpUserTimeout(*socket, UnacknowledgedTimeout);
+    setTcpUserTimeout(*socket, call.unacknowledgedTimeout);
     co_return true;
 }
 
+void HttpClient::Impl::startWatch(const ClientCall &call, const std::shared_ptr<RunningCall> &state)
+{
+    state->watch = std::make_shared<PeerWatch>(state->socket, call.unacknowledgedTimeout);
+    state->watch->start([watched = std::weak_ptr(state), timeout = call.unacknowledgedTimeout]() {
+        if (const auto running = watched.lock()) {
+            running->progress.error = "nothing acknowledged for " + std::to_string(timeout.count()) + " ms";
+            closeSocket(*running->socket);
+        }
+    });
+}
+
 void HttpClient::Impl::startTimer(const ClientCall &call, const std::shared_ptr<RunningCall> &state)
 {
     if (call.totalTimeout.count() <= 0) {
@@ -221,6 +247,9 @@
         std::cerr << "call to " << toString(call.address) << " failed: " << error.what() << "\n";
     }
     state->ended = true;
+    if (state->watch) {
+        state->watch->stop();
+    }
     state->held = {};
     state->timer->cancel();
     running.erase(id);
@@ -237,6 +266,7 @@
     if (state->cancelled) {
         co_return false;
     }
+    const bool isLarge = sizeOf(call.request) > MaxSmallRequestBytes;
     const auto message = toMessage(call);
     auto idleSocket = call.freshConnection ? nullptr : takeIdle(toString(call.address));
     if (idleSocket) {
@@ -251,9 +281,13 @@
 
     beast::error_code error;
     state->sent = true;
+    if (isLarge) {
+        startWatch(call, state);
+    }
     co_await http::async_write(*state->socket, message, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        state->progress.error = systemErrorText(error);
+        const std::string text = systemErrorText(error);
+        state->progress.error = text.empty() ? state->progress.error : text;
         co_return false;
     }
 
@@ -291,22 +325,6 @@
     co_return false;
 }
 
-std::string toText(const CallProgress &progress)
-{
-    const std::string connection = progress.isOnKeptConnection ? "kept connection, " : "new connection, ";
-    const std::string error = progress.error.empty() ? "" : "; " + progress.error;
-    switch (progress.part) {
-    case ResponsePart::Nothing:
-        return connection + "nothing received" + error;
-    case ResponsePart::Header:
-        return connection + "a part of the header received" + error;
-    case ResponsePart::Body:
-        break;
-    }
-    const std::string stated = progress.statedBytes ? " of " + std::to_string(*progress.statedBytes) : "";
-    return connection + std::to_string(progress.bodyBytes) + stated + " bytes of the body received" + error;
-}
-
 HttpClient::HttpClient(EventLoop &loop)
     : impl_(std::make_shared<Impl>(loop))
 {
@@ -363,24 +381,4 @@
     cancelCall(*found->second);
 }
 
-BlockingResult callAndWait(ClientCall call)
-{
-    EventLoop loop;
-    HttpClient client(loop);
-    BlockingResult result;
-    client.fetch(
-        std::move(call),
-        [&](HttpResponse response) {
-            result.ok = true;
-            result.response = std::move(response);
-            loop.stop();
-        },
-        [&](CallFailure failure) {
-            result.failure = failure;
-            loop.stop();
-        });
-    loop.run();
-    return result;
-}
-
 } // namespace net
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -103,7 +103,6 @@
             continue; // The destructor closes the socket. The client sees a closed connection; no part of a request was run.
         }
         socket.set_option(tcp::no_delay(true), error);
-        setTcpUserTimeout(socket, limits.untakenTimeout);
         auto connection = std::make_shared<Connection>(self, std::move(socket));
         asio::co_spawn(
             io, [connection]() { return connection->run(); }, asio::detached);
--- a/libs/net/src/ResponseReader.cpp
+++ b/libs/net/src/ResponseReader.cpp
@@ -36,7 +36,9 @@
 {
     // These two are the HTTP library's words for a connection that ended.
     const bool isCut = error == http::error::end_of_stream || error == http::error::partial_message;
-    progress_.error = systemErrorText(error);
+    if (const std::string text = systemErrorText(error); !text.empty()) {
+        progress_.error = text;
+    }
     isMalformed_ = error.category() == http::make_error_code(http::error::bad_value).category() && !isCut;
 }
 
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -32,9 +32,10 @@
     /// Takes what the reports and limits of the current exchange need.
     void describe(const ExchangeTerms &terms);
 
-    /// Closes the connection unless a request is being read or answered.
+    /// Closes the connection unless a request is being read or answered, as soon as the client has taken its last response.
     void closeIfIdle();
-    /// Closes the connection if it has waited for longer than the idle timeout, and returns true then.
+    /// Closes the connection, and returns true, if it has waited for longer than the idle timeout, or if its client hasn't taken its last response although the
+    /// time of that request is over.
     bool closeIfOverdue();
     /// Refuses a request that is being read, unless its rest arrives within a moment.
     void hurryReading();
@@ -60,6 +61,8 @@
     boost::asio::awaitable<bool> waitForRequest();
     /// Returns the time until the connection has waited for as long as the idle timeout.
     std::chrono::nanoseconds idleTimeLeft() const;
+    /// Looks again in a moment whether the connection can be closed.
+    void closeWhenTaken();
     /// Closes the connection when its idle timeout and the margin are over.
     void startIdleTimeout();
     /// Reads the rest of a request of which some bytes have been received.
@@ -107,14 +110,29 @@
     bool hasInput() const;
     /// Returns the number of bytes that were written but not acknowledged by the client; 0 if that is unknown.
     std::size_t unacknowledgedBytes();
+    /// Returns the number of response bytes that the client hasn't acknowledged, written or not.
+    std::size_t untakenBytes();
+    /// Returns whether the whole response of the last exchange was passed to the operating system.
+    bool isExchangeWritten() const;
     /// Reports that the connection has failed for this error, unless the client has taken all, or has closed the connection in order.
-    void reportUndelivered(const boost::beast::error_code &error, std::size_t unwrittenBytes);
+    void reportUndelivered(const boost::beast::error_code &error);
+    /// Begins an exchange with what holds for one of which nothing is known.
+    void beginTerms();
+    /// Looks from now on whether the client takes what waits for it, until it has taken all. The system's own timeout is no use for this: it counts from the
+    /// moment at which the client's window closed, although the client goes on taking a little now and then.
+    void watchTaking();
+    void startTakenCheck();
+    void checkTaken();
+    /// Ends the connection of a client that hasn't taken all, reports that, and frees what was held for it.
+    void endUntaken(const std::string &reason);
     /// Cancels the operations of the socket.
     void cancelOperations();
     /// Ends the exchange because its connection has failed, and reports it by onAbort.
     void abortExchange(ExchangeEnd end);
     /// Writes queued output until the response has ended and is written, or the connection fails.
     boost::asio::awaitable<void> writeQueued();
+    /// Writes all of this, unless the connection fails.
+    boost::asio::awaitable<boost::beast::error_code> writeAll(const std::string &data);
     /// Queues output. If too much earlier output still waits, aborts the exchange and closes the connection.
     void queue(const std::string &data);
     /// Marks the response as complete; queued output is still written.
@@ -128,6 +146,8 @@
     boost::asio::steady_timer wakeTimer_;
     /// For reading a request, or for writing a refusal.
     OperationTimeout timeout_;
+    /// For the look whether the client takes what waits for it.
+    OperationTimeout takenCheck_;
     /// Received bytes that aren't parsed yet. Its size is limited while a request is read.
     boost::beast::flat_buffer buffer_;
     /// What the connection holds, as far as anything counts it.
@@ -144,6 +164,20 @@
     ExchangeId id_ = 0;
     /// The client's id of that request, as far as it is kept.
     std::string requestId_;
+    /// Limits that were in force when the request, or its exchange, began.
+    std::chrono::milliseconds requestTimeout_{0};
+    std::size_t queuedLimit_ = 0;
+    /// Bytes that were passed to the operating system in all, and those of the current write that weren't yet.
+    std::uint64_t passedBytes_ = 0;
+    std::size_t unsentBytes_ = 0;
+    /// Bytes that the client had taken at the last look, and since when it has taken no more.
+    std::uint64_t takenBytes_ = 0;
+    std::chrono::steady_clock::time_point takenAt_;
+    bool isTakingWatched_ = false;
+    /// Time for which the client may take nothing.
+    std::chrono::milliseconds untakenTime_{0};
+    /// When the time of the last request is over.
+    std::chrono::steady_clock::time_point answerDueAt_;
     /// What hasClientLeft() has met last.
     boost::beast::error_code lastError_;
     ResponseState responseState_ = ResponseState::None;
--- a/libs/net/tests/ArrivingRequestTests.cpp
+++ b/libs/net/tests/ArrivingRequestTests.cpp
@@ -80,6 +80,21 @@
     STRCMP_CONTAINS("whole abcabc", client.receiveAll().c_str());
 }
 
+/// Guards against a request that is refused as too slow, since a change has shortened the time of those that arrive.
+TEST(ARequestThatStillArrives, keepsTheTimeThatItBeganWith)
+{
+    net::ServerLimits hasty = smallLimits();
+    hasty.requestTimeout = std::chrono::milliseconds(1);
+    RawClient client(server.address());
+    client.send("POST /whole HTTP/1.1\r\nHost: a\r\nConnection: close\r\n");
+    waitUntilReading();
+    server.setLimits(hasty);
+    client.send("Content-Length: 10\r\n\r\nabcde");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    client.send("fghij");
+    STRCMP_CONTAINS("whole abcdefghij", client.receiveAll().c_str());
+}
+
 /// Guards against a client that waits for leave to send its body until the time limit is over.
 TEST(ARequestThatStillArrives, mayWaitForLeaveToSendItsBody)
 {
--- a/libs/net/tests/CutConnectionTests.cpp
+++ b/libs/net/tests/CutConnectionTests.cpp
@@ -141,3 +141,21 @@
     CHECK(answer.starts_with("HTTP/1.1 200"));
     CHECK(!answer.ends_with("0\r\n\r\n"));
 }
+
+/// Guards against a stream that is cut, since a change lets fewer bytes wait for a slow reader than when it began.
+TEST(AConnectionThatTheServerEnds, keepsTheRoomThatItsStreamBeganWith)
+{
+    net::ServerLimits tight = smallLimits();
+    tight.queuedResponseBytes = 1;
+    SmallServer server;
+    RawClient client(server.address(), RawClient::SmallReceiveBufferBytes);
+    client.send("GET /begun-large HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    server.waitForRequests(1);
+    server.setLimits(tight);
+    for (int i = 0; i < 4; ++i) {
+        server.writeToBegun(std::string(1000, 'y'));
+    }
+    server.endBegun();
+    CHECK(client.receiveAll().ends_with("0\r\n\r\n"));
+    CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
+}
--- a/libs/relayhost/src/HostCallers.cpp
+++ b/libs/relayhost/src/HostCallers.cpp
@@ -125,7 +125,7 @@
     const relay::CallId id = callOf(origin, exchange);
     DecodedCall decoded = dialect_.decodeCall(id, request);
     net::HttpServer &server = origin == Origin::Instance ? *handOverServer_ : *callerServer_;
-    server.describe(exchange, {decoded.arrival.requestId});
+    server.describe(exchange, {decoded.arrival.requestId, decoded.arrival.timeLimit});
     OpenCall call{CallerResponse<net::HttpServer>(server, exchange)};
     if (origin == Origin::Instance) {
         call.isHandedOver = true;
