--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -49,6 +49,8 @@
     std::uint64_t bodyBytes = 0;
     /// The length of the body that the header states, if it states one.
     std::optional<std::uint64_t> statedBytes;
+    /// What ended the connection, in the operating system's words; empty if it was closed in order, or by this process.
+    std::string error;
 };
 
 /// Returns a phrase such as "kept connection, 512 of 800 bytes of the body".
@@ -64,6 +66,8 @@
     std::chrono::milliseconds connectTimeout{500};
     /// Longest time from the start of the call to its end; zero means no limit.
     std::chrono::milliseconds totalTimeout{5000};
+    /// A server that acknowledges nothing of what it was sent for this time is gone, and the call fails. One that acknowledges, but doesn't read, is not.
+    std::chrono::milliseconds unacknowledgedTimeout{4000};
     /// Use a new connection and close it after the call. The server may close a kept-alive connection while the request is being written, which
     /// leaves the outcome unknown; calls that must run at most once avoid this with a new connection.
     bool freshConnection = false;
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -38,6 +38,28 @@
     std::chrono::milliseconds idleTimeoutMargin{0};
     /// Time after which clients know of a changed idle timeout; until then they may count on the earlier one if that is longer.
     std::chrono::milliseconds idleTimeoutNotice{0};
+    /// A connection is ended if its client takes nothing of what waits for it for this time, or for the time limit of its request if that is longer. While
+    /// `connections` are open, one that waits for its next request makes room for a new one if this time has passed since its last request.
+    std::chrono::milliseconds untakenTimeout{30000};
+};
+
+/// What a server is told of an exchange.
+struct ExchangeTerms {
+    /// The client's id of the request, for reports.
+    std::string requestId;
+    /// Time that the client gives the request: its connection isn't ended sooner because nothing is taken. Zero if it states none.
+    std::chrono::milliseconds timeLimit{0};
+};
+
+/// A connection that has failed, and whose client hasn't taken all of its response.
+struct DeliveryFailure {
+    std::string requestId;
+    /// What ended the connection, in the operating system's words.
+    std::string error;
+    /// Bytes that the client hasn't acknowledged, or that were not passed to the operating system yet.
+    std::size_t untakenBytes = 0;
+    /// The whole response had been passed to the operating system.
+    bool isWritten = false;
 };
 
 /// Why the server itself answered a request.
@@ -64,7 +86,7 @@
     Answered,
     /// The client closed the connection before the response was complete.
     CallerLeft,
-    /// The client read so slowly that more than ServerLimits::queuedResponseBytes waited for it.
+    /// The client read so slowly that more than ServerLimits::queuedResponseBytes waited for it, or took nothing for too long.
     CallerTooSlow,
     /// The connection failed while the response was written.
     WriteFailed,
@@ -108,6 +130,10 @@
         std::function<void(ExchangeId, ExchangeEnd)> onEnded = {};
         /// A handler has thrown an exception with this text. Its connection is closed, after an error response if possible. Optional.
         std::function<void(std::string_view)> onException = {};
+        /// A connection has failed. Called after onEnded if the exchange had ended, else before. Optional.
+        std::function<void(const DeliveryFailure &)> onDeliveryFailed = {};
+        /// Bytes that a client sent behind the request of its last response were discarded; that response has said that the connection ends. Optional.
+        std::function<void(const std::string &requestId, std::size_t bytes)> onDiscarded = {};
     };
 
     /// Starts to listen; port 0 means any free port. Throws base::ListenError if the address can't be bound. What each connection holds counts for `peerKind`
@@ -120,6 +146,9 @@
     /// Returns the address on which the server listens, with the actual port.
     Address address() const;
 
+    /// Tells the server about an exchange; best called before its response.
+    void describe(ExchangeId id, const ExchangeTerms &terms);
+
     /// Sends a complete response and ends the exchange. Here and below, a part that doesn't fit to those before it closes the connection, so that the client
     /// recognizes the response as incomplete; then onAbort is called.
     void respond(ExchangeId id, const HttpResponse &response);
@@ -138,12 +167,12 @@
     /// isn't called.
     void abort(ExchangeId id);
 
-    /// Replaces the limits. A connection that already reads a request keeps the header and body limits for this request. One that waits for a request does
-    /// so for the longest idle timeout that has been in force meanwhile.
+    /// Replaces the limits. A request that is being read keeps its limits, and a response that is being written keeps its; larger new ones hold for both. A
+    /// connection that waits for a request does so for the longest idle timeout that has been in force meanwhile.
     void setLimits(const ServerLimits &limits);
 
-    /// Closes idle connections, and from now on every connection after its last response, which says so: requests that have arrived are answered before.
-    /// New connections are still accepted.
+    /// Closes idle connections once their clients have taken what was sent to them, and from now on every connection after its last response, which says so:
+    /// requests that have arrived are answered before. New connections are still accepted.
     void closeConnections();
 
     /// Refuses the requests that are still arriving, and from now on those that don't arrive within a moment.
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -2,8 +2,7 @@
 
 #include "details/ResponseText.h"
 
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
+#include <algorithm>
 
 namespace net {
 
@@ -12,25 +11,12 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
-namespace {
-
-/// Time that the client has to close its side after the last response has reached it.
-constexpr std::chrono::seconds LingerTime{1};
-
-/// Returns the number of bytes that were written but not acknowledged by the peer; 0 if that is unknown.
-int unacknowledgedBytes(tcp::socket &socket)
-{
-    int bytes = 0;
-    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : 0;
-}
-
-} // namespace
-
 Connection::Connection(std::shared_ptr<HttpServer::Impl> server, tcp::socket socket)
     : server_(std::move(server))
     , socket_(std::move(socket))
     , wakeTimer_(socket_.get_executor())
     , timeout_(socket_.get_executor())
+    , takenCheck_(socket_.get_executor())
 {
     beast::error_code ignored;
     socket_.non_blocking(true, ignored);
@@ -144,32 +130,17 @@
 {
     beast::error_code ignored;
     socket_.close(ignored);
+    takenCheck_.stop();
     ended_ = true;
     wakeTimer_.cancel();
 }
 
-void Connection::closeIfIdle()
-{
-    // A wait that has ended can't be cancelled any more, and its request is answered.
-    if (isIdle_ && !hasInput()) {
-        cancelOperations();
-    }
-}
-
-bool Connection::isUnfinished()
-{
-    // A closed connection may exist for a moment, until its last operations have ended.
-    return socket_.is_open() && (!isIdle_ || hasInput() || unacknowledgedBytes(socket_) > 0);
-}
-
 asio::awaitable<bool> Connection::serveRequest()
 {
     if (buffer_.size() == 0 && !co_await waitForRequest()) {
-        if (unacknowledgedBytes(socket_) > 0) {
-            co_await linger();
-        }
         co_return false;
     }
+    requestTimeout_ = server_->limits.requestTimeout;
     std::optional<RequestParser> parser(std::in_place);
     parser->header_limit(static_cast<std::uint32_t>(server_->limits.headerBytes));
     parser->body_limit(server_->limits.bodyBytes);
@@ -204,6 +175,7 @@
 void Connection::startExchange(Request &&message)
 {
     id_ = server_->nextId++;
+    beginTerms();
     ended_ = false;
     responseState_ = ResponseState::None;
     isHead_ = message.method() == http::verb::head;
@@ -258,27 +230,6 @@
     isIdle_ ? closeIfIdle() : close();
 }
 
-asio::awaitable<void> Connection::linger()
-{
-    char scratch[4096];
-    beast::error_code error;
-    socket_.shutdown(tcp::socket::shutdown_send, error);
-    bool goesOn = !error;
-    while (goesOn) {
-        lingerIsOver_ = false;
-        timeout_.start(LingerTime, shared_from_this(), [this]() {
-            lingerIsOver_ = true;
-            cancelOperations();
-        });
-        while (!error && !lingerIsOver_) {
-            co_await socket_.async_read_some(asio::buffer(scratch), asio::redirect_error(asio::use_awaitable, error));
-        }
-        goesOn = lingerIsOver_ && unacknowledgedBytes(socket_) > 0;
-        error = {};
-    }
-    timeout_.stop();
-}
-
 void Connection::watchForClose()
 {
     auto self = shared_from_this();
@@ -289,6 +240,7 @@
         }
         if (self->hasClientLeft()) {
             self->leftUnanswered_ = self->responseState_ == ResponseState::None;
+            self->reportUndelivered(self->lastError_);
             self->abortExchange(ExchangeEnd::CallerLeft);
         }
     });
@@ -299,6 +251,7 @@
     char byte = 0;
     beast::error_code error;
     const std::size_t peekedBytes = socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    lastError_ = error;
     return peekedBytes == 0 && error != asio::error::would_block && error != asio::error::interrupted;
 }
 
@@ -341,10 +294,12 @@
         std::string data;
         data.swap(output_);
         writtenBytes_ = data.size();
-        beast::error_code error;
-        co_await asio::async_write(socket_, asio::buffer(data), asio::redirect_error(asio::use_awaitable, error));
+        const beast::error_code error = co_await writeAll(data);
         writtenBytes_ = 0;
         countHeld();
+        if (error && !broken_) {
+            reportUndelivered(error);
+        }
         if (error) {
             abortExchange(ExchangeEnd::WriteFailed);
             broken_ = true;
@@ -352,6 +307,20 @@
     }
 }
 
+asio::awaitable<beast::error_code> Connection::writeAll(const std::string &data)
+{
+    beast::error_code error;
+    unsentBytes_ = data.size();
+    watchTaking();
+    while (!error && unsentBytes_ > 0) {
+        const auto rest = asio::buffer(data) + (data.size() - unsentBytes_);
+        const std::size_t sentBytes = co_await socket_.async_write_some(rest, asio::redirect_error(asio::use_awaitable, error));
+        passedBytes_ += sentBytes;
+        unsentBytes_ -= sentBytes;
+    }
+    co_return error;
+}
+
 void Connection::queue(const std::string &data)
 {
     if (ended_) {
@@ -359,7 +328,7 @@
     }
     output_ += data;
     countHeld();
-    if (output_.size() > server_->limits.queuedResponseBytes + data.size()) {
+    if (output_.size() > std::max(queuedLimit_, server_->limits.queuedResponseBytes) + data.size()) {
         abortExchange(ExchangeEnd::CallerTooSlow);
         close();
         return;
