A hand-over whose connection is refused at once leaves room for further ones (RECOVER beside a roll-back)

What callers saw: half of 69 instances are rolled back to a build without hand-overs, and their entries in the list of instances still name addresses where nobody listens.

Cause: a failed hand-over counts as one of three, since it may take the time of a connection; a refused connection takes a round trip only. The instance can't know these addresses before it has tried them, as it hears digests of few others in a large fleet.

Change: a connection that fails within 100 ms doesn't use up a hand-over. At most 16 of those are tried for one request; each address is avoided for 2 s as before.

Both errors: InstancesThatCannotBeReached. areLeftOutUntilOneTakesTheRequest failed before (3 hand-overs, expected 11); connections that aren't answered still end after three, and a fleet that refuses everything is tried 16 times at most (this one passed before, too).

Evidence: TREFOIL_LARGE_FLEETS=1 build/tests/relayTests -g AFleetOfTwoBuilds -n servesTheCallersOfInstancesThatAreCutOffAfterARollBack: before, failed at 69 (21 of 25); after, passes at 5, 69 and 195 instances. Groups HandOver, HandedOver, CutOff and AFleet: 48 of 48. The three mutants were applied by hand, and each fails one test.

--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -12,6 +12,10 @@
 constexpr std::size_t MaxPeersTried = 6;
 /// Hand-overs that fail may each take the time of a connection.
 constexpr std::uint32_t MaxFailedHandOvers = 3;
+/// A connection that fails within this time was refused: nobody listens there, and the next instance can be tried at once.
+constexpr Ms MaxRefusalTime{100};
+/// Instances at which nobody listens that are tried for one request.
+constexpr std::uint32_t MaxUnreachedPeers = 16;
 /// A stream is moved to another instance after this time without an event at the earliest. The instance that serves it moves it sooner if the cause lies behind
 /// it.
 constexpr Ms StalledTimeout{1500};
@@ -34,7 +38,8 @@
 
 std::optional<std::string> RelayKernel::Impl::chooseReceiver(Instant now, const Call &call)
 {
-    if (!reach.isCutOff() || call.isHandedOver || call.triedPeers.size() >= MaxPeersTried || call.failedHandOvers >= MaxFailedHandOvers) {
+    const bool hasTriedEnough = call.triedPeers.size() >= MaxPeersTried + call.unreachedPeers || call.unreachedPeers >= MaxUnreachedPeers;
+    if (!reach.isCutOff() || call.isHandedOver || hasTriedEnough || call.failedHandOvers >= MaxFailedHandOvers) {
         return std::nullopt;
     }
     return handOverPeers.choose(call.triedPeers, call.config->version, now);
@@ -173,13 +178,15 @@
     const std::string peer = handOvers.at(attempt).peer;
     const std::string detail = peer + (failure == AttemptFailure::NotSent ? " could not be reached" : " broke off");
     driver.record({"handover_failed", call.requestId, peer, detail});
-    if (const OpenHandOver &failed = handOvers.at(attempt); failure == AttemptFailure::NotSent && failed.isRetry) {
+    const OpenHandOver &failed = handOvers.at(attempt);
+    const bool wasRefused = failure == AttemptFailure::NotSent && now < failed.begunAt + MaxRefusalTime;
+    if (failure == AttemptFailure::NotSent && failed.isRetry) {
         retries.onRetryNotSent(call.service->name, failed.begunAt, now);
     }
     dropHandOver(attempt);
     handOverPeers.avoid(peer, now);
     call.triedPeers.push_back(peer);
-    ++call.failedHandOvers;
+    ++(wasRefused ? call.unreachedPeers : call.failedHandOvers);
     if (failure == AttemptFailure::NotSent && handOver(now, call)) {
         return;
     }
--- a/libs/relay/src/details/OpenCalls.h
+++ b/libs/relay/src/details/OpenCalls.h
@@ -119,6 +119,8 @@
     std::optional<AttemptId> handOver;
     std::vector<std::string> triedPeers;
     std::uint32_t failedHandOvers = 0;
+    /// Those of triedPeers that have refused the connection at once.
+    std::uint32_t unreachedPeers = 0;
     /// Another instance has handed it over to this one.
     bool isHandedOver = false;
     /// Runs at other instances.
