HttpServer: a request that has arrived before a change of the limits keeps its time

Seen: keepsTheTimeThatItBeganWith failed in one of two runs of netTests on the tree behind (160 tests; the other run passed): the request had arrived in the socket, and the limits changed before it was read. New test freesWhatWasHeldForIt.

--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -137,10 +137,11 @@
 
 asio::awaitable<bool> Connection::serveRequest()
 {
+    // Also for a request that has arrived before a change and isn't read yet.
+    requestTimeout_ = server_->limits.requestTimeout;
     if (buffer_.size() == 0 && !co_await waitForRequest()) {
         co_return false;
     }
-    requestTimeout_ = server_->limits.requestTimeout;
     std::optional<RequestParser> parser(std::in_place);
     parser->header_limit(static_cast<std::uint32_t>(server_->limits.headerBytes));
     parser->body_limit(server_->limits.bodyBytes);
--- a/libs/net/tests/DeliveryTests.cpp
+++ b/libs/net/tests/DeliveryTests.cpp
@@ -63,6 +63,23 @@
     CHECK(server.nextEnd() == net::ExchangeEnd::WriteFailed);
 }
 
+/// Guards against clients that take nothing, and hold an exchange and its bytes.
+TEST(AnAnswerThatIsNotTaken, freesWhatWasHeldForIt)
+{
+    for (const auto &[target, end] :
+         std::map<std::string, net::ExchangeEnd>{{"/large", net::ExchangeEnd::WriteFailed}, {"/begun-large", net::ExchangeEnd::CallerTooSlow}}) {
+        SmallServer server(limitsWithShortUntakenTimeout());
+        RawClient client(server.address(), RawClient::SmallReceiveBufferBytes);
+        client.send("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+        const auto failure = server.nextDeliveryFailure();
+        CHECK(failure.has_value());
+        CHECK(!failure->isWritten);
+        CHECK(server.nextEnd() == end);
+        CHECK(server.waitUntilFinished());
+        CHECK(server.heldNow() < BufferedBytes);
+    }
+}
+
 /// Guards against further requests that are dropped without a word: the close behind a last answer discards them.
 TEST(AnAnswerThatIsNotTaken, letsTheBytesBehindItBeDiscardedWithAReport)
 {
