tests/process/configuration.sh: the head is damaged at the version that it has when it is written

Seen: the script ended with 22 and no word, in a run of the test command beside load and in 2 of 10 runs of its own (two at a time, load average 18 to 22). Cause, by the trace of both: the PUT with If-Match is refused (412), since the instance that has just joined writes the head between the read of its version and the write. Ruled out: a store that is away (the read before it succeeds). The test reads the version again then, for 5 s at most, and requires that the head is written; what it checks afterwards is the same.

--- a/tests/process/configuration.sh
+++ b/tests/process/configuration.sh
@@ -53,9 +53,19 @@
 set_faults '{"mode":"ok"}'
 
 # A head that can't be decoded is named as such by the instances and by trefoilctl, and the configuration in force stays.
-curl -sf "http://${address[platform]}/objects/config/head" -D "$work/head.fields" -o "$work/head.saved"
-version=$(tr -d '\r' <"$work/head.fields" | sed -n 's/^X-Version: //Ip')
-curl -sf -X PUT -H "If-Match: $version" --data-binary 'no head' "http://${address[platform]}/objects/config/head" >/dev/null
+# entry-d joins meanwhile, so that the head may have a newer version by the time of the write; it is read again then.
+damage_head() {
+    curl -sf "http://${address[platform]}/objects/config/head" -D "$work/head.fields" -o "$work/head.saved" || return 1
+    local version
+    version=$(tr -d '\r' <"$work/head.fields" | sed -n 's/^X-Version: //Ip')
+    curl -sf -X PUT -H "If-Match: $version" --data-binary 'no head' "http://${address[platform]}/objects/config/head" >/dev/null
+}
+tries=0
+until damage_head; do
+    tries=$((tries + 1))
+    [ $tries -lt 50 ] || fail "the head can't be written"
+    sleep 0.1
+done
 wait_for head_damaged cat "$work/entry-a.err"
 code=0
 ctl diff "$work/left" --platform "${address[platform]}" >"$work/diff.out" 2>&1 || code=$?
