--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -181,6 +181,9 @@
     /// Returns the number of connections on which a request is being read, or has arrived and will be, or a response isn't delivered yet.
     std::size_t unfinishedConnections() const;
 
+    /// Reports each written response that its client hasn't taken, as a DeliveryFailure with this reason. To be called when the process ends.
+    void reportUntaken(const std::string &reason);
+
     /// Closes the listening socket. Open connections stay open, and each is closed after its current or next response.
     void stopAccepting();
 
--- a/libs/net/src/ConnectionEnd.cpp
+++ b/libs/net/src/ConnectionEnd.cpp
@@ -115,6 +115,14 @@
     }
 }
 
+void Connection::reportUntaken(const std::string &reason)
+{
+    const std::size_t bytes = socket_.is_open() ? untakenBytes() : 0;
+    if (id_ != 0 && bytes > 0 && isExchangeWritten()) {
+        server_->reportDeliveryFailure({requestId_, reason, bytes, true});
+    }
+}
+
 void Connection::closeIfIdle()
 {
     // A wait that has ended can't be cancelled any more, and its request is answered.
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -196,6 +196,13 @@
     return static_cast<std::size_t>(std::count_if(impl_->open.begin(), impl_->open.end(), [](Connection *connection) { return connection->isUnfinished(); }));
 }
 
+void HttpServer::reportUntaken(const std::string &reason)
+{
+    for (Connection *connection : impl_->open) {
+        connection->reportUntaken(reason);
+    }
+}
+
 void HttpServer::stopAccepting()
 {
     impl_->closing = true;
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -39,6 +39,8 @@
     bool closeIfOverdue();
     /// Refuses a request that is being read, unless its rest arrives within a moment.
     void hurryReading();
+    /// Reports a written response that the client hasn't taken, with this reason.
+    void reportUntaken(const std::string &reason);
     /// Returns true unless the connection waits for a request of which nothing has arrived, and its last response has reached the client.
     bool isUnfinished();
 
--- a/libs/net/tests/DeliveryTests.cpp
+++ b/libs/net/tests/DeliveryTests.cpp
@@ -63,6 +63,26 @@
     CHECK(server.nextEnd() == net::ExchangeEnd::WriteFailed);
 }
 
+/// Guards against a finished answer that is lost with its process, without a word in the log.
+TEST(AnAnswerThatIsNotTaken, isReportedWhenTheProcessEnds)
+{
+    SmallServer server;
+    RawClient idle(server.address());
+    idle.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\n");
+    idle.receiveUntil("whole ");
+    RawClient client(server.address(), RawClient::SmallReceiveBufferBytes);
+    client.send("GET /buffered HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
+    CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
+    server.reportUntaken("the process ends");
+    const auto failure = server.nextDeliveryFailure();
+    CHECK(failure.has_value());
+    STRCMP_EQUAL("/buffered", failure->requestId.c_str());
+    STRCMP_EQUAL("the process ends", failure->error.c_str());
+    CHECK(failure->untakenBytes > 0);
+    CHECK(failure->isWritten);
+}
+
 /// Guards against clients that take nothing, and hold an exchange and its bytes.
 TEST(AnAnswerThatIsNotTaken, freesWhatWasHeldForIt)
 {
--- a/libs/net/tests/SmallServer.h
+++ b/libs/net/tests/SmallServer.h
@@ -249,6 +249,12 @@
         runInLoop([this]() { server_->endStream(begun_); });
     }
 
+    /// Calls the server's reportUntaken().
+    void reportUntaken(const std::string &reason)
+    {
+        runInLoop([&]() { server_->reportUntaken(reason); });
+    }
+
     /// The time that clients give their requests from now on.
     void setTimeLimit(std::chrono::milliseconds timeLimit)
     {
--- a/libs/relayhost/src/RelayHost.cpp
+++ b/libs/relayhost/src/RelayHost.cpp
@@ -176,6 +176,7 @@
     loop_.run();
     mesh_.stop();
     meshThread_.join();
+    callerServer_->reportUntaken("the process ends");
     recordCutExchanges();
     if (failedTicks_ >= MaxFailedTicks) {
         throw std::runtime_error("the periodic work fails again and again");
