--- a/libs/net/tests/AckWatchTests.cpp
+++ b/libs/net/tests/AckWatchTests.cpp
@@ -83,3 +83,25 @@
     CHECK(!net::ackStateOf(socket, error));
     CHECK(error.failed());
 }
+
+/// Guards against a sound peer that is taken for gone after a hold-up of the process: what was on its way at the last look has been acknowledged long since,
+/// and more was passed to the operating system just before this one.
+TEST(APeerThatIsSentSomething, isNotGoneBecauseTheProcessWasHeldUp)
+{
+    CHECK(!isGoneAt(0s, infoWith(3, 0, 0s)));
+    CHECK(!isGoneAt(500ms, infoWith(3, 0, 10ms)));
+    // No look for 4.6 s. The last acknowledgement came 0.1 s after the hold-up began.
+    CHECK(!isGoneAt(5100ms, infoWith(3, 0, 4500ms)));
+    CHECK(!isGoneAt(5600ms, infoWith(3, 0, 20ms)));
+}
+
+/// Guards against the other error: hold-ups between which a peer that is gone isn't found.
+TEST(APeerThatIsSentSomething, isGoneAfterAHoldUpIfItGoesOnAcknowledgingNothing)
+{
+    CHECK(!isGoneAt(0s, infoWith(3, 0, 0s)));
+    bool isGone = false;
+    for (std::chrono::milliseconds time = 5s; time <= 9s; time += 500ms) {
+        isGone = isGoneAt(time, infoWith(3, 0, time));
+    }
+    CHECK(isGone);
+}
--- a/libs/net/tests/DeliveryTests.cpp
+++ b/libs/net/tests/DeliveryTests.cpp
@@ -211,3 +211,19 @@
     answer += slow.receiveAll();
     CHECK(answer.ends_with("\r\n\r\n" + std::string(BufferedBytes, 'x')));
 }
+
+/// Guards against a report that says of an answer which was taken that it wasn't: what fails or is discarded here follows a refusal of a later request.
+TEST(AnAnswerThatIsNotTaken, isNotConfusedWithARefusalBehindIt)
+{
+    SmallServer server;
+    RawClient client(server.address());
+    client.send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\n");
+    client.receive(1);
+    client.send("NONSENSE\r\n\r\n");
+    client.receiveUntil("refused");
+    client.send("more");
+    client.close();
+    const auto discarded = server.nextDiscarded();
+    CHECK(discarded.has_value());
+    STRCMP_EQUAL("", discarded->first.c_str());
+}
--- a/libs/net/tests/IdleDeliveryTests.cpp
+++ b/libs/net/tests/IdleDeliveryTests.cpp
@@ -137,3 +137,20 @@
     client.send(lastWhole);
     CHECK(client.receiveAll().ends_with("whole "));
 }
+
+/// Guards against clients that take a little now and then of a last answer, and so keep others out for as long as they like, far beyond the time of their requests.
+TEST(AKeptConnectionWithAnAnswerOnItsWay, makesRoomOnceTheTimeOfItsRequestIsOverAlsoIfItIsTheLastOneAndALittleIsTaken)
+{
+    net::ServerLimits limits = limitsWithShortIdleTimeout();
+    limits.connections = 1;
+    limits.untakenTimeout = std::chrono::milliseconds(600);
+    SmallServer server(limits);
+    RawClient client(server.address(), RawClient::SmallReceiveBufferBytes);
+    client.send("GET /buffered HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    CHECK(server.nextEnd() == net::ExchangeEnd::Answered);
+    for (int i = 0; i < 20; ++i) {
+        std::this_thread::sleep_for(limits.untakenTimeout / 4);
+        client.receive(8 * 1024);
+    }
+    CHECK(server.get("/whole").ok);
+}
--- a/libs/net/tests/SlowServerTests.cpp
+++ b/libs/net/tests/SlowServerTests.cpp
@@ -70,3 +70,25 @@
     CHECK(!result.ok);
     CHECK(result.failure == net::CallFailure::TimedOut);
 }
+
+/// Guards against a request that reaches its server long after its call has ended: what the operating system holds of it is delivered whenever the server reads.
+TEST(ARequestToAServerThatPauses, isNotDeliveredAfterItsCallHasEnded)
+{
+    constexpr std::size_t SmallBodyBytes = 100 * 1024;
+    net::ClientCall limited = call();
+    limited.request.body.resize(SmallBodyBytes);
+    limited.totalTimeout = Pause / 2;
+    std::size_t receivedBytes = 0;
+    std::thread server([&]() {
+        boost::asio::ip::tcp::socket socket = acceptor.accept();
+        std::this_thread::sleep_for(4 * Pause);
+        std::string received;
+        boost::system::error_code error;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+        receivedBytes = received.size();
+    });
+    const net::BlockingResult result = net::callAndWait(std::move(limited));
+    server.join();
+    CHECK(result.failure == net::CallFailure::TimedOut);
+    CHECK(receivedBytes < SmallBodyBytes);
+}
--- a/libs/placement/tests/ScarceLayersTests.cpp
+++ b/libs/placement/tests/ScarceLayersTests.cpp
@@ -214,3 +214,18 @@
         CHECK(std::min(lower, total - lower) * 3 + 3 >= total);
     }
 }
+
+/// Guards against moves to and fro without end, since sums of the same capacities differ in their last digit by the order in which they were made: two and three
+/// of five equal endpoints.
+TEST(ScarceLayers, areLeftIfOnlyRoundingSpeaksForAMove)
+{
+    std::mt19937 random(1);
+    for (int fleet = 0; fleet < 500; ++fleet) {
+        profile.stepMs = 1 + static_cast<double>(random() % 1000) / 100;
+        profile.prefillTokensPerMs = 1 + static_cast<double>(random() % 1000) / 10;
+        profile.typicalPromptTokens = static_cast<double>(100 + random() % 2000);
+        endpoints.clear();
+        add(0, 2, 3);
+        LONGS_EQUAL(0, relieve());
+    }
+}
--- a/libs/relay/tests/SilentEnginesTests.cpp
+++ b/libs/relay/tests/SilentEnginesTests.cpp
@@ -214,3 +214,52 @@
     LONGS_EQUAL(3, holdersOf(Lower));
     LONGS_EQUAL(3, holdersOf(Upper));
 }
+
+/// Guards against engines that load layers without end: of five equal ones, two hold one half and three the other, and no move makes that better.
+TEST(ThePlanAfterASilence, isLeftAsItIsIfFiveEnginesCantBeMoreEven)
+{
+    for (const placement::LayerRange held : {Lower, Lower, Upper, Upper, Upper}) {
+        entries.push_back(RelayTestBed::engineEntry("engine-" + std::to_string(entries.size()), "zone-a", held));
+    }
+    startPlanner();
+    advance(Ms(60000));
+    LONGS_EQUAL(0, driver.orders.size());
+}
+
+/// Guards against scarce layers that are never relieved: the planner keeps to the layer that became scarce first for as long as that is scarce, also if nothing
+/// can move there, while others have become scarcer.
+TEST(ThePlanAfterASilence, relievesLayersBesideOthersThatNothingCanRelieve)
+{
+    constexpr std::uint32_t Quarter = 20;
+    constexpr int Streams = 80;
+    const auto rangeOf = [](std::uint32_t quarter) {
+        return placement::LayerRange{quarter * Quarter, (quarter + 1) * Quarter};
+    };
+    for (const std::uint32_t quarter : {0U, 0U, 1U, 1U, 1U, 2U, 2U, 2U, 3U, 3U, 3U}) {
+        entries.push_back(RelayTestBed::engineEntry("engine-" + std::to_string(entries.size()), "zone-a", rangeOf(quarter)));
+    }
+    startPlanner();
+    FleetConfig config = *RelayTestBed::config(2);
+    config.services.front().engine->kinds = {{"gpu", 25000, 1, 1}};
+    kernel->onConfig(now, now, std::make_shared<FleetConfig>(config));
+    for (int stream = 1; stream <= Streams; ++stream) {
+        CallArrival arrival;
+        arrival.call = static_cast<CallId>(stream);
+        arrival.requestId = "request-" + std::to_string(stream);
+        arrival.host = "api.example";
+        arrival.path = "/stream/x";
+        arrival.keySha256 = "key-a";
+        arrival.timeLimit = Ms(60000);
+        arrival.promptTokens = 500;
+        arrival.answerTokens = 100;
+        arrival.fingerprint = static_cast<std::uint64_t>(stream);
+        kernel->onCall(now, arrival);
+    }
+    LONGS_EQUAL(Streams, driver.sent.size());
+    advance(Ms(5000));
+    LONGS_EQUAL(0, driver.orders.size());
+    std::erase_if(entries, [](const EndpointEntry &listed) { return listed.id == "engine-3" || listed.id == "engine-4"; });
+    LONGS_EQUAL(1, holdersOf(rangeOf(1)));
+    advance(Ms(10000));
+    CHECK(holdersOf(rangeOf(1)) >= 2);
+}
--- a/libs/relay/tests/UnreachedInstanceTests.cpp
+++ b/libs/relay/tests/UnreachedInstanceTests.cpp
@@ -74,3 +74,19 @@
     CHECK(handOvers() <= 16);
     CHECK(wasRejected());
 }
+
+/// Guards against a request that nobody has received being rejected although the endpoints are within reach again: refused connections are no attempts.
+TEST(InstancesThatCannotBeReached, leaveTheRequestItsAttemptsHereIfTheCutIsOver)
+{
+    callBeside(12);
+    for (int i = 0; i < 5; ++i) {
+        bed.kernel.onFailure(bed.now, bed.lastHandOver().attempt, AttemptFailure::NotSent);
+    }
+    bed.unreachable.clear();
+    bed.advance(Ms(800));
+    CHECK(bed.kernel.reachesEndpoints());
+    const std::size_t sent = bed.driver.sent.size();
+    bed.kernel.onFailure(bed.now, bed.lastHandOver().attempt, AttemptFailure::NotSent);
+    CHECK(!wasRejected());
+    LONGS_EQUAL(sent + 1, bed.driver.sent.size());
+}
--- a/libs/relay/tests/WholeRequestTests.cpp
+++ b/libs/relay/tests/WholeRequestTests.cpp
@@ -299,3 +299,53 @@
     LONGS_EQUAL(0, bed.driver.sent.size());
     CHECK(bed.rejection() == base::ErrorKind::Quarantined);
 }
+
+/// A stream that has begun, and that one instance after the other refuses to go on with.
+TEST_GROUP(AStreamThatManyInstancesRefuse)
+{
+    CutOffBed bed;
+
+    void refuse()
+    {
+        AnswerHead head;
+        head.peerError = base::ErrorKind::NoEndpoint;
+        bed.kernel.onAnswer(bed.now, bed.lastHandOver().attempt, head);
+    }
+};
+
+/// Guards against a stream that is broken off when the cut is over, since hand-overs that nobody has run have used up its attempts: it may go on here.
+TEST(AStreamThatManyInstancesRefuse, goesOnHereIfTheCutIsOver)
+{
+    std::vector<InstanceEntry> instances{{"one", "one:1", "zone-a", "one:2"}};
+    for (int i = 0; i < 12; ++i) {
+        const std::string name = "other-" + std::to_string(i);
+        instances.push_back({name, name + ":1", "zone-a", name + ":2"});
+    }
+    bed.kernel.onInstances(bed.now, instances);
+    // So many that the limit on retries is no reason.
+    for (int i = 0; i < 100; ++i) {
+        bed.startStream(1);
+        bed.kernel.onStreamEnd(bed.now, bed.lastAttempt());
+    }
+    bed.startStream(2);
+    const AttemptId own = bed.lastAttempt();
+    bed.loseEndpoints();
+    bed.advance(Ms(600));
+    bed.kernel.onFailure(bed.now, own, AttemptFailure::Broken);
+    std::size_t refused = bed.driver.handOvers.size() - 1;
+    for (; bed.driver.handOvers.size() > refused; ++refused) {
+        refuse();
+    }
+    CHECK(refused >= 6);
+    LONGS_EQUAL(0, bed.driver.brokenStreams.size());
+    bed.advance(Ms(100));
+    CHECK(bed.driver.handOvers.size() > refused);
+    bed.unreachable.clear();
+    bed.advance(Ms(800));
+    CHECK(bed.kernel.reachesEndpoints());
+    const std::size_t sent = bed.driver.sent.size();
+    refuse();
+    bed.advance(Ms(200));
+    LONGS_EQUAL(0, bed.driver.brokenStreams.size());
+    LONGS_EQUAL(sent + 1, bed.driver.sent.size());
+}
