Relief of scarce layers: differences by rounding move nothing

Five equal endpoints, two and three: the sum of three capacities less one is, by its last digit, more than that of two, so that endpoints moved to and fro each 3 s without end.

--- a/libs/placement/src/LayerPlanner.cpp
+++ b/libs/placement/src/LayerPlanner.cpp
@@ -26,6 +26,8 @@
 constexpr double MinMoveGain = 0.35;
 /// Layers are scarce if other layers have at least this multiple of their capacity in the whole fleet.
 constexpr double MinScarceRatio = 1.5;
+/// Differences below this part of a capacity, and gains below it, are errors of rounding: sums depend on the order in which they were made.
+constexpr double Rounding = 1e-9;
 /// Subtracted from the gain of a move for each request that passes through the endpoint.
 constexpr double OpenRequestCost = 0.05;
 
@@ -280,9 +282,9 @@
         const LayerRange range = bestRange(profile, coverage, endpoint, size, block, layer);
         const double gain = coverage.gain(endpoint, range) - coverage.gain(endpoint, endpoint.held);
         // The layers that it gives up must not become as scarce as those that it takes were.
-        const bool isAffordable = coverage.lowestCapacity(endpoint.held) > before;
+        const bool isAffordable = coverage.lowestCapacity(endpoint.held) > before * (1 + Rounding);
         const double rank = gain - OpenRequestCost * endpoint.openRequests;
-        if (isAffordable && gain > 0 && rank > bestRank) {
+        if (isAffordable && gain > Rounding && rank > bestRank) {
             bestRank = rank;
             best = Assignment{i, range};
         }
