--- a/libs/relay/src/PlannerDuty.cpp
+++ b/libs/relay/src/PlannerDuty.cpp
@@ -283,6 +283,9 @@
         recordScarcity(service, *layer, move.has_value());
     }
     if (!move) {
+        if (const auto scarcest = layer ? placement::scarcestLayer(profile, plannerEndpoints) : std::nullopt; scarcest && *scarcest != *layer) {
+            scarceLayers_[service.name] = {*scarcest, now}; // Nothing can be done for the one that was scarce before.
+        }
         return;
     }
     nextMove_ = now + MovePeriod;
