--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -159,9 +159,6 @@
         if (handOver(now, call)) {
             return;
         }
-        if (!reach.isCutOff() && !isUnderWay(call)) {
-            return retryOrFail(now, call, kind, detail); // It can be served here again.
-        }
     }
     // An attempt that this instance has sent itself may still be answered.
     if (isUnderWay(call) || waitsForEndpoints(now, call)) {
@@ -170,6 +167,9 @@
         }
         return;
     }
+    if (concernsInstanceOnly(kind) && !reach.isCutOff()) {
+        return retryOrFail(now, call, kind, detail); // It can be served here again.
+    }
     if (kind == base::ErrorKind::Overloaded) {
         return rejectForLoad(now, call, retryAfter, detail);
     }
@@ -190,6 +190,9 @@
     handOverPeers.avoid(peer, now);
     call.triedPeers.push_back(peer);
     ++(wasRefused ? call.unreachedPeers : call.failedHandOvers);
+    if (wasRefused) {
+        --call.attemptCount; // Nobody has received the request.
+    }
     if (failure == AttemptFailure::NotSent && handOver(now, call)) {
         return;
     }
