--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -52,11 +52,20 @@
     socket.close(ignored);
 }
 
+/// Closes the connection of a call. The timeout for bytes that aren't acknowledged holds again, so that a server which reads them later doesn't get the request.
+void closeConnection(RunningCall &running)
+{
+    if (running.watch) {
+        running.watch->stop();
+    }
+    closeSocket(*running.socket);
+}
+
 /// Ends a call from outside of its coroutine, which goes on with its failure.
 void cancelCall(RunningCall &running)
 {
     running.cancelled = true;
-    closeSocket(*running.socket);
+    closeConnection(running);
 }
 
 } // namespace
@@ -223,7 +232,7 @@
     state->timer->async_wait([state](const beast::error_code &error) {
         if (!error && !state->ended) {
             state->timedOut = true;
-            closeSocket(*state->socket);
+            closeConnection(*state);
         }
     });
 }
