--- a/libs/net/src/AckWatch.cpp
+++ b/libs/net/src/AckWatch.cpp
@@ -27,12 +27,15 @@
 
 bool AckWatch::isGone(const AckState &state, Time now)
 {
+    // After a hold-up of the process, what waits now may have been sent a moment ago: the next look tells.
+    const bool wasHeldUp = lookedAt_ && now - *lookedAt_ > bound_ / 2;
+    lookedAt_ = now;
     if (!state.isWaiting) {
         waitingSince_.reset();
         return false;
     }
     waitingSince_ = waitingSince_ ? std::max(*waitingSince_, now - state.sinceAck) : now;
-    return now - *waitingSince_ >= bound_;
+    return !wasHeldUp && now - *waitingSince_ >= bound_;
 }
 
 } // namespace net
--- a/libs/net/src/details/AckWatch.h
+++ b/libs/net/src/details/AckWatch.h
@@ -38,6 +38,8 @@
 
 private:
     std::chrono::milliseconds bound_;
+    /// When the last look was taken.
+    std::optional<Time> lookedAt_;
     /// Since when something has waited without an acknowledgement of anything.
     std::optional<Time> waitingSince_;
 };
