--- a/libs/net/src/ConnectionEnd.cpp
+++ b/libs/net/src/ConnectionEnd.cpp
@@ -146,7 +146,7 @@
 
 bool Connection::closeIfOverdue()
 {
-    if (!isIdle_ || hasInput()) {
+    if (!isLingering_ && (!isIdle_ || hasInput())) {
         return false;
     }
     if (isTakingWatched_ && unacknowledgedBytes() > 0) {
@@ -156,6 +156,9 @@
         }
         return isOverdue;
     }
+    if (isLingering_) {
+        return false; // It ends in a moment.
+    }
     const bool isOverdue = idleTimeLeft().count() <= 0;
     if (isOverdue) {
         closeIfIdle();
@@ -180,6 +183,7 @@
 
 asio::awaitable<void> Connection::linger()
 {
+    isLingering_ = true;
     char scratch[4096];
     beast::error_code error;
     std::size_t discardedBytes = buffer_.size();
--- a/libs/net/src/ConnectionReading.cpp
+++ b/libs/net/src/ConnectionReading.cpp
@@ -156,6 +156,9 @@
     } else if (error == http::error::end_of_stream) {
         co_return;
     }
+    if (unacknowledgedBytes() == 0) {
+        requestId_.clear(); // The client has its last response; what fails from here on is the refusal.
+    }
     co_await refuseAs(kind);
 }
 
--- a/libs/net/src/details/Connection.h
+++ b/libs/net/src/details/Connection.h
@@ -200,6 +200,8 @@
     bool isTooMuchHeld_ = false;
     /// The client has closed its sending side, and nothing was sent of the response.
     bool leftUnanswered_ = false;
+    /// It is in linger().
+    bool isLingering_ = false;
     /// The client has had its time to close its side, in linger().
     bool lingerIsOver_ = false;
     /// When it began to wait for a request.
