--- a/libs/net/src/ConnectionEnd.cpp
+++ b/libs/net/src/ConnectionEnd.cpp
@@ -154,7 +154,7 @@
 
 bool Connection::closeIfOverdue()
 {
-    if (!isIdle_ || hasInput()) {
+    if (!isLingering_ && (!isIdle_ || hasInput())) {
         return false;
     }
     if (isTakingWatched_ && unacknowledgedBytes() > 0) {
@@ -164,6 +164,9 @@
         }
         return isOverdue;
     }
+    if (isLingering_) {
+        return false; // It ends in a moment.
+    }
     const bool isOverdue = idleTimeLeft().count() <= 0;
     if (isOverdue) {
         closeIfIdle();
@@ -188,6 +191,7 @@
 
 asio::awaitable<void> Connection::linger()
 {
+    isLingering_ = true;
     char scratch[4096];
     beast::error_code error;
     std::size_t discardedBytes = buffer_.size();
