--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -52,7 +52,8 @@
     socket.close(ignored);
 }
 
-/// Closes the connection of a call. The timeout for bytes that aren't acknowledged holds again, so that a server which reads them later doesn't get the request.
+/// Closes the connection of a call. The timeout for bytes that aren't acknowledged holds again, so that a server which reads them later doesn't get the
+/// request.
 void closeConnection(RunningCall &running)
 {
     if (running.watch) {
--- a/libs/net/tests/IdleDeliveryTests.cpp
+++ b/libs/net/tests/IdleDeliveryTests.cpp
@@ -138,7 +138,8 @@
     CHECK(client.receiveAll().ends_with("whole "));
 }
 
-/// Guards against clients that take a little now and then of a last answer, and so keep others out for as long as they like, far beyond the time of their requests.
+/// Guards against clients that take a little now and then of a last answer, and so keep others out for as long as they like, far beyond the time of their
+/// requests.
 TEST(AKeptConnectionWithAnAnswerOnItsWay, makesRoomOnceTheTimeOfItsRequestIsOverAlsoIfItIsTheLastOneAndALittleIsTaken)
 {
     net::ServerLimits limits = limitsWithShortIdleTimeout();
--- a/libs/net/tests/SlowServerTests.cpp
+++ b/libs/net/tests/SlowServerTests.cpp
@@ -71,7 +71,8 @@
     CHECK(result.failure == net::CallFailure::TimedOut);
 }
 
-/// Guards against a request that reaches its server long after its call has ended: what the operating system holds of it is delivered whenever the server reads.
+/// Guards against a request that reaches its server long after its call has ended: what the operating system holds of it is delivered whenever the server
+/// reads.
 TEST(ARequestToAServerThatPauses, isNotDeliveredAfterItsCallHasEnded)
 {
     constexpr std::size_t SmallBodyBytes = 100 * 1024;
--- a/libs/placement/tests/ScarceLayersTests.cpp
+++ b/libs/placement/tests/ScarceLayersTests.cpp
@@ -215,8 +215,8 @@
     }
 }
 
-/// Guards against moves to and fro without end, since sums of the same capacities differ in their last digit by the order in which they were made: two and three
-/// of five equal endpoints.
+/// Guards against moves to and fro without end, since sums of the same capacities differ in their last digit by the order in which they were made: two and
+/// three of five equal endpoints.
 TEST(ScarceLayers, areLeftIfOnlyRoundingSpeaksForAMove)
 {
     std::mt19937 random(1);
