--- a/review/stand-2/Stand.cpp
+++ b/review/stand-2/Stand.cpp
@@ -723,11 +723,13 @@
     const int last = std::atoi(request.header("last-event-id").c_str());
     sleepMs(options_.eventMs);
     runs_.add(requestId, options_.id + (last > 0 ? " after event " + std::to_string(last) : ""));
+    const std::uint64_t answer = ++answers_;
     bool goesOn = !isDark(life)
         && channel.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + echo + "X-Response-Seal: seal-" + requestId
                          + "\r\n\r\n");
     for (int event = last + 1; goesOn && event <= options_.events; ++event) {
-        const std::string text = "id: " + std::to_string(event) + "\ndata: " + requestId + " piece " + std::to_string(event) + "\n\n";
+        std::string text = "id: " + std::to_string(event) + "\ndata: " + requestId + " piece " + std::to_string(event) + "\n\n";
+        text = spoil ? spoil(answer, requestId, event, text) : text;
         char size[20];
         std::snprintf(size, sizeof size, "%zx\r\n", text.size());
         goesOn = !isDark(life) && channel.write(size + text + "\r\n");
--- a/review/stand-2/Stand.h
+++ b/review/stand-2/Stand.h
@@ -178,6 +178,8 @@
     void startAgain();
     /// Called with each request on a route, in place of the usual answer, if it returns true.
     std::function<bool(Channel &, const Message &)> answerInstead;
+    /// Returns the bytes that are sent in place of an event, if set. The answers of a runner are counted from 1.
+    std::function<std::string(std::uint64_t answer, const std::string &requestId, int event, const std::string &text)> spoil;
 
     const std::string &id() const { return options_.id; }
     std::string address() const { return listener_->address(); }
@@ -212,6 +214,7 @@
     std::uint32_t loadTo_ = 0;
     std::int64_t loadedAt_ = 0;
     std::atomic<int> openStreams_{0};
+    std::atomic<std::uint64_t> answers_{0};
     std::vector<std::shared_ptr<Channel>> hung_;
     std::unique_ptr<Listener> listener_;
     std::thread beats_thread_;
