Review stand-ins pass the formatter and the linter

Cause: ./build.sh check takes in all tracked sources, those of review/stand-2 too. Change: format, and ten findings of clang-tidy; no behaviour of the stand-ins differs. Measured: clang-format and clang-tidy find nothing in review/stand-2.

--- a/review/stand-2/KeptChannels.cpp
+++ b/review/stand-2/KeptChannels.cpp
@@ -30,6 +30,7 @@
     store.put("config", "main", manifest(3, {route("/look/", "safe", "desk", 1500, {{"TargetLatencyMs", 150}, {"MaxAttempts", 2}})}));
     Runs runs;
     std::vector<std::unique_ptr<Runner>> runners;
+    runners.reserve(Desks);
     for (int i = 0; i < Desks; ++i) {
         runners.push_back(std::make_unique<Runner>(store, runs, Runner::Options{"i-desk-" + std::to_string(i), "desk", hostOf(30 + i), false, 0, 0, 15}));
     }
@@ -42,6 +43,7 @@
     sleepMs(1500);
     const std::int64_t until = sinceStart() + Seconds * 1000;
     std::vector<std::thread> clients;
+    clients.reserve(Parts + OtherClients);
     std::atomic<int> answered{0};
     std::mutex mutex;
     // When the router has last taken a new channel, from any client, and the longest time without one.
@@ -60,8 +62,8 @@
                 for (std::size_t i = 0; i < kept.size() && sinceStart() < until; ++i) {
                     const bool isNew = !kept[i];
                     kept[i] = isNew ? Channel::connect(daemon.host(), daemon.front()) : kept[i];
-                    const std::string text = "GET /look/kept HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: kept-" + std::to_string(part) + "-" + std::to_string(i) + "-"
-                        + std::to_string(roundAt) + "\r\nX-Deadline-Ms: 1500\r\n\r\n";
+                    const std::string text = "GET /look/kept HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: kept-" + std::to_string(part) + "-"
+                        + std::to_string(i) + "-" + std::to_string(roundAt) + "\r\nX-Deadline-Ms: 1500\r\n\r\n";
                     const auto soon = Clock::now() + Ms(2000);
                     const auto head = kept[i] && kept[i]->write(text) ? kept[i]->head(soon) : std::nullopt;
                     const auto body = head ? kept[i]->bytes(static_cast<std::size_t>(std::atoll(head->header("content-length").c_str())), soon) : std::nullopt;
@@ -73,8 +75,8 @@
                     }
                 }
                 const auto open = std::count_if(kept.begin(), kept.end(), [](const auto &each) { return each != nullptr; });
-                record("part " + std::to_string(part) + " of the client keeps " + std::to_string(open) + " channels; requests answered with 200 so far, over all "
-                       + std::to_string(answered));
+                record("part " + std::to_string(part) + " of the client keeps " + std::to_string(open)
+                       + " channels; requests answered with 200 so far, over all " + std::to_string(answered));
                 sleepMs(std::max<std::int64_t>(100, roundAt + ReuseMs - sinceStart()));
             }
         });
--- a/review/stand-2/LongPrefixes.cpp
+++ b/review/stand-2/LongPrefixes.cpp
@@ -43,6 +43,7 @@
                         route("/look/", "safe", "desk", TimeoutMs, {{"TargetLatencyMs", 150}, {"MaxAttempts", 2}})}));
     Runs runs;
     std::vector<std::unique_ptr<Runner>> runners;
+    runners.reserve(Engines + Desks);
     for (int i = 0; i < Engines; ++i) {
         runners.push_back(std::make_unique<Runner>(store, runs, Runner::Options{"i-engine-" + std::to_string(i), "model", hostOf(10 + i), true, 20, 40, 0}));
     }
@@ -73,11 +74,14 @@
     std::vector<std::unique_ptr<Daemon>> daemons;
     std::vector<Daemon *> all;
     for (int i = 0; i < Fronts; ++i) {
-        daemons.push_back(std::make_unique<Daemon>(Daemon::Options{"front-" + std::to_string(i + 1), "zone-a", hostOf(60 + i), store.address(), temporary, program}));
+        daemons.push_back(
+            std::make_unique<Daemon>(Daemon::Options{"front-" + std::to_string(i + 1), "zone-a", hostOf(60 + i), store.address(), temporary, program}));
         daemons.back()->start();
         all.push_back(daemons.back().get());
     }
-    const auto isReady = [&]() { return std::all_of(all.begin(), all.end(), [](Daemon *each) { return each->isReady(); }); };
+    const auto isReady = [&]() {
+        return std::all_of(all.begin(), all.end(), [](Daemon *each) { return each->isReady(); });
+    };
     if (!waitFor(20000, [&]() { return isReady() && std::all_of(runners.begin(), runners.end(), [](const auto &each) { return each->isReady(); }); })) {
         record("the router or a runner did not come up");
         finish(2, all);
@@ -93,6 +97,7 @@
     std::int64_t longest = 0;
     std::atomic<int> number{0};
     std::vector<std::thread> clients;
+    clients.reserve(2 * Fronts + 1);
     std::atomic<int> open{0};
     for (int i = 0; i < Fronts; ++i) {
         clients.emplace_back([&, i]() {
@@ -161,8 +166,8 @@
         ended += daemon->ended();
     }
     record("lookups " + std::to_string(looks) + ", unanswered at the route's timeout " + std::to_string(unanswered) + ", half a second later still "
-           + std::to_string(late) + ", longest " + std::to_string(longest) + " ms; questions for readiness " + std::to_string(asked) + ", not answered with 200 within a second " + std::to_string(missed)
-           + "; crashes of runners " + std::to_string(crashes));
+           + std::to_string(late) + ", longest " + std::to_string(longest) + " ms; questions for readiness " + std::to_string(asked)
+           + ", not answered with 200 within a second " + std::to_string(missed) + "; crashes of runners " + std::to_string(crashes));
     if (!ended.empty()) {
         record("the router ended by itself: " + ended);
     }
--- a/review/stand-2/ManyNames.cpp
+++ b/review/stand-2/ManyNames.cpp
@@ -21,6 +21,7 @@
     store.put("config", "main", manifest(3, {route("/look/", "safe", "desk", TimeoutMs, {{"TargetLatencyMs", 150}, {"MaxAttempts", 2}})}));
     Runs runs;
     std::vector<std::unique_ptr<Runner>> runners;
+    runners.reserve(Desks);
     for (int i = 0; i < Desks; ++i) {
         runners.push_back(std::make_unique<Runner>(store, runs, Runner::Options{"i-desk-" + std::to_string(i), "desk", hostOf(30 + i), false, 0, 0, 15}));
     }
@@ -46,7 +47,8 @@
     for (const std::string &header : headers) {
         headerBytes += header.size() + 2;
     }
-    record("a request of the client has header fields of " + std::to_string(headerBytes) + " bytes, " + std::to_string(RequestsPerSecond) + " requests a second");
+    record("a request of the client has header fields of " + std::to_string(headerBytes) + " bytes, " + std::to_string(RequestsPerSecond)
+           + " requests a second");
     const std::int64_t until = sinceStart() + Seconds * 1000;
     std::mutex mutex;
     int looks = 0;
--- a/review/stand-2/SpoiledEvents.cpp
+++ b/review/stand-2/SpoiledEvents.cpp
@@ -57,6 +57,7 @@
     int whole = 0;
     int broken = 0;
     std::vector<std::thread> clients;
+    clients.reserve(AtOnce);
     for (int i = 0; i < AtOnce; ++i) {
         clients.emplace_back([&]() {
             for (int own = ++number; own <= Streams; own = ++number) {
--- a/review/stand-2/Stand.cpp
+++ b/review/stand-2/Stand.cpp
@@ -258,7 +258,7 @@
     return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-Listener::Listener(const std::string &host, Handler handler)
+Listener::Listener(const std::string &host, const Handler &handler)
     : host_(host)
 {
     fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -666,9 +666,7 @@
             const std::uint64_t fence = order.contains("Fence") ? order.at("Fence").to_number<std::uint64_t>() : 0;
             if (fence < fence_) {
                 status = 412;
-            } else if (order.contains("Precondition") && order.at("Precondition").to_number<std::uint64_t>() != orders_) {
-                status = 409;
-            } else if (loadedAt_ != 0) {
+            } else if (loadedAt_ != 0 || (order.contains("Precondition") && order.at("Precondition").to_number<std::uint64_t>() != orders_)) {
                 status = 409;
             } else if (from == from_ && to == to_) {
                 status = 200;
@@ -748,10 +746,10 @@
     , mesh_(freePort(options_.host, 4))
     , settingsPath_(options_.folder + "/" + options_.name + ".yaml")
 {
-    std::ofstream(settingsPath_) << "Node: \"" << options_.name << "\"\nRole: \"router\"\nMachineClass: \"front\"\nServes:\n  - \"front\"\nIp: \"" << options_.host
-                                 << "\"\nZone: \"" << options_.zone << "\"\nRegion: \"r\"\nListen:\n  Front: \"" << options_.host << ":" << front_
-                                 << "\"\n  Ready: \"" << options_.host << ":" << ready_ << "\"\nInternalPorts:\n  - " << mesh_ << "\n  - " << mesh_ + 3
-                                 << "\nBootstrap: true\nLimits:\n  CpuShare: 0.25\n  Cores: 1\n  MemoryMb: " << options_.memoryMb
+    std::ofstream(settingsPath_) << "Node: \"" << options_.name << "\"\nRole: \"router\"\nMachineClass: \"front\"\nServes:\n  - \"front\"\nIp: \""
+                                 << options_.host << "\"\nZone: \"" << options_.zone << "\"\nRegion: \"r\"\nListen:\n  Front: \"" << options_.host << ":"
+                                 << front_ << "\"\n  Ready: \"" << options_.host << ":" << ready_ << "\"\nInternalPorts:\n  - " << mesh_ << "\n  - "
+                                 << mesh_ + 3 << "\nBootstrap: true\nLimits:\n  CpuShare: 0.25\n  Cores: 1\n  MemoryMb: " << options_.memoryMb
                                  << "\n  MaxFds: 4100\n  LinkMbps: 1000.0\n  DiskMb: 0\nHeartbeatMs: 1200\nBounds:\n  SeedLagS: 3\n  AddrReuseS: 2\n"
                                  << "  StableWindowMs: 3000\n  AckMs: 4000\n  CatchUpS: 4\n  DrainMs: 2000\n  GraceS: 8\n  LossSlackMs: 200\n"
                                  << "  ConfigApplyMs: 2000\n  RollbackSlackMs: 250\n  OuterMs: 5000\n  StrictRevocation: true\n  RevokeMs: 5000\n"
@@ -917,7 +915,7 @@
     std::_Exit(2);
 }
 
-json::object route(const std::string &prefix, const std::string &kind, const std::string &service, std::int64_t timeoutMs, json::object more)
+json::object route(const std::string &prefix, const std::string &kind, const std::string &service, std::int64_t timeoutMs, const json::object &more)
 {
     json::object route{{"Name", "r" + prefix},
                        {"Host", "api.example"},
--- a/review/stand-2/Stand.h
+++ b/review/stand-2/Stand.h
@@ -89,10 +89,16 @@
 {
 public:
     using Handler = std::function<void(std::shared_ptr<Channel>)>;
-    Listener(const std::string &host, Handler handler);
+    Listener(const std::string &host, const Handler &handler);
     ~Listener();
-    std::uint16_t port() const { return port_; }
-    std::string address() const { return host_ + ":" + std::to_string(port_); }
+    std::uint16_t port() const
+    {
+        return port_;
+    }
+    std::string address() const
+    {
+        return host_ + ":" + std::to_string(port_);
+    }
 
 private:
     std::string host_;
@@ -109,7 +115,10 @@
 {
 public:
     explicit Store(const std::string &host);
-    std::string address() const { return listener_->address(); }
+    std::string address() const
+    {
+        return listener_->address();
+    }
     /// Writes as the operator or a runner does. No value: deletes the object.
     void put(const std::string &kind, const std::string &name, std::optional<json::object> spec);
 
@@ -181,10 +190,19 @@
     /// Returns the bytes that are sent in place of an event, if set. The answers of a runner are counted from 1.
     std::function<std::string(std::uint64_t answer, const std::string &requestId, int event, const std::string &text)> spoil;
 
-    const std::string &id() const { return options_.id; }
-    std::string address() const { return listener_->address(); }
+    const std::string &id() const
+    {
+        return options_.id;
+    }
+    std::string address() const
+    {
+        return listener_->address();
+    }
     bool isReady();
-    int openStreams() const { return openStreams_; }
+    int openStreams() const
+    {
+        return openStreams_;
+    }
 
 private:
     void serve(const std::shared_ptr<Channel> &channel);
@@ -241,9 +259,18 @@
     std::string ended();
     /// Kills the process and waits for its end.
     void kill();
-    std::uint16_t front() const { return front_; }
-    std::uint16_t ready() const { return ready_; }
-    const std::string &host() const { return options_.host; }
+    std::uint16_t front() const
+    {
+        return front_;
+    }
+    std::uint16_t ready() const
+    {
+        return ready_;
+    }
+    const std::string &host() const
+    {
+        return options_.host;
+    }
     bool isReady();
 
 private:
@@ -268,7 +295,10 @@
     std::int64_t sentAt = 0;
     std::int64_t endedAt = 0;
     std::int64_t longestPause = 0;
-    bool isSealed() const { return headers.contains("x-response-seal"); }
+    bool isSealed() const
+    {
+        return headers.contains("x-response-seal");
+    }
 };
 
 struct Request {
@@ -287,7 +317,7 @@
 Answer ask(const std::string &host, std::uint16_t port, const Request &request);
 
 /// A manifest with the given routes; each has the fields that it overrides.
-json::object route(const std::string &prefix, const std::string &kind, const std::string &service, std::int64_t timeoutMs, json::object more = {});
+json::object route(const std::string &prefix, const std::string &kind, const std::string &service, std::int64_t timeoutMs, const json::object &more = {});
 json::object manifest(std::uint64_t version, json::array routes);
 
 /// The file's own loopback host number.
--- a/review/stand-2/TwiceAfterDark.cpp
+++ b/review/stand-2/TwiceAfterDark.cpp
@@ -25,6 +25,7 @@
     record("route: " + json::serialize(route));
     Runs runs;
     std::vector<std::unique_ptr<Runner>> engines;
+    engines.reserve(Engines);
     for (int i = 0; i < Engines; ++i) {
         engines.push_back(
             std::make_unique<Runner>(store, runs, Runner::Options{"i-engine-" + std::to_string(i), "model", hostOf(10 + i), true, Events, EventMs, 0}));
@@ -49,7 +50,9 @@
             request.id = "stream-" + std::to_string(i);
             request.headers = {"X-Model: m", "X-Token-Count: 200,100", "X-Prompt-Prefix: a1:40,b" + std::to_string(i) + ":160"};
             request.patienceMs = PatienceMs;
-            request.onEvent = [&](std::uint64_t event) { begun += event == 5 ? 1 : 0; };
+            request.onEvent = [&](std::uint64_t event) {
+                begun += event == 5 ? 1 : 0;
+            };
             answers[static_cast<std::size_t>(i)] = ask(daemon.host(), daemon.front(), request);
         });
         sleepMs(30);
