--- a/review/stand-2/ManyNames.cpp
+++ b/review/stand-2/ManyNames.cpp
@@ -13,7 +13,7 @@
 /// Names in the Connection field, and further fields, of a request within MaxHeaderBytes (16,384).
 constexpr int Names = 3500;
 constexpr int Fields = 2000;
-constexpr int RequestsPerSecond = 30;
+constexpr int RequestsPerSecond = 80;
 
 void run(const std::string &temporary, const std::string &program)
 {
--- a/review/stand-2/SpoiledEvents.cpp
+++ b/review/stand-2/SpoiledEvents.cpp
@@ -9,8 +9,10 @@
 /// Runners that spoil answers (0.43 of all), and one in so many of their answers (0.029).
 constexpr int Faulty = 3;
 constexpr std::uint64_t SpoiledOneIn = 34;
-constexpr int Streams = 700;
-constexpr int AtOnce = 14;
+constexpr int Streams = 600;
+constexpr int AtOnce = 30;
+/// Answers are spoiled for so long.
+constexpr std::int64_t SpoiledForMs = 5000;
 constexpr int Events = 20;
 constexpr int EventMs = 10;
 
@@ -24,6 +26,7 @@
     std::vector<std::unique_ptr<Runner>> engines;
     std::mutex mutex;
     std::map<std::string, int> spoiled;
+    std::atomic<std::int64_t> spoiledUntil{0};
     for (int i = 0; i < Engines; ++i) {
         engines.push_back(
             std::make_unique<Runner>(store, runs, Runner::Options{"i-engine-" + std::to_string(i), "model", hostOf(10 + i), true, Events, EventMs, 0}));
@@ -32,7 +35,7 @@
         }
         engines.back()->spoil = [&](std::uint64_t answer, const std::string &requestId, int event, const std::string &text) {
             // The first or the last event of the answer, in turn. Its first two bytes turn bad.
-            const bool isSpoiled = answer % SpoiledOneIn == 0 && event == (answer / SpoiledOneIn % 2 == 0 ? 1 : Events);
+            const bool isSpoiled = sinceStart() < spoiledUntil && answer % SpoiledOneIn == 0 && event == (answer / SpoiledOneIn % 2 == 0 ? 1 : Events);
             if (!isSpoiled) {
                 return text;
             }
@@ -53,6 +56,7 @@
     }
     // The router uses its part of the budget for retries once it has run for BudgetWindowS.
     sleepMs(12000);
+    spoiledUntil = sinceStart() + SpoiledForMs;
     std::atomic<int> number{0};
     int whole = 0;
     int broken = 0;
--- a/review/stand-2/TwiceAfterDark.cpp
+++ b/review/stand-2/TwiceAfterDark.cpp
@@ -5,8 +5,8 @@
 
 namespace {
 
-constexpr int Engines = 7;
-constexpr int Streams = 21;
+constexpr int Engines = 8;
+constexpr int Streams = 24;
 constexpr int Events = 60;
 constexpr int EventMs = 60;
 constexpr int DownMs = 1600;
