TWICE: a stream that may run once only is sent again once its first stage has restarted

Callers saw a whole answer that two endpoints had run: the first one lost power, came back under its id, and the stream on its hanging connection was sent to another.

Cause: whether a request may run again was decided in two ways. mayRunAgain() counted the runs that still go on, also for streams that can't be resumed, and a run whose endpoint has restarted no longer counts. Each path therefore asked for isResumable beside it, and one of seven in StreamMoves.cpp, "its first stage has ended", didn't. The log shows it: stream_moved with that reason, from an endpoint that had been listed again 0.1 s before. Ruled out: a broken connection (onFailure() checks the route), a detour, a hand-over.

Change: mayRunAgain() owns the rule. A request that may run once only may run again only as long as nothing can have run it: no run that wasn't refused or unsent, no hand-over, whatever has become of the endpoint. The paths ask it and no longer look at the route.

--- a/libs/relay/src/Admission.cpp
+++ b/libs/relay/src/Admission.cpp
@@ -205,7 +205,7 @@
 
 bool RelayKernel::Impl::canEndBeforeStop(Instant now, const Call &call, double predictedMs) const
 {
-    const bool canBeResumed = call.route->kind == RequestKind::Stream && call.route->isResumable;
+    const bool canBeResumed = call.route->kind == RequestKind::Stream && !runsOnce(*call.route);
     if (!stopping || canBeResumed || call.mayHaveRun || !call.attempts.empty()) {
         return true;
     }
--- a/libs/relay/src/Calls.cpp
+++ b/libs/relay/src/Calls.cpp
@@ -175,10 +175,14 @@
         + std::to_string(static_cast<std::uint64_t>(usage.allowed)) + ", reserve divided among " + std::to_string(usage.instances) + " instances";
 }
 
+bool RelayKernel::Impl::hasRestarted(const Run &run) const
+{
+    return endpoints.at(run.first).entry.incarnation > run.incarnation;
+}
+
 bool RelayKernel::Impl::hasEnded(const Run &run) const
 {
-    const EndpointState &state = endpoints.at(run.first);
-    return state.entry.incarnation > run.incarnation || (!state.listed && isSilent(run.first));
+    return hasRestarted(run) || (!endpoints.at(run.first).listed && isSilent(run.first));
 }
 
 std::uint32_t RelayKernel::Impl::countedRuns(const Call &call) const
@@ -188,7 +192,11 @@
 
 bool RelayKernel::Impl::mayRunAgain(const Call &call) const
 {
-    return call.route->kind == RequestKind::AtMostOnce ? !call.mayHaveRun : countedRuns(call) < call.route->maxAttempts;
+    if (runsOnce(*call.route)) {
+        // A run that has ended was a run, too.
+        return !call.mayHaveRun && call.runs.empty() && call.priorRuns == 0 && !call.handOver;
+    }
+    return countedRuns(call) < call.route->maxAttempts;
 }
 
 const Run &RelayKernel::Impl::runOf(AttemptId attempt) const
--- a/libs/relay/src/Detours.cpp
+++ b/libs/relay/src/Detours.cpp
@@ -151,8 +151,8 @@
     if (fault && !isOnLostStage) {
         return; // The lost stage has come back.
     }
-    if (detour(now, call, id, fault) || !call.route->isResumable) {
-        return; // Endpoints may still finish a stream that can't be resumed, and a new attempt isn't permitted.
+    if (detour(now, call, id, fault)) {
+        return;
     }
     const EndpointIndex first = attempt.stages.front();
     if (isSilent(first)) {
--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -244,7 +244,7 @@
     const OpenHandOver &open = handOvers.at(attempt);
     const Instant firstEventLimit = base::boundedMs(MaxFirstEventRatio * static_cast<double>(call.route->callerPatience.count()));
     const Instant limit = open.hasEvents ? Instant(StalledTimeout) : std::max(Instant(StalledTimeout), firstEventLimit);
-    if (!call.route->isResumable || now < open.lastProgressAt + limit || !canLeaveReceiver(now, call)) {
+    if (now < open.lastProgressAt + limit || !canLeaveReceiver(now, call)) {
         return;
     }
     driver.cancel(attempt);
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -241,7 +241,7 @@
         dropAttempt(attempt);
         return; // The other attempt may still go on.
     }
-    const bool canRetry = hasFailed && call.route->isResumable && mayRunAgain(call);
+    const bool canRetry = hasFailed && mayRunAgain(call);
     if (head.verified && !call.streamBegun && !(canRetry && mayRetry(now, call))) {
         return forward(call, attempt, head.status);
     }
@@ -259,9 +259,8 @@
     if (isUnderWay(call)) {
         return; // Another attempt is still open.
     }
-    const bool canContinue = !call.mayHaveRun || call.route->isResumable;
-    if (!canContinue || !mayRetry(now, call)) {
-        if (canContinue && waitsForRetry(now, call)) {
+    if (!mayRetry(now, call)) {
+        if (waitsForRetry(now, call)) {
             return;
         }
         return fail(now, call, call.mayHaveRun ? base::ErrorKind::UpstreamBroken : base::ErrorKind::NoEndpoint, detail);
--- a/libs/relay/src/StreamMoves.cpp
+++ b/libs/relay/src/StreamMoves.cpp
@@ -76,15 +76,20 @@
     if ((attempt.isKept || isLate) && hasEnded(runOf(id)) && mayRetry(now, call) && canStartStream(now, call)) {
         return supersedeAttempt(now, call, id, "its first stage has ended");
     }
+    const Instant silence = now - attempt.lastProgressAt;
+    // An engine that has restarted runs nothing of before. A stream that makes progress all the same was sent before the list showed the restart.
+    const bool isOver = call.service->engine && hasRestarted(runOf(id)) && silence >= StalledStreamTimeout;
+    if (isOver && runsOnce(*call.route)) {
+        return fail(now, call, base::ErrorKind::UpstreamBroken, "its first stage has restarted, and the request may run once only");
+    }
     if (const auto silent = silentStage(now, attempt)) {
         return bypassStage(now, call, id, *silent);
     }
-    const Instant silence = now - attempt.lastProgressAt;
-    if (attempt.isUnknown && silence >= SilentStageTimeout && call.route->isResumable) {
+    if (attempt.isUnknown && silence >= SilentStageTimeout) {
         return leaveUnknownRun(now, call, id);
     }
     // Streams over connections that live on through a cut make progress.
-    if (reach.isCutOff() && silence >= MaxCheckAfterEventGap && call.route->isResumable && mayRetry(now, call) && canStartStream(now, call)) {
+    if (reach.isCutOff() && silence >= MaxCheckAfterEventGap && mayRetry(now, call) && canStartStream(now, call)) {
         return supersedeAttempt(now, call, id, "this instance reaches no endpoint");
     }
     if (silence < eventTimeout(*call.route, attempt)) {
@@ -101,7 +106,7 @@
     }
     // A stream that waits for its prefill, or whose first stage delays all its streams, would only wait longer on other endpoints.
     const bool othersProgress = endpoints.at(first).lastEventAt > attempt.lastProgressAt + Instant(StalledStreamTimeout) / 2;
-    if (silence < StalledStreamTimeout || !call.route->isResumable || !attempt.hasEvents || !othersProgress) {
+    if (silence < StalledStreamTimeout || !attempt.hasEvents || !othersProgress) {
         return;
     }
     if (!mayRetry(now, call) || !canStartStream(now, call)) {
@@ -147,9 +152,7 @@
     if (!isFirst && detour(now, call, attempt)) {
         return;
     }
-    if (call.route->isResumable) {
-        moveStream(now, call, attempt, silent);
-    }
+    moveStream(now, call, attempt, silent);
 }
 
 void RelayKernel::Impl::moveStream(Instant now, Call &call, AttemptId attempt, EndpointIndex silent)
@@ -178,6 +181,9 @@
     if (isBarred(call)) {
         return "requests like it have crashed endpoints";
     }
+    if (runsOnce(*call.route) && !mayRunAgain(call)) {
+        return "it may run once only";
+    }
     if (!mayRetry(now, call)) {
         return "no further attempt is permitted; runs " + std::to_string(countedRuns(call)) + " of " + std::to_string(call.route->maxAttempts);
     }
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -92,11 +92,14 @@
     /// Returns how many runs count against the route's maxAttempts: all but those whose endpoint is known to have ended since. One that is only silent may go
     /// on, and still runs the request.
     std::uint32_t countedRuns(const Call &call) const;
-    /// Returns true if the endpoint of a run is known to have ended since: it has a new incarnation, or it is silent and no longer listed.
+    /// Returns true if the endpoint of a run is known by a later incarnation than when the run was sent.
+    bool hasRestarted(const Run &run) const;
+    /// Returns true if the endpoint of a run is known to have ended since: it has restarted, or it is silent and no longer listed.
     bool hasEnded(const Run &run) const;
     /// Returns the run of an open attempt. Each open attempt has one.
     const Run &runOf(AttemptId attempt) const;
-    /// Returns true if the call may run once more, as its route permits.
+    /// Returns true if the call may run once more, as its route permits: one that may run once only, as long as nothing can have run it; any other, as long as
+    /// fewer runs count than the route's maxAttempts. Every path that begins a further attempt asks this.
     bool mayRunAgain(const Call &call) const;
     /// Returns the incarnation of an open attempt's first stage when the attempt was sent. Each open attempt has a run, which names it.
     std::uint64_t incarnationOf(AttemptId attempt) const;
