ORDER: a stream whose first or last event is damaged ends as complete without it

Callers got 19 of 20 events with 200, the endpoint's mark and the end of the chunks, after an endpoint had spoiled two bytes of an event so that none of its fields was an id. The daemon left such an event out without a word, as it leaves out comments. The kernel noticed the gap only when another event followed, and of a first event it takes any id.

Cause: "no id" meant both "no event" and "an event that can't be read". Beside it, on the same path: an event whose damaged id had become one that the caller had was left out as a repetition, so the last event of a stream could vanish the same way, and after a first id that was too high all events were left out until their ids came up to it. Ruled out: the framing of chunks, the end of the answer, the resumption.

Change: EventScanner (libs/net) owns what a frame is: an event with one id, no event (comments, retry), or unreadable. An attempt that sends an unreadable event is a malformed answer, as one that isn't HTTP is: what came before is delivered, and the stream goes on elsewhere if it may, else it is broken off. EventOrder (libs/relay) owns the order within an attempt or a hand-over: ids go up; the same event with the same bytes may come twice.

--- a/libs/net/fuzz/FuzzEvents.cpp
+++ b/libs/net/fuzz/FuzzEvents.cpp
@@ -13,8 +13,8 @@
     const std::string_view stream(reinterpret_cast<const char *>(data), size);
     std::size_t consumed = 0;
     while (const auto frame = net::firstEvent(stream.substr(consumed))) {
-        const bool follows = frame->bytes.data() == stream.data() + consumed && !frame->bytes.empty();
-        consumed += frame->bytes.size();
+        consumed += frame->length;
+        const bool follows = frame->bytes.data() + frame->bytes.size() == stream.data() + consumed && !frame->bytes.empty();
         if (!follows || consumed > size) {
             std::abort();
         }
--- a/libs/net/tests/HttpTests.cpp
+++ b/libs/net/tests/HttpTests.cpp
@@ -293,12 +293,12 @@
 TEST(AnEventFrame, hasNoIdIfThatIsNoNumberOrTooLarge)
 {
     for (const char *id : {"18446744073709551617", "99999999999999999999999", "1x2", "-4", "1 2", ""}) {
-        CHECK_TEXT(!net::firstEvent("id: " + std::string(id) + "\ndata: x\n\n")->hasId, id);
+        CHECK_TEXT(net::firstEvent("id: " + std::string(id) + "\ndata: x\n\n")->kind == net::FrameKind::Unreadable, id);
     }
     CHECK(net::firstEvent("id:18446744073709551614\r\ndata: x\r\n\r\n")->id == 18446744073709551614U);
 }
 
-TEST(AnEventFrame, mayLackAnId)
+TEST(AnEventFrame, isNoEventIfItIsAComment)
 {
-    CHECK(!net::firstEvent(": comment\n\n")->hasId);
+    CHECK(net::firstEvent(": comment\n\n")->kind == net::FrameKind::NoEvent);
 }
--- a/libs/relay/include/relay/RelayKernel.h
+++ b/libs/relay/include/relay/RelayKernel.h
@@ -225,8 +225,9 @@
     void onHead(Instant now, AttemptId attempt, const AnswerHead &head);
     /// Handles a whole answer that isn't a stream of events.
     void onAnswer(Instant now, AttemptId attempt, const AnswerHead &head);
-    /// Handles an event of a stream. Returns true if it must be forwarded to the caller.
-    bool onEvent(Instant now, AttemptId attempt, std::uint64_t eventId);
+    /// Handles an event of a stream. `content` is a hash of its bytes, by which an event that is sent twice is told from another one with its id. Returns true
+    /// if it must be forwarded to the caller. An event whose id can't be read makes the answer a malformed one, to be reported by onFailure().
+    bool onEvent(Instant now, AttemptId attempt, std::uint64_t eventId, std::uint64_t content = 0);
     /// Handles the end of a stream that the endpoint has ended properly, after a complete event.
     void onStreamEnd(Instant now, AttemptId attempt);
     /// Handles the end of an attempt without a whole answer. `progress` says for the log how far it came.
--- a/libs/relay/src/HandOvers.cpp
+++ b/libs/relay/src/HandOvers.cpp
@@ -59,7 +59,7 @@
     }
     ++call.attemptCount;
     ++counters.handedOver;
-    handOvers.emplace(id, OpenHandOver{call.id, *peer, now, mayRunTwice, now, call.lastEvent, false});
+    handOvers.emplace(id, OpenHandOver{call.id, *peer, now, mayRunTwice, now, call.lastEvent, false, {}});
     handOverPeers.onBegun(*peer);
     call.handOver = id;
     HandOver order;
@@ -203,7 +203,7 @@
     retryOrFail(now, call, call.mayHaveRun ? base::ErrorKind::UpstreamBroken : base::ErrorKind::NoEndpoint, detail);
 }
 
-bool RelayKernel::Impl::onHandOverEvent(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId)
+bool RelayKernel::Impl::onHandOverEvent(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId, std::uint64_t content)
 {
     OpenHandOver &open = handOvers.at(attempt);
     if (!open.hasEvents && isNewRun(eventId, open.resumedAfter)) {
@@ -212,6 +212,10 @@
         onHandOverFailed(now, call, attempt, AttemptFailure::Broken);
         return false;
     }
+    if (!open.order.takes(eventId, content)) {
+        loseOrder(now, call, attempt, eventId);
+        return false;
+    }
     open.hasEvents = true;
     open.lastProgressAt = now;
     return deliverEvent(now, call, attempt, eventId);
--- a/libs/relay/src/StreamCalls.cpp
+++ b/libs/relay/src/StreamCalls.cpp
@@ -285,10 +285,10 @@
     retryStreamOrFail(now, call, endpoint + " has begun a new run instead of resuming the stream");
 }
 
-bool RelayKernel::onEvent(Instant now, AttemptId attempt, std::uint64_t eventId)
+bool RelayKernel::onEvent(Instant now, AttemptId attempt, std::uint64_t eventId, std::uint64_t content)
 {
     if (Call *handedOver = impl_->callOfHandOver(attempt)) {
-        return impl_->onHandOverEvent(now, *handedOver, attempt, eventId);
+        return impl_->onHandOverEvent(now, *handedOver, attempt, eventId, content);
     }
     Call *call = impl_->callOf(attempt);
     if (call == nullptr || call->route->kind != RequestKind::Stream) {
@@ -299,6 +299,10 @@
         impl_->giveUpNewRun(now, *call, attempt, eventId);
         return false;
     }
+    if (!openAttempt.order.takes(eventId, content)) {
+        impl_->loseOrder(now, *call, attempt, eventId);
+        return false;
+    }
     openAttempt.lastProgressAt = now;
     impl_->onReceived(now, openAttempt.stages.front(), false);
     if (!openAttempt.hasEvents) {
@@ -326,13 +330,7 @@
         return false; // The caller has received it already.
     }
     if (!isNext) {
-        driver.record({"event_gap", call.requestId, "", "event " + std::to_string(eventId) + " after " + std::to_string(call.lastEvent)});
-        const std::size_t openAttempts = call.attempts.size() + (call.handOver ? 1 : 0);
-        if (openAttempts > 1) {
-            leaveAfterGap(now, call, attempt);
-            return false; // Another attempt may still go on.
-        }
-        fail(now, call, base::ErrorKind::AnswerIncomplete, "an event of the stream is missing");
+        loseOrder(now, call, attempt, eventId);
         return false;
     }
     call.lastEvent = eventId;
@@ -353,8 +351,14 @@
     return true;
 }
 
-void RelayKernel::Impl::leaveAfterGap(Instant now, Call &call, AttemptId attempt)
+void RelayKernel::Impl::loseOrder(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId)
 {
+    driver.record({"event_gap", call.requestId, "", "event " + std::to_string(eventId) + " after " + std::to_string(call.lastEvent)});
+    const std::size_t openAttempts = call.attempts.size() + (call.handOver ? 1 : 0);
+    if (openAttempts == 1) {
+        return fail(now, call, base::ErrorKind::AnswerIncomplete, "an event of the stream is missing, or has the id of another one");
+    }
+    // Another attempt may still go on.
     driver.cancel(attempt);
     if (call.handOver == attempt) {
         return onHandOverFailed(now, call, attempt, AttemptFailure::Broken);
--- a/libs/relay/src/details/KernelImpl.h
+++ b/libs/relay/src/details/KernelImpl.h
@@ -197,7 +197,7 @@
     /// Hands the call over again, or ends it, after a hand-over without a whole answer.
     void onHandOverFailed(Instant now, Call &call, AttemptId attempt, AttemptFailure failure);
     /// Handles an event; returns true if it must be forwarded to the caller.
-    bool onHandOverEvent(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId);
+    bool onHandOverEvent(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId, std::uint64_t content);
     void onHandOverStreamEnd(Instant now, Call &call, AttemptId attempt);
     /// Returns whether something else could take a stream from the instance that it was handed over to.
     bool canLeaveReceiver(Instant now, Call &call);
@@ -298,8 +298,9 @@
     void continueWith(Call &call, AttemptId attempt);
     /// Takes an event of the call's stream, whoever sends it; returns true if it is the next one, which the caller must get.
     bool deliverEvent(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId);
-    /// Gives up an attempt or a hand-over that has left out an event, while another one is open.
-    void leaveAfterGap(Instant now, Call &call, AttemptId attempt);
+    /// Gives up an attempt or a hand-over that has left out an event, or whose events aren't in order. Fails the call unless another one is open: it isn't
+    /// known which of the ids are right.
+    void loseOrder(Instant now, Call &call, AttemptId attempt, std::uint64_t eventId);
     /// Ends a stream as complete, after the last event of the attempt or the hand-over.
     void endStream(Call &call, AttemptId attempt, const std::string &server);
     /// Gives up an attempt that was to resume a stream and whose first event shows a run from the beginning: its events and those of the run before don't
--- a/libs/relay/src/details/OpenCalls.h
+++ b/libs/relay/src/details/OpenCalls.h
@@ -14,6 +14,23 @@
     std::vector<placement::LayerRange> layers;
 };
 
+/// The order of the events that one attempt or hand-over sends.
+struct EventOrder {
+    /// Id and content of the last one; none before the first.
+    std::optional<std::uint64_t> last;
+    std::uint64_t lastContent = 0;
+
+    /// Takes an event. Returns false if the ids don't go up, so that one of them is damaged; the last event may be sent twice.
+    bool takes(std::uint64_t eventId, std::uint64_t content)
+    {
+        const bool isRepeated = last == eventId && lastContent == content;
+        const bool isInOrder = !last || eventId > *last || isRepeated;
+        last = eventId;
+        lastContent = content;
+        return isInOrder;
+    }
+};
+
 /// An open attempt: one dispatch of a call to an endpoint or a pipeline.
 struct Attempt {
     CallId call = 0;
@@ -39,6 +56,7 @@
     /// Predicted time between two events.
     double predictedEventIntervalMs = 0;
     bool hasEvents = false;
+    EventOrder order;
     /// Number of the last event that the caller had when it was sent; 0 if it had none.
     std::uint64_t resumedAfter = 0;
     /// Detours that were sent to its first stage, and whether the last one is unanswered.
@@ -76,6 +94,7 @@
     /// Number of the last event that the caller had when it was handed over; 0 if it had none.
     std::uint64_t resumedAfter = 0;
     bool hasEvents = false;
+    EventOrder order;
 };
 
 /// A caller's request that has been admitted and not yet answered completely.
--- a/libs/relayhost/include/relayhost/RelayHost.h
+++ b/libs/relayhost/include/relayhost/RelayHost.h
@@ -2,6 +2,7 @@
 
 #include "base/ErrorKind.h"
 #include "mesh/Mesh.h"
+#include "net/EventFrames.h"
 #include "net/HeldBytes.h"
 #include "net/HttpServer.h"
 #include "record/DecisionLog.h"
@@ -109,6 +110,8 @@
         net::Headers headers;
         /// The body; of a stream only the bytes after its last complete event.
         std::string body;
+        /// Cuts that into events.
+        net::EventScanner events;
         /// Counts the body.
         net::HeldBytes::Share held;
         /// The call is answered by a stream.
--- a/libs/relayhost/src/HostAttempts.cpp
+++ b/libs/relayhost/src/HostAttempts.cpp
@@ -1,7 +1,7 @@
 #include "relayhost/RelayHost.h"
 
+#include "base/Hash.h"
 #include "base/Time.h"
-#include "net/EventFrames.h"
 #include "relayhost/HandOverFields.h"
 
 namespace relayhost {
@@ -154,15 +154,17 @@
     const relay::CallId call = attempt->second.call;
     std::string forwardedBytes;
     std::size_t consumedBytes = 0;
+    bool isDamaged = false;
     while (attempt != attempts_.end()) {
-        const auto frame = net::firstEvent(std::string_view(attempt->second.body).substr(consumedBytes));
-        if (!frame) {
+        const auto frame = attempt->second.events.next(std::string_view(attempt->second.body).substr(consumedBytes));
+        isDamaged = frame && frame->kind == net::FrameKind::Unreadable;
+        if (!frame || isDamaged) {
             break;
         }
-        consumedBytes += frame->bytes.size();
+        consumedBytes += frame->length;
         const std::string bytes(frame->bytes);
-        // Events without an id are not forwarded. onEvent() may end the call and cancel the attempt, so the attempt is looked up again below.
-        if (frame->hasId && kernel_.onEvent(now(), id, frame->id)) {
+        // Comments are not forwarded. onEvent() may end the call and cancel the attempt, so the attempt is looked up again below.
+        if (frame->kind == net::FrameKind::Event && kernel_.onEvent(now(), id, frame->id, base::hashOf(bytes))) {
             forwardedBytes += bytes;
         }
         attempt = attempts_.find(id);
@@ -179,6 +181,9 @@
     if (attempt == attempts_.end()) {
         return;
     }
+    if (isDamaged) {
+        return giveUp(id, "an event has no id that can be read");
+    }
     attempt->second.body.erase(0, consumedBytes);
     attempt->second.held.set(attempt->second.body.capacity());
     if (attempt->second.body.size() > MaxEventBytes) {
@@ -208,10 +213,10 @@
         return;
     }
     if (attempt->second.isStream) {
-        if (attempt->second.body.empty()) {
-            kernel_.onStreamEnd(now(), id);
-        } else {
+        if (attempt->second.events.isWithinFrame()) {
             kernel_.onFailure(now(), id, relay::AttemptFailure::Broken, "its answer ended within an event");
+        } else {
+            kernel_.onStreamEnd(now(), id);
         }
     } else {
         const auto call = calls_.find(attempt->second.call);
