MIXED: answers with a status that HTTP doesn't have reach callers

Callers got "HTTP/1.1 0 <unknown-status>" with an empty body when an endpoint in trouble had sent the status 000; 001 and 099 likewise, 600 and 999 with the body. A head with such a status before the answer counted as the answer.

Cause: the HTTP library takes any three digits for a status, and ResponseReader took whatever it had parsed. The second symptom of the issue, names of fields with a blank or a control byte, is refused by the library on x86-64 for each of the bytes that no name may have, at the begin, in the middle and at the end of a name, in heads cut into two parts at any byte, in interim heads and in trailers; it was not seen.

Change: isHttpResponse() (libs/net) states the rule for each head that any client of the project reads, interim ones too: status 100 to 599, names that are tokens, values without control bytes. All answers pass there: endpoints', other instances', the store's, and those of the daemon's own face. What breaks it is malformed, so the attempt's log line names the status.

--- a/libs/net/src/ResponseReader.cpp
+++ b/libs/net/src/ResponseReader.cpp
@@ -2,6 +2,7 @@
 
 #include "details/HeaderFields.h"
 #include "details/MessageEnd.h"
+#include "details/ResponseHead.h"
 
 namespace net {
 
@@ -55,6 +56,10 @@
         parser_->body_limit(call_.bodyLimit);
         parser_->skip(call_.request.method == "HEAD");
         auto headers = co_await readOneHeader();
+        if (headers && !isHttpResponse(status(), *headers)) {
+            progress_.error = "no HTTP head, status " + std::to_string(status());
+            break;
+        }
         const bool isInterim = headers && http::to_status_class(parser_->get().result_int()) == http::status_class::informational;
         if (!isInterim) {
             const bool isClear = headers && hasClearEnd(*headers, parser_->get().version() >= Http11);
--- a/libs/net/src/details/ResponseReader.h
+++ b/libs/net/src/details/ResponseReader.h
@@ -26,8 +26,8 @@
     {
     }
 
-    /// Reads the header of the next response, after interim ones; none if that fails, or if it isn't clear where the body ends. A server that switches to
-    /// another protocol, which no request asks for, gives no response.
+    /// Reads the header of the next response, after interim ones; none if that fails, if one of them is no HTTP, or if it isn't clear where the body ends. A
+    /// server that switches to another protocol, which no request asks for, gives no response.
     boost::asio::awaitable<std::optional<Headers>> readHeader();
 
     /// Counts the response whose header was read as the one to the call, not to an earlier one.
--- a/programs/trefoilportd/tests/EndpointContractTests.cpp
+++ b/programs/trefoilportd/tests/EndpointContractTests.cpp
@@ -190,6 +190,17 @@
     EndpointsDutyDriver duty;
 };
 
+/// Guards against MIXED: a service in trouble sends a status that HTTP doesn't have, and the caller gets it as the answer.
+TEST(AServicesContract, passesOnNoAnswerThatIsNoHttp)
+{
+    for (const int status : {600, 999}) {
+        const FakeEndpoint service({status, {}, "answer", Script::End::Complete});
+        checkFailure(std::to_string(status).c_str(), duty.run(serviceTo(service.address())), AttemptFailure::Broken);
+    }
+    const FakeEndpoint damaged({200, {{"X Part", "a"}}, "answer", Script::End::Complete});
+    checkFailure("a blank in a name", duty.run(serviceTo(damaged.address())), AttemptFailure::Broken);
+}
+
 TEST(AServicesContract, passesOnEveryAnswerThatDoesNotSayNotRun)
 {
     for (const int status : {200, 404, 500, 503}) {
