--- a/libs/relay/tests/VirtualCallers.cpp
+++ b/libs/relay/tests/VirtualCallers.cpp
@@ -20,15 +20,18 @@
 /// Number of attempts that the stream route allows.
 constexpr std::uint32_t MaxStreamRuns = 2;
 
+/// The route of this path allows no resumption of its streams.
+constexpr std::string_view OnceStreamPath = "/once/x";
+
 struct CallKind {
     relay::RequestKind kind;
-    const char *path;
+    std::string_view path;
     Ms timeLimit;
 };
 
 constexpr CallKind CallKinds[] = {
     {relay::RequestKind::Stream, "/stream/x", StreamTimeLimit},
-    {relay::RequestKind::Stream, "/stream/y", StreamTimeLimit},
+    {relay::RequestKind::Stream, OnceStreamPath, StreamTimeLimit},
     {relay::RequestKind::AtMostOnce, "/book/x", PlainTimeLimit},
     {relay::RequestKind::Idempotent, "/read/x", PlainTimeLimit},
 };
@@ -64,6 +67,7 @@
     caller->generation = instances_[caller->instance]->generation;
     caller->requestId = "request-" + std::to_string(caller->id);
     caller->kind = kind.kind;
+    caller->mayRunOnce = kind.kind == relay::RequestKind::AtMostOnce || kind.path == OnceStreamPath;
     caller->sentAt = time_.now();
     caller->key = !isAfterRecovery && draw(4) == 0 ? "key-c" : draw(2) == 0 ? "key-a" : "key-b";
     caller->events = MinEvents + draw(EventCountRange);
@@ -137,7 +141,7 @@
     if (!caller.ended) {
         addViolation(caller.requestId + " did not reach its end");
     }
-    if (caller.kind == relay::RequestKind::AtMostOnce && runs > 1) {
+    if (caller.mayRunOnce && runs > 1) {
         addViolation(caller.requestId + " ran " + std::to_string(runs) + " times");
     }
     if (caller.reportedNotRun && runs > 0) {
--- a/libs/relay/tests/VirtualEndpoints.cpp
+++ b/libs/relay/tests/VirtualEndpoints.cpp
@@ -20,6 +20,8 @@
 constexpr Ms MaxRevocationDelay{5000};
 /// An instance is stable, and must keep to MaxDrainDelay, after this time without a restart, freeze, partition or outage of the store.
 constexpr Ms StablePeriod{4000};
+/// The last event of each so many attempts can't be read.
+constexpr relay::AttemptId DamagedAttemptPeriod = 16;
 constexpr int Ok = 200;
 constexpr int Misdirected = 421;
 constexpr int Unavailable = 503;
@@ -220,6 +222,10 @@
 void VirtualFleet::sendEvent(const Run &run, const std::string &endpoint, std::uint64_t event)
 {
     notifyInstance(run, endpoint, [this, run, event](relay::RelayKernel &kernel) {
+        if (event >= run.lastEvent && run.attempt % DamagedAttemptPeriod == 0) {
+            callerOf(run).wasBrokenByEndpoint = true;
+            return kernel.onFailure(time_.now(), run.attempt, relay::AttemptFailure::Malformed);
+        }
         if (kernel.onEvent(time_.now(), run.attempt, event)) {
             Caller &caller = callerOf(run);
             if (event != caller.delivered + 1) {
--- a/libs/relay/tests/VirtualFleet.h
+++ b/libs/relay/tests/VirtualFleet.h
@@ -159,6 +159,8 @@
         std::uint64_t generation = 0;
         std::string requestId;
         relay::RequestKind kind = relay::RequestKind::AtMostOnce;
+        /// Its route permits one run, whatever happens to that.
+        bool mayRunOnce = false;
         relay::Instant sentAt{0};
         std::string key;
         /// Number of events of the stream.
--- a/libs/relay/tests/VirtualStore.cpp
+++ b/libs/relay/tests/VirtualStore.cpp
@@ -102,6 +102,8 @@
         config->routes.push_back(entry);
     };
     route("stream", "/stream/", relay::RequestKind::Stream, Ms(10000), 2, "model");
+    route("once", "/once/", relay::RequestKind::Stream, Ms(10000), 2, "model");
+    config->routes.back().isResumable = false;
     route("book", "/book/", relay::RequestKind::AtMostOnce, Ms(1200), 1, "desk");
     route("read", "/read/", relay::RequestKind::Idempotent, Ms(1200), 2, "desk");
     if (changesConfig_ && time_.now() < faultsUntil_) {
