--- a/libs/net/src/ResponseReader.cpp
+++ b/libs/net/src/ResponseReader.cpp
@@ -57,6 +57,7 @@
         parser_->skip(call_.request.method == "HEAD");
         auto headers = co_await readOneHeader();
         if (headers && !isHttpResponse(status(), *headers)) {
+            progress_.part = ResponsePart::Header;
             progress_.error = "no HTTP head, status " + std::to_string(status());
             break;
         }
