Test of callers that don't read: waits for the abort, which follows the end

Cause: the server reports an exchange's end, then its abort, in its own thread; the test read the number of aborts as soon as it had the end. Change: the test waits until the server has finished the exchange, and still requires exactly one abort.

--- a/libs/net/tests/EndlessRequestTests.cpp
+++ b/libs/net/tests/EndlessRequestTests.cpp
@@ -240,6 +240,8 @@
     RawClient client(server.address(), RawClient::SmallReceiveBufferBytes);
     client.send("GET /begun-large HTTP/1.1\r\nHost: a\r\n\r\n");
     CHECK(server.nextEnd() == net::ExchangeEnd::TooMuchHeld);
+    // The end is reported before the abort, in the server's thread.
+    CHECK(server.waitUntilFinished());
     LONGS_EQUAL(1, server.aborts());
     CHECK(server.get("/whole", "abc").ok);
 }
