--- a/libs/net/tests/ArrivingRequestTests.cpp
+++ b/libs/net/tests/ArrivingRequestTests.cpp
@@ -175,6 +175,7 @@
     client.closeSendingSide();
     CHECK(client.receiveAll().starts_with("HTTP/1.1 502"));
     CHECK(server.nextEnd() == net::ExchangeEnd::CallerLeft);
+    CHECK(server.waitUntilFinished());
     LONGS_EQUAL(1, server.aborts());
 }
 
--- a/libs/net/tests/HttpServerTests.cpp
+++ b/libs/net/tests/HttpServerTests.cpp
@@ -53,6 +53,7 @@
     STRCMP_CONTAINS("500 Internal Server Error", answerTo("/throw").c_str());
     STRCMP_EQUAL("no such seat", server.nextException().value_or("").c_str());
     CHECK(server.nextEnd() == net::ExchangeEnd::HandlerFailed);
+    CHECK(server.waitUntilFinished());
     LONGS_EQUAL(1, server.aborts());
 }
 
@@ -63,6 +64,7 @@
     CHECK(answer.find("500") == std::string::npos);
     CHECK(answer.find("0\r\n\r\n") == std::string::npos);
     CHECK(server.nextEnd() == net::ExchangeEnd::Misused);
+    CHECK(server.waitUntilFinished());
     LONGS_EQUAL(1, server.aborts());
 }
 
