--- a/review/stand-3/Connections.cpp
+++ b/review/stand-3/Connections.cpp
@@ -19,13 +19,15 @@
 
 int runConnections(Record &record)
 {
+    // This process has one end of each channel; the instance, which inherits the limit, has the other.
+    constexpr rlim_t Descriptors = 2600;
     rlimit limit{};
     ::getrlimit(RLIMIT_NOFILE, &limit);
-    if (limit.rlim_max < 8000) {
-        record.line("fewer than 8000 descriptors are permitted here");
+    if (limit.rlim_max < Descriptors) {
+        record.line("fewer than 2600 descriptors are permitted here");
         return CannotRun;
     }
-    limit.rlim_cur = std::max<rlim_t>(limit.rlim_cur, 8000);
+    limit.rlim_cur = std::max(limit.rlim_cur, Descriptors);
     ::setrlimit(RLIMIT_NOFILE, &limit);
     Bed bed(record);
     if (!bed.start()) {
