Review case 11: an outage of the store ends up to 8 s late for a router

Cause: after failures of RevokeMs the period between reads of the configuration rises to 8 x ConfigApplyMs / 3, spread up to 1.5 of it; nothing brings the next read forward when the store answers again. Change: a script that shows it; the former cases 11 and 12 are dropped, since review/8 and review/10 show them. Nothing of the product is changed.

--- a/review/stand-3/Cases.h
+++ b/review/stand-3/Cases.h
@@ -4,12 +4,11 @@
 
 namespace stand {
 
-int runTrace(Record &record);
-int runParts(Record &record);
+int runOutage(Record &record);
+int runRevoked(Record &record);
 int runLookups(Record &record);
-int runConnections(Record &record);
 int runGone(Record &record);
-int runRevoked(Record &record);
+int runTrace(Record &record);
 
 struct NamedCase {
     const char *name;
@@ -17,12 +16,11 @@
 };
 
 constexpr NamedCase Cases[] = {
-    {"trace", runTrace},
-    {"parts", runParts},
+    {"outage", runOutage},
+    {"revoked", runRevoked},
     {"lookups", runLookups},
-    {"connections", runConnections},
     {"gone", runGone},
-    {"revoked", runRevoked},
+    {"trace", runTrace},
 };
 
 } // namespace stand
--- a/review/stand-3/Fleet.cpp
+++ b/review/stand-3/Fleet.cpp
@@ -136,6 +136,10 @@
     const std::string prefix = "/objects/";
     const std::string path = request.path();
     Response response{404, {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era_)}}, "{}"};
+    if (isAway_) {
+        response.status = 503;
+        return response;
+    }
     if (path.rfind(prefix, 0) != 0) {
         return response;
     }
@@ -153,6 +157,10 @@
         const double until = nowMs() + std::atof(request.query("WaitMs").c_str());
         for (;;) {
             std::unique_lock lock(mutex_);
+            if (isAway_) {
+                response.status = 503; // A watch that is waiting may be cut off.
+                return response;
+            }
             if (revision < historyStart_ || revision > revision_) {
                 response.status = 410;
                 return response;
--- a/review/stand-3/Fleet.h
+++ b/review/stand-3/Fleet.h
@@ -37,6 +37,11 @@
     /// Writes an object's specification, as the operator and the runners do.
     void put(const std::string &kind, const std::string &name, const json::object &spec);
     void remove(const std::string &kind, const std::string &name);
+    /// Goes away: every call is answered 503; or is back.
+    void setAway(bool isAway)
+    {
+        isAway_ = isAway;
+    }
     /// Makes a copy of all objects.
     void copy();
     /// Comes back from the copy: what was written since is gone, and revisions are given out again.
@@ -71,6 +76,7 @@
     std::map<std::string, std::map<std::string, Object>> copied_;
     std::uint64_t copiedRevision_ = 100;
     std::uint64_t era_ = 1;
+    std::atomic<bool> isAway_{false};
     std::vector<std::unique_ptr<Server>> views_;
     std::string host_;
     Server server_;
